--- /dev/null
+++ b/beacongw/interface.py
@@ -0,0 +1,270 @@
+"""The public interface of beacongw: settings, events and actions. No decisions are made here.
+
+All times are whole nanoseconds on the caller's own monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+NS_PER_S = 1_000_000_000
+
+
+class Effect(Enum):
+    """What repeating a request does: nothing, dropped as a duplicate for a while, or harm."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """The servers that drop repeats of a keyed request, seen from the one that may have run it."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Outcome(Enum):
+    """How an attempt or a probe ended."""
+
+    OK = "ok"
+    MISS = "miss"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+    @property
+    def never_ran(self) -> bool:
+        return self in (Outcome.MISS, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+
+
+class ListKind(Enum):
+    """What a membership event holds."""
+
+    DELTA = "delta"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class ServerState(Enum):
+    """The state of a listed server."""
+
+    GONE = "gone"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class CacheNote(Enum):
+    """A cache's remark on an outcome; FETCH_OUT: a miss whose fetch another request was told to do."""
+
+    HIT = 1
+    MISS = 2
+    FETCH_OUT = 3
+
+
+def _require(ok: bool, key: str, rule: str) -> None:
+    if not ok:
+        raise ValueError(f"settings: {key} {rule}")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A class of requests; an answer within `aim` is worth the most."""
+
+    name: str
+    aim: int
+    deadline: int
+    effect: Effect = Effect.SAFE
+    group: Group = Group.ALL
+    dedup_window: int = 0
+    streamed: bool = False
+
+    def __post_init__(self) -> None:
+        _require(bool(self.name), "classes.name", "must not be empty")
+        _require(self.aim > 0, "classes.aim", "must be above 0")
+        _require(self.deadline > 0, "classes.deadline", "must be above 0")
+        _require(self.dedup_window >= 0, "classes.dedup_window", "must not be negative")
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A tenant, its portion of the service, and its requests a second over all routers together."""
+
+    name: str
+    portion: float
+    quota_per_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        _require(0 <= self.portion <= 1, "tenants.portion", "must lie between 0 and 1")
+        _require(self.quota_per_s >= 0, "tenants.quota_per_s", "must not be negative")
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a router is told at its start."""
+
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    routers: int = 1
+    origin_kind: str | None = None
+    """The machine kind of the origin's list entries; None: the caches fetch for themselves."""
+    weighted: bool = False
+    """Whether list weights state the servers' sizes."""
+    must_subscribe: bool = False
+    """Whether the server list has to be asked for."""
+    ask_within: int = 10 * NS_PER_S
+    cold_share: float = 1.0
+    cold_time: int = 0
+    max_attempts: int = 4
+    retry_after: bool = False
+    max_retry_after: int = NS_PER_S
+    may_probe: bool = False
+    load_fields: tuple[str, ...] = ()
+    """The names of the values in a load report, in order."""
+
+    def __post_init__(self) -> None:
+        _require(bool(self.classes), "classes", "must name at least one class")
+        _require(self.routers >= 1, "routers", "must be at least 1")
+        _require(self.ask_within > 0, "ask_within", "must be above 0")
+        _require(0 < self.cold_share <= 1, "cold_share", "must lie above 0 and not over 1")
+        _require(self.cold_time >= 0, "cold_time", "must not be negative")
+        _require(self.max_attempts >= 1, "max_attempts", "must be at least 1")
+        _require(self.max_retry_after >= 0, "max_retry_after", "must not be negative")
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One entry of the server list; `started` 0: long ago."""
+
+    id: str
+    kind: str = ""
+    state: ServerState = ServerState.READY
+    weight: float = 1.0
+    started: int = 0
+    zone: str = ""
+    cell: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ServersChanged:
+    """News of the server list. FAILED has no entries, and the list held stays valid."""
+
+    kind: ListKind
+    servers: tuple[Server, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A client's request; one final answer is owed by `deadline` (clock time)."""
+
+    request: str
+    request_class: str
+    deadline: int
+    tenant: str | None = None
+    key: str | None = None
+    write: bool = False
+    retry: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StreamStarted:
+    """A streamed answer has begun: the attempt belongs to the client from here on."""
+
+    request: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """The end of one attempt. `closed`: the request has its final answer already."""
+
+    request: str
+    attempt: int
+    server: str
+    outcome: Outcome
+    closed: bool
+    latency: int
+    note: CacheNote | None = None
+    load: tuple[float, ...] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClientGone:
+    """The client has left; nothing is owed any more."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """A timer that the router set is due."""
+
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    """The result of a probe."""
+
+    server: str
+    outcome: Outcome
+    latency: int
+    load: tuple[float, ...] | None = None
+
+
+Event = ServersChanged | RequestArrived | StreamStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start an attempt at a server; `timeout` 0: until the client gives up."""
+
+    request: str
+    server: str
+    timeout: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: not done, and trying again does no harm."""
+
+    request: str
+    retry_after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer: failed. It promises nothing about the effect."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Ask for a TimerFired after `delay`."""
+
+    delay: int
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask for the changes of the server list from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Examine a server."""
+
+    server: str
+
+
+Action = Send | Refuse | Fail | SetTimer | Subscribe | Probe
--- /dev/null
+++ b/beacongw/logic.py
@@ -0,0 +1,493 @@
+"""Every decision of beacongw, without I/O; the settings, events and actions are in interface.py.
+
+Ordinary path: key -> slot -> the ready cache server with the highest weighted hash of (slot, server id);
+a read that misses there -> the origin, if its tenant's Suppressor admits the fetch; a write -> the origin.
+docs/design.md gives the source and the condition of every departure.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from hashlib import blake2b
+from heapq import nlargest
+from itertools import takewhile
+from operator import itemgetter
+from zlib import crc32
+
+from beacongw import interface as api
+from beacongw.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+
+SLOTS = 8192  # far more than servers, so that a slot's load is small beside a server's
+DEPTH = 8
+WORD = (1 << 64) - 1
+HARD_LIMIT_FACTOR = 1.5
+CHANCE_CACHED = NS_PER_S // 10
+WINDOW_CALLS = 8  # calls that a window should be able to hold at the generous limit
+WINDOW_MIN_S, WINDOW_MAX_S = 5.0, 20.0
+UNSTATED_LIMIT = 1000.0  # generous start for all routers together where no quota is stated
+CUT, RISE_S = 0.7, 15.0
+HEAT_SHARE = 0.25  # part of a server's fair load that one slot may bring before it is spread
+HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
+BAD_SAMPLES, BAD_SHARE = 8, 0.2
+PASS_CUT, PASS_RISE, PASS_FLOOR = 0.25, 0.2, 0.05  # a chance: cut by a late answer, raised by a good one
+REGAIN = 60 * NS_PER_S
+SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
+PATIENCE_SHARE, SLOW_SHARE = 0.95, 0.8
+DEAD = -0.02
+
+
+class Pace:
+    """How long answers take: their smoothed time, and its smoothed deviation."""
+
+    def __init__(self, usual: float = 0.0) -> None:
+        self.usual = self.spread = usual
+
+    def learn(self, latency: int) -> None:
+        off = latency - self.usual
+        self.usual += off / 16
+        self.spread += (abs(off) - self.spread) / 16
+
+
+class Node:
+    """A ready server as this router sees it: own attempts out, and health as the chance to be sent to."""
+
+    def __init__(self, entry: api.Server, weighted: bool) -> None:
+        self.entry, self.load = entry, 0
+        self.weight = entry.weight if weighted else 1.0
+        self.seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
+        self.down = False
+        self.unheard = 0
+        self.pace = Pace()
+        self._chance = 1.0
+
+    def chance(self, now: int) -> float:
+        return min(1.0, self._chance + now / REGAIN) if self._chance < 1.0 else 1.0
+
+    def judge(self, outcome: Outcome, late: bool, now: int) -> None:
+        """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
+        chance = self.chance(now)
+        self.unheard = self.unheard + 1 if outcome in (Outcome.TIMEOUT, Outcome.RESET) else 0
+        if outcome is Outcome.CONNECT_FAILED or (outcome is Outcome.RESET and self.unheard > 1):
+            chance, self.down = DEAD, True
+        elif late or outcome is Outcome.FULL or self.unheard > 1:
+            chance = max(chance * PASS_CUT, PASS_FLOOR)
+        elif outcome in (Outcome.OK, Outcome.MISS):
+            chance, self.down = min(1.0, chance + PASS_RISE), False
+        self._chance = chance
+
+
+class SlotTable:
+    """Weighted rendezvous hashing of slots over the ready servers, remembered slot by slot."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.nodes: dict[str, Node] = {}
+        self._settings = settings
+        self._memo: dict[int, list[tuple[float, Node]]] = {}
+        self._cold_until = 0
+
+    def update(self, ready: list[api.Server], left: list[str]) -> None:
+        changed = [e for e in ready if e.id not in self.nodes or self.nodes[e.id].entry != e]
+        gone = {*left, *(entry.id for entry in changed)}
+        for server_id in gone:
+            self.nodes.pop(server_id, None)
+        if len(gone) > DEPTH:
+            self._memo.clear()
+        for slot in [s for s, held in self._memo.items() if any(n.entry.id in gone for _, n in held)]:
+            del self._memo[slot]
+        for node in [Node(entry, self._settings.weighted) for entry in changed]:
+            self.nodes[node.entry.id] = node
+            for slot, held in self._memo.items():
+                ranked = [*held, (self._score(slot, node), node)]
+                held[:] = nlargest(max(DEPTH, len(held)), ranked, key=itemgetter(0))
+        newest = max((node.entry.started for node in self.nodes.values()), default=0)
+        self._cold_until = newest + self._settings.cold_time
+
+    def _score(self, slot: int, node: Node) -> float:
+        mixed = (node.seed ^ (slot + 1) * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 & WORD
+        mixed = (mixed ^ mixed >> 32) * 0xD6E8FEB86659FD93 & WORD
+        return -node.weight / math.log(((mixed ^ mixed >> 32) + 1) / (WORD + 2))
+
+    def warmth(self, node: Node, now: int) -> float:
+        age = max(now - node.entry.started, 0)  # clocks differ: a start may lie ahead
+        cold, cold_time = self._settings.cold_share, self._settings.cold_time
+        warm = not node.entry.started or age >= cold_time
+        return 1.0 if warm else cold + (1 - cold) * age / cold_time
+
+    def rank(self, slot: int, now: int, depth: int = DEPTH) -> list[Node]:
+        """The slot's best servers, at least `depth`, best first, with cold ones at their ramped weight."""
+        held = self._memo.get(slot, [])
+        if len(held) < min(depth, len(self.nodes)):
+            scored = ((self._score(slot, node), node) for node in self.nodes.values())
+            held = self._memo[slot] = nlargest(2 * depth, scored, key=itemgetter(0))
+        if now < self._cold_until:
+            ramped = [(score * self.warmth(node, now), node) for score, node in held]
+            held = sorted(ramped, key=itemgetter(0), reverse=True)
+        return [node for _, node in held]
+
+
+class Heat:
+    """Each slot's share of the requests seen lately, by counts halved now and then."""
+
+    def __init__(self) -> None:
+        self._counts: dict[int | str, float] = {}
+        self._total = 0.0
+
+    def add(self, slot: int | str) -> float:
+        count = self._counts.get(slot, 0.0)
+        share = count / max(self._total, 1.0)
+        self._counts[slot] = count + 1
+        self._total += 1
+        if self._total >= HEAT_MEMORY:
+            self._counts = {slot: count / 2 for slot, count in self._counts.items() if count > 1}
+            self._total = sum(self._counts.values())
+        return share
+
+
+class Suppressor:
+    """One tenant's guard of the origin: sliding-window counts, three regimes, AIMD rate limit."""
+
+    def __init__(self, tenant: api.Tenant, routers: int, rng: random.Random) -> None:
+        self.portion = tenant.portion
+        self.cap = self.limit = (tenant.quota_per_s or UNSTATED_LIMIT) / routers
+        self.window_s = min(max(WINDOW_CALLS / self.cap, WINDOW_MIN_S), WINDOW_MAX_S)
+        self.floor = min(1 / self.window_s, self.cap)  # one call a window: with none counted a fetch goes
+        self._calls: deque[tuple[int, bool]] = deque()
+        self.declined = 0
+        self._rng = rng
+        self._chance, self._chance_until = 1.0, 0
+        self._last_rise = 0
+
+    def count(self, now: int, declined: bool = False) -> None:
+        """Count one call to the origin."""
+        self._calls.append((now, declined))
+        self.declined += declined
+
+    def accepted(self, now: int) -> int:
+        """Calls of the window that went to the origin."""
+        while self._calls and self._calls[0][0] <= now - self.window_s * NS_PER_S:
+            self.declined -= self._calls.popleft()[1]
+        return len(self._calls) - self.declined
+
+    def admit(self, now: int) -> bool:
+        accepted, soft = self.accepted(now), self.window_s * self.limit
+        over = len(self._calls) >= soft * HARD_LIMIT_FACTOR
+        allowed = not (over and accepted >= soft)
+        if allowed and self._calls and (over or accepted >= soft):
+            # Departure: refusals alone that hold total at the hard limit would pin a tenant there, as
+            # every retry counts anew; while accepted is under the soft limit the chance holds instead.
+            allowed = self._rng.random() < self.chance(now)
+        self.count(now, declined=not allowed)
+        return allowed
+
+    def chance(self, now: int) -> float:
+        """The chance of a fetch between the limits: rate limit / perceived rate, cached, at most 1."""
+        if now >= self._chance_until:
+            self._chance_until = now + CHANCE_CACHED
+            last = sum(1 for _ in takewhile(lambda call: call[0] > now - NS_PER_S, reversed(self._calls)))
+            self._chance = min(1.0, self.limit / max(len(self._calls) / self.window_s, last))
+        return self._chance
+
+    def rise(self, now: int) -> None:
+        """Additive rise after a good fetch, up to the cap, and only while the limit is in use."""
+        if self.accepted(now) * 2 >= self.limit * self.window_s:
+            idle = min((now - self._last_rise) / NS_PER_S, self.window_s)
+            self.limit = min(self.cap, self.limit + self.cap / RISE_S * idle)
+        self._last_rise = now
+
+    def cut(self, now: int) -> None:
+        """Multiplicative cut from what was really used, harder for a tenant over its portion."""
+        self._last_rise = now
+        self.limit = self.floor
+
+
+class Request:
+    """An open request; it lives on after its final answer until its attempt has ended."""
+
+    def __init__(self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor) -> None:
+        self.id, self.key, self.deadline, self.write = event.request, event.key, event.deadline, event.write
+        self.cls, self.guard = cls, guard
+        self.slot = self.sends = self.sent_at = 0
+        self.share = 0.0
+        self.failed: list[Node] = []
+        self.node: Node | None = None
+        self.ran: tuple[Node, int] | None = None  # the first attempt that may have run: where, when sent
+        self.fetching = self.refetching = self.out = self.leads = self.waiting = self.done = False
+
+    def may_send(self, node: Node, now: int) -> bool:
+        """Rule 2: what may have run goes out again only where and while its repeat is dropped."""
+        if self.ran is None or self.cls.effect is Effect.SAFE:
+            return True
+        here, there = node.entry, self.ran[0].entry
+        if self.cls.effect is Effect.UNSAFE or now - self.ran[1] >= self.cls.dedup_window:
+            return False
+        if self.cls.group is Group.ALL:
+            return True
+        return here.zone == there.zone and (self.cls.group is Group.ZONE or here.cell == there.cell)
+
+    def may_repeat(self) -> bool:
+        """Whether it does no harm to try again, whatever became of the attempts before."""
+        keyed_anywhere = self.cls.effect is Effect.KEYED and self.cls.group is Group.ALL
+        return self.cls.effect is Effect.SAFE or keyed_anywhere
+
+    def may_refuse(self) -> bool:
+        """Rule 2: a refusal says that a further try is harmless."""
+        return self.ran is None or self.may_repeat()
+
+
+class Router:
+    """One router's decisions: feed it events with the time, carry out the actions it returns."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self._settings = settings
+        self._rng = random.Random(seed)
+        self._classes = {cls.name: cls for cls in settings.classes}
+        tenants = (*settings.tenants, api.Tenant("", 1.0))
+        self._guards = {tenant.name: Suppressor(tenant, settings.routers, self._rng) for tenant in tenants}
+        self._caches, self._origins = SlotTable(settings), SlotTable(settings)
+        self._heat = Heat()
+        self._requests: dict[str, Request] = {}
+        self._flights: dict[str, list[Request]] = {}
+        aim = min(cls.aim for cls in settings.classes)
+        self._width, self._last_cut = (
+            math.inf,
+            0,
+        )
+        self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
+        self._origin_bad = 0.0  # smoothed share of bad fetches
+        self._answers, self._fetches = Pace(aim), Pace(aim / 2)  # of the caches; good ones of the origin
+        self._asking, self._failed_calls = False, 0
+        self._now = 0
+        self._actions: list[api.Action] = []
+
+    def handle(self, event: api.Event, now: int) -> list[api.Action]:
+        """Take one event at clock time `now` and return the actions to carry out, in order."""
+        self._now, self._actions = now, []
+        match event:
+            case api.AttemptEnded():
+                self._attempt_ended(event)
+            case api.RequestArrived():
+                self._arrived(event)
+            case api.ServersChanged():
+                self._servers_changed(event)
+            case api.TimerFired():
+                self._timer(event.token)
+            case api.ClientGone() if event.request in self._requests:
+                self._finish(self._requests[event.request])
+        return self._actions
+
+    def _servers_changed(self, event: api.ServersChanged) -> None:
+        if self._settings.must_subscribe:
+            self._keep_subscribed(event.kind)
+        if event.kind is ListKind.FAILED:
+            return
+        ready = [entry for entry in event.servers if entry.state is ServerState.READY]
+        left = [entry.id for entry in event.servers if entry.state is not ServerState.READY]
+        for table, is_origin in ((self._caches, False), (self._origins, True)):
+            mine = [e for e in ready if (e.kind == self._settings.origin_kind) == is_origin]
+            unlisted = table.nodes.keys() - {e.id for e in mine} if event.kind is not ListKind.DELTA else ()
+            table.update(mine, [*left, *unlisted])
+
+    def _keep_subscribed(self, kind: ListKind) -> None:
+        """Subscribe at the start and after every failure; jitter and back-off spare discovery."""
+        if kind not in (ListKind.CACHED, ListKind.FAILED):
+            self._failed_calls = 0
+        elif not self._asking:
+            self._asking = True
+            most = min(self._settings.ask_within // 2, NS_PER_S << min(self._failed_calls, 8))
+            self._failed_calls += kind is ListKind.FAILED
+            self._actions.append(api.SetTimer(self._rng.randint(most // 4, most), "subscribe"))
+
+    def _timer(self, token: str) -> None:
+        if token == "subscribe":
+            self._asking = False
+            self._actions.append(api.Subscribe())
+            return
+        request = self._requests.get(token)
+        if request and request.waiting and self._now >= request.deadline:
+            self._give_up(request)
+        elif request and request.waiting and request.write:
+            self._fetch(request)
+
+    def _arrived(self, event: api.RequestArrived) -> None:
+        guard = self._guards.get(event.tenant or "", self._guards[""])
+        request = Request(event, self._classes[event.request_class], guard)
+        request.slot = self._rng.randrange(SLOTS) if event.key is None else crc32(event.key.encode()) % SLOTS
+        self._requests[request.id] = request
+        if request.write and self._settings.origin_kind is not None:
+            self._fetch(request)
+        else:
+            request.share = self._heat.add(request.slot)
+            self._route(request)
+
+    def _send(self, request: Request, node: Node) -> None:
+        request.sends += 1
+        request.node, request.sent_at, request.out = node, self._now, True
+        node.load += 1
+        self._actions.append(api.Send(request.id, node.entry.id, self._patience(request, node)))
+
+    def _patience(self, request: Request, node: Node) -> int:
+        known, aim = self._fetches if request.fetching else self._answers, request.cls.aim
+        usual, spread = max(known.usual, node.pace.usual), max(known.spread, node.pace.spread)
+        slow = usual + spread * SPREADS / 2 > aim * SLOW_SHARE
+        first = not request.refetching if request.fetching else request.sends == 1
+        if slow or not first or not request.may_repeat():
+            return 0
+        return int(min(usual + spread * SPREADS, aim * PATIENCE_SHARE))
+
+    def _may_try(self, request: Request) -> bool:
+        return request.sends < self._settings.max_attempts and self._now < request.deadline
+
+    def _route(self, request: Request) -> None:
+        if not self._may_try(request):
+            self._give_up(request)
+            return
+        for node in self._candidates(request):
+            if node in request.failed or not request.may_send(node, self._now):
+                continue
+            chance = node.chance(self._now)
+            if chance >= 1.0 or (chance > 0):
+                self._send(request, node)
+                return
+            if not node.down:
+                self._give_up(request)
+                return
+        self._missed(request)
+
+    def _candidates(self, request: Request) -> list[Node]:
+        owners = math.ceil(request.share * len(self._caches.nodes) / HEAT_SHARE)
+        ranking = self._caches.rank(request.slot, self._now, max(owners, DEPTH))
+        return sorted(ranking[:owners], key=self._draw) + ranking[owners:] if owners > 1 else ranking
+
+    def _draw(self, node: Node) -> tuple[float, float]:
+        weight = node.weight * self._caches.warmth(node, self._now)
+        return node.load / weight, self._rng.expovariate(1.0) / weight
+
+    def _missed(self, request: Request) -> None:
+        flight = None if request.key is None else self._flights.get(request.key)
+        if flight is None or request.write:
+            self._fetch(request)
+        else:
+            flight.append(request)
+            self._wait(request, request.deadline - self._now)
+
+    def _fetch(self, request: Request) -> None:
+        request.waiting = False
+        origins = self._origins.rank(request.slot, self._now)
+        if not origins or not self._may_try(request) or not request.may_send(origins[0], self._now):
+            self._give_up(request)
+            return
+        if request.write and origins[0].load >= self._width:
+            self._held.append(request)
+            self._wait(request, request.deadline - self._now)
+            return
+        if request.write:
+            request.guard.count(self._now)
+        elif not request.guard.admit(self._now):
+            self._give_up(request)
+            return
+        if request.key is not None and not request.write:
+            self._flights.setdefault(request.key, [])
+            request.leads = True
+        request.fetching = True
+        self._send(request, origins[0])
+
+    def _attempt_ended(self, event: api.AttemptEnded) -> None:
+        request = self._requests.get(event.request)
+        if request is None or request.node is None:
+            return
+        node, fetched, outcome = request.node, request.fetching, event.outcome
+        request.out = request.fetching = False
+        node.load -= 1
+        late = event.latency > request.cls.aim
+        if fetched:
+            self._judge_fetch(node, event, late)
+        else:
+            node.judge(outcome, late, self._now)
+            if outcome in (Outcome.OK, Outcome.MISS):
+                node.pace.learn(event.latency)
+                self._answers.learn(event.latency)
+        if not outcome.never_ran and request.ran is None:
+            request.ran = node, request.sent_at
+        if event.closed or request.done:
+            self._finish(request, stored=fetched and outcome is Outcome.OK)
+        elif outcome is Outcome.MISS and not fetched and self._settings.origin_kind is not None:
+            self._missed(request)
+        elif fetched:
+            self._fetch_failed(request, outcome, late)
+        else:
+            if (
+                outcome not in (Outcome.TIMEOUT, Outcome.RESET) or late or node.unheard > 1
+            ):  # else it is asked once more
+                request.failed.append(node)
+            self._route(request)
+
+    def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool) -> None:
+        """Rise while the origin answers well; on failures cut the tenants over their portion first."""
+        if event.outcome is Outcome.TIMEOUT:
+            self._fetches.learn(event.latency)
+        if event.outcome is Outcome.OK and not late:
+            self._origin_bad -= self._origin_bad / BAD_SAMPLES
+            self._fetches.learn(event.latency)
+            self._width += 1 / self._width
+            for guard in self._guards.values():
+                guard.rise(self._now)
+        elif late or event.outcome not in (Outcome.MOOT, Outcome.CANCELLED, Outcome.TIMEOUT):
+            # A time-out that is not late had too little time left: not the origin's fault.
+            self._origin_bad += (1 - self._origin_bad) / BAD_SAMPLES
+            # A lone bad fetch is chance (a heavy tail), and one round-trip's bad fetches are one sign.
+            if self._origin_bad >= BAD_SHARE and self._now - self._last_cut >= self._fetches.usual:
+                self._last_cut = self._now
+                self._width = max(1.0, min(self._width, node.load + 1) * CUT)
+                for guard in self._guards.values():  # the origin is shared: it speaks for all
+                    guard.cut(self._now)
+        while self._held and node.load < self._width:
+            waiter = self._held.pop()
+            if waiter.waiting:
+                self._fetch(waiter)
+            if self._held and self._held[-1] is waiter:
+                # Danger: after a change of the origin's entry its new node, not this one, is full for good.
+                break
+
+    def _fetch_failed(self, request: Request, outcome: Outcome, late: bool) -> None:
+        """A write is tried again after a pause; a read is the client's to retry, to spare the origin.
+
+        An attempt that counts as lost is made once more at once: it was none of the origin's doing.
+        """
+        if outcome is Outcome.TIMEOUT and not late and not request.refetching:
+            request.refetching = True
+            self._fetch(request)
+            return
+        pause = int(self._fetches.usual * self._rng.uniform(0.5, 1.5))
+        if request.write and self._now + pause < request.deadline and outcome is not Outcome.TIMEOUT:
+            self._wait(request, pause)
+        else:
+            self._give_up(request)
+
+    def _land(self, request: Request, stored: bool) -> None:
+        """End a flight: its waiters ask the cache again, or one of them fetches in the leader's place."""
+        request.leads = False
+        for waiter in self._flights.pop(request.key or "", ()):
+            if not waiter.done:
+                waiter.waiting = False
+                (self._route if stored else self._missed)(waiter)
+
+    def _wait(self, request: Request, delay: int) -> None:
+        request.waiting = True
+        self._actions.append(api.SetTimer(delay, request.id))
+
+    def _give_up(self, request: Request) -> None:
+        if request.may_refuse():
+            wait = int(self._rng.uniform(0.5, 1.0) * self._settings.max_retry_after)
+            self._actions.append(api.Refuse(request.id, wait if self._settings.retry_after else 0))
+        else:
+            self._actions.append(api.Fail(request.id))
+        self._finish(request)
+
+    def _finish(self, request: Request, stored: bool = False) -> None:
+        request.done, request.waiting = True, False
+        if not request.out:
+            del self._requests[request.id]
+        if request.leads:
+            self._land(request, stored)
--- /dev/null
+++ b/holdpick/__main__.py
@@ -0,0 +1,114 @@
+"""Starts the router, and ends it in good order on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from beacongw import ListKind
+from beacongw.interface import NS_PER_S
+from holdpick.clients import ClientServer
+from holdpick.config import Config, ConfigError, load_config
+from holdpick.discovery import Clock, Discovery, Listing, read_listing
+from holdpick.log import make_logger
+from holdpick.router import RouterHost
+from holdpick.upstream import Pool
+
+READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
+ACCEPT_S = 0.5
+MIDWAY_S = 0.65
+KILL_SLACK_S = 0.65  # beyond the longest deadline; SIGKILL comes no sooner than 0.7 s
+DRAIN_STEP_S = 0.01
+OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
+CLIENT_SHARE = 0.6
+BUDGET_SHARE = 0.2  # of the memory, for clients' long commands
+
+GC_THRESHOLD = 20_000  # young objects; requests leave hardly any cycles, and each pass stalls all of them
+
+log = logging.getLogger("holdpick")
+
+
+async def serve(config: Config) -> None:
+    """Run until SIGTERM, and then until all that was taken is answered."""
+    loop = asyncio.get_running_loop()
+    # Danger: a fault in one callback, printed each time it comes, would take the CPU of the others.
+    loop.set_exception_handler(
+        lambda _, context: log.error("%s", context["message"], exc_info=context.get("exception"))
+    )
+    terminated = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, terminated.set)
+    descriptors = max(config.sockets - OWN_DESCRIPTORS, 8)
+    for_clients = int(descriptors * CLIENT_SHARE)
+    pool = Pool(loop, descriptors - for_clients, config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S)
+    host = RouterHost(loop, config.settings, config.seed, pool, config.max_open)
+    clients = ClientServer(loop, host, for_clients, int(config.memory * BUDGET_SHARE))
+
+    def take(listing: Listing) -> None:
+        host.servers_changed(listing)
+        host.ready = True
+
+    def make_do() -> None:
+        host.ready = True
+
+    clock = Clock()
+    asked = config.settings.must_subscribe
+    discovery = Discovery(config.discovery, asked, clock, take, host.discovery_failed)
+    host.subscribe = discovery.subscribe
+    if config.known is not None:
+        known = read_listing(config.known, clock, ListKind.CACHED)
+        discovery.generation = known.generation
+        host.servers_changed(known)
+    await clients.listen(config.listen)
+    if not asked:
+        discovery.start()
+    if config.known is not None:
+        loop.call_later(READY_S, make_do)
+    await terminated.wait()
+    await _drain(loop, config, host, clients)
+    clients.close()
+    discovery.close()
+    pool.close()
+    await asyncio.sleep(0)
+
+
+async def _drain(
+    loop: asyncio.AbstractEventLoop, config: Config, host: RouterHost, clients: ClientServer
+) -> None:
+    begun = loop.time()
+    longest = max(cls.deadline for cls in config.settings.classes) / NS_PER_S
+    # Danger: clients are sent here for a while yet, and what they send to a closed door is lost.
+    await asyncio.sleep(ACCEPT_S)
+    clients.stop_accepting()
+    while clients.connected and loop.time() < begun + longest + KILL_SLACK_S:
+        await asyncio.sleep(DRAIN_STEP_S)
+        if loop.time() >= begun + MIDWAY_S:
+            clients.finish(even_midway=True)
+
+
+def main() -> int:
+    try:
+        config = load_config(os.environ)
+        if config.known is not None:
+            read_listing(config.known, Clock())
+    except (ConfigError, ValueError) as error:
+        print(f"holdpick: {error}", file=sys.stderr)
+        return 2
+    make_logger(config.name)
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    try:
+        uvloop.run(serve(config))
+    except OSError as error:
+        print(f"holdpick: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/holdpick/caches.py
@@ -0,0 +1,109 @@
+"""Connections to cache servers: one command, one answer, read by hiredis or passed on as it comes."""
+
+from __future__ import annotations
+
+import re
+
+import hiredis
+
+from beacongw import CacheNote, Outcome
+from holdpick.resp import LARGE, MAX_VALUE
+from holdpick.upstream import Connection, Server
+
+MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
+HEADER = re.compile(rb"\*[1-9]\r\n\$(\d{1,8})\r\n")
+LONGEST_HEADER = 16
+
+_NOTES = {b"hit": CacheNote.HIT, b"miss": CacheNote.MISS, b"pending": CacheNote.FETCH_OUT}
+
+
+class CacheConnection(Connection):
+    """Speaks RESP2 with one cache server."""
+
+    def __init__(self, server: Server) -> None:
+        super().__init__(server)
+        self._reader = hiredis.Reader()
+        self._head = b""
+        self._begun = False  # the answer's header has been looked at
+        self._came = 0  # bytes of the answer that hiredis was given
+        self._left = 0  # bytes of a long value, with its line end, that are still to come
+        self._length = 0
+
+    def answer_came(self, data: bytes) -> None:
+        """Look at the header first: hiredis holds a whole value, so a long one goes past it."""
+        if self._left:
+            data = self._pass_on(data)
+            if not data:
+                return
+        elif not self._begun:
+            data = self._head + data
+            self._head = b""
+            if data[0] == 42 and b"\n$-1" not in data[:8]:
+                header = HEADER.match(data)
+                if header is None and len(data) < LONGEST_HEADER:
+                    self._head = data
+                    return
+                if header is None or int(header[1]) > MAX_VALUE:
+                    self.spoil("sent an answer with a broken header")
+                    return
+                if int(header[1]) > LARGE:
+                    self._begun = True
+                    self._start_value(int(header[1]))
+                    # What follows the value is read as an array of its own, its first place taken up here.
+                    self._reader.feed(data[:4] + b"$0\r\n\r\n")
+                    data = self._pass_on(data[header.end() :])
+                    if not data:
+                        return
+            self._begun = True
+        self._came += len(data)
+        self._reader.feed(data)
+        self._read()
+
+    def _start_value(self, length: int) -> None:
+        assert self.exchange is not None
+        self._length, self._left = length, length + 2
+        self.exchange.value_started(length, self)
+
+    def _pass_on(self, data: bytes) -> bytes:
+        """Hand on what belongs to the long value; returns what comes after it."""
+        exchange = self.exchange
+        part, rest = data[: self._left], data[self._left :]
+        of_value = max(min(len(part), self._left - 2), 0)
+        self._left -= len(part)
+        if exchange is not None and of_value:
+            exchange.value_came(part[:of_value])
+        return rest
+
+    def _read(self) -> None:
+        try:
+            answer = self._reader.gets()
+            junk = answer is not False and self._reader.gets() is not False
+        except hiredis.ProtocolError as error:
+            self.spoil(f"broke the protocol: {error}")
+            return
+        if answer is False:
+            if self._came > LARGE + MAX_REST:
+                self.spoil("sent more beside the value than an answer has")
+            return
+        # Danger: more bytes after the answer would be taken for the next request's answer.
+        self.retired = self.retired or junk or self._reader.has_data()
+        streamed = self._length > 0
+        self._begun, self._came, self._length = False, 0, 0
+        if isinstance(answer, hiredis.ReplyError):
+            self._error(str(answer))
+        elif isinstance(answer, list) and answer and isinstance(answer[0], bytes | None):
+            note = answer[1] if len(answer) > 1 else None
+            report = answer[2] if len(answer) > 2 and isinstance(answer[2], bytes) else None
+            value = None if streamed else answer[0]
+            outcome = Outcome.MISS if answer[0] is None else Outcome.OK
+            self.finish(outcome, value, _NOTES.get(note) if isinstance(note, bytes) else None, report)
+        elif isinstance(answer, bytes) and self.exchange is not None and self.exchange.is_probe:
+            self.finish(Outcome.OK, None, None, answer)
+        else:
+            self.spoil("sent an answer of an unknown form")
+
+    def _error(self, text: str) -> None:
+        """An error line; a load report may stand last in it."""
+        last = text.rpartition(" ")[2]
+        report = last.encode() if "=" in last else None
+        self.finish(Outcome.FULL if text.startswith("BUSY") else Outcome.ERROR, None, None, report)
--- /dev/null
+++ b/holdpick/clients.py
@@ -0,0 +1,355 @@
+"""The RESP2 server that clients talk to: their connections, and answers in the order of the commands."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from typing import Any, Protocol, cast
+
+from holdpick.config import Address
+from holdpick.resp import LARGE, Command, CommandReader, parse_request
+from holdpick.upstream import ValueSource
+
+BACKLOG = 1024
+MAX_PIPELINE = 256
+HIGH_WATER = 64 << 10
+COMMAND_S = 5.0  # in which a command must be whole; PROTOCOL gives clients 2 s
+STALL_S = 10.0  # in which a client must take something of what waits for it
+SWEEP_S = 0.5
+REFUSERS = 32
+
+log = logging.getLogger("holdpick")
+
+
+class Host(Protocol):
+    """What takes the clients' requests."""
+
+    ready: bool
+
+    def request_arrived(self, command: Command, reply: Reply) -> None:
+        """A request is whole."""
+
+    def client_gone(self, reply: Reply) -> None:
+        """The client that waits for this reply has left."""
+
+
+class Budget:
+    """Bytes for long commands: they are set aside before the command is read, so that all can be finished."""
+
+    def __init__(self, total: int) -> None:
+        self._free = total
+        self._waiting: deque[ClientConnection] = deque()
+
+    def take(self, connection: ClientConnection, size: int) -> bool:
+        if size > self._free:
+            self._waiting.append(connection)
+            return False
+        self._free -= size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Free bytes, and let those that wait go on."""
+        self._free += size
+        waiting, self._waiting = self._waiting, deque()
+        while waiting:
+            connection = waiting.popleft()
+            if not connection.closed:
+                connection.reserve()
+
+
+class Reply:
+    """The place of one answer among those of its connection."""
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self._connection = connection
+        self._held: list[bytes] = []
+        self.done = False
+        self.source: ValueSource | None = None
+        self.request: Any = None  # the host's
+        self.reserved = 0
+
+    def send(self, data: bytes) -> None:
+        """Give the whole answer, or its last part."""
+        self.write(data)
+        self.done, self.source = True, None
+        self._connection.flush()
+
+    def start(self, data: bytes, source: ValueSource) -> None:
+        """Begin an answer that comes in parts; the source is paused while the client can't take more."""
+        self.source = source
+        if not self.write(data) or self._connection.blocked:
+            source.pause()
+
+    def write(self, data: bytes) -> bool:
+        connection = self._connection
+        if connection.closed:
+            return True
+        if connection.replies[0] is not self:
+            self._held.append(data)
+            return False
+        connection.write(data)
+        return True
+
+    def cut_off(self) -> None:
+        """End a begun answer so that the client sees that it is not whole."""
+        self._connection.abort()
+
+    def forgotten(self) -> None:
+        """The host needs the command no longer."""
+        self._connection.server.budget.give_back(self.reserved)
+        self.reserved = 0
+
+    def its_turn(self) -> None:
+        """The answers ahead have been written."""
+        for data in self._held:
+            self._connection.write(data)
+        self._held.clear()
+        if self.source is not None and not self._connection.blocked:
+            self.source.resume()
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client's connection."""
+
+    def __init__(self, server: ClientServer) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.replies: deque[Reply] = deque()
+        self.blocked = self.closed = False
+        self.used_at = server.loop.time()
+        self._reader = CommandReader()
+        self._reading = True
+        self._reserved = 0  # set aside for the command under way
+        self._begun_at = 0.0
+        self._starved = False  # waits for the budget
+        self._last = False
+        self.refusing = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=HIGH_WATER)
+        self.server.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._leave()
+
+    def eof_received(self) -> bool:
+        self._leave()
+        return False
+
+    def _leave(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.server.closed(self)
+        if self._reserved:
+            self.server.budget.give_back(self._reserved)
+        replies, self.replies = self.replies, deque()
+        for reply in replies:
+            if not reply.done:
+                self.server.host.client_gone(reply)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._read(data)
+        except Exception:
+            log.exception("reading a command failed")
+            self.abort()
+
+    def _read(self, data: bytes) -> None:
+        reader = self._reader
+        self.used_at = self.server.loop.time()
+        fresh = not reader.need
+        commands = reader.feed(data)
+        for words in commands:
+            reply = Reply(self)
+            reply.reserved, self._reserved = self._reserved, 0
+            self.replies.append(reply)
+            self._take(words, reply)
+        if reader.broken:
+            reply = Reply(self)
+            self.replies.append(reply)
+            self._last = True
+            self._set_reading()
+            reply.send(b"-ERR Protocol error: %b\r\n" % reader.broken.encode())
+        elif reader.need:
+            if fresh or commands:
+                self._begun_at = self.used_at
+            if reader.need > LARGE and not self._reserved and not self._starved:
+                self.reserve()
+        elif self._reserved:
+            self.server.budget.give_back(self._reserved)
+            self._reserved = 0
+        if len(self.replies) >= MAX_PIPELINE:
+            self._set_reading()
+
+    def reserve(self) -> None:
+        self._starved = not self.server.budget.take(self, self._reader.need)
+        if not self._starved:
+            self._reserved = self._reader.need
+            self._begun_at = self.server.loop.time()
+        self._set_reading()
+
+    def _take(self, words: list[bytes], reply: Reply) -> None:
+        if len(words) == 1 and words[0].upper() == b"PING":
+            reply.send(b"+PONG\r\n" if self.server.host.ready else b"-LOADING no list of servers yet\r\n")
+            reply.forgotten()
+            return
+        try:
+            command = parse_request(words)
+        except ValueError as error:
+            reply.send(b"-ERR %b\r\n" % str(error).encode())
+            reply.forgotten()
+            return
+        if self.refusing:
+            self._last = True
+            reply.send(b"-BUSY\r\n")
+            reply.forgotten()
+            return
+        self.server.host.request_arrived(command, reply)
+
+    def write(self, data: bytes) -> None:
+        """Write to the client."""
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def flush(self) -> None:
+        replies = self.replies
+        while replies and replies[0].done:
+            replies.popleft()
+            if replies:
+                replies[0].its_turn()
+        if not replies and self._last and self.transport is not None:
+            self.transport.close()
+        elif not self._reading:
+            self._set_reading()
+
+    def pause_writing(self) -> None:
+        """The client does not take what it asked for: read no more for it, from it or for its answer."""
+        self.blocked = True
+        self.used_at = self.server.loop.time()
+        self._set_reading()
+        if self.replies and self.replies[0].source is not None:
+            self.replies[0].source.pause()
+
+    def resume_writing(self) -> None:
+        """The client takes again."""
+        self.blocked = False
+        self._set_reading()
+        if self.replies and self.replies[0].source is not None:
+            self.replies[0].source.resume()
+
+    def _set_reading(self) -> None:
+        full = len(self.replies) >= MAX_PIPELINE
+        wanted = not (self.blocked or self._starved or self._reader.broken or full)
+        if wanted == self._reading or self.transport is None or self.transport.is_closing():
+            return
+        self._reading = wanted
+        if wanted:
+            self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
+
+    @property
+    def idle(self) -> bool:
+        """Whether it stands between requests."""
+        return not self.replies and not self._reader.need
+
+    def finish(self, even_midway: bool) -> None:
+        if self.transport is None or self.closed:
+            return
+        if not self.replies and (even_midway or not self._reader.need):
+            self.transport.close()
+        else:
+            self._last = even_midway or not self._reader.need or self._last
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+        self._leave()
+
+    def check(self, now: float) -> None:
+        if self.blocked:
+            assert self.transport is not None
+            size = self.transport.get_write_buffer_size()
+            if size != self._unsent:
+                self._unsent, self.used_at = size, now
+            if now - self.used_at > STALL_S:
+                log.warning("a client takes nothing of its answer")
+                self.abort()
+            return
+        midway = self._reader.need and not self._starved and not self.replies
+        if midway and now - self._begun_at > COMMAND_S:
+            log.warning("a client does not finish its command")
+            self._last = True
+            reply = Reply(self)
+            self.replies.append(reply)
+            reply.send(b"-ERR Protocol error: command not finished in time\r\n")
+
+    _unsent = 0
+
+
+class ClientServer:
+    """The listener and all clients' connections, within their share of descriptors."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, limit: int, budget: int) -> None:
+        self.loop, self.host, self._limit = loop, host, limit
+        self.budget = Budget(budget)
+        self._connections: dict[ClientConnection, None] = {}
+        self._listener: asyncio.Server | None = None
+        self._draining = False
+        self._timer = loop.call_later(SWEEP_S, self._sweep)
+
+    async def listen(self, address: Address) -> None:
+        """Accept clients at this address."""
+        self._listener = await self.loop.create_server(
+            lambda: ClientConnection(self), *address, backlog=BACKLOG
+        )
+
+    def opened(self, connection: ClientConnection) -> None:
+        if len(self._connections) >= self._limit:
+            idle = min(
+                (other for other in self._connections if other.idle),
+                key=lambda other: other.used_at,
+                default=None,
+            )
+            if idle is not None:
+                idle.abort()
+            elif len(self._connections) < self._limit + REFUSERS:
+                connection.refusing = True
+            else:
+                connection.abort()
+                return
+        self._connections[connection] = None
+
+    def closed(self, connection: ClientConnection) -> None:
+        self._connections.pop(connection, None)
+
+    @property
+    def connected(self) -> int:
+        return len(self._connections)
+
+    def stop_accepting(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        self.finish(even_midway=False)
+
+    def finish(self, even_midway: bool) -> None:
+        for connection in list(self._connections):
+            connection.finish(even_midway)
+
+    def _sweep(self) -> None:
+        self._timer = self.loop.call_later(SWEEP_S, self._sweep)
+        now = self.loop.time()
+        for connection in list(self._connections):
+            connection.check(now)
+
+    def close(self) -> None:
+        """Close everything."""
+        self._timer.cancel()
+        self.stop_accepting()
+        for connection in list(self._connections):
+            connection.abort()
--- /dev/null
+++ b/holdpick/discovery.py
@@ -0,0 +1,206 @@
+"""Discovery's client: the whole list once, then a watch that goes on without a gap."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+import orjson
+
+from beacongw import ListKind, Server, ServersChanged, ServerState
+from holdpick.config import Address, parse_address
+from holdpick.http import HttpError, HttpReader, request
+
+MAX_BODY = 8 << 20
+LIST_PATH = "/registry/instances"
+PUSHED_WAIT_MS = 5_000
+ASKED_WAIT_MS = 20_000  # where discovery is asked each call costs it work
+CALL_SLACK_S = 1.0
+LIST_TIMEOUT_S = 2.0
+RETRY_S = 0.1  # a watch goes on if the next call comes within 0.2 s
+
+_STATES = {"up": ServerState.READY, "draining": ServerState.DRAINING, "removed": ServerState.GONE}
+
+log = logging.getLogger("holdpick")
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One answer of discovery: the module's event, and the address of each server in it."""
+
+    generation: int
+    change: ServersChanged
+    addresses: dict[str, Address]
+
+
+class Clock:
+    """Turns Unix times into times of the monotonic clock, always by the same difference."""
+
+    def __init__(self) -> None:
+        self._behind = time.time_ns() - time.monotonic_ns()
+
+    def monotonic(self, unix_ms: int) -> int:
+        """The monotonic time in nanoseconds; 0 stays 0, for long ago."""
+        return unix_ms * 1_000_000 - self._behind if unix_ms else 0
+
+
+def read_listing(body: Any, clock: Clock, kind: ListKind | None = None) -> Listing:
+    """Read discovery's form; raises ValueError on anything amiss, and then nothing of it counts."""
+    try:
+        servers = tuple(_server(entry, clock) for entry in body["instances"])
+        addresses = {
+            entry["instanceId"]: parse_address("hostPort", entry["hostPort"])
+            for entry in body["instances"]
+            if entry["lifecycle"] != "removed"
+        }
+        if kind is None:
+            kind = ListKind.FULL if body["reset"] else ListKind.DELTA
+        return Listing(int(body["generation"]), ServersChanged(kind, servers), addresses)
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not a list of servers: {type(error).__name__}: {error}") from None
+
+
+def _server(entry: dict[str, Any], clock: Clock) -> Server:
+    if not isinstance(entry["instanceId"], str):
+        raise TypeError("instanceId must be a string")
+    weight = entry.get("weight")
+    return Server(
+        id=entry["instanceId"],
+        kind=entry.get("machineType") or "",
+        state=_STATES[entry["lifecycle"]],
+        weight=1.0 if weight is None else float(weight),
+        started=clock.monotonic(int(entry.get("startedAtMs") or 0)),
+        zone=entry.get("zone") or "",
+        cell=int(entry.get("cell") or 0),
+    )
+
+
+class _Call(asyncio.Protocol, HttpReader):
+    """One connection to discovery."""
+
+    def __init__(self) -> None:
+        HttpReader.__init__(self)
+        self.transport: asyncio.Transport | None = None
+        self._answer: asyncio.Future[tuple[int, bytes]] | None = None
+        self._body = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's own class is no subclass
+
+    def ask(self, target: str, host: str) -> asyncio.Future[tuple[int, bytes]]:
+        assert self.transport is not None
+        self._answer = asyncio.get_running_loop().create_future()
+        self.transport.write(request("GET", target, host))
+        return self._answer
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            if self.read(data):
+                status, body = self.status, bytes(self._body)
+                self._body.clear()
+                if not self.answer_done():
+                    self.close()
+                if self._answer is not None and not self._answer.done():
+                    self._answer.set_result((status, body))
+        except HttpError as error:
+            self._fail(error)
+            self.close()
+
+    def body_starts(self, length: int | None) -> None:
+        pass
+
+    def body_came(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > MAX_BODY:
+            raise HttpError("list too long")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._fail(ConnectionResetError("discovery closed the connection"))
+
+    def _fail(self, error: Exception) -> None:
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(error)
+
+    @property
+    def usable(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Discovery:
+    """Keeps the list of servers up to date; a failed call changes nothing of what is held."""
+
+    def __init__(
+        self,
+        address: Address,
+        asked: bool,
+        clock: Clock,
+        take: Callable[[Listing], None],
+        failed: Callable[[], None],
+    ) -> None:
+        self._address, self._asked, self._clock = address, asked, clock
+        self._take, self._failed = take, failed
+        self._call: _Call | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.generation = 0
+
+    def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._follow())
+
+    def subscribe(self) -> None:
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._watch_asked())
+
+    def close(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+        if self._call is not None:
+            self._call.close()
+
+    async def _follow(self) -> None:
+        whole, down = True, False
+        while True:
+            try:
+                await self._ask_once(whole, PUSHED_WAIT_MS)
+                whole = down = False
+            except Exception as error:
+                if not down:
+                    log.warning("discovery: %s", str(error) or type(error).__name__)
+                down = True
+                await asyncio.sleep(RETRY_S)
+
+    async def _watch_asked(self) -> None:
+        try:
+            while True:
+                await self._ask_once(False, ASKED_WAIT_MS)
+        except Exception as error:
+            log.warning("discovery: %s", str(error) or type(error).__name__)
+        self._task = None
+        self._failed()
+
+    async def _ask_once(self, whole: bool, wait_ms: int) -> None:
+        target = LIST_PATH if whole else f"{LIST_PATH}?index={self.generation}&wait={wait_ms}"
+        limit = LIST_TIMEOUT_S if whole else wait_ms / 1000 + CALL_SLACK_S
+        try:
+            async with asyncio.timeout(limit):
+                if self._call is None or not self._call.usable:
+                    loop = asyncio.get_running_loop()
+                    _, self._call = await loop.create_connection(_Call, *self._address)
+                host, port = self._address
+                status, body = await self._call.ask(target, f"{host}:{port}")
+        except BaseException:
+            if self._call is not None:
+                self._call.close()
+            raise
+        if status != 200:
+            raise ValueError(f"answered {status}")
+        listing = read_listing(orjson.loads(body), self._clock)
+        self.generation = listing.generation
+        self._take(listing)
--- /dev/null
+++ b/holdpick/origin.py
@@ -0,0 +1,59 @@
+"""Connections to the origin, which speaks HTTP/1.1."""
+
+from __future__ import annotations
+
+from beacongw import Outcome
+from holdpick.http import HttpError, HttpReader
+from holdpick.resp import LARGE, MAX_VALUE
+from holdpick.upstream import Connection, Server
+
+_NEVER_RAN = (503, 504)
+
+
+class OriginConnection(Connection, HttpReader):
+    """Speaks HTTP with the origin, one request at a time."""
+
+    def __init__(self, server: Server) -> None:
+        Connection.__init__(self, server)
+        HttpReader.__init__(self)
+        self._body = bytearray()
+        self._streaming = False
+
+    def answer_came(self, data: bytes) -> None:
+        """Read a part of the answer."""
+        try:
+            whole = self.read(data)
+        except HttpError as error:
+            self.spoil(f"broke the protocol: {error}")
+            return
+        if not whole:
+            return
+        status, report = self.status, self.headers.get(b"server-load")
+        not_started = self.headers.get(b"not-started") == b"1"
+        value = None if self._streaming else bytes(self._body)
+        self._streaming = False
+        self._body.clear()
+        self.retired = not self.answer_done() or self.retired
+        if status == 200:
+            self.finish(Outcome.OK, value, None, report)
+        elif status in _NEVER_RAN and not_started:
+            self.finish(Outcome.FULL, None, None, report)
+        else:
+            self.finish(Outcome.ERROR, None, None, report)
+
+    def body_starts(self, length: int | None) -> None:
+        """Pass a long value on as it comes; a short one, or one of unknown length, is gathered."""
+        if length is not None and length > MAX_VALUE:
+            raise HttpError("value too long")
+        if length is not None and length > LARGE and self.status == 200 and self.exchange is not None:
+            self._streaming = True
+            self.exchange.value_started(length, self)
+
+    def body_came(self, data: bytes) -> None:
+        if self._streaming:
+            if self.exchange is not None:
+                self.exchange.value_came(data)
+            return
+        self._body += data
+        if len(self._body) > MAX_VALUE:
+            raise HttpError("value too long")
--- /dev/null
+++ b/holdpick/router.py
@@ -0,0 +1,392 @@
+"""The host of the decision module: open requests, attempts, timers and the clock."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from urllib.parse import quote
+
+from beacongw import (
+    Action,
+    AttemptEnded,
+    CacheNote,
+    ClientGone,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    Router,
+    Send,
+    ServersChanged,
+    ServerState,
+    SetTimer,
+    Settings,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
+)
+from beacongw.interface import NS_PER_S
+from holdpick import http, resp
+from holdpick.caches import CacheConnection
+from holdpick.clients import Reply
+from holdpick.config import Address
+from holdpick.discovery import Listing
+from holdpick.origin import OriginConnection
+from holdpick.resp import Command
+from holdpick.upstream import Exchange, Pool, ValueSource
+
+NS_PER_MS = 1_000_000
+TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
+FAILED = b"-ERR failed\r\n"
+STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
+KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
+
+log = logging.getLogger("holdpick")
+
+
+class OpenRequest:
+    """A request that is owed an answer, or has attempts out still."""
+
+    __slots__ = ("attempts", "closed", "command", "deadline", "id", "out", "reply", "streaming")
+
+    def __init__(self, request_id: str, command: Command, reply: Reply, deadline: int) -> None:
+        self.id, self.command, self.reply, self.deadline = request_id, command, reply, deadline
+        self.attempts = self.out = 0
+        self.closed = self.streaming = False
+
+
+class Attempt(Exchange):
+    """One attempt at a request."""
+
+    def __init__(self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool) -> None:
+        self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
+        self._number = request.attempts
+        self._sent_at = time.monotonic_ns()
+        self._latency = 0  # until a long value's first bytes
+        self._source: ValueSource | None = None
+        self._came_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        request.attempts += 1
+        request.out += 1
+
+    def wait_until(self, due: int) -> None:
+        """Give up at the time `due`."""
+        self._timer = self._host.call_at(due, self._timed_out)
+
+    def _timed_out(self) -> None:
+        self.give_up(Outcome.TIMEOUT)
+
+    def request_bytes(self, address: Address) -> bytes:
+        """The client's command again, with what is left of its time."""
+        command = self._request.command
+        if self._to_origin:
+            method = "GET" if command.value is None else "PUT"
+            headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (command.id, command.info)
+            target = "/" + quote(command.key, safe=KEY_SAFE)
+            return http.request(method, target, f"{address[0]}:{address[1]}", headers, command.value)
+        left = max((self._request.deadline - time.monotonic_ns()) // NS_PER_MS, 1)
+        words = [command.name, command.key, command.id, command.info_with(left)]
+        return resp.command(*words) if command.value is None else resp.command(*words, command.value)
+
+    def value_started(self, length: int, source: ValueSource) -> None:
+        self._latency = time.monotonic_ns() - self._sent_at
+        request = self._request
+        if request.closed:
+            return  # nobody reads it: the attempt's time runs on
+        if self._timer is not None:
+            self._timer.cancel()
+        request.streaming = request.closed = True
+        self._source = source
+        self._came_at = self._host.loop.time()
+        self._timer = self._host.loop.call_later(STALL_S, self._check_stall)
+        request.reply.start(b"$%d\r\n" % length, self)
+        self._host.tell(StreamStarted(request.id, self._number))
+
+    def value_came(self, data: bytes) -> None:
+        if self._source is not None:
+            self._came_at = self._host.loop.time()
+            self._request.reply.write(data)
+
+    def pause(self) -> None:
+        """The client can't take more: stop reading at the server."""
+        self._came_at = float("inf")
+        if self._source is not None:
+            self._source.pause()
+
+    def resume(self) -> None:
+        """The client takes again."""
+        self._came_at = self._host.loop.time()
+        if self._source is not None:
+            self._source.resume()
+
+    def _check_stall(self) -> None:
+        if self._host.loop.time() - self._came_at >= STALL_S:
+            self.give_up(Outcome.RESET)
+        else:
+            self._timer = self._host.loop.call_later(STALL_S / 4, self._check_stall)
+
+    def client_left(self) -> None:
+        self.give_up(Outcome.CANCELLED)
+
+    def ended(
+        self,
+        outcome: Outcome,
+        value: bytes | None = None,
+        note: CacheNote | None = None,
+        report: bytes | None = None,
+    ) -> None:
+        """The first OK is the client's answer; the module is told of every end."""
+        if self._timer is not None:
+            self._timer.cancel()
+        request, reply = self._request, self._request.reply
+        request.out -= 1
+        if self._source is not None:
+            self._source = None
+            request.streaming = False
+            if outcome is Outcome.OK:
+                reply.send(b"\r\n")
+            else:
+                reply.cut_off()
+        elif outcome is Outcome.OK and not request.closed and value is not None:
+            request.closed = True
+            reply.send(resp.bulk(value))
+        latency = self._latency or time.monotonic_ns() - self._sent_at
+        load = self._host.load(report)
+        event = AttemptEnded(
+            request.id, self._number, self._server, outcome, request.closed, latency, note, load
+        )
+        self._host.settle(request)
+        self._host.tell(event)
+
+
+class ProbeExchange(Exchange):
+    """One probe of a server."""
+
+    is_probe = True
+
+    def __init__(self, host: RouterHost, server: str, to_origin: bool, timeout: int) -> None:
+        self._host, self._server, self._to_origin = host, server, to_origin
+        self._sent_at = time.monotonic_ns()
+        self._timer = host.call_at(self._sent_at + timeout, self._timed_out)
+
+    def _timed_out(self) -> None:
+        self.give_up(Outcome.TIMEOUT)
+
+    def request_bytes(self, address: Address) -> bytes:
+        """Ask for a load report where there are any, else for a sign of life."""
+        reports = bool(self._host.settings.load_fields)
+        if self._to_origin:
+            path = "/stats" if reports else "/health/live"
+            return http.request("GET", path, f"{address[0]}:{address[1]}")
+        return resp.command(b"INFO", b"load") if reports else resp.command(b"PING")
+
+    def ended(
+        self,
+        outcome: Outcome,
+        value: bytes | None = None,
+        note: CacheNote | None = None,
+        report: bytes | None = None,
+    ) -> None:
+        """Tell the module."""
+        self._timer.cancel()
+        latency = time.monotonic_ns() - self._sent_at
+        load = self._host.load(report or value)
+        self._host.tell(ProbeEnded(self._server, outcome, latency, load))
+
+
+class RouterHost:
+    """Feeds the module events one at a time and carries out its actions."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, settings: Settings, seed: int, pool: Pool, max_open: int
+    ) -> None:
+        self.loop, self.settings = loop, settings
+        self.ready = False
+        self.subscribe: Callable[[], None] = lambda: None
+        """Begins a watch where discovery is asked; whoever owns the watch sets it."""
+        self._router = Router(settings, seed)
+        self._pool, self._max_open = pool, max_open
+        self._classes = {cls.name for cls in settings.classes}
+        self._probe_timeout = min(cls.aim for cls in settings.classes)
+        self._requests: dict[str, OpenRequest] = {}
+        self._origins: set[str] = set()
+        self._events: deque[Event] = deque()
+        self._handling = False
+
+    @property
+    def owed(self) -> int:
+        """Requests that have no final answer yet, or one that is still being passed on."""
+        return sum(1 for request in self._requests.values() if not request.closed or request.streaming)
+
+    def call_at(self, due: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
+        """Call back once the clock shows `due`; never before, though the loop counts in milliseconds."""
+        return self.loop.call_later(max(due - time.monotonic_ns(), 0) / NS_PER_S + TIMER_STEP_S, callback)
+
+    def load(self, report: bytes | None) -> tuple[float, ...] | None:
+        return resp.parse_load(report, self.settings.load_fields) if report else None
+
+    # Clients
+
+    def request_arrived(self, command: Command, reply: Reply) -> None:
+        """Take a request: from here on it is owed one final answer."""
+        request_id = command.id.decode("ascii")
+        fields = command.fields
+        if fields["c"] not in self._classes:
+            reply.send(b"-ERR unknown class\r\n")
+        elif request_id in self._requests:
+            # Danger: two requests under one id would share attempts, and one would have the other's answer.
+            reply.send(b"-ERR duplicate id\r\n")
+        elif len(self._requests) >= self._max_open:
+            reply.send(b"-BUSY\r\n")
+        else:
+            deadline = time.monotonic_ns() + command.timeout_ms * NS_PER_MS
+            request = OpenRequest(request_id, command, reply, deadline)
+            reply.request = request
+            self._requests[request_id] = request
+            self.tell(
+                RequestArrived(
+                    request=request_id,
+                    request_class=fields["c"],
+                    deadline=deadline,
+                    tenant=fields.get("t"),
+                    key=command.key.decode(),
+                    write=command.value is not None,
+                    retry=fields.get("r") == "1",
+                )
+            )
+            return
+        reply.forgotten()
+
+    def client_gone(self, reply: Reply) -> None:
+        """The client that waits for this reply has left."""
+        request = reply.request
+        if not isinstance(request, OpenRequest):
+            return
+        request.closed = True
+        if isinstance(reply.source, Attempt):
+            reply.source.client_left()
+        self.settle(request)
+        self.tell(ClientGone(request.id))
+
+    def settle(self, request: OpenRequest) -> None:
+        """Forget a request that is answered and has nothing out."""
+        if request.closed and not request.out and request.id in self._requests:
+            del self._requests[request.id]
+            request.reply.forgotten()
+
+    def _answer(self, request_id: str, data: bytes) -> None:
+        request = self._requests.get(request_id)
+        if request is not None and not request.closed:
+            request.closed = True
+            request.reply.send(data)
+            self.settle(request)
+
+    # The list of servers
+
+    def servers_changed(self, listing: Listing) -> None:
+        """Take news of the list: the module hears of it before anything that follows from it."""
+        self._events.append(listing.change)
+        handling, self._handling = self._handling, True
+        try:
+            self._list_servers(listing)
+        finally:
+            self._handling = handling
+        self._handle_events()
+
+    def _list_servers(self, listing: Listing) -> None:
+        whole = listing.change.kind is not ListKind.DELTA
+        gone = set(self._pool.listed()) if whole else set()
+        for server in listing.change.servers:
+            if server.state is ServerState.READY:
+                gone.discard(server.id)
+                is_origin = server.kind == self.settings.origin_kind
+                (self._origins.add if is_origin else self._origins.discard)(server.id)
+                connect = OriginConnection if is_origin else CacheConnection
+                self._pool.list_server(server.id, listing.addresses[server.id], connect)
+            else:
+                gone.add(server.id)
+        for server_id in gone:
+            self._pool.unlist_server(server_id)
+
+    def discovery_failed(self) -> None:
+        self.tell(ServersChanged(ListKind.FAILED))
+
+    # Events and actions
+
+    def tell(self, event: Event) -> None:
+        """Give the module an event; one made while actions are carried out waits for its turn."""
+        self._events.append(event)
+        self._handle_events()
+
+    def _handle_events(self) -> None:
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                try:
+                    for action in self._router.handle(event, time.monotonic_ns()):
+                        self._carry_out(action)
+                except Exception:
+                    log.exception("handling %s failed", type(event).__name__)
+                    self._give_what_is_owed(event)
+        finally:
+            self._handling = False
+
+    def _give_what_is_owed(self, event: Event) -> None:
+        """A fault in the decisions must not leave a client without its answer."""
+        if isinstance(event, RequestArrived | AttemptEnded):
+            request = self._requests.get(event.request)
+            if request is not None and not request.out:
+                self._answer(event.request, FAILED)
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(action)
+            case SetTimer():
+                self._set_timer(time.monotonic_ns() + action.delay, action.token)
+            case Refuse():
+                wait = b" %d" % -(-action.retry_after // NS_PER_MS) if action.retry_after > 0 else b""
+                self._answer(action.request, b"-BUSY%b\r\n" % wait)
+            case Fail():
+                self._answer(action.request, FAILED)
+            case Subscribe():
+                self.subscribe()
+            case Probe():
+                to_origin = action.server in self._origins
+                self._pool.submit(
+                    action.server, ProbeExchange(self, action.server, to_origin, self._probe_timeout)
+                )
+
+    def _send(self, action: Send) -> None:
+        request = self._requests.get(action.request)
+        if request is None:
+            log.error("the module sent a request that is over")
+            return
+        now = time.monotonic_ns()
+        attempt = Attempt(self, request, action.server, action.server in self._origins)
+        if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
+            attempt.end(Outcome.MOOT)
+            return
+        due = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
+        attempt.wait_until(due)
+        self._pool.submit(action.server, attempt)
+
+    def _set_timer(self, due: int, token: str) -> None:
+        def fire() -> None:
+            # Danger: a timer that comes early tells the module nothing, and the request waits for ever.
+            if time.monotonic_ns() < due:
+                self._set_timer(due, token)
+            else:
+                self.tell(TimerFired(token))
+
+        self.call_at(due, fire)
--- /dev/null
+++ b/holdpick/upstream.py
@@ -0,0 +1,334 @@
+"""Connections to cache servers and the origin: exchanges, the connections they run on, and their pool."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from abc import abstractmethod
+from collections import deque
+from collections.abc import Callable, Iterator
+from typing import Protocol, cast
+
+from beacongw import CacheNote, Outcome
+from holdpick.config import Address
+
+PER_SERVER = 16
+IDLE_SHARE = 0.6
+SWEEP_S = 0.5
+LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
+
+log = logging.getLogger("holdpick")
+
+
+class ValueSource(Protocol):
+    """What a value over 64 KiB comes from, as its reader sees it."""
+
+    def pause(self) -> None:
+        """Stop reading more of the value."""
+
+    def resume(self) -> None:
+        """Go on reading."""
+
+
+class Exchange:
+    """One command or HTTP request to a server and what comes of it; told of its end exactly once."""
+
+    connection: Connection | None = None
+    over = False
+    is_probe = False
+
+    @abstractmethod
+    def request_bytes(self, address: Address) -> bytes:
+        """Write the request down; called when the connection for it is at hand."""
+
+    @abstractmethod
+    def ended(
+        self,
+        outcome: Outcome,
+        value: bytes | None = None,
+        note: CacheNote | None = None,
+        report: bytes | None = None,
+    ) -> None:
+        """Take the end."""
+
+    def value_started(self, length: int, source: ValueSource) -> None:
+        """Take the start of a value over 64 KiB."""
+
+    def value_came(self, data: bytes) -> None:
+        """Take a part of it."""
+
+    def end(
+        self,
+        outcome: Outcome,
+        value: bytes | None = None,
+        note: CacheNote | None = None,
+        report: bytes | None = None,
+    ) -> None:
+        if not self.over:
+            self.over, self.connection = True, None
+            self.ended(outcome, value, note, report)
+
+    def give_up(self, outcome: Outcome) -> None:
+        """Stop waiting."""
+        connection = self.connection
+        if connection is not None:
+            connection.exchange = None
+            connection.close()
+        self.end(outcome)
+
+
+class Connection(asyncio.Protocol):
+    """One connection, with at most one exchange on it: an answer never waits behind another's."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.exchange: Exchange | None = None
+        self.transport: asyncio.Transport | None = None
+        self.idle_since = 0.0
+        self.unsent = False
+        self.retired = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    @property
+    def usable(self) -> bool:
+        return not self.retired and self.transport is not None and not self.transport.is_closing()
+
+    def start(self, exchange: Exchange) -> None:
+        assert self.transport is not None
+        self.exchange, exchange.connection = exchange, self
+        self.transport.write(exchange.request_bytes(self.server.address))
+
+    def close(self) -> None:
+        """Close at once; what is unsent is dropped."""
+        self.retired = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def pause(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def finish(
+        self,
+        outcome: Outcome,
+        value: bytes | None = None,
+        note: CacheNote | None = None,
+        report: bytes | None = None,
+    ) -> None:
+        exchange, self.exchange = self.exchange, None
+        self.server.pool.released(self)
+        if exchange is not None:
+            exchange.end(outcome, value, note, report)
+
+    def spoil(self, reason: str) -> None:
+        log.warning("%s: %s", self.server.id, reason)
+        exchange, self.exchange = self.exchange, None
+        self.close()
+        if exchange is not None:
+            exchange.end(Outcome.ERROR)
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:
+            if self.usable:
+                self.spoil("sent an answer that nobody asked for")
+            return
+        try:
+            self.answer_came(data)
+        except Exception:
+            log.exception("%s: reading an answer failed", self.server.id)
+            self.spoil("reading an answer failed")
+
+    @abstractmethod
+    def answer_came(self, data: bytes) -> None:
+        """Read a part of the answer."""
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.retired = True
+        exchange, self.exchange = self.exchange, None
+        self.server.pool.lost(self)
+        if exchange is not None:
+            exchange.end(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
+
+
+class Server:
+    """One listed server as the pool sees it."""
+
+    def __init__(self, pool: Pool, server_id: str, address: Address, connect: Callable[[Server], Connection]):
+        self.pool, self.id, self.address, self.connect = pool, server_id, address, connect
+        self.open = True
+        self.idle: list[Connection] = []
+        self.connections: set[Connection] = set()
+        self.dials: set[asyncio.Task[None]] = set()
+        self.waiting: deque[Exchange] = deque()
+
+    @property
+    def held(self) -> int:
+        return len(self.connections) + len(self.dials)
+
+
+class Pool:
+    """Deals exchanges out to connections, within the share of descriptors that servers have."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, limit: int, dial_timeout: float, idle_close: float
+    ) -> None:
+        self._loop, self._limit, self._dial_timeout = loop, limit, dial_timeout
+        self._idle_limit = idle_close * IDLE_SHARE
+        self._servers: dict[str, Server] = {}
+        self._held = 0
+        self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
+
+    def list_server(self, server_id: str, address: Address, connect: Callable[[Server], Connection]) -> None:
+        """A server may be sent to, at this address."""
+        server = self._servers.get(server_id)
+        if server is None:
+            self._servers[server_id] = Server(self, server_id, address, connect)
+            return
+        if server.address != address:
+            server.address = address
+        server.open = True
+
+    def unlist_server(self, server_id: str) -> None:
+        """A server drains or is gone: it finishes what it has, and nothing waits for it any longer."""
+        server = self._servers.get(server_id)
+        if server is not None:
+            server.open = False
+            self._forget(server)
+
+    def listed(self) -> Iterator[str]:
+        """The servers that may be sent to."""
+        return (server.id for server in self._servers.values() if server.open)
+
+    def submit(self, server_id: str, exchange: Exchange) -> None:
+        server = self._servers.get(server_id)
+        if server is None or not server.open:
+            exchange.end(Outcome.CONNECT_FAILED)
+            return
+        oldest = self._loop.time() - self._idle_limit
+        while server.idle:
+            connection = server.idle.pop()
+            if connection.usable and connection.idle_since >= oldest:
+                connection.start(exchange)
+                return
+            connection.close()
+        server.waiting.append(exchange)
+        self._dial_for(server)
+
+    def released(self, connection: Connection) -> None:
+        server = connection.server
+        if not connection.usable:
+            connection.close()
+            return
+        while server.waiting:
+            exchange = server.waiting.popleft()
+            if not exchange.over:
+                connection.start(exchange)
+                return
+        server.idle.append(connection)
+
+    def lost(self, connection: Connection) -> None:
+        server = connection.server
+        if connection not in server.connections:
+            return
+        server.connections.discard(connection)
+        self._held -= 1
+        if connection in server.idle:
+            server.idle.remove(connection)
+        self._dial_for(server)
+        self._forget(server)
+
+    def close(self) -> None:
+        """Close everything."""
+        self._sweep_timer.cancel()
+        for server in list(self._servers.values()):
+            for dial in server.dials:
+                dial.cancel()
+            for connection in list(server.connections):
+                connection.close()
+
+    def _dial_for(self, server: Server) -> None:
+        while server.waiting and server.waiting[0].over:
+            server.waiting.popleft()
+        while len(server.waiting) > len(server.dials) and server.held < PER_SERVER:
+            if self._held >= self._limit and not self._evict():
+                return
+            self._held += 1
+            dial = self._loop.create_task(self._dial(server))
+            server.dials.add(dial)
+
+    def _evict(self) -> bool:
+        idle = [server.idle[0] for server in self._servers.values() if server.idle]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda connection: connection.idle_since)
+        server = oldest.server
+        server.idle.remove(oldest)
+        server.connections.discard(oldest)
+        self._held -= 1
+        oldest.close()
+        return True
+
+    async def _dial(self, server: Server) -> None:
+        connection: Connection | None = None
+        address = server.address
+        attempt = self._loop.create_connection(lambda: server.connect(server), *address)
+        connecting = self._loop.create_task(attempt)
+        task = asyncio.current_task()
+        assert task is not None
+        try:
+            due = self._loop.time() + self._dial_timeout
+            await asyncio.wait((connecting,), timeout=self._dial_timeout)
+            if not connecting.done() and self._loop.time() - due > LATE_NOTICE_S:
+                await asyncio.wait((connecting,), timeout=LATE_NOTICE_S)
+            if connecting.done():
+                _, connection = connecting.result()
+        except OSError:
+            pass
+        finally:
+            server.dials.discard(task)
+            if connection is None:
+                connecting.cancel()
+                self._held -= 1
+        if connection is None or not connection.usable:
+            if connection is not None:
+                self._held -= 1
+            self._dial_failed(server)
+            return
+        server.connections.add(connection)
+        connection.retired = not server.open or server.address != address
+        self.released(connection)
+
+    def _dial_failed(self, server: Server) -> None:
+        while server.waiting:
+            exchange = server.waiting.popleft()
+            if not exchange.over:
+                break
+        self._dial_for(server)
+        self._forget(server)
+
+    def _forget(self, server: Server) -> None:
+        if not server.open and not server.held:
+            self._servers.pop(server.id, None)
+
+    def _sweep(self) -> None:
+        self._sweep_timer = self._loop.call_later(SWEEP_S, self._sweep)
+        oldest = self._loop.time() - self._idle_limit
+        for server in self._servers.values():
+            while server.idle and server.idle[0].idle_since < oldest:
+                server.idle.pop(0).close()
+            self._dial_for(server)
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,321 @@
+"""Scripted peers on loopback sockets, and the real router started as the deploy file says."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE_S = 20.0  # a busy machine's; nothing is expected to take long
+
+FACTS: dict[str, Any] = {
+    "balancers": 1,
+    "ceilings": {
+        "mostTries": 4,
+        "retryAfter": True,
+        "maxRetryAfterNs": 10**9,
+        "dialTimeoutNs": 500_000_000,
+        "idleCloseNs": 10**10,
+        "maxOpen": 1000,
+    },
+    "classes": [
+        {"name": "get", "aimNs": 10**9, "giveUpNs": 2 * 10**9, "semantics": "retryable"},
+        {"name": "put", "aimNs": 10**9, "giveUpNs": 2 * 10**9, "semantics": "dedup", "dedupWindowNs": 10**9},
+        {"name": "once", "aimNs": 10**9, "giveUpNs": 2 * 10**9, "semantics": "fragile"},
+    ],
+    "familyInfo": {"mode": "aside", "originKind": 1},
+    "feedback": {"fields": ["latency_ms", "queue"], "how": "answers"},
+    "kinds": ["std", "origin"],
+    "membershipMode": "automatic",
+    "tenants": [{"name": "acme", "portion": 1.0}],
+}
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return int(listener.getsockname()[1])
+
+
+def eventually(check: Callable[[], Any], what: str) -> Any:
+    """Wait until `check` gives something true."""
+    end = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end:
+        if found := check():
+            return found
+        time.sleep(0.01)
+    raise AssertionError(f"never came: {what}")
+
+
+def bulk(*words: bytes) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(w), w) for w in words)
+
+
+def get(request_id: str, key: str = "k", d: int = 5000, more: str = "") -> bytes:
+    return bulk(b"KV.GET", key.encode(), request_id.encode(), f"c=get,t=acme,d={d}{more}".encode())
+
+
+def put(request_id: str, value: bytes = b"v", cls: str = "put", d: int = 5000) -> bytes:
+    return bulk(b"KV.SET", b"k", request_id.encode(), f"c={cls},t=acme,d={d},k=5c".encode(), value)
+
+
+def hit(value: bytes) -> bytes:
+    return b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$22\r\nlatency_ms=1.5,queue=2\r\n" % (len(value), value)
+
+
+MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
+
+
+def http_answer(status: int, body: bytes = b"", *headers: str) -> bytes:
+    lines = "".join(f"{line}\r\n" for line in headers)
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{lines}\r\n".encode() + body
+
+
+Handler = Callable[[socket.socket, list[bytes]], bytes | None]
+
+
+class Peer:
+    """A server on loopback: a thread for each connection, and a handler that answers each message.
+
+    The handler gets the connection and the message's words (of a command, or of an HTTP request: method,
+    target, head, body) and returns the answer; None: it has dealt with it itself.
+    """
+
+    def __init__(self, handler: Handler, is_http: bool = False, port: int = 0) -> None:
+        self.handler, self._http = handler, is_http
+        self.seen: list[list[bytes]] = []
+        self.accepted = 0
+        self._listener = socket.create_server(("127.0.0.1", port))
+        self.port = int(self._listener.getsockname()[1])
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        stream = connection.makefile("rb")
+        try:
+            while message := (self._http_message(stream) if self._http else self._command(stream)):
+                self.seen.append(message)
+                answer = self.handler(connection, message)
+                if answer is not None:
+                    connection.sendall(answer)
+        except (OSError, ValueError):
+            pass
+        finally:
+            stream.close()
+            connection.close()
+
+    @staticmethod
+    def _command(stream: Any) -> list[bytes]:
+        head = stream.readline()
+        words = []
+        for _ in range(int(head[1:] or b"0") if head else 0):
+            size = int(stream.readline()[1:])
+            words.append(stream.read(size + 2)[:-2])
+        return words
+
+    @staticmethod
+    def _http_message(stream: Any) -> list[bytes]:
+        method, _, target = stream.readline().partition(b" ")
+        head = b""
+        while (line := stream.readline()) not in (b"\r\n", b""):
+            head += line
+        length = [
+            int(line.split(b":")[1]) for line in head.splitlines() if line.startswith(b"Content-Length")
+        ]
+        body = stream.read(length[0]) if length else b""
+        return [method, target.split(b" ")[0], head, body] if method else []
+
+    def close(self) -> None:
+        with suppress(OSError):  # closed before
+            self._listener.shutdown(socket.SHUT_RDWR)  # else the thread in accept would take one more
+        self._listener.close()
+
+
+def reset(connection: socket.socket) -> bytes:
+    """Break a connection as a process that dies does."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+    connection.shutdown(socket.SHUT_RD)
+    raise OSError("reset")
+
+
+def entry(peer: Peer, name: str, kind: str = "std", lifecycle: str = "up") -> dict[str, Any]:
+    return {
+        "instanceId": name,
+        "hostPort": f"127.0.0.1:{peer.port}",
+        "zone": "a",
+        "machineType": kind,
+        "cell": 0,
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": 0,
+    }
+
+
+class DiscoveryPeer:
+    """Discovery's agent: the list that it is given, and each later change to whoever watches."""
+
+    def __init__(self, instances: list[dict[str, Any]]) -> None:
+        self.generation, self.instances = 1, instances
+        self.changed = threading.Condition()
+        self.junk: bytes | None = None
+        self.peer = Peer(self._answer, is_http=True)
+
+    def change(self, *entries: dict[str, Any]) -> None:
+        with self.changed:
+            self.generation += 1
+            self.instances = list(entries)
+            self.changed.notify_all()
+
+    def _answer(self, _: socket.socket, message: list[bytes]) -> bytes:
+        target = message[1].decode()
+        if self.junk is not None:
+            return self.junk
+        with self.changed:
+            whole = "index=" not in target
+            if not whole:
+                index = int(target.split("index=")[1].split("&")[0])
+                self.changed.wait_for(lambda: self.generation != index, timeout=2)
+                entries = self.instances if self.generation != index else []
+            body = {
+                "generation": self.generation,
+                "reset": whole,
+                "instances": self.instances if whole else entries,
+            }
+        return http_answer(200, json.dumps(body).encode())
+
+
+class Client:
+    """A client's connection, read with a time limit far over what anything takes."""
+
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
+        self.stream = self.socket.makefile("rb")
+
+    def send(self, data: bytes) -> None:
+        self.socket.sendall(data)
+
+    def answer(self) -> bytes:
+        """One answer: a bulk string's bytes, or the line as it stands; b"" at the end."""
+        line: bytes = self.stream.readline()
+        if line.startswith(b"$"):
+            size = int(line[1:])
+            value: bytes = self.stream.read(size + 2)
+            return value[:-2] if len(value) == size + 2 else b"cut off after %d" % len(value)
+        return line.strip()
+
+    def ask(self, data: bytes) -> bytes:
+        self.send(data)
+        return self.answer()
+
+    def at_end(self) -> bool:
+        """Whether the router closes the connection with nothing more."""
+        try:
+            return self.stream.read(1) == b""
+        except ConnectionResetError:
+            return True
+
+    def close(self) -> None:
+        self.stream.close()
+        self.socket.close()
+
+
+class Routed:
+    """A running router and its peers."""
+
+    def __init__(self, process: subprocess.Popen[str], port: int, discovery: DiscoveryPeer) -> None:
+        self.process, self.port, self.discovery = process, port, discovery
+
+    def client(self) -> Client:
+        return Client(self.port)
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def memory_kb(self) -> int:
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.split("VmRSS:")[1].split()[0])
+
+
+def start_router(folder: Path, told: dict[str, Any]) -> subprocess.Popen[str]:
+    config = folder / "config.json"
+    config.write_text(json.dumps(told))
+    return subprocess.Popen(
+        [sys.executable, "-m", "holdpick"],
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def is_ready(port: int) -> bool:
+    try:
+        client = Client(port)
+    except OSError:
+        return False
+    try:
+        return client.ask(bulk(b"PING")) == b"+PONG"
+    except OSError:
+        return False
+    finally:
+        client.close()
+
+
+@contextmanager
+def routed(
+    folder: Path,
+    caches: dict[str, Peer],
+    origin: Peer | None = None,
+    limits: dict[str, float] | None = None,
+    facts: dict[str, Any] | None = None,
+    known: list[dict[str, Any]] | None = None,
+    discovery_says: bytes | None = None,
+) -> Iterator[Routed]:
+    """Start a router over these peers, and check at the end that it lived and logged no exception."""
+    entries = [entry(peer, name) for name, peer in caches.items()]
+    if origin is not None:
+        entries.append(entry(origin, "origin", "origin"))
+    discovery = DiscoveryPeer(entries)
+    discovery.junk = discovery_says
+    port = free_port()
+    told = {
+        "name": "n1",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{discovery.peer.port}",
+        "seed": "8c1f30d27a5be964",
+        "limits": limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"generation": 0, "reset": True, "instances": known or []},
+        "settings": {**FACTS, **(facts or {})},
+    }
+    process = start_router(folder, told)
+    try:
+        eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
+        yield Routed(process, port, discovery)
+    finally:
+        if process.poll() is None:
+            process.terminate()
+        _, log = process.communicate(timeout=PATIENCE_S)
+        for peer in [*caches.values(), discovery.peer, *([origin] if origin else [])]:
+            peer.close()
+    assert process.returncode == 0, log
+    assert "Traceback" not in log, log
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,282 @@
+"""Reads, writes, outcomes and bad input of the real router, over loopback sockets."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.sockets import MISS, Peer, bulk, entry, eventually, get, hit, http_answer, put, reset, routed
+
+
+def fields(info: bytes) -> dict[str, str]:
+    return dict(part.split("=", 1) for part in info.decode().split(","))
+
+
+def test_read_that_misses_goes_to_the_origin(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: MISS)
+    origin = Peer(lambda _, words: http_answer(200, b"fetched", "Server-Load: latency_ms=2,queue=1"), True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        assert router.client().ask(get("id1", "p kg".replace(" ", "/"), 4321)) == b"fetched"
+        (message,) = origin.seen
+        assert message[:2] == [b"GET", b"/p/kg"]
+        assert b"Request-Id: id1\r\n" in message[2]
+        assert b"Request-Info: c=get,t=acme,d=4321\r\n" in message[2]
+
+
+def test_write_goes_to_the_origin_with_its_value(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(b"wrong"))
+    origin = Peer(lambda _, message: http_answer(200, b"receipt " + message[3]), True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        assert router.client().ask(put("w1", b"\r\n$bytes\x00")) == b"receipt \r\n$bytes\x00"
+        assert origin.seen[0][0] == b"PUT"
+        assert b"k=5c" in origin.seen[0][2]
+        assert not cache.seen
+
+
+def test_pipelined_commands_are_answered_in_their_order(tmp_path: Path) -> None:
+    held = threading.Event()
+
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        if words[2] == b"slow":
+            held.wait(10)
+        else:
+            held.set()
+        return hit(words[2])
+
+    cache = Peer(answer)
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        client.send(get("slow") + get("fast") + bulk(b"PING"))
+        assert [client.answer() for _ in range(3)] == [b"slow", b"fast", b"+PONG"]
+
+
+@pytest.mark.parametrize(
+    ("status", "header", "tries_again"),
+    [
+        (500, "X: 1", False),
+        (503, "Not-Started: 1", True),
+        (504, "Not-Started: 1", True),
+        (503, "X: 1", False),
+    ],
+)
+def test_unsafe_write_is_repeated_only_if_it_never_ran(
+    tmp_path: Path, status: int, header: str, tries_again: bool
+) -> None:
+    answers = [http_answer(status, b"", header), http_answer(200, b"done")]
+    origin = Peer(lambda _, message: answers[min(len(origin.seen), 2) - 1], True)
+    with routed(tmp_path, {}, origin) as router:
+        answer = router.client().ask(put("w1", cls="once"))
+        assert answer == (b"done" if tries_again else b"-ERR failed")
+        assert len(origin.seen) == (2 if tries_again else 1)
+
+
+def test_unsafe_write_whose_connection_breaks_may_have_run(tmp_path: Path) -> None:
+    origin = Peer(lambda connection, _: reset(connection), True)
+    with routed(tmp_path, {}, origin) as router:
+        assert router.client().ask(put("w1", cls="once")) == b"-ERR failed"
+        assert len(origin.seen) == 1
+
+
+def test_every_failure_of_a_cache_sends_a_read_to_another(tmp_path: Path) -> None:
+    def break_off(connection: socket.socket, words: list[bytes]) -> bytes | None:
+        if words[2] == b"reset":
+            reset(connection)
+        return {b"error": b"-ERR failed latency_ms=3,queue=4\r\n", b"full": b"-BUSY\r\n"}.get(
+            words[2], b"junk\r\n"
+        )
+
+    bad, good = Peer(break_off), Peer(lambda _, words: hit(words[2]))
+    with routed(tmp_path, {"s1": bad, "s2": good}) as router:
+        client = router.client()
+        for name in ("error", "junk", "reset"):
+            for i in range(30):  # keys enough that each cache is asked first for some
+                sent = name if i % 2 else "fine"
+                answer = client.ask(get(f"{name}" if sent == name else f"fine{name}{i}", f"k{i}"))
+                assert answer in (name.encode(), f"fine{name}{i}".encode())
+        assert bad.seen
+
+
+def test_silent_server_costs_an_attempt_its_time_and_nothing_more(tmp_path: Path) -> None:
+    silent = Peer(lambda _, words: None)
+    with routed(tmp_path, {"s1": silent}) as router:
+        client = router.client()
+        begun = time.monotonic()
+        assert client.ask(get("r1", d=300)).startswith(b"-BUSY ")
+        assert time.monotonic() - begun >= 0.25
+        assert client.ask(bulk(b"PING")) == b"+PONG"
+
+
+def test_late_answer_reaches_no_other_request(tmp_path: Path) -> None:
+    release = threading.Event()
+
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        if words[2] == b"first":
+            release.wait(10)
+        return hit(words[2])
+
+    cache = Peer(answer)
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        assert client.ask(get("first", d=200)).startswith(b"-BUSY")
+        release.set()
+        for i in range(10):
+            # refusals are the module's caution after a time-out; an answer must be the request's own
+            answer_came = client.ask(get(f"r{i}"))
+            assert answer_came == b"r%d" % i or answer_came.startswith(b"-BUSY")
+
+
+def test_answer_that_nobody_asked_for_is_dropped_with_its_connection(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(words[2]) + (hit(b"stray") if words[2] == b"r0" else b""))
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        assert [client.ask(get(f"r{i}")) for i in range(3)] == [b"r0", b"r1", b"r2"]
+        assert cache.accepted >= 2
+
+
+def test_gone_client_leaves_nothing_behind(tmp_path: Path) -> None:
+    release = threading.Event()
+
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        release.wait(10)
+        return hit(words[2])
+
+    cache = Peer(answer)
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        client.send(get("left"))
+        eventually(lambda: cache.seen, "the attempt")
+        client.close()
+        release.set()
+        assert eventually(lambda: router.client().ask(get("left")) == b"left", "the id is free again")
+
+
+def test_drained_server_gets_nothing_new(tmp_path: Path) -> None:
+    old, new = Peer(lambda _, words: hit(b"old")), Peer(lambda _, words: hit(b"new"))
+    with routed(tmp_path, {"s1": old}) as router:
+        client = router.client()
+        assert client.ask(get("r0")) == b"old"
+        router.discovery.change(entry(old, "s1", lifecycle="draining"), entry(new, "s2"))
+        names = (f"w{i}" for i in range(10_000))
+        eventually(lambda: client.ask(get(next(names))) == b"new", "the new list is used")
+        count = len(old.seen)
+        for i in range(20):
+            assert client.ask(get(f"r{i + 1}", f"k{i}")) == b"new"
+        assert len(old.seen) == count
+
+
+def test_server_is_found_at_its_new_address(tmp_path: Path) -> None:
+    first, second = Peer(lambda _, words: hit(b"first")), Peer(lambda _, words: hit(b"second"))
+    with routed(tmp_path, {"s1": first}) as router:
+        client = router.client()
+        assert client.ask(get("r0")) == b"first"
+        router.discovery.change(entry(second, "s1"))
+        names = (f"w{i}" for i in range(10_000))
+        eventually(lambda: client.ask(get(next(names))) == b"second", "the new address")
+
+
+@pytest.mark.parametrize(
+    "junk",
+    [
+        b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        http_answer(200, b"{nonsense"),
+        http_answer(200, b'{"generation":9,"reset":true,"instances":[{"instanceId":"s1"}]}'),
+        b"no http at all\r\n\r\n",
+    ],
+)
+def test_bad_answers_of_discovery_change_nothing(tmp_path: Path, junk: bytes) -> None:
+    cache = Peer(lambda _, words: hit(words[2]))
+    with routed(tmp_path, {"s1": cache}) as router:
+        router.discovery.junk = junk
+        asked = len(router.discovery.peer.seen)
+        router.discovery.change(entry(cache, "s1"))
+        eventually(lambda: len(router.discovery.peer.seen) > asked + 2, "more calls of discovery")
+        assert router.client().ask(get("r1")) == b"r1"
+
+
+def test_known_list_serves_while_discovery_is_silent(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(words[2]))
+    with routed(tmp_path, {}, known=[entry(cache, "s1")], discovery_says=b"") as router:
+        assert router.client().ask(get("r1")) == b"r1"
+
+
+@pytest.mark.parametrize(
+    ("data", "words", "closes"),
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", b"Protocol error", True),
+        (b"*1\r\n+PING\r\n", b"Protocol error", True),
+        (b"*999999999\r\n", b"Protocol error", True),
+        (b"*1\r\n$4\r\nPINGxx", b"Protocol error", True),
+        (b"*5\r\n$6\r\nKV.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nc\r\n$4194305\r\n", b"too long", True),
+        (bulk(b"KV.GET", b"k", b"id"), b"number of arguments", False),
+        (bulk(b"KV.SET", b"k", b"id", b"c=put,d=9"), b"number of arguments", False),
+        (bulk(b"FLUSHALL"), b"unknown command", False),
+        (bulk(b"KV.GET", b"k", b"id", b"c=get,t=acme"), b"d must be", False),
+        (bulk(b"KV.GET", b"k", b"id", b"c=get,d=soon"), b"d must be", False),
+        (bulk(b"KV.GET", b"k", b"id", b"d=100"), b"c must", False),
+        (bulk(b"KV.GET", b"k", b"id", b"c=nosuch,d=100"), b"unknown class", False),
+        (bulk(b"KV.GET", b"k", b"id\r\nX-Forged: 1", b"c=get,d=100"), b"plain text", False),
+        (bulk(b"KV.GET", b"", b"id", b"c=get,d=100"), b"key must", False),
+    ],
+)
+def test_bad_input_gets_an_error_line_and_reaches_no_server(
+    tmp_path: Path, data: bytes, words: bytes, closes: bool
+) -> None:
+    cache = Peer(lambda _, message: hit(b"reached"))
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        answer = client.ask(data)
+        assert answer.startswith(b"-ERR")
+        assert words in answer
+        if closes:
+            assert client.at_end()
+        else:
+            assert client.ask(bulk(b"PING")) == b"+PONG"
+        assert not cache.seen
+
+
+def test_unknown_tenant_is_served_as_of_none(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(b"served"))
+    with routed(tmp_path, {"s1": cache}) as router:
+        assert router.client().ask(bulk(b"KV.GET", b"k", b"id", b"c=get,t=nobody,d=5000")) == b"served"
+
+
+def test_duplicate_id_is_refused_while_the_first_is_open(tmp_path: Path) -> None:
+    release = threading.Event()
+
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        release.wait(10)
+        return hit(b"served")
+
+    cache = Peer(answer)
+    with routed(tmp_path, {"s1": cache}) as router:
+        first, second = router.client(), router.client()
+        first.send(get("same"))
+        eventually(lambda: cache.seen, "the attempt")
+        assert second.ask(get("same")) == b"-ERR duplicate id"
+        release.set()
+        assert first.answer() == b"served"
+        assert len(cache.seen) == 1
+
+
+def test_command_cut_off_midway_reaches_no_server(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(b"served"))
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        client.send(get("r1")[:-5])
+        client.close()
+        assert router.client().ask(get("r2")) == b"served"
+        assert len(cache.seen) == 1
+
+
+def test_command_in_single_bytes_is_read_whole(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(words[1]))
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        client.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for byte in get("r1", "slowly"):
+            client.send(bytes([byte]))
+        assert client.answer() == b"slowly"
