--- a/beacongw/adapter.py
+++ b/beacongw/adapter.py
@@ -184,6 +184,7 @@
 
 
 def main() -> int:
+    """Serve the simulator on standard input and output."""
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
--- a/beacongw/interface.py
+++ b/beacongw/interface.py
@@ -42,6 +42,7 @@
 
     @property
     def never_ran(self) -> bool:
+        """Whether this end proves that the request had no effect there."""
         return self in (Outcome.MISS, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
 
--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -45,6 +45,7 @@
         self.usual = self.spread = usual
 
     def learn(self, latency: int) -> None:
+        """Take one answer's time."""
         off = latency - self.usual
         self.usual += off / 16
         self.spread += (abs(off) - self.spread) / 16
@@ -63,6 +64,7 @@
         self._chance = 1.0
 
     def chance(self, now: int) -> float:
+        """The chance to be sent to; it comes back by itself."""
         return min(1.0, self._chance + now / REGAIN) if self._chance < 1.0 else 1.0
 
     def judge(self, outcome: Outcome, late: bool, now: int) -> None:
@@ -88,6 +90,7 @@
         self._cold_until = 0
 
     def update(self, ready: list[api.Server], left: list[str]) -> None:
+        """Take servers that are ready, and ids of those that left."""
         changed = [e for e in ready if e.id not in self.nodes or self.nodes[e.id].entry != e]
         gone = {*left, *(entry.id for entry in changed)}
         for server_id in gone:
@@ -110,6 +113,7 @@
         return -node.weight / math.log(((mixed ^ mixed >> 32) + 1) / (WORD + 2))
 
     def warmth(self, node: Node, now: int) -> float:
+        """The part of its capacity that a server has surely reached."""
         age = max(now - node.entry.started, 0)  # clocks differ: a start may lie ahead
         cold, cold_time = self._settings.cold_share, self._settings.cold_time
         warm = not node.entry.started or age >= cold_time
@@ -135,6 +139,7 @@
         self._total = 0.0
 
     def add(self, slot: int | str) -> float:
+        """Count a request; returns its slot's share before it."""
         count = self._counts.get(slot, 0.0)
         share = count / max(self._total, 1.0)
         self._counts[slot] = count + 1
@@ -171,6 +176,7 @@
         return len(self._calls) - self.declined
 
     def admit(self, now: int) -> bool:
+        """Decide on one fetch, and count it."""
         accepted, soft = self.accepted(now), self.window_s * self.limit
         over = len(self._calls) >= soft * HARD_LIMIT_FACTOR
         allowed = not (over and accepted >= soft)
--- a/holdpick/__main__.py
+++ b/holdpick/__main__.py
@@ -92,6 +92,7 @@
 
 
 def main() -> int:
+    """Read the configuration and serve; returns the exit status."""
     try:
         config = load_config(os.environ)
         if config.known is not None:
--- a/holdpick/clients.py
+++ b/holdpick/clients.py
@@ -42,6 +42,7 @@
         self._waiting: deque[ClientConnection] = deque()
 
     def take(self, connection: ClientConnection, size: int) -> bool:
+        """Set bytes aside, or queue the connection for them."""
         if size > self._free:
             self._waiting.append(connection)
             return False
@@ -82,6 +83,7 @@
             source.pause()
 
     def write(self, data: bytes) -> bool:
+        """Pass a part on, or keep it until the answers ahead are written; False: kept."""
         connection = self._connection
         if connection.closed:
             return True
@@ -127,14 +129,17 @@
         self.refusing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport, and be counted in."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
         self.server.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The connection has ended."""
         self._leave()
 
     def eof_received(self) -> bool:
+        """The client sends no more: it has gone."""
         self._leave()
         return False
 
@@ -151,6 +156,7 @@
                 self.server.host.client_gone(reply)
 
     def data_received(self, data: bytes) -> None:
+        """Read what has come; a fault in doing so ends only this connection."""
         try:
             self._read(data)
         except Exception:
@@ -185,6 +191,7 @@
             self._set_reading()
 
     def reserve(self) -> None:
+        """Ask for the bytes of the long command under way; reading stops until they are there."""
         self._starved = not self.server.budget.take(self, self._reader.need)
         if not self._starved:
             self._reserved = self._reader.need
@@ -215,6 +222,7 @@
             self.transport.write(data)
 
     def flush(self) -> None:
+        """Write the answers whose turn has come."""
         replies = self.replies
         while replies and replies[0].done:
             replies.popleft()
@@ -257,6 +265,7 @@
         return not self.replies and not self._reader.need
 
     def finish(self, even_midway: bool) -> None:
+        """Close once nothing is owed here; `even_midway`: also within a command."""
         if self.transport is None or self.closed:
             return
         if not self.replies and (even_midway or not self._reader.need):
@@ -271,6 +280,7 @@
         self._leave()
 
     def check(self, now: float) -> None:
+        """End a connection whose client does not go on."""
         if self.blocked:
             assert self.transport is not None
             size = self.transport.get_write_buffer_size()
@@ -309,6 +319,7 @@
         )
 
     def opened(self, connection: ClientConnection) -> None:
+        """Count a new connection in, making room for it where there is none."""
         if len(self._connections) >= self._limit:
             idle = min(
                 (other for other in self._connections if other.idle),
@@ -325,19 +336,23 @@
         self._connections[connection] = None
 
     def closed(self, connection: ClientConnection) -> None:
+        """Count a connection out."""
         self._connections.pop(connection, None)
 
     @property
     def connected(self) -> int:
+        """How many clients are connected."""
         return len(self._connections)
 
     def stop_accepting(self) -> None:
+        """Close the listener, and the connections that stand between requests."""
         if self._listener is not None:
             self._listener.close()
             self._listener = None
         self.finish(even_midway=False)
 
     def finish(self, even_midway: bool) -> None:
+        """Have every connection close once nothing is owed on it."""
         for connection in list(self._connections):
             connection.finish(even_midway)
 
--- a/holdpick/discovery.py
+++ b/holdpick/discovery.py
@@ -152,13 +152,16 @@
         self.generation = 0
 
     def start(self) -> None:
+        """Follow the pushed list."""
         self._task = asyncio.get_running_loop().create_task(self._follow())
 
     def subscribe(self) -> None:
+        """Begin a watch where discovery is asked, unless one is under way."""
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._watch_asked())
 
     def close(self) -> None:
+        """Stop following."""
         if self._task is not None:
             self._task.cancel()
         if self._call is not None:
--- a/holdpick/http.py
+++ b/holdpick/http.py
@@ -29,6 +29,7 @@
         return self._parser.get_status_code()
 
     def read(self, data: bytes) -> bool:
+        """Read a part of an answer; returns whether it is whole."""
         if not self._in_body:
             self._head += len(data)
         try:
@@ -40,6 +41,7 @@
         return self._whole
 
     def answer_done(self) -> bool:
+        """Make ready for the next answer; returns whether the connection may be kept."""
         keep = self._keep
         self._next_answer()
         return keep
@@ -73,9 +75,11 @@
         self._keep = self._parser.should_keep_alive()
 
     def body_starts(self, length: int | None) -> None:
+        """The head is whole; `length` is that of the body, where it is told."""
         raise NotImplementedError
 
     def body_came(self, data: bytes) -> None:
+        """Take a part of the body."""
         raise NotImplementedError
 
 
--- a/holdpick/origin.py
+++ b/holdpick/origin.py
@@ -50,6 +50,7 @@
             self.exchange.value_started(length, self)
 
     def body_came(self, data: bytes) -> None:
+        """Take a part of the body."""
         if self._streaming:
             if self.exchange is not None:
                 self.exchange.value_came(data)
--- a/holdpick/resp.py
+++ b/holdpick/resp.py
@@ -110,6 +110,7 @@
 
 
 def parse_request(words: list[bytes]) -> Command:
+    """Read a client's request; raises ValueError in words for the client."""
     name = words[0].upper()
     if name not in (b"KV.GET", b"KV.SET"):
         raise ValueError("unknown command")
@@ -146,6 +147,7 @@
 
 
 def bulk(value: bytes) -> bytes:
+    """Encode one bulk string."""
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
--- a/holdpick/router.py
+++ b/holdpick/router.py
@@ -96,6 +96,7 @@
         return resp.command(*words) if command.value is None else resp.command(*words, command.value)
 
     def value_started(self, length: int, source: ValueSource) -> None:
+        """Begin the client's answer with a long value."""
         self._latency = time.monotonic_ns() - self._sent_at
         request = self._request
         if request.closed:
@@ -110,6 +111,7 @@
         self._host.tell(StreamStarted(request.id, self._number))
 
     def value_came(self, data: bytes) -> None:
+        """Pass a part of a long value on."""
         if self._source is not None:
             self._came_at = self._host.loop.time()
             self._request.reply.write(data)
@@ -133,6 +135,7 @@
             self._timer = self._host.loop.call_later(STALL_S / 4, self._check_stall)
 
     def client_left(self) -> None:
+        """Nobody reads the value any more."""
         self.give_up(Outcome.CANCELLED)
 
     def ended(
@@ -230,6 +233,7 @@
         return self.loop.call_later(max(due - time.monotonic_ns(), 0) / NS_PER_S + TIMER_STEP_S, callback)
 
     def load(self, report: bytes | None) -> tuple[float, ...] | None:
+        """Read a load report."""
         return resp.parse_load(report, self.settings.load_fields) if report else None
 
     # Clients
@@ -316,6 +320,7 @@
             self._pool.unlist_server(server_id)
 
     def discovery_failed(self) -> None:
+        """Tell the module that a watch has ended."""
         self.tell(ServersChanged(ListKind.FAILED))
 
     # Events and actions
--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -64,6 +64,7 @@
         note: CacheNote | None = None,
         report: bytes | None = None,
     ) -> None:
+        """Take the first end; later ones are dropped."""
         if not self.over:
             self.over, self.connection = True, None
             self.ended(outcome, value, note, report)
@@ -94,16 +95,20 @@
         self.transport.set_write_buffer_limits(high=0)
 
     def pause_writing(self) -> None:
+        """The kernel has not taken every byte yet."""
         self.unsent = True
 
     def resume_writing(self) -> None:
+        """The kernel has every byte."""
         self.unsent = False
 
     @property
     def usable(self) -> bool:
+        """Whether another exchange may start here."""
         return not self.retired and self.transport is not None and not self.transport.is_closing()
 
     def start(self, exchange: Exchange) -> None:
+        """Write the exchange's request."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
         self.transport.write(exchange.request_bytes(self.server.address))
@@ -115,6 +120,7 @@
             self.transport.abort()
 
     def pause(self) -> None:
+        """Read no more for now."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
 
@@ -130,12 +136,14 @@
         note: CacheNote | None = None,
         report: bytes | None = None,
     ) -> None:
+        """End the exchange on this connection, which may take another."""
         exchange, self.exchange = self.exchange, None
         self.server.pool.released(self)
         if exchange is not None:
             exchange.end(outcome, value, note, report)
 
     def spoil(self, reason: str) -> None:
+        """End a connection whose answers can't be followed; its request may have run."""
         log.warning("%s: %s", self.server.id, reason)
         exchange, self.exchange = self.exchange, None
         self.close()
@@ -143,6 +151,7 @@
             exchange.end(Outcome.ERROR)
 
     def data_received(self, data: bytes) -> None:
+        """Read a part of the answer under way."""
         if self.exchange is None:
             if self.usable:
                 self.spoil("sent an answer that nobody asked for")
@@ -158,6 +167,7 @@
         """Read a part of the answer."""
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """End the exchange: it never ran if a byte of it was still unsent."""
         self.retired = True
         exchange, self.exchange = self.exchange, None
         self.server.pool.lost(self)
@@ -178,6 +188,7 @@
 
     @property
     def held(self) -> int:
+        """Descriptors in use."""
         return len(self.connections) + len(self.dials)
 
 
@@ -215,6 +226,7 @@
         return (server.id for server in self._servers.values() if server.open)
 
     def submit(self, server_id: str, exchange: Exchange) -> None:
+        """Start an exchange on an idle connection, or have it wait for one."""
         server = self._servers.get(server_id)
         if server is None or not server.open:
             exchange.end(Outcome.CONNECT_FAILED)
@@ -230,6 +242,7 @@
         self._dial_for(server)
 
     def released(self, connection: Connection) -> None:
+        """Give a connection that is free to whoever waits, or keep it."""
         server = connection.server
         if not connection.usable:
             connection.close()
@@ -242,6 +255,7 @@
         server.idle.append(connection)
 
     def lost(self, connection: Connection) -> None:
+        """Count a connection out."""
         server = connection.server
         if connection not in server.connections:
             return
