Retire a server's connections when its address changes

Seen: reading the path of list changes: list_server takes a new address for a known id and keeps the connections to the old one. Ruled out: a dial under way is retired by _dial, which compares addresses. At fault: holdpick/upstream.py, list_server. PROTOCOL: hostPort is where the server is; an entry's change is told to the router.

--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -211,7 +211,9 @@
             self._servers[server_id] = Server(self, server_id, address, connect)
             return
         if server.address != address:
+            # Danger: connections to the old address would go on carrying what is meant for the new one.
             server.address = address
+            self._retire(server)
         server.open = True
 
     def unlist_server(self, server_id: str) -> None:
@@ -221,6 +223,13 @@
             server.open = False
             self._forget(server)
 
+    def _retire(self, server: Server) -> None:
+        """Use the server's connections no more: idle ones close now, busy ones after their answer."""
+        for connection in server.connections:
+            connection.retired = True
+        while server.idle:
+            server.idle.pop().close()
+
     def listed(self) -> Iterator[str]:
         """The servers that may be sent to."""
         return (server.id for server in self._servers.values() if server.open)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -176,6 +176,30 @@
         router.discovery.change(entry(second, "s1"))
         names = (f"w{i}" for i in range(10_000))
         eventually(lambda: client.ask(get(next(names))) == b"second", "the new address")
+        asked = len(first.seen)
+        assert [client.ask(get(f"r{i}", f"k{i}")) for i in range(1, 20)] == [b"second"] * 19
+        assert len(first.seen) == asked
+
+
+def test_answer_from_the_old_address_counts_and_its_connection_is_used_no_more(tmp_path: Path) -> None:
+    release = threading.Event()
+
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        release.wait(20)
+        return hit(b"first")
+
+    first, second = Peer(answer), Peer(lambda _, words: hit(b"second"))
+    with routed(tmp_path, {"s1": first}) as router:
+        busy, client = router.client(), router.client()
+        busy.send(get("r0", d=15_000))
+        eventually(lambda: first.seen, "the attempt")
+        watches = len(router.discovery.peer.seen)
+        router.discovery.change(entry(second, "s1"))
+        eventually(lambda: len(router.discovery.peer.seen) > watches, "the watch after the change")
+        assert client.ask(get("r1")) == b"second"
+        release.set()
+        assert busy.answer() == b"first"
+        assert {client.ask(get(f"r{i}", f"k{i}")) for i in range(2, 20)} == {b"second"}
 
 
 @pytest.mark.parametrize(
