Note when a connection became idle, so that it is used again

Ruled out: servers closing connections (0 closed as idle by them, few resets), retiring after good answers (few are spoilt), the descriptor share. At fault: holdpick/upstream.py, Pool.released: nothing sets idle_since, which submit and _sweep compare with the clock, so every connection is too old.

--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -261,6 +261,8 @@
             if not exchange.over:
                 connection.start(exchange)
                 return
+        # Danger: without the time every connection counts as too old, and each request dials anew.
+        connection.idle_since = self._loop.time()
         server.idle.append(connection)
 
     def lost(self, connection: Connection) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,7 +9,21 @@
 
 import pytest
 
-from tests.sockets import MISS, Peer, bulk, entry, eventually, get, hit, http_answer, put, reset, routed
+from tests.sockets import (
+    FACTS,
+    MISS,
+    PATIENCE_S,
+    Peer,
+    bulk,
+    entry,
+    eventually,
+    get,
+    hit,
+    http_answer,
+    put,
+    reset,
+    routed,
+)
 
 
 def fields(info: bytes) -> dict[str, str]:
@@ -137,6 +151,30 @@
         assert cache.accepted >= 2
 
 
+def test_connection_is_used_again_and_closed_once_it_has_been_idle(tmp_path: Path) -> None:
+    ended = threading.Event()
+
+    def answer(connection: socket.socket, words: list[bytes]) -> bytes | None:
+        connection.sendall(hit(words[2]))
+        if words[2] == b"last":
+            connection.settimeout(PATIENCE_S)
+            if not connection.recv(1, socket.MSG_PEEK):
+                ended.set()
+        return None
+
+    cache = Peer(answer)
+    ceilings = {**FACTS["ceilings"], "idleCloseNs": 10**9}
+    with routed(tmp_path, {"s1": cache}, facts={"ceilings": ceilings}) as router:
+        client = router.client()
+        for i in range(30):
+            assert client.ask(get(f"r{i}", f"k{i}")) == b"r%d" % i
+        assert cache.accepted < 5  # one, unless this machine held the test up for a second
+        assert client.ask(get("last")) == b"last"
+        begun = time.monotonic()
+        assert ended.wait(PATIENCE_S)
+        assert time.monotonic() - begun > 0.3  # not with the answer either
+
+
 def test_gone_client_leaves_nothing_behind(tmp_path: Path) -> None:
     release = threading.Event()
 
