End the exchange that a failed dial was for

Seen: a read whose server refuses its connection is answered only at its deadline (loopback test: -BUSY after 15 s; with a second server at hand it should be served by that at once), and the module hears of no failed dial. Ruled out: dials do end (asyncio.wait has the time-out, refusals come at once), and the descriptor is given back. At fault: holdpick/upstream.py, _dial_failed: it takes the exchange off the queue and never ends it.

--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -342,6 +342,8 @@
         while server.waiting:
             exchange = server.waiting.popleft()
             if not exchange.over:
+                # Danger: one that is only dropped here would count as under way until its deadline.
+                exchange.end(Outcome.CONNECT_FAILED)
                 break
         self._dial_for(server)
         self._forget(server)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -124,6 +124,15 @@
         assert client.ask(bulk(b"PING")) == b"+PONG"
 
 
+def test_read_whose_server_refuses_the_dial_goes_to_another_at_once(tmp_path: Path) -> None:
+    dead, good = Peer(lambda _, words: None), Peer(lambda _, words: hit(words[2]))
+    dead.close()
+    with routed(tmp_path, {"s1": dead, "s2": good}) as router:
+        client = router.client()
+        for i in range(20):  # keys enough that each cache is asked first for some
+            assert client.ask(get(f"r{i}", f"k{i}", d=15_000)) == b"r%d" % i
+
+
 def test_late_answer_reaches_no_other_request(tmp_path: Path) -> None:
     release = threading.Event()
 
