Send nothing that waits to a server that drains or is gone

Seen: reading the path of list changes: unlist_server only marks the server; what waits for one of its connections is sent when one is free, however long after, and idle connections stay. Ruled out: submit refuses unlisted servers; _dial retires what comes up late. At fault: holdpick/upstream.py, unlist_server, whose own text says that nothing waits for it any longer.

--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -221,6 +221,11 @@
         server = self._servers.get(server_id)
         if server is not None:
             server.open = False
+            self._retire(server)
+            # Danger: what waits for a connection would be sent after the drain's grace, when one is free.
+            waiting, server.waiting = server.waiting, deque()
+            for exchange in waiting:
+                exchange.end(Outcome.CONNECT_FAILED)
             self._forget(server)
 
     def _retire(self, server: Server) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from holdpick.upstream import PER_SERVER
 from tests.sockets import (
     FACTS,
     MISS,
@@ -215,6 +216,28 @@
         assert len(old.seen) == count
 
 
+def test_what_waits_for_a_server_that_drains_goes_to_another(tmp_path: Path) -> None:
+    release = threading.Event()
+
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        release.wait(PATIENCE_S)
+        return hit(b"old")
+
+    old, new = Peer(answer), Peer(lambda _, words: hit(b"new"))
+    with routed(tmp_path, {"s1": old}) as router:
+        client = router.client()
+        client.send(b"".join(get(f"r{i}", f"k{i}", 15_000) for i in range(40)))
+        eventually(lambda: len(old.seen) >= PER_SERVER, "as many attempts as a server may have at a time")
+        watches = len(router.discovery.peer.seen)
+        router.discovery.change(entry(old, "s1", lifecycle="draining"), entry(new, "s2"))
+        eventually(lambda: len(router.discovery.peer.seen) > watches, "the watch after the change")
+        eventually(lambda: len(new.seen) == 40 - PER_SERVER, "those that waited, at the other server")
+        release.set()
+        answers = [client.answer() for _ in range(40)]
+        assert (answers.count(b"old"), answers.count(b"new")) == (PER_SERVER, 40 - PER_SERVER)
+        assert len(old.seen) == PER_SERVER
+
+
 def test_server_is_found_at_its_new_address(tmp_path: Path) -> None:
     first, second = Peer(lambda _, words: hit(b"first")), Peer(lambda _, words: hit(b"second"))
     with routed(tmp_path, {"s1": first}) as router:
