Count a failed server's way back from its last judgement

Seen: a server that breaks or refuses its connections is asked again with the next read (loopback test: 30 attempts for 60 reads), because its chance is full again at once. Ruled out: judge does take the failure (DEAD, down), and its server is the one that failed; PASS_RISE and REGAIN are as meant. At fault: beacongw/logic.py, Node.chance, which adds now / REGAIN, the age of the clock, where the time since the judgement is meant; the adapter's clock begins anywhere too. Older tests began theirs at 0 and so could not see it.

--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -61,11 +61,12 @@
         self.down = False
         self.unheard = 0
         self.pace = Pace()
-        self._chance = 1.0
+        self._chance, self._judged = 1.0, 0
 
     def chance(self, now: int) -> float:
         """The chance to be sent to; it comes back by itself."""
-        return min(1.0, self._chance + now / REGAIN) if self._chance < 1.0 else 1.0
+        # Danger: counted from anything but its last attempt's end, a server that fails is back at once.
+        return min(1.0, self._chance + (now - self._judged) / REGAIN) if self._chance < 1.0 else 1.0
 
     def judge(self, outcome: Outcome, late: bool, now: int) -> None:
         """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
@@ -77,7 +78,7 @@
             chance = max(chance * PASS_CUT, PASS_FLOOR)
         elif outcome in (Outcome.OK, Outcome.MISS):
             chance, self.down = min(1.0, chance + PASS_RISE), False
-        self._chance = chance
+        self._chance, self._judged = chance, now
 
 
 class SlotTable:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -191,6 +191,18 @@
     assert set(full) == {server.id for server in fleet(5)}  # the one slot asked for is hot: all own it
 
 
+def test_server_that_failed_stays_out_as_long_whatever_the_clock_shows() -> None:
+    day = 86_400 * S
+    router = started(settings(tenants=()), fleet(5), now=day)
+    dead = only_send(router.handle(request("r", day), day))
+    router.handle(ended(dead, Outcome.CONNECT_FAILED), day)
+    soon = [only_send(router.handle(request(f"s{i}", day + S), day + S)).server for i in range(40)]
+    assert dead.server not in soon
+    node = router._caches.nodes[dead.server]
+    assert node.chance(day + 31 * S) == pytest.approx(31 / 60 - 0.02)
+    assert node.chance(day + 62 * S) == 1.0
+
+
 def test_reads_go_to_the_origin_when_every_cache_counts_as_dead() -> None:
     router = started(settings(max_attempts=6), fleet(3))
     actions = router.handle(request("r"), 0)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -134,6 +134,15 @@
             assert client.ask(get(f"r{i}", f"k{i}", d=15_000)) == b"r%d" % i
 
 
+def test_server_that_breaks_its_connections_is_left_alone(tmp_path: Path) -> None:
+    bad, good = Peer(lambda connection, _: reset(connection)), Peer(lambda _, words: hit(words[2]))
+    with routed(tmp_path, {"s1": bad, "s2": good}) as router:
+        client = router.client()
+        for i in range(60):
+            assert client.ask(get(f"r{i}", f"k{i}", d=15_000)) == b"r%d" % i
+        assert len(bad.seen) <= 6  # two until it counts as down, and trials if the machine is slow
+
+
 def test_late_answer_reaches_no_other_request(tmp_path: Path) -> None:
     release = threading.Event()
 
