Send to an ailing server only with its chance

Ruled out: judge does cut the chance (PASS_CUT), and the way back is mended. At fault: beacongw/logic.py, _route: 'chance > 0' is all that is asked; the draw against the chance, which Node's own text speaks of, had been taken out.

--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -354,7 +354,8 @@
             if node in request.failed or not request.may_send(node, self._now):
                 continue
             chance = node.chance(self._now)
-            if chance >= 1.0 or (chance > 0):
+            # Danger: sent whenever the chance is above 0, a server that is overrun never gets less.
+            if chance >= 1.0 or self._rng.random() < chance:
                 self._send(request, node)
                 return
             if not node.down:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -14,6 +14,7 @@
     Refuse,
     RequestClass,
     Router,
+    Send,
     Server,
     ServersChanged,
     ServerState,
@@ -203,6 +204,15 @@
     assert node.chance(day + 62 * S) == 1.0
 
 
+def test_overrun_server_is_sent_its_chance_of_the_reads_and_the_rest_is_refused() -> None:
+    router = started(settings(), fleet(1), origin=False)
+    only_send(router.handle(request("r"), 0))
+    router.handle(ended(Send("r", fleet(1)[0].id), Outcome.FULL), 0)
+    actions = [router.handle(request(f"s{i}"), 0) for i in range(400)]
+    assert 60 < sum(len(sends(came)) for came in actions) < 140  # a quarter of them
+    assert all(len(sends(came)) + len(finals(came)) == 1 for came in actions)
+
+
 def test_reads_go_to_the_origin_when_every_cache_counts_as_dead() -> None:
     router = started(settings(max_attempts=6), fleet(3))
     actions = router.handle(request("r"), 0)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -143,6 +143,17 @@
         assert len(bad.seen) <= 6  # two until it counts as down, and trials if the machine is slow
 
 
+def test_server_that_turns_reads_away_is_asked_less(tmp_path: Path) -> None:
+    full, good = Peer(lambda _, words: b"-BUSY\r\n"), Peer(lambda _, words: hit(words[2]))
+    with routed(tmp_path, {"s1": full, "s2": good}) as router:
+        client = router.client()
+        answers = [client.ask(get(f"r{i}", f"k{i}", d=15_000)) for i in range(100)]
+        assert all(a == b"r%d" % i or a.startswith(b"-BUSY ") for i, a in enumerate(answers))
+        refused = sum(a.startswith(b"-BUSY ") for a in answers)
+        assert refused > 20  # about half the keys are the full server's
+        assert len(full.seen) < 20
+
+
 def test_late_answer_reaches_no_other_request(tmp_path: Path) -> None:
     release = threading.Event()
 
