Cut the origin's rate limit by a part, not to the floor

Ruled out: when a cut is made (origin_bad, once a round trip) is as DESIGN and the tests have it; the rise is capped and additive. At fault: beacongw/logic.py, Suppressor.cut: it set the limit to the floor, while DESIGN and its own text say a multiplicative cut from what was used, harder for a tenant over its portion; portion was read and never used.

--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -203,10 +203,17 @@
             self.limit = min(self.cap, self.limit + self.cap / RISE_S * idle)
         self._last_rise = now
 
-    def cut(self, now: int) -> None:
+    def used(self, now: int) -> float:
+        """Calls a second that went to the origin."""
+        return self.accepted(now) / self.window_s
+
+    def cut(self, now: int, all_used: float) -> None:
         """Multiplicative cut from what was really used, harder for a tenant over its portion."""
         self._last_rise = now
-        self.limit = self.floor
+        used = self.used(now)
+        factor = CUT * CUT if used > self.portion * all_used else CUT
+        # Danger: straight to the floor, one spell of errors would end the fetches of every tenant.
+        self.limit = max(self.floor, min(self.limit, used) * factor)
 
 
 class Request:
@@ -448,8 +455,9 @@
             if self._origin_bad >= BAD_SHARE and self._now - self._last_cut >= self._fetches.usual:
                 self._last_cut = self._now
                 self._width = max(1.0, min(self._width, node.load + 1) * CUT)
+                all_used = sum(guard.used(self._now) for guard in self._guards.values())
                 for guard in self._guards.values():  # the origin is shared: it speaks for all
-                    guard.cut(self._now)
+                    guard.cut(self._now, all_used)
         while self._held and node.load < self._width:
             waiter = self._held.pop()
             if waiter.waiting:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -52,6 +52,30 @@
         assert not cache.seen
 
 
+def test_errors_of_the_origin_leave_a_part_of_the_fetches_that_it_took(tmp_path: Path) -> None:
+    held = threading.Event()
+
+    def fetch(_: socket.socket, message: list[bytes]) -> bytes:
+        if message[1].startswith(b"/bad"):
+            return http_answer(500)
+        if message[1].startswith(b"/held"):
+            held.wait(PATIENCE_S)
+        return http_answer(200, message[1][1:])
+
+    cache, origin = Peer(lambda _, words: MISS), Peer(fetch, True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        client = router.client()
+        for i in range(60):
+            assert client.ask(get(f"r{i}", f"k{i}")) == b"k%d" % i
+        for i in range(2):
+            assert client.ask(get(f"b{i}", f"bad{i}")).startswith(b"-BUSY ")
+        time.sleep(5.5)  # the window forgets what was counted; the limit stays
+        client.send(b"".join(get(f"h{i}", f"held{i}", 15_000) for i in range(6)))
+        eventually(lambda: sum(m[1].startswith(b"/held") for m in origin.seen) == 6, "all six fetches")
+        held.set()
+        assert [client.answer() for _ in range(6)] == [b"held%d" % i for i in range(6)]
+
+
 def test_pipelined_commands_are_answered_in_their_order(tmp_path: Path) -> None:
     held = threading.Event()
 
--- a/tests/test_suppressor.py
+++ b/tests/test_suppressor.py
@@ -7,7 +7,7 @@
 import pytest
 
 from beacongw.interface import Tenant
-from beacongw.logic import RISE_S, Suppressor
+from beacongw.logic import CUT, RISE_S, Suppressor
 from tests.helpers import MS, S
 
 
@@ -116,3 +116,15 @@
         guard.count(now + i * 50 * MS)
         guard.rise(now + i * 50 * MS)
     assert guard.limit <= 10.0
+
+
+def test_cut_is_from_what_was_used_and_harder_over_the_portion() -> None:
+    guard = Suppressor(Tenant("t", 0.5, 10.0), 1, Fixed(0.5))
+    now = fill(guard, S, 40, per_s=20.0)  # 8 a second over the window of 5 s
+    guard.cut(now, all_used=20.0)
+    assert guard.limit == pytest.approx(8.0 * CUT)
+    guard.cut(now, all_used=10.0)
+    assert guard.limit == pytest.approx(8.0 * CUT**3)
+    for _ in range(30):
+        guard.cut(now, all_used=10.0)
+    assert guard.limit == guard.floor == pytest.approx(0.2)
