Count a good answer of a cache whatever stands behind it

Ruled out: spoilt answers, which stay errors: broken headers, lengths that don't fit, numbers and text where an array belongs (the same probe). At fault: holdpick/caches.py, _read: a second gets() parses what stands behind, and its ProtocolError spoils the answer before it. has_data() tells the same without reading.

--- a/holdpick/caches.py
+++ b/holdpick/caches.py
@@ -77,7 +77,6 @@
     def _read(self) -> None:
         try:
             answer = self._reader.gets()
-            junk = answer is not False and self._reader.gets() is not False
         except hiredis.ProtocolError as error:
             self.spoil(f"broke the protocol: {error}")
             return
@@ -85,8 +84,9 @@
             if self._came > LARGE + MAX_REST:
                 self.spoil("sent more beside the value than an answer has")
             return
-        # Danger: more bytes after the answer would be taken for the next request's answer.
-        self.retired = self.retired or junk or self._reader.has_data()
+        # Danger: more bytes after the answer would be taken for the next request's answer. They are not
+        # read: noise there does not spoil the answer before it.
+        self.retired = self.retired or self._reader.has_data()
         streamed = self._length > 0
         self._begun, self._came, self._length = False, 0, 0
         if isinstance(answer, hiredis.ReplyError):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -229,6 +229,16 @@
         assert time.monotonic() - begun > 0.3  # not with the answer either
 
 
+@pytest.mark.parametrize("more", [b"\x00noise\r\n", b"x", hit(b"stray"), b"$3\r\nab", b"*999999999\r\n"])
+def test_good_answer_counts_whatever_stands_behind_it(tmp_path: Path, more: bytes) -> None:
+    cache = Peer(lambda _, words: hit(words[2]) + (more if words[2] == b"r0" else b""))
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        assert [client.ask(get(f"r{i}")) for i in range(3)] == [b"r0", b"r1", b"r2"]
+        assert len(cache.seen) == 3
+        assert cache.accepted == 2  # the connection with more on it is of no further use
+
+
 def test_gone_client_leaves_nothing_behind(tmp_path: Path) -> None:
     release = threading.Event()
 
