Count a good answer of the origin whatever stands around it

Ruled out: spoilt answers stay errors: two lengths, a negative one, broken status lines, headers and chunks, and 101; all of these break before the answer is whole. At fault: holdpick/http.py, read, on_headers_complete and on_message_begin.

--- a/holdpick/http.py
+++ b/holdpick/http.py
@@ -35,7 +35,10 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise HttpError(str(error) or type(error).__name__) from None
+            if not self._whole:
+                raise HttpError(str(error) or type(error).__name__) from None
+            # Danger: what stands behind a whole answer does not spoil it, but may never be read as the next.
+            self._keep = False
         if not self._in_body and self._head > MAX_HEAD:
             raise HttpError("head too long")
         return self._whole
@@ -52,8 +55,10 @@
 
     def on_headers_complete(self) -> None:
         """Called by httptools."""
+        if self.status == 101:
+            raise HttpError("a change of protocol was not asked for")
         if self.status < 200:
-            raise HttpError("interim answers were not asked for")
+            return  # Danger: an interim answer may stand ahead of the real one, and is none itself
         self._in_body = True
         length = self.headers.get(b"content-length")
         self.body_starts(int(length) if length is not None and length.isdigit() else None)
@@ -71,6 +76,9 @@
 
     def on_message_complete(self) -> None:
         """Called by httptools."""
+        if not self._in_body:
+            self.headers.clear()  # an interim answer's
+            return
         self._whole = True
         self._keep = self._parser.should_keep_alive()
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -239,6 +239,37 @@
         assert cache.accepted == 2  # the connection with more on it is of no further use
 
 
+@pytest.mark.parametrize(
+    ("ahead", "behind"),
+    [
+        (b"", http_answer(200, b"stray")),
+        (b"", b"\x00noise\r\n"),
+        (b"", b"HT"),
+        (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nContent-Length: 7\r\n\r\n", b""),
+    ],
+)
+def test_good_answer_of_the_origin_counts_whatever_stands_around_it(
+    tmp_path: Path, ahead: bytes, behind: bytes
+) -> None:
+    def fetch(_: socket.socket, message: list[bytes]) -> bytes:
+        answer = http_answer(200, message[1][1:], "Server-Load: unreadable")
+        return ahead + answer + behind if message[1] == b"/k0" else answer
+
+    cache, origin = Peer(lambda _, words: MISS), Peer(fetch, True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        client = router.client()
+        assert [client.ask(get(f"r{i}", f"k{i}")) for i in range(3)] == [b"k0", b"k1", b"k2"]
+        assert len(origin.seen) == 3
+        assert origin.accepted == (2 if behind else 1)
+
+
+def test_origin_that_changes_the_protocol_is_not_followed(tmp_path: Path) -> None:
+    switch = b"HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+    cache, origin = Peer(lambda _, words: MISS), Peer(lambda _, message: switch, True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        assert router.client().ask(get("r1", d=15_000)).startswith(b"-BUSY ")
+
+
 def test_gone_client_leaves_nothing_behind(tmp_path: Path) -> None:
     release = threading.Event()
 
