Close clients' connections on which no request is open

Seen: connections that only connect, or ask once and stay, are kept for good: no line closes one until the share of descriptors is full, and then the one that was used longest ago goes, whoever's it is. At fault: holdpick/clients.py, ClientConnection.check knows clients that take nothing and commands that are not finished, but not those that say nothing.

--- a/holdpick/clients.py
+++ b/holdpick/clients.py
@@ -15,6 +15,7 @@
 MAX_PIPELINE = 256
 HIGH_WATER = 64 << 10
 COMMAND_S = 5.0  # in which a command must be whole; PROTOCOL gives clients 2 s
+IDLE_S = 2.0  # after which a connection without an open request may be closed
 STALL_S = 10.0  # in which a client must take something of what waits for it
 SWEEP_S = 0.5
 REFUSERS = 32
@@ -226,6 +227,7 @@
         replies = self.replies
         while replies and replies[0].done:
             replies.popleft()
+            self.used_at = self.server.loop.time()
             if replies:
                 replies[0].its_turn()
         if not replies and self._last and self.transport is not None:
@@ -290,6 +292,10 @@
                 log.warning("a client takes nothing of its answer")
                 self.abort()
             return
+        if self.idle and now - self.used_at >= IDLE_S:
+            # Danger: those that only connect, or ask once and stay, would hold descriptors for good.
+            self.finish(even_midway=False)
+            return
         midway = self._reader.need and not self._starved and not self.replies
         if midway and now - self._begun_at > COMMAND_S:
             log.warning("a client does not finish its command")
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -116,6 +117,24 @@
             other.close()
 
 
+def test_connection_without_an_open_request_is_closed_and_one_with_it_is_not(tmp_path: Path) -> None:
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        threading.Event().wait(3.5 if words[2] == b"slow" else 0)
+        return hit(words[2])
+
+    cache = Peer(answer)
+    with routed(tmp_path, {"s1": cache}) as router:
+        begun = time.monotonic()
+        silent, once, slow = router.client(), router.client(), router.client()
+        slow.send(get("slow", d=15_000))
+        assert once.ask(get("once")) == b"once"
+        assert silent.at_end()
+        assert once.at_end()
+        assert time.monotonic() - begun >= 2.0
+        assert slow.answer() == b"slow"
+        assert slow.ask(bulk(b"PING")) == b"+PONG"  # the answer counts as use
+
+
 def test_deep_pipeline_is_answered_in_order(tmp_path: Path) -> None:
     cache = Peer(lambda _, words: hit(words[2]))
     with routed(tmp_path, {"s1": cache}) as router:
