--- a/holdpick/clients.py
+++ b/holdpick/clients.py
@@ -14,7 +14,7 @@
 BACKLOG = 1024
 MAX_PIPELINE = 256
 HIGH_WATER = 64 << 10
-COMMAND_S = 5.0  # in which a command must be whole; PROTOCOL gives clients 2 s
+COMMAND_S = 2.0  # in which a command must be whole; a client is owed an error or a close within 3 s
 IDLE_S = 2.0  # after which a connection without an open request may be closed
 STALL_S = 10.0  # in which a client must take something of what waits for it
 SWEEP_S = 0.5
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from holdpick.clients import COMMAND_S, SWEEP_S
 from tests.sockets import (
     FACTS,
     PATIENCE_S,
@@ -135,6 +136,22 @@
         assert slow.ask(bulk(b"PING")) == b"+PONG"  # the answer counts as use
 
 
+def test_command_that_is_never_finished_gets_an_error_in_time(tmp_path: Path) -> None:
+    with routed(tmp_path, {}) as router:
+        begun = time.monotonic()
+        halves = [router.client() for _ in range(3)]
+        for client, cut in zip(halves, (3, 30, -2), strict=True):
+            client.send(get("half")[:cut])
+        whole = router.client()
+        for client in halves:
+            assert client.answer().startswith(b"-ERR Protocol error: command not finished")
+            assert client.at_end()
+        took = time.monotonic() - begun
+        assert took >= 2.0
+        assert whole.at_end()
+        assert COMMAND_S + SWEEP_S < 3.0  # what a client is owed, whatever this machine took
+
+
 def test_deep_pipeline_is_answered_in_order(tmp_path: Path) -> None:
     cache = Peer(lambda _, words: hit(words[2]))
     with routed(tmp_path, {"s1": cache}) as router:
