Take up a new discovery address on SIGHUP

At fault: holdpick/__main__.py had no handler, and nothing could move discovery.py to another address. The file goes before LB_DISCOVERY at a reload, as the variable is as old as the process; the list held stays until the new address has told the whole one; a file that can't be read changes nothing. Other changes in the file are logged as waiting for a restart.

--- a/holdpick/__main__.py
+++ b/holdpick/__main__.py
@@ -8,13 +8,14 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 
 import uvloop
 
 from beacongw import ListKind
 from beacongw.interface import NS_PER_S
 from holdpick.clients import ClientServer
-from holdpick.config import Config, ConfigError, load_config
+from holdpick.config import Config, ConfigError, load_config, reload_config
 from holdpick.discovery import Clock, Discovery, Listing, read_listing
 from holdpick.log import make_logger
 from holdpick.router import RouterHost
@@ -56,10 +57,25 @@
     def make_do() -> None:
         host.ready = True
 
+    def reload() -> None:
+        nonlocal config
+        try:
+            told = reload_config(os.environ)
+        except (ConfigError, ValueError) as error:
+            log.error("the new configuration can't be used, the old one stays: %s", error)
+            return
+        if replace(told, discovery=config.discovery, known=config.known, seed=config.seed) != config:
+            log.warning("of the new configuration only discovery's address is taken up before a restart")
+        if told.discovery != config.discovery:
+            config = replace(config, discovery=told.discovery)
+            discovery.move(told.discovery)
+
     clock = Clock()
     asked = config.settings.must_subscribe
     discovery = Discovery(config.discovery, asked, clock, take, host.discovery_failed)
     host.subscribe = discovery.subscribe
+    # Danger: without a handler SIGHUP ends the process and all that it has taken.
+    loop.add_signal_handler(signal.SIGHUP, reload)
     if config.known is not None:
         known = read_listing(config.known, clock, ListKind.CACHED)
         discovery.generation = known.generation
--- a/holdpick/config.py
+++ b/holdpick/config.py
@@ -69,6 +69,14 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def reload_config(environ: Mapping[str, str]) -> Config:
+    """Read the file again for a running router.
+
+    What it says of discovery goes before the variable: that is as old as the process.
+    """
+    return load_config({name: value for name, value in environ.items() if name != "LB_DISCOVERY"})
+
+
 def _positive(where: str, value: Any, default: int) -> int:
     if value is None:
         return default
--- a/holdpick/discovery.py
+++ b/holdpick/discovery.py
@@ -167,6 +167,16 @@
         if self._call is not None:
             self._call.close()
 
+    def move(self, address: Address) -> None:
+        """Go on at another address, from the whole list; what is held stays valid until that has come."""
+        watching = self._task is not None and not self._task.done()
+        self.close()
+        # Danger: the old call's end must not close the new one.
+        self._address, self._call = address, None
+        if watching:
+            follow = self._watch_asked(whole=True) if self._asked else self._follow()
+            self._task = asyncio.get_running_loop().create_task(follow)
+
     async def _follow(self) -> None:
         whole, down = True, False
         while True:
@@ -179,10 +189,11 @@
                 down = True
                 await asyncio.sleep(RETRY_S)
 
-    async def _watch_asked(self) -> None:
+    async def _watch_asked(self, whole: bool = False) -> None:
         try:
             while True:
-                await self._ask_once(False, ASKED_WAIT_MS)
+                await self._ask_once(whole, ASKED_WAIT_MS)
+                whole = False
         except Exception as error:
             log.warning("discovery: %s", str(error) or type(error).__name__)
         self._task = None
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -239,8 +239,11 @@
 class Routed:
     """A running router and its peers."""
 
-    def __init__(self, process: subprocess.Popen[str], port: int, discovery: DiscoveryPeer) -> None:
+    def __init__(
+        self, process: subprocess.Popen[str], port: int, discovery: DiscoveryPeer, folder: Path
+    ) -> None:
         self.process, self.port, self.discovery = process, port, discovery
+        self.folder = folder
 
     def client(self) -> Client:
         return Client(self.port)
@@ -248,6 +251,16 @@
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
+    def reload(self, text: str) -> None:
+        """Replace the file of the configuration and tell the router."""
+        (self.folder / "new.json").write_text(text)
+        (self.folder / "new.json").rename(self.folder / "config.json")
+        self.process.send_signal(signal.SIGHUP)
+
+    def told(self) -> dict[str, Any]:
+        told: dict[str, Any] = json.loads((self.folder / "config.json").read_text())
+        return told
+
     def descriptors(self) -> int:
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
@@ -262,7 +275,7 @@
     return subprocess.Popen(
         [sys.executable, "-m", "holdpick"],
         cwd=ROOT,
-        env={**os.environ, "LB_CONFIG": str(config)},
+        env={**os.environ, "LB_CONFIG": str(config), "LB_DISCOVERY": told["discovery"]},
         stderr=subprocess.PIPE,
         text=True,
     )
@@ -310,7 +323,7 @@
     process = start_router(folder, told)
     try:
         eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
-        yield Routed(process, port, discovery)
+        yield Routed(process, port, discovery, folder)
     finally:
         if process.poll() is None:
             process.terminate()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -22,8 +22,10 @@
     PATIENCE_S,
     ROOT,
     Client,
+    DiscoveryPeer,
     Peer,
     bulk,
+    entry,
     eventually,
     get,
     hit,
@@ -220,6 +222,43 @@
         assert slow.at_end()
 
 
+def test_reload_moves_to_the_new_discovery_and_loses_nothing(tmp_path: Path) -> None:
+    release = threading.Event()
+
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        release.wait(PATIENCE_S)
+        return hit(b"old")
+
+    old, new = Peer(answer), Peer(lambda _, words: hit(b"new"))
+    with routed(tmp_path, {"s1": old}) as router:
+        busy = router.client()
+        busy.send(get("r0", d=15_000))
+        eventually(lambda: old.seen, "the attempt")
+        moved = DiscoveryPeer([entry(new, "s2")])
+        router.reload(json.dumps({**router.told(), "discovery": f"127.0.0.1:{moved.peer.port}"}))
+        eventually(lambda: len(moved.peer.seen) >= 2, "the list, and a watch at the new address")
+        assert router.client().ask(get("r1")) == b"new"
+        moved.change(entry(new, "s2", lifecycle="draining"), entry(old, "s3"))
+        release.set()
+        assert busy.answer() == b"old"
+        client = router.client()
+        names = (f"w{i}" for i in range(10_000))
+        eventually(lambda: client.ask(get(next(names))) == b"old", "what the new address tells later")
+        moved.peer.close()
+
+
+@pytest.mark.parametrize("text", ["{nonsense", "{}", '{"listen":"127.0.0.1:1","discovery":"nowhere"}'])
+def test_reload_of_what_cannot_be_read_leaves_the_old_configuration(tmp_path: Path, text: str) -> None:
+    first, second = Peer(lambda _, words: hit(b"first")), Peer(lambda _, words: hit(b"second"))
+    with routed(tmp_path, {"s1": first}) as router:
+        router.reload(text)
+        assert router.client().ask(get("r0")) == b"first"
+        router.discovery.change(entry(first, "s1", lifecycle="draining"), entry(second, "s2"))
+        client = router.client()
+        names = (f"w{i}" for i in range(10_000))
+        eventually(lambda: client.ask(get(next(names))) == b"second", "the old discovery is followed")
+
+
 def _bad_configs() -> Iterator[tuple[str | None, str]]:
     good: dict[str, Any] = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": FACTS}
     yield None, "LB_CONFIG"
