Use no idle connection on which something has come

Seen: an idle connection is used again while the server's end, or a second copy of an answer, waits unread in the kernel: the request then ends as a reset that may have run, or is served with the copy (loopback test, which lets no loop run in between: reset in one case, the stray answer in the other). Ruled out: what the loop has read is dealt with (data_received spoils, lost takes a connection out of the idle ones). At fault: holdpick/upstream.py, submit and released, which ask only the transport's own view.

--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -86,6 +87,7 @@
         self.exchange: Exchange | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
+        self._arrivals = select.poll()
         self.unsent = False
         self.retired = False
 
@@ -93,6 +95,7 @@
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
+        self._arrivals.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
 
     def pause_writing(self) -> None:
         """The kernel has not taken every byte yet."""
@@ -107,6 +110,15 @@
         """Whether another exchange may start here."""
         return not self.retired and self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def reusable(self) -> bool:
+        """Whether nothing has come since the last answer.
+
+        Danger: the loop may not have seen yet that the server has closed, and a request written then counts
+        as one that may have run; or that a second answer came, which the next request would take for its own.
+        """
+        return self.usable and not self._arrivals.poll(0)
+
     def start(self, exchange: Exchange) -> None:
         """Write the exchange's request."""
         assert self.transport is not None
@@ -248,7 +260,7 @@
         oldest = self._loop.time() - self._idle_limit
         while server.idle:
             connection = server.idle.pop()
-            if connection.usable and connection.idle_since >= oldest:
+            if connection.reusable and connection.idle_since >= oldest:
                 connection.start(exchange)
                 return
             connection.close()
@@ -258,7 +270,7 @@
     def released(self, connection: Connection) -> None:
         """Give a connection that is free to whoever waits, or keep it."""
         server = connection.server
-        if not connection.usable:
+        if not (connection.reusable if server.waiting else connection.usable):
             connection.close()
             return
         while server.waiting:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import select
 import socket
 import threading
 import time
 from pathlib import Path
 
 import pytest
+import uvloop
 
-from holdpick.upstream import PER_SERVER
+from beacongw import CacheNote, Outcome
+from holdpick.caches import CacheConnection
+from holdpick.config import Address
+from holdpick.upstream import PER_SERVER, Exchange, Pool
 from tests.sockets import (
     FACTS,
     MISS,
@@ -271,6 +277,62 @@
         assert router.client().ask(get("r1", d=15_000)).startswith(b"-BUSY ")
 
 
+class Ask(Exchange):
+    """An exchange of its own, outside any router."""
+
+    def __init__(self) -> None:
+        self.came: asyncio.Future[tuple[Outcome, bytes | None]] = asyncio.get_running_loop().create_future()
+
+    def request_bytes(self, address: Address) -> bytes:
+        return get("r")
+
+    def ended(
+        self,
+        outcome: Outcome,
+        value: bytes | None = None,
+        note: CacheNote | None = None,
+        report: bytes | None = None,
+    ) -> None:
+        self.came.set_result((outcome, value))
+
+
+@pytest.mark.parametrize("then", ["closes", "sends more"])
+def test_connection_on_which_something_has_come_is_not_used_again(then: str) -> None:
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.settimeout(PATIENCE_S)
+            pool = Pool(loop, 8, PATIENCE_S, PATIENCE_S)
+            pool.list_server("s1", ("127.0.0.1", listener.getsockname()[1]), CacheConnection)
+            first, second = Ask(), Ask()
+            pool.submit("s1", first)
+            server, _ = await loop.run_in_executor(None, listener.accept)
+            server.settimeout(PATIENCE_S)
+            assert await loop.run_in_executor(None, server.recv, 4096) == get("r")
+            server.sendall(hit(b"first"))
+            assert await first.came == (Outcome.OK, b"first")
+            (connection,) = pool._servers["s1"].idle
+            assert connection.transport is not None
+            # Nothing below lets the loop run before the second exchange is submitted.
+            if then == "closes":
+                server.close()
+            else:
+                server.sendall(hit(b"stray"))
+            handle = connection.transport.get_extra_info("socket").fileno()
+            assert select.select([handle], [], [], PATIENCE_S)[0]
+            pool.submit("s1", second)
+            other, _ = await loop.run_in_executor(None, listener.accept)
+            other.settimeout(PATIENCE_S)
+            assert await loop.run_in_executor(None, other.recv, 4096) == get("r")
+            other.sendall(hit(b"second"))
+            assert await second.came == (Outcome.OK, b"second")
+            pool.close()
+            server.close()
+            other.close()
+
+    uvloop.run(asyncio.wait_for(play(), 3 * PATIENCE_S))
+
+
 def test_gone_client_leaves_nothing_behind(tmp_path: Path) -> None:
     release = threading.Event()
 
