Hold the break of a kept connection against no server

At fault: the module can't tell such a break from a server's: judge and _judge_fetch (beacongw/logic.py) count every reset. The connection knows (upstream.py), so it says so in AttemptEnded.kept; such a reset is judged neither way, a safe read goes on as after a lone one, and the fetch is made once more, as one that was none of the origin's doing. What may be repeated is decided as before.

--- a/beacongw/interface.py
+++ b/beacongw/interface.py
@@ -195,6 +195,8 @@
     latency: int
     note: CacheNote | None = None
     load: tuple[float, ...] | None = None
+    kept: bool = False
+    """Whether its connection had carried others before: a break of such a one tells nothing of a server."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -416,9 +416,11 @@
         request.out = request.fetching = False
         node.load -= 1
         late = event.latency > request.cls.aim
+        # Danger: servers may close what they keep at any time; counted, that would eject healthy ones.
+        broke = event.kept and outcome is Outcome.RESET
         if fetched:
             self._judge_fetch(node, event, late)
-        else:
+        elif not broke:
             node.judge(outcome, late, self._now)
             if outcome in (Outcome.OK, Outcome.MISS):
                 node.pace.learn(event.latency)
@@ -430,7 +432,7 @@
         elif outcome is Outcome.MISS and not fetched and self._settings.origin_kind is not None:
             self._missed(request)
         elif fetched:
-            self._fetch_failed(request, outcome, late)
+            self._fetch_failed(request, outcome, late, broke)
         else:
             if (
                 outcome not in (Outcome.TIMEOUT, Outcome.RESET) or late or node.unheard > 1
@@ -448,6 +450,8 @@
             self._width += 1 / self._width
             for guard in self._guards.values():
                 guard.rise(self._now)
+        elif event.kept and event.outcome is Outcome.RESET:
+            pass  # no sign of the origin's health
         elif late or event.outcome not in (Outcome.MOOT, Outcome.CANCELLED, Outcome.TIMEOUT):
             # A time-out that is not late had too little time left: not the origin's fault.
             self._origin_bad += (1 - self._origin_bad) / BAD_SAMPLES
@@ -466,12 +470,12 @@
                 # Danger: after a change of the origin's entry its new node, not this one, is full for good.
                 break
 
-    def _fetch_failed(self, request: Request, outcome: Outcome, late: bool) -> None:
+    def _fetch_failed(self, request: Request, outcome: Outcome, late: bool, broke: bool) -> None:
         """A write is tried again after a pause; a read is the client's to retry, to spare the origin.
 
         An attempt that counts as lost is made once more at once: it was none of the origin's doing.
         """
-        if outcome is Outcome.TIMEOUT and not late and not request.refetching:
+        if (broke or (outcome is Outcome.TIMEOUT and not late)) and not request.refetching:
             request.refetching = True
             self._fetch(request)
             return
--- a/holdpick/router.py
+++ b/holdpick/router.py
@@ -163,7 +163,7 @@
         latency = self._latency or time.monotonic_ns() - self._sent_at
         load = self._host.load(report)
         event = AttemptEnded(
-            request.id, self._number, self._server, outcome, request.closed, latency, note, load
+            request.id, self._number, self._server, outcome, request.closed, latency, note, load, self.kept
         )
         self._host.settle(request)
         self._host.tell(event)
--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -37,6 +37,8 @@
     connection: Connection | None = None
     over = False
     is_probe = False
+    kept = False
+    """Whether the connection had carried others before."""
 
     @abstractmethod
     def request_bytes(self, address: Address) -> bytes:
@@ -88,6 +90,7 @@
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
         self._arrivals = select.poll()
+        self.kept = False
         self.unsent = False
         self.retired = False
 
@@ -122,7 +125,7 @@
     def start(self, exchange: Exchange) -> None:
         """Write the exchange's request."""
         assert self.transport is not None
-        self.exchange, exchange.connection = exchange, self
+        self.exchange, exchange.connection, exchange.kept = exchange, self, self.kept
         self.transport.write(exchange.request_bytes(self.server.address))
 
     def close(self) -> None:
@@ -149,7 +152,7 @@
         report: bytes | None = None,
     ) -> None:
         """End the exchange on this connection, which may take another."""
-        exchange, self.exchange = self.exchange, None
+        exchange, self.exchange, self.kept = self.exchange, None, True
         self.server.pool.released(self)
         if exchange is not None:
             exchange.end(outcome, value, note, report)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -277,6 +277,48 @@
         assert router.client().ask(get("r1", d=15_000)).startswith(b"-BUSY ")
 
 
+def test_breaks_of_kept_connections_are_not_held_against_a_server(tmp_path: Path) -> None:
+    used: set[socket.socket] = set()
+    together = threading.Barrier(2)
+
+    def answer(connection: socket.socket, words: list[bytes]) -> bytes:
+        if connection in used:
+            reset(connection)
+        used.add(connection)
+        if words[2].startswith(b"open"):
+            together.wait(PATIENCE_S)
+        return hit(words[2])
+
+    cache = Peer(answer)
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        client.send(get("open1", "k1") + get("open2", "k2"))
+        assert [client.answer() for _ in range(2)] == [b"open1", b"open2"]
+        assert (
+            client.ask(get("r0", "k3", d=15_000)) == b"r0"
+        )  # after a break on each of the two that were kept
+        assert cache.accepted == 3
+        assert [client.ask(get(f"r{i}", f"k{i}", d=15_000)) for i in range(1, 20)] == [
+            b"r%d" % i for i in range(1, 20)
+        ]
+
+
+def test_fetch_whose_kept_connection_breaks_is_made_once_more(tmp_path: Path) -> None:
+    used: set[socket.socket] = set()
+
+    def fetch(connection: socket.socket, message: list[bytes]) -> bytes:
+        if connection in used:
+            reset(connection)
+        used.add(connection)
+        return http_answer(200, message[1][1:])
+
+    cache, origin = Peer(lambda _, words: MISS), Peer(fetch, True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        client = router.client()
+        for i in range(20):
+            assert client.ask(get(f"r{i}", f"k{i}", d=15_000)) == b"k%d" % i
+
+
 class Ask(Exchange):
     """An exchange of its own, outside any router."""
 
