Move both inherited packages into one, saltport, with a room for each concern

The code stood in two packages under inherited names, and the host's was flat. No behaviour is changed.

--- /dev/null
+++ b/saltport/__init__.py
@@ -0,0 +1,1 @@
+"""saltport: a router between build machines and package caches."""
--- a/beacongw/__init__.py
+++ b/saltport/decisions/__init__.py
@@ -1,6 +1,6 @@
-"""beacongw: the decisions of a proxy that spreads keys over cache servers in front of one slow origin."""
+"""The decisions of a router that spreads keys over cache servers in front of one slow origin."""
 
-from beacongw.interface import (
+from saltport.decisions.interface import (
     Action,
     AttemptEnded,
     CacheNote,
@@ -27,7 +27,7 @@
     Tenant,
     TimerFired,
 )
-from beacongw.logic import Router
+from saltport.decisions.logic import Router
 
 __all__ = [
     "Action",
--- a/beacongw/interface.py
+++ b/saltport/decisions/interface.py
@@ -1,4 +1,4 @@
-"""The public interface of beacongw: settings, events and actions. No decisions are made here.
+"""The public interface of saltport.decisions: settings, events and actions. No decisions are made here.
 
 All times are whole nanoseconds on the caller's own monotonic clock.
 """
--- a/beacongw/logic.py
+++ b/saltport/decisions/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of beacongw, without I/O; the settings, events and actions are in interface.py.
+"""Every decision of saltport.decisions, without I/O; the settings, events and actions are in interface.py.
 
 Ordinary path: key -> slot -> the ready cache server with the highest weighted hash of (slot, server id);
 a read that misses there -> the origin, if its tenant's Suppressor admits the fetch; a write -> the origin.
@@ -16,8 +16,8 @@
 from operator import itemgetter
 from zlib import crc32
 
-from beacongw import interface as api
-from beacongw.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+from saltport.decisions import interface as api
+from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
 
 SLOTS = 8192  # far more than servers, so that a slot's load is small beside a server's
 DEPTH = 8
--- a/beacongw/settings.py
+++ b/saltport/decisions/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from beacongw import interface as api
+from saltport.decisions import interface as api
 
 _EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 _SIZED_WEIGHTS = ("nominal", "rough")
--- a/holdpick/clients.py
+++ b/saltport/downstream/clients.py
@@ -7,9 +7,9 @@
 from collections import deque
 from typing import Any, Protocol, cast
 
-from holdpick.config import Address
-from holdpick.resp import LARGE, Command, CommandReader, parse_request
-from holdpick.upstream import ValueSource
+from saltport.router.config import Address
+from saltport.upstream.pool import ValueSource
+from saltport.wire.resp import LARGE, Command, CommandReader, parse_request
 
 BACKLOG = 1024
 MAX_PIPELINE = 256
@@ -20,7 +20,7 @@
 SWEEP_S = 0.5
 REFUSERS = 32
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("saltport")
 
 
 class Host(Protocol):
--- /dev/null
+++ b/saltport/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Sources of the server list; all end in one event."""
--- a/holdpick/discovery.py
+++ b/saltport/membership/registry.py
@@ -11,9 +11,9 @@
 
 import orjson
 
-from beacongw import ListKind, Server, ServersChanged, ServerState
-from holdpick.config import Address, parse_address
-from holdpick.http import HttpError, HttpReader, request
+from saltport.decisions import ListKind, Server, ServersChanged, ServerState
+from saltport.router.config import Address, parse_address
+from saltport.wire.http import HttpError, HttpReader, request
 
 MAX_BODY = 8 << 20
 LIST_PATH = "/registry/instances"
@@ -25,7 +25,7 @@
 
 _STATES = {"up": ServerState.READY, "draining": ServerState.DRAINING, "removed": ServerState.GONE}
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("saltport")
 
 
 @dataclass(frozen=True, slots=True)
--- a/holdpick/__main__.py
+++ b/saltport/router/__main__.py
@@ -12,14 +12,14 @@
 
 import uvloop
 
-from beacongw import ListKind
-from beacongw.interface import NS_PER_S
-from holdpick.clients import ClientServer
-from holdpick.config import Config, ConfigError, load_config, reload_config
-from holdpick.discovery import Clock, Discovery, Listing, read_listing
-from holdpick.log import make_logger
-from holdpick.router import RouterHost
-from holdpick.upstream import Pool
+from saltport.decisions import ListKind
+from saltport.decisions.interface import NS_PER_S
+from saltport.downstream.clients import ClientServer
+from saltport.membership.registry import Clock, Discovery, Listing, read_listing
+from saltport.router.config import Config, ConfigError, load_config, reload_config
+from saltport.router.host import RouterHost
+from saltport.router.log import make_logger
+from saltport.upstream.pool import Pool
 
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
 ACCEPT_S = 0.5
@@ -32,7 +32,7 @@
 
 GC_THRESHOLD = 20_000  # young objects; requests leave hardly any cycles, and each pass stalls all of them
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("saltport")
 
 
 async def serve(config: Config) -> None:
@@ -114,7 +114,7 @@
         if config.known is not None:
             read_listing(config.known, Clock())
     except (ConfigError, ValueError) as error:
-        print(f"holdpick: {error}", file=sys.stderr)
+        print(f"saltport: {error}", file=sys.stderr)
         return 2
     make_logger(config.name)
     gc.freeze()
@@ -122,7 +122,7 @@
     try:
         uvloop.run(serve(config))
     except OSError as error:
-        print(f"holdpick: {error}", file=sys.stderr)
+        print(f"saltport: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/holdpick/config.py
+++ b/saltport/router/config.py
@@ -9,8 +9,8 @@
 
 import orjson
 
-from beacongw import Settings
-from beacongw.settings import WireError, read_settings, typed
+from saltport.decisions import Settings
+from saltport.decisions.settings import WireError, read_settings, typed
 
 Address = tuple[str, int]
 
--- a/holdpick/router.py
+++ b/saltport/router/host.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
-from beacongw import (
+from saltport.decisions import (
     Action,
     AttemptEnded,
     CacheNote,
@@ -32,15 +32,15 @@
     Subscribe,
     TimerFired,
 )
-from beacongw.interface import NS_PER_S
-from holdpick import http, resp
-from holdpick.caches import CacheConnection
-from holdpick.clients import Reply
-from holdpick.config import Address
-from holdpick.discovery import Listing
-from holdpick.origin import OriginConnection
-from holdpick.resp import Command
-from holdpick.upstream import Exchange, Pool, ValueSource
+from saltport.decisions.interface import NS_PER_S
+from saltport.downstream.clients import Reply
+from saltport.membership.registry import Listing
+from saltport.router.config import Address
+from saltport.upstream.http import OriginConnection
+from saltport.upstream.pool import Exchange, Pool, ValueSource
+from saltport.upstream.resp import CacheConnection
+from saltport.wire import http, resp
+from saltport.wire.resp import Command
 
 NS_PER_MS = 1_000_000
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
@@ -48,7 +48,7 @@
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
 KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("saltport")
 
 
 class OpenRequest:
--- a/holdpick/log.py
+++ b/saltport/router/log.py
@@ -32,7 +32,7 @@
     handler = logging.StreamHandler()
     handler.setFormatter(logging.Formatter(f"%(asctime)s {name} %(levelname)s %(message)s"))
     handler.addFilter(_Limit())
-    logger = logging.getLogger("holdpick")
+    logger = logging.getLogger("saltport")
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
     logger.propagate = False
--- /dev/null
+++ b/saltport/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""What the simulator starts: its wire, and the decisions behind it."""
--- a/beacongw/adapter.py
+++ b/saltport/simulator/adapter.py
@@ -8,9 +8,9 @@
 
 import orjson
 
-from beacongw import interface as api
-from beacongw.logic import Router
-from beacongw.settings import Fields, WireError, choice, read_settings, typed
+from saltport.decisions import interface as api
+from saltport.decisions.logic import Router
+from saltport.decisions.settings import Fields, WireError, choice, read_settings, typed
 
 _OUTCOMES = {
     "completed": api.Outcome.OK,
@@ -188,7 +188,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"beacongw: {error}", file=sys.stderr)
+        print(f"saltport: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/holdpick/origin.py
+++ b/saltport/upstream/http.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from beacongw import Outcome
-from holdpick.http import HttpError, HttpReader
-from holdpick.resp import LARGE, MAX_VALUE
-from holdpick.upstream import Connection, Server
+from saltport.decisions import Outcome
+from saltport.upstream.pool import Connection, Server
+from saltport.wire.http import HttpError, HttpReader
+from saltport.wire.resp import LARGE, MAX_VALUE
 
 _NEVER_RAN = (503, 504)
 
--- a/holdpick/upstream.py
+++ b/saltport/upstream/pool.py
@@ -10,15 +10,15 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol, cast
 
-from beacongw import CacheNote, Outcome
-from holdpick.config import Address
+from saltport.decisions import CacheNote, Outcome
+from saltport.router.config import Address
 
 PER_SERVER = 16
 IDLE_SHARE = 0.6
 SWEEP_S = 0.5
 LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("saltport")
 
 
 class ValueSource(Protocol):
--- a/holdpick/caches.py
+++ b/saltport/upstream/resp.py
@@ -6,9 +6,9 @@
 
 import hiredis
 
-from beacongw import CacheNote, Outcome
-from holdpick.resp import LARGE, MAX_VALUE
-from holdpick.upstream import Connection, Server
+from saltport.decisions import CacheNote, Outcome
+from saltport.upstream.pool import Connection, Server
+from saltport.wire.resp import LARGE, MAX_VALUE
 
 MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
 HEADER = re.compile(rb"\*[1-9]\r\n\$(\d{1,8})\r\n")
--- /dev/null
+++ b/saltport/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs without sockets: bytes in, typed messages out, and back."""
--- a/tests/helpers.py
+++ b/tests/decisions/helpers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from beacongw import (
+from saltport.decisions import (
     Action,
     AttemptEnded,
     Effect,
--- a/tests/test_router.py
+++ b/tests/decisions/test_requests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from beacongw import (
+from saltport.decisions import (
     ClientGone,
     Fail,
     ListKind,
@@ -24,7 +24,19 @@
     Tenant,
     TimerFired,
 )
-from tests.helpers import MS, ORIGIN, S, ended, finals, fleet, only_send, request, sends, settings, started
+from tests.decisions.helpers import (
+    MS,
+    ORIGIN,
+    S,
+    ended,
+    finals,
+    fleet,
+    only_send,
+    request,
+    sends,
+    settings,
+    started,
+)
 
 
 def test_read_hits_and_nothing_more_is_sent() -> None:
--- a/tests/test_rules.py
+++ b/tests/decisions/test_rules.py
@@ -9,7 +9,7 @@
 from hypothesis import given, strategies
 from hypothesis import settings as profile
 
-from beacongw import (
+from saltport.decisions import (
     Action,
     AttemptEnded,
     ClientGone,
@@ -30,7 +30,7 @@
     Settings,
     TimerFired,
 )
-from tests.helpers import MS, ORIGIN, S, settings
+from tests.decisions.helpers import MS, ORIGIN, S, settings
 
 CLASSES = {cls.name: cls for cls in settings().classes}
 FAILURES = [o for o in Outcome if o not in (Outcome.OK, Outcome.CANCELLED)]
--- a/tests/test_slot_table.py
+++ b/tests/decisions/test_slot_table.py
@@ -5,9 +5,9 @@
 import itertools
 from dataclasses import replace
 
-from beacongw.interface import Server
-from beacongw.logic import DEPTH, SLOTS, SlotTable
-from tests.helpers import S, fleet, settings
+from saltport.decisions.interface import Server
+from saltport.decisions.logic import DEPTH, SLOTS, SlotTable
+from tests.decisions.helpers import S, fleet, settings
 
 COLD = {"cold_share": 0.25, "cold_time": 10 * S}
 
--- a/tests/test_suppressor.py
+++ b/tests/decisions/test_suppressor.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from beacongw.interface import Tenant
-from beacongw.logic import CUT, RISE_S, Suppressor
-from tests.helpers import MS, S
+from saltport.decisions.interface import Tenant
+from saltport.decisions.logic import CUT, RISE_S, Suppressor
+from tests.decisions.helpers import MS, S
 
 
 class Fixed(random.Random):
--- a/tests/test_limits.py
+++ b/tests/router/test_limits.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from holdpick.clients import COMMAND_S, SWEEP_S
+from saltport.downstream.clients import COMMAND_S, SWEEP_S
 from tests.sockets import (
     FACTS,
     PATIENCE_S,
@@ -278,7 +278,7 @@
         (tmp_path / "config.json").write_text(text)
         environ["LB_CONFIG"] = str(tmp_path / "config.json")
     result = subprocess.run(
-        [sys.executable, "-m", "holdpick"],
+        [sys.executable, "-m", "saltport.router"],
         cwd=ROOT,
         env=environ,
         capture_output=True,
--- a/tests/test_routing.py
+++ b/tests/router/test_routing.py
@@ -12,10 +12,10 @@
 import pytest
 import uvloop
 
-from beacongw import CacheNote, Outcome
-from holdpick.caches import CacheConnection
-from holdpick.config import Address
-from holdpick.upstream import PER_SERVER, Exchange, Pool
+from saltport.decisions import CacheNote, Outcome
+from saltport.router.config import Address
+from saltport.upstream.pool import PER_SERVER, Exchange, Pool
+from saltport.upstream.resp import CacheConnection
 from tests.sockets import (
     FACTS,
     MISS,
--- a/tests/test_adapter.py
+++ b/tests/simulator/test_adapter.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-ROOT = Path(__file__).resolve().parent.parent
+ROOT = Path(__file__).resolve().parents[2]
 FACTS: dict[str, Any] = {
     "balancers": 2,
     "ceilings": {"mostTries": 4, "retryAfter": True, "maxRetryAfterNs": 1000, "mayProbe": None},
@@ -61,7 +61,7 @@
 def run(*lines: object, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     text = "".join(line if isinstance(line, str) else json.dumps(line) + "\n" for line in lines)
     return subprocess.run(
-        [sys.executable, "-m", "beacongw.adapter"],
+        [sys.executable, "-m", "saltport.simulator.adapter"],
         input=text,
         capture_output=True,
         text=True,
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -273,7 +273,7 @@
     config = folder / "config.json"
     config.write_text(json.dumps(told))
     return subprocess.Popen(
-        [sys.executable, "-m", "holdpick"],
+        [sys.executable, "-m", "saltport.router"],
         cwd=ROOT,
         env={**os.environ, "LB_CONFIG": str(config), "LB_DISCOVERY": told["discovery"]},
         stderr=subprocess.PIPE,
