Give the host neutral requests and replies, and leave RESP and HTTP to their dialects

The host worded -BUSY, -ERR and bulk strings itself, and wrote KV.GET and HTTP for servers, so a second protocol would have been a copy of it. A client's dialect now reads bytes into a Request (or a Ping, or a Malformed) and words the answers that go with it; a server's connection writes the Request down for its own wire. The addresses and messages have modules below every room, so imports go one way still.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -1,17 +1,18 @@
-"""The RESP2 server that clients talk to: their connections, and answers in the order of the commands."""
+"""What clients talk to in any dialect: their connections, and answers in the order of the commands."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Protocol, cast
 
-from saltport.router.config import Address
-from saltport.upstream.pool import ValueSource
-from saltport.wire.resp import LARGE, Command, CommandReader, parse_request
+from saltport.address import Address
+from saltport.messages import Answers, ClientDialect, Malformed, Message, Ping, Request, ValueSource
 
 BACKLOG = 1024
+LARGE = 64 << 10  # a command that needs more must be given room first
 MAX_PIPELINE = 256
 HIGH_WATER = 64 << 10
 COMMAND_S = 2.0  # in which a command must be whole; a client is owed an error or a close within 3 s
@@ -28,7 +29,7 @@
 
     ready: bool
 
-    def request_arrived(self, command: Command, reply: Reply) -> None:
+    def request_arrived(self, request: Request, reply: Reply) -> None:
         """A request is whole."""
 
     def client_gone(self, reply: Reply) -> None:
@@ -63,27 +64,58 @@
 class Reply:
     """The place of one answer among those of its connection."""
 
-    def __init__(self, connection: ClientConnection) -> None:
+    def __init__(self, connection: ClientConnection, answers: Answers | None = None) -> None:
         self._connection = connection
+        self._answers = answers
         self._held: list[bytes] = []
         self.done = False
         self.source: ValueSource | None = None
         self.request: Any = None  # the host's
         self.reserved = 0
 
+    @property
+    def answers(self) -> Answers:
+        """How this command's answer is worded."""
+        assert self._answers is not None
+        return self._answers
+
+    def served(self, value: bytes) -> None:
+        """Answer with a value or a receipt."""
+        self.send(self.answers.served(value))
+
+    def refused(self, retry_after_ms: int = 0) -> None:
+        """Answer that nothing was done, and that trying again is harmless."""
+        self.send(self.answers.refused(retry_after_ms))
+
+    def failed(self) -> None:
+        """Answer that it failed."""
+        self.send(self.answers.failed())
+
+    def rejected(self, reason: str) -> None:
+        """Answer that this is no request to be taken."""
+        self.send(self.answers.rejected(reason))
+
     def send(self, data: bytes) -> None:
-        """Give the whole answer, or its last part."""
-        self.write(data)
+        """Give the whole answer, or its last part, as it goes on the wire."""
+        self._write(data)
         self.done, self.source = True, None
         self._connection.flush()
 
-    def start(self, data: bytes, source: ValueSource) -> None:
+    def start(self, length: int, source: ValueSource) -> None:
         """Begin an answer that comes in parts; the source is paused while the client can't take more."""
         self.source = source
-        if not self.write(data) or self._connection.blocked:
+        if not self._write(self.answers.head(length)) or self._connection.blocked:
             source.pause()
 
-    def write(self, data: bytes) -> bool:
+    def part(self, data: bytes) -> None:
+        """Pass a part of the value on."""
+        self._write(data)
+
+    def finish(self) -> None:
+        """The value is whole."""
+        self.send(self.answers.tail())
+
+    def _write(self, data: bytes) -> bool:
         """Pass a part on, or keep it until the answers ahead are written; False: kept."""
         connection = self._connection
         if connection.closed:
@@ -121,7 +153,7 @@
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
         self.used_at = server.loop.time()
-        self._reader = CommandReader()
+        self._dialect = server.dialect()
         self._reading = True
         self._reserved = 0  # set aside for the command under way
         self._begun_at = 0.0
@@ -165,21 +197,17 @@
             self.abort()
 
     def _read(self, data: bytes) -> None:
-        reader = self._reader
+        reader = self._dialect
         self.used_at = self.server.loop.time()
         fresh = not reader.need
         commands = reader.feed(data)
-        for words in commands:
-            reply = Reply(self)
+        for message, answers in commands:
+            reply = Reply(self, answers)
             reply.reserved, self._reserved = self._reserved, 0
             self.replies.append(reply)
-            self._take(words, reply)
+            self._take(message, reply)
         if reader.broken:
-            reply = Reply(self)
-            self.replies.append(reply)
-            self._last = True
-            self._set_reading()
-            reply.send(b"-ERR Protocol error: %b\r\n" % reader.broken.encode())
+            self._break()
         elif reader.need:
             if fresh or commands:
                 self._begun_at = self.used_at
@@ -193,29 +221,33 @@
 
     def reserve(self) -> None:
         """Ask for the bytes of the long command under way; reading stops until they are there."""
-        self._starved = not self.server.budget.take(self, self._reader.need)
+        self._starved = not self.server.budget.take(self, self._dialect.need)
         if not self._starved:
-            self._reserved = self._reader.need
+            self._reserved = self._dialect.need
             self._begun_at = self.server.loop.time()
         self._set_reading()
 
-    def _take(self, words: list[bytes], reply: Reply) -> None:
-        if len(words) == 1 and words[0].upper() == b"PING":
-            reply.send(b"+PONG\r\n" if self.server.host.ready else b"-LOADING no list of servers yet\r\n")
-            reply.forgotten()
-            return
-        try:
-            command = parse_request(words)
-        except ValueError as error:
-            reply.send(b"-ERR %b\r\n" % str(error).encode())
-            reply.forgotten()
-            return
-        if self.refusing:
-            self._last = True
-            reply.send(b"-BUSY\r\n")
-            reply.forgotten()
-            return
-        self.server.host.request_arrived(command, reply)
+    def _break(self) -> None:
+        """Tell the client why its stream ends, and end it."""
+        self._last = True
+        self._set_reading()
+        reply = Reply(self)
+        self.replies.append(reply)
+        reply.send(self._dialect.breaking())
+
+    def _take(self, message: Message, reply: Reply) -> None:
+        match message:
+            case Request() if not self.refusing:
+                self.server.host.request_arrived(message, reply)
+                return
+            case Request():
+                self._last = True
+                reply.refused()
+            case Ping():
+                reply.send(reply.answers.pong(self.server.host.ready))
+            case Malformed():
+                reply.rejected(message.reason)
+        reply.forgotten()
 
     def write(self, data: bytes) -> None:
         """Write to the client."""
@@ -252,7 +284,7 @@
 
     def _set_reading(self) -> None:
         full = len(self.replies) >= MAX_PIPELINE
-        wanted = not (self.blocked or self._starved or self._reader.broken or full)
+        wanted = not (self.blocked or self._starved or self._dialect.broken or full)
         if wanted == self._reading or self.transport is None or self.transport.is_closing():
             return
         self._reading = wanted
@@ -264,16 +296,16 @@
     @property
     def idle(self) -> bool:
         """Whether it stands between requests."""
-        return not self.replies and not self._reader.need
+        return not self.replies and not self._dialect.need
 
     def finish(self, even_midway: bool) -> None:
         """Close once nothing is owed here; `even_midway`: also within a command."""
         if self.transport is None or self.closed:
             return
-        if not self.replies and (even_midway or not self._reader.need):
+        if not self.replies and (even_midway or not self._dialect.need):
             self.transport.close()
         else:
-            self._last = even_midway or not self._reader.need or self._last
+            self._last = even_midway or not self._dialect.need or self._last
 
     def abort(self) -> None:
         """Close at once."""
@@ -296,13 +328,10 @@
             # Danger: those that only connect, or ask once and stay, would hold descriptors for good.
             self.finish(even_midway=False)
             return
-        midway = self._reader.need and not self._starved and not self.replies
+        midway = self._dialect.need and not self._starved and not self.replies
         if midway and now - self._begun_at > COMMAND_S:
             log.warning("a client does not finish its command")
-            self._last = True
-            reply = Reply(self)
-            self.replies.append(reply)
-            reply.send(b"-ERR Protocol error: command not finished in time\r\n")
+            self._break()
 
     _unsent = 0
 
@@ -310,8 +339,15 @@
 class ClientServer:
     """The listener and all clients' connections, within their share of descriptors."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, limit: int, budget: int) -> None:
-        self.loop, self.host, self._limit = loop, host, limit
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        host: Host,
+        dialect: Callable[[], ClientDialect],
+        limit: int,
+        budget: int,
+    ) -> None:
+        self.loop, self.host, self.dialect, self._limit = loop, host, dialect, limit
         self.budget = Budget(budget)
         self._connections: dict[ClientConnection, None] = {}
         self._listener: asyncio.Server | None = None
--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -11,8 +11,8 @@
 
 import orjson
 
+from saltport.address import Address, parse_address
 from saltport.decisions import ListKind, Server, ServersChanged, ServerState
-from saltport.router.config import Address, parse_address
 from saltport.wire.http import HttpError, HttpReader, request
 
 MAX_BODY = 8 << 20
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -15,6 +15,7 @@
 from saltport.decisions import ListKind
 from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.clients import ClientServer
+from saltport.downstream.resp import RespDialect
 from saltport.membership.registry import Clock, Discovery, Listing, read_listing
 from saltport.router.config import Config, ConfigError, load_config, reload_config
 from saltport.router.host import RouterHost
@@ -48,7 +49,7 @@
     for_clients = int(descriptors * CLIENT_SHARE)
     pool = Pool(loop, descriptors - for_clients, config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S)
     host = RouterHost(loop, config.settings, config.seed, pool, config.max_open)
-    clients = ClientServer(loop, host, for_clients, int(config.memory * BUDGET_SHARE))
+    clients = ClientServer(loop, host, RespDialect, for_clients, int(config.memory * BUDGET_SHARE))
 
     def take(listing: Listing) -> None:
         host.servers_changed(listing)
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -9,11 +9,10 @@
 
 import orjson
 
+from saltport.address import Address, parse_address
 from saltport.decisions import Settings
 from saltport.decisions.settings import WireError, read_settings, typed
 
-Address = tuple[str, int]
-
 DEFAULT_MAX_OPEN = 20_000
 DEFAULT_DIAL_TIMEOUT_NS = 250_000_000
 DEFAULT_IDLE_CLOSE_NS = 10_000_000_000
@@ -46,14 +45,6 @@
     """The list of servers as last held, in discovery's form; it may be old."""
 
 
-def parse_address(where: str, text: Any) -> Address:
-    """Split HOST:PORT; raises ValueError in one plain line."""
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{where}: expected HOST:PORT, got {text!r}")
-    return host.strip("[]"), int(port)
-
-
 def load_config(environ: Mapping[str, str]) -> Config:
     """Read the configuration; the variables go before what the file says."""
     path = environ.get("LB_CONFIG")
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -7,7 +7,6 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from urllib.parse import quote
 
 from saltport.decisions import (
     Action,
@@ -35,18 +34,15 @@
 from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.clients import Reply
 from saltport.membership.registry import Listing
-from saltport.router.config import Address
+from saltport.messages import Request, ValueSource
 from saltport.upstream.http import OriginConnection
-from saltport.upstream.pool import Exchange, Pool, ValueSource
+from saltport.upstream.pool import Exchange, Pool
 from saltport.upstream.resp import CacheConnection
-from saltport.wire import http, resp
-from saltport.wire.resp import Command
+from saltport.wire.resp import parse_load
 
 NS_PER_MS = 1_000_000
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
-FAILED = b"-ERR failed\r\n"
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
-KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
 
 log = logging.getLogger("saltport")
 
@@ -54,10 +50,10 @@
 class OpenRequest:
     """A request that is owed an answer, or has attempts out still."""
 
-    __slots__ = ("attempts", "closed", "command", "deadline", "id", "out", "reply", "streaming")
+    __slots__ = ("asked", "attempts", "closed", "deadline", "id", "out", "reply", "streaming")
 
-    def __init__(self, request_id: str, command: Command, reply: Reply, deadline: int) -> None:
-        self.id, self.command, self.reply, self.deadline = request_id, command, reply, deadline
+    def __init__(self, request_id: str, asked: Request, reply: Reply, deadline: int) -> None:
+        self.id, self.asked, self.reply, self.deadline = request_id, asked, reply, deadline
         self.attempts = self.out = 0
         self.closed = self.streaming = False
 
@@ -65,8 +61,9 @@
 class Attempt(Exchange):
     """One attempt at a request."""
 
-    def __init__(self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool) -> None:
-        self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
+    def __init__(self, host: RouterHost, request: OpenRequest, server: str) -> None:
+        self._host, self._request, self._server = host, request, server
+        self.request = request.asked
         self._number = request.attempts
         self._sent_at = time.monotonic_ns()
         self._latency = 0  # until a long value's first bytes
@@ -83,17 +80,9 @@
     def _timed_out(self) -> None:
         self.give_up(Outcome.TIMEOUT)
 
-    def request_bytes(self, address: Address) -> bytes:
-        """The client's command again, with what is left of its time."""
-        command = self._request.command
-        if self._to_origin:
-            method = "GET" if command.value is None else "PUT"
-            headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (command.id, command.info)
-            target = "/" + quote(command.key, safe=KEY_SAFE)
-            return http.request(method, target, f"{address[0]}:{address[1]}", headers, command.value)
-        left = max((self._request.deadline - time.monotonic_ns()) // NS_PER_MS, 1)
-        words = [command.name, command.key, command.id, command.info_with(left)]
-        return resp.command(*words) if command.value is None else resp.command(*words, command.value)
+    def left_ms(self) -> int:
+        """What is left of the client's time."""
+        return max((self._request.deadline - time.monotonic_ns()) // NS_PER_MS, 1)
 
     def value_started(self, length: int, source: ValueSource) -> None:
         """Begin the client's answer with a long value."""
@@ -107,14 +96,14 @@
         self._source = source
         self._came_at = self._host.loop.time()
         self._timer = self._host.loop.call_later(STALL_S, self._check_stall)
-        request.reply.start(b"$%d\r\n" % length, self)
+        request.reply.start(length, self)
         self._host.tell(StreamStarted(request.id, self._number))
 
     def value_came(self, data: bytes) -> None:
         """Pass a part of a long value on."""
         if self._source is not None:
             self._came_at = self._host.loop.time()
-            self._request.reply.write(data)
+            self._request.reply.part(data)
 
     def pause(self) -> None:
         """The client can't take more: stop reading at the server."""
@@ -154,12 +143,12 @@
             self._source = None
             request.streaming = False
             if outcome is Outcome.OK:
-                reply.send(b"\r\n")
+                reply.finish()
             else:
                 reply.cut_off()
         elif outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
-            reply.send(resp.bulk(value))
+            reply.served(value)
         latency = self._latency or time.monotonic_ns() - self._sent_at
         load = self._host.load(report)
         event = AttemptEnded(
@@ -172,24 +161,15 @@
 class ProbeExchange(Exchange):
     """One probe of a server."""
 
-    is_probe = True
-
-    def __init__(self, host: RouterHost, server: str, to_origin: bool, timeout: int) -> None:
-        self._host, self._server, self._to_origin = host, server, to_origin
+    def __init__(self, host: RouterHost, server: str, timeout: int) -> None:
+        self._host, self._server = host, server
+        self.wants_load = bool(host.settings.load_fields)
         self._sent_at = time.monotonic_ns()
         self._timer = host.call_at(self._sent_at + timeout, self._timed_out)
 
     def _timed_out(self) -> None:
         self.give_up(Outcome.TIMEOUT)
 
-    def request_bytes(self, address: Address) -> bytes:
-        """Ask for a load report where there are any, else for a sign of life."""
-        reports = bool(self._host.settings.load_fields)
-        if self._to_origin:
-            path = "/stats" if reports else "/health/live"
-            return http.request("GET", path, f"{address[0]}:{address[1]}")
-        return resp.command(b"INFO", b"load") if reports else resp.command(b"PING")
-
     def ended(
         self,
         outcome: Outcome,
@@ -219,7 +199,6 @@
         self._classes = {cls.name for cls in settings.classes}
         self._probe_timeout = min(cls.aim for cls in settings.classes)
         self._requests: dict[str, OpenRequest] = {}
-        self._origins: set[str] = set()
         self._events: deque[Event] = deque()
         self._handling = False
 
@@ -234,35 +213,34 @@
 
     def load(self, report: bytes | None) -> tuple[float, ...] | None:
         """Read a load report."""
-        return resp.parse_load(report, self.settings.load_fields) if report else None
+        return parse_load(report, self.settings.load_fields) if report else None
 
     # Clients
 
-    def request_arrived(self, command: Command, reply: Reply) -> None:
+    def request_arrived(self, asked: Request, reply: Reply) -> None:
         """Take a request: from here on it is owed one final answer."""
-        request_id = command.id.decode("ascii")
-        fields = command.fields
-        if fields["c"] not in self._classes:
-            reply.send(b"-ERR unknown class\r\n")
+        request_id = asked.id.decode("ascii")
+        if asked.request_class not in self._classes:
+            reply.rejected("unknown class")
         elif request_id in self._requests:
             # Danger: two requests under one id would share attempts, and one would have the other's answer.
-            reply.send(b"-ERR duplicate id\r\n")
+            reply.rejected("duplicate id")
         elif len(self._requests) >= self._max_open:
-            reply.send(b"-BUSY\r\n")
+            reply.refused()
         else:
-            deadline = time.monotonic_ns() + command.timeout_ms * NS_PER_MS
-            request = OpenRequest(request_id, command, reply, deadline)
+            deadline = time.monotonic_ns() + asked.timeout_ms * NS_PER_MS
+            request = OpenRequest(request_id, asked, reply, deadline)
             reply.request = request
             self._requests[request_id] = request
             self.tell(
                 RequestArrived(
                     request=request_id,
-                    request_class=fields["c"],
+                    request_class=asked.request_class,
                     deadline=deadline,
-                    tenant=fields.get("t"),
-                    key=command.key.decode(),
-                    write=command.value is not None,
-                    retry=fields.get("r") == "1",
+                    tenant=asked.tenant,
+                    key=asked.key.decode(),
+                    write=asked.value is not None,
+                    retry=asked.retry,
                 )
             )
             return
@@ -285,12 +263,17 @@
             del self._requests[request.id]
             request.reply.forgotten()
 
-    def _answer(self, request_id: str, data: bytes) -> None:
+    def _final(self, request_id: str, retry_after: int | None) -> None:
+        """Give a request its final answer: refused with this pause in nanoseconds, or failed."""
         request = self._requests.get(request_id)
-        if request is not None and not request.closed:
-            request.closed = True
-            request.reply.send(data)
-            self.settle(request)
+        if request is None or request.closed:
+            return
+        request.closed = True
+        if retry_after is None:
+            request.reply.failed()
+        else:
+            request.reply.refused(-(-retry_after // NS_PER_MS))
+        self.settle(request)
 
     # The list of servers
 
@@ -311,7 +294,6 @@
             if server.state is ServerState.READY:
                 gone.discard(server.id)
                 is_origin = server.kind == self.settings.origin_kind
-                (self._origins.add if is_origin else self._origins.discard)(server.id)
                 connect = OriginConnection if is_origin else CacheConnection
                 self._pool.list_server(server.id, listing.addresses[server.id], connect)
             else:
@@ -351,7 +333,7 @@
         if isinstance(event, RequestArrived | AttemptEnded):
             request = self._requests.get(event.request)
             if request is not None and not request.out:
-                self._answer(event.request, FAILED)
+                self._final(event.request, None)
 
     def _carry_out(self, action: Action) -> None:
         match action:
@@ -360,17 +342,13 @@
             case SetTimer():
                 self._set_timer(time.monotonic_ns() + action.delay, action.token)
             case Refuse():
-                wait = b" %d" % -(-action.retry_after // NS_PER_MS) if action.retry_after > 0 else b""
-                self._answer(action.request, b"-BUSY%b\r\n" % wait)
+                self._final(action.request, action.retry_after)
             case Fail():
-                self._answer(action.request, FAILED)
+                self._final(action.request, None)
             case Subscribe():
                 self.subscribe()
             case Probe():
-                to_origin = action.server in self._origins
-                self._pool.submit(
-                    action.server, ProbeExchange(self, action.server, to_origin, self._probe_timeout)
-                )
+                self._pool.submit(action.server, ProbeExchange(self, action.server, self._probe_timeout))
 
     def _send(self, action: Send) -> None:
         request = self._requests.get(action.request)
@@ -378,7 +356,7 @@
             log.error("the module sent a request that is over")
             return
         now = time.monotonic_ns()
-        attempt = Attempt(self, request, action.server, action.server in self._origins)
+        attempt = Attempt(self, request, action.server)
         if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
             attempt.end(Outcome.MOOT)
             return
--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from urllib.parse import quote
+
 from saltport.decisions import Outcome
-from saltport.upstream.pool import Connection, Server
-from saltport.wire.http import HttpError, HttpReader
+from saltport.upstream.pool import Connection, Exchange, Server
+from saltport.wire.http import HttpError, HttpReader, request
 from saltport.wire.resp import LARGE, MAX_VALUE
 
 _NEVER_RAN = (503, 504)
+KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
 
 
 class OriginConnection(Connection, HttpReader):
@@ -19,6 +22,15 @@
         self._body = bytearray()
         self._streaming = False
 
+    def request_bytes(self, exchange: Exchange) -> bytes:
+        """A read as GET, a write as PUT, with the list of names and values as it came; or a probe."""
+        asked, (host, port) = exchange.request, self.server.address
+        if asked is None:
+            return request("GET", "/stats" if exchange.wants_load else "/health/live", f"{host}:{port}")
+        method = "GET" if asked.value is None else "PUT"
+        headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (asked.id, asked.info)
+        return request(method, "/" + quote(asked.key, safe=KEY_SAFE), f"{host}:{port}", headers, asked.value)
+
     def answer_came(self, data: bytes) -> None:
         """Read a part of the answer."""
         try:
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -8,10 +8,11 @@
 from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable, Iterator
-from typing import Protocol, cast
+from typing import cast
 
+from saltport.address import Address
 from saltport.decisions import CacheNote, Outcome
-from saltport.router.config import Address
+from saltport.messages import Request, ValueSource
 
 PER_SERVER = 16
 IDLE_SHARE = 0.6
@@ -21,28 +22,21 @@
 log = logging.getLogger("saltport")
 
 
-class ValueSource(Protocol):
-    """What a value over 64 KiB comes from, as its reader sees it."""
-
-    def pause(self) -> None:
-        """Stop reading more of the value."""
-
-    def resume(self) -> None:
-        """Go on reading."""
-
-
 class Exchange:
     """One command or HTTP request to a server and what comes of it; told of its end exactly once."""
 
     connection: Connection | None = None
     over = False
-    is_probe = False
+    request: Request | None = None
+    """What is asked; None: a probe."""
+    wants_load = False
+    """Whether a probe asks for the load report, and not only for a sign of life."""
     kept = False
     """Whether the connection had carried others before."""
 
-    @abstractmethod
-    def request_bytes(self, address: Address) -> bytes:
-        """Write the request down; called when the connection for it is at hand."""
+    def left_ms(self) -> int:
+        """What is left of the request's time, in whole milliseconds, 1 at least."""
+        return 1
 
     @abstractmethod
     def ended(
@@ -126,7 +120,7 @@
         """Write the exchange's request."""
         assert self.transport is not None
         self.exchange, exchange.connection, exchange.kept = exchange, self, self.kept
-        self.transport.write(exchange.request_bytes(self.server.address))
+        self.transport.write(self.request_bytes(exchange))
 
     def close(self) -> None:
         """Close at once; what is unsent is dropped."""
@@ -177,6 +171,10 @@
             log.exception("%s: reading an answer failed", self.server.id)
             self.spoil("reading an answer failed")
 
+    @abstractmethod
+    def request_bytes(self, exchange: Exchange) -> bytes:
+        """Write the exchange's request or probe down as the server reads it."""
+
     @abstractmethod
     def answer_came(self, data: bytes) -> None:
         """Read a part of the answer."""
--- a/saltport/upstream/resp.py
+++ b/saltport/upstream/resp.py
@@ -7,8 +7,8 @@
 import hiredis
 
 from saltport.decisions import CacheNote, Outcome
-from saltport.upstream.pool import Connection, Server
-from saltport.wire.resp import LARGE, MAX_VALUE
+from saltport.upstream.pool import Connection, Exchange, Server
+from saltport.wire.resp import LARGE, MAX_VALUE, command, info_with
 
 MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
 HEADER = re.compile(rb"\*[1-9]\r\n\$(\d{1,8})\r\n")
@@ -29,6 +29,16 @@
         self._left = 0  # bytes of a long value, with its line end, that are still to come
         self._length = 0
 
+    def request_bytes(self, exchange: Exchange) -> bytes:
+        """The client's command again, with what is left of its time; or a probe."""
+        request = exchange.request
+        if request is None:
+            return command(b"INFO", b"load") if exchange.wants_load else command(b"PING")
+        info = info_with(request.info, exchange.left_ms())
+        if request.value is None:
+            return command(b"KV.GET", request.key, request.id, info)
+        return command(b"KV.SET", request.key, request.id, info, request.value)
+
     def answer_came(self, data: bytes) -> None:
         """Look at the header first: hiredis holds a whole value, so a long one goes past it."""
         if self._left:
@@ -97,7 +107,7 @@
             value = None if streamed else answer[0]
             outcome = Outcome.MISS if answer[0] is None else Outcome.OK
             self.finish(outcome, value, _NOTES.get(note) if isinstance(note, bytes) else None, report)
-        elif isinstance(answer, bytes) and self.exchange is not None and self.exchange.is_probe:
+        elif isinstance(answer, bytes) and self.exchange is not None and self.exchange.request is None:
             self.finish(Outcome.OK, None, None, answer)
         else:
             self.spoil("sent an answer of an unknown form")
--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 MAX_VALUE = 4 << 20  # PROTOCOL: values hold at most 4 MiB
 LARGE = 64 << 10
 MAX_PARTS = 16
@@ -19,26 +17,6 @@
     """The stream breaks the protocol's framing; the text is for the client."""
 
 
-@dataclass(frozen=True, slots=True)
-class Command:
-    """A request as it came: what is passed on, and the list of names and values taken apart."""
-
-    name: bytes
-    key: bytes
-    id: bytes
-    info: bytes
-    value: bytes | None
-    fields: dict[str, str]
-    timeout_ms: int
-
-    def info_with(self, left_ms: int) -> bytes:
-        """The list of names and values with `d` telling how long the router will wait."""
-        info = b"," + self.info
-        start = info.index(b",d=") + 3
-        end = info.find(b",", start)
-        return b"%b%d%b" % (info[1:start], left_ms, info[end:] if end >= 0 else b"")
-
-
 class CommandReader:
     """Cuts a client's bytes into commands, each a list of its words."""
 
@@ -109,41 +87,23 @@
         return int(digits), end + 2
 
 
-def parse_request(words: list[bytes]) -> Command:
-    """Read a client's request; raises ValueError in words for the client."""
-    name = words[0].upper()
-    if name not in (b"KV.GET", b"KV.SET"):
-        raise ValueError("unknown command")
-    is_write = name == b"KV.SET"
-    if len(words) != (5 if is_write else 4):
-        raise ValueError(f"wrong number of arguments for {name.decode()}")
-    key, request, info = words[1:4]
-    if len(key) + len(request) + len(info) > MAX_WORD:
-        raise ValueError("key, id or list too long")
-    # Danger: these words become HTTP lines at the origin, where a line break would forge a header.
-    if not _plain(request) or not _plain(info):
-        raise ValueError("id and list must be plain text")
-    try:
-        if not key or not key.decode().isprintable() or b" " in key:
-            raise ValueError("key must be text without spaces")
-    except UnicodeDecodeError:
-        raise ValueError("key must be text without spaces") from None
+def parse_info(info: bytes) -> dict[str, str]:
+    """Take a request's list of names and values apart; raises ValueError in words for the client."""
     fields: dict[str, str] = {}
     for part in info.decode("ascii").split(","):
         field, sign, value = part.partition("=")
         if not sign:
             raise ValueError("expected a list of names and values")
         fields[field] = value
-    timeout = fields.get("d", "")
-    if not timeout.isdecimal() or len(timeout) > 9:
-        raise ValueError("d must be a number of milliseconds")
-    if not fields.get("c"):
-        raise ValueError("c must name a class")
-    return Command(name, key, request, info, words[4] if is_write else None, fields, int(timeout))
+    return fields
 
 
-def _plain(word: bytes) -> bool:
-    return bool(word) and word.isascii() and word.decode("ascii").isprintable()
+def info_with(info: bytes, left_ms: int) -> bytes:
+    """The list of names and values with `d` telling how long the router will wait."""
+    info = b"," + info
+    start = info.index(b",d=") + 3
+    end = info.find(b",", start)
+    return b"%b%d%b" % (info[1:start], left_ms, info[end:] if end >= 0 else b"")
 
 
 def bulk(value: bytes) -> bytes:
--- a/tests/router/test_routing.py
+++ b/tests/router/test_routing.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from saltport.decisions import CacheNote, Outcome
-from saltport.router.config import Address
+from saltport.messages import Request
 from saltport.upstream.pool import PER_SERVER, Exchange, Pool
 from saltport.upstream.resp import CacheConnection
 from tests.sockets import (
@@ -325,8 +325,10 @@
     def __init__(self) -> None:
         self.came: asyncio.Future[tuple[Outcome, bytes | None]] = asyncio.get_running_loop().create_future()
 
-    def request_bytes(self, address: Address) -> bytes:
-        return get("r")
+    request = Request(b"r", b"k", "get", "acme", 5000, None, False, b"c=get,t=acme,d=5000")
+
+    def left_ms(self) -> int:
+        return 5000
 
     def ended(
         self,
