--- /dev/null
+++ b/saltport/standins/__main__.py
@@ -0,0 +1,63 @@
+"""A fleet as a process of its own: its first line of output gives the addresses as JSON."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import orjson
+import uvloop
+
+from saltport.standins.control import ControlServer
+from saltport.standins.fleet import Fleet
+from saltport.standins.ledger import Ledger
+from saltport.standins.profile import Profile, quick
+
+
+async def serve(
+    nodes: int, routers: list[str], seed: int, control: int, ledger: Ledger, profile: Profile
+) -> None:
+    """Run a fleet until SIGTERM, SIGINT, a `stop` command, or the end of standard input's owner."""
+    loop = asyncio.get_running_loop()
+    fleet = Fleet(profile, nodes, routers, ledger, seed)
+    server = ControlServer(fleet)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, server.stopped.set)
+    addresses = fleet.open()
+    address = await server.listen(port=control)
+    line = orjson.dumps({"control": "{}:{}".format(*address), **addresses})
+    sys.stdout.buffer.write(line + b"\n")
+    sys.stdout.buffer.flush()
+    try:
+        await server.stopped.wait()
+    finally:
+        server.close()
+        fleet.close()
+        ledger.close()
+
+
+def main() -> int:
+    """Read the command line and serve; exit status 1 if an address is taken."""
+    parser = argparse.ArgumentParser(prog="python -m saltport.standins", description=__doc__)
+    parser.add_argument("--nodes", type=int, default=8)
+    parser.add_argument("--router", action="append", default=[], help="a router's name; one registry each")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--control", type=int, default=0, help="the control socket's port; 0: any")
+    parser.add_argument("--ledger", type=Path, help="the file for the ledger")
+    parser.add_argument("--divide", type=float, default=1.0, help="divide all work by this")
+    told = parser.parse_args()
+    ledger = Ledger("fleet", told.ledger)
+    profile = quick(Profile(), told.divide) if told.divide != 1 else Profile()
+    try:
+        uvloop.run(serve(told.nodes, told.router or ["r1"], told.seed, told.control, ledger, profile))
+    except OSError as error:
+        print(f"saltport standins: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
