Command line: run, check, demo, load, standins, fault, audit, config, completion

A demo starts stand-ins, routers and light load, tells the addresses first and the totals and the audit's verdict last, and leaves no process behind on one Ctrl-C or three. Stand-ins take a profile from a file.

--- /dev/null
+++ b/saltport/cli.py
@@ -0,0 +1,347 @@
+"""`saltport`: thin verbs over the rooms; each imports what it needs, and no more.
+
+Exit status: 0 all is well; 1 what was asked for went wrong (faults found, an audit not clean, an address
+taken); 2 the command line or the configuration can't be used.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from dataclasses import asdict
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NoReturn
+
+import click
+import orjson
+
+from saltport import __version__
+
+if TYPE_CHECKING:
+    from saltport.address import Address
+
+_SHELLS = ("bash", "zsh", "fish")
+_FILE = click.Path(dir_okay=False, path_type=Path)
+_THERE = click.Path(exists=True, dir_okay=False, path_type=Path)
+_AS_JSON = click.option("--json", "as_json", is_flag=True, help="Report as JSON.")
+
+
+def _dump(fields: Any, indent: bool = False) -> None:
+    click.echo(orjson.dumps(fields, option=orjson.OPT_INDENT_2 if indent else None).decode())
+
+
+def _wrong(text: str, status: int) -> NoReturn:
+    click.echo(f"saltport: {text}", err=True)
+    sys.exit(status)
+
+
+class _AddressType(click.ParamType[Any]):
+    name = "host:port"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Any:
+        from saltport.address import parse_address
+
+        if isinstance(value, tuple):
+            return value
+        try:
+            return parse_address("address", value)
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+
+
+_ADDRESS = _AddressType()
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, message="%(version)s")
+def cli() -> None:
+    """A router between build machines and package caches."""
+
+
+@cli.command()
+@click.argument("config", type=_FILE)
+@click.option("--listen", metavar="HOST:PORT", help="Where clients connect; goes before the file.")
+@click.option("--discovery", metavar="HOST:PORT", help="The registry; goes before the file.")
+@click.option("--name", help="This router's name; goes before the file.")
+def run(config: Path, listen: str | None, discovery: str | None, name: str | None) -> None:
+    """Run a router with this configuration file, until SIGTERM."""
+    told = {"LB_CONFIG": str(config), "LB_LISTEN": listen, "LB_DISCOVERY": discovery, "LB_NAME": name}
+    environ = {**os.environ, **{variable: value for variable, value in told.items() if value is not None}}
+    # A process of its own image: the router must not carry what the command line needed.
+    os.execve(sys.executable, [sys.executable, "-m", "saltport.router"], environ)
+
+
+@cli.command()
+@click.argument("config", type=_FILE)
+@_AS_JSON
+def check(config: Path, as_json: bool) -> None:
+    """Tell every fault of a configuration file, with its path in the file. Status 1 if there is any."""
+    from saltport.router.check import check_file
+
+    faults = check_file(config)
+    if as_json:
+        _dump({"ok": not faults, "faults": [asdict(fault) for fault in faults]})
+    else:
+        for fault in faults:
+            click.echo(f"{config}: {fault}")
+        count = f"{len(faults)} fault{'s' * (len(faults) != 1)}"
+        click.echo(f"{config}: {count if faults else 'good'}")
+    sys.exit(bool(faults))
+
+
+@cli.group()
+def config() -> None:
+    """Help with configuration files."""
+
+
+@config.command()
+@click.option("--listen", default="127.0.0.1:6379", show_default=True)
+@click.option("--discovery", default="127.0.0.1:8500", show_default=True)
+@click.option("--name", default="r1", show_default=True)
+@click.option("--routers", default=1, show_default=True, type=click.IntRange(1))
+def example(listen: str, discovery: str, name: str, routers: int) -> None:
+    """Print a whole configuration to start from."""
+    from saltport.standins.profile import Profile
+
+    _dump(Profile().config(name, listen, discovery, routers), indent=True)
+
+
+@cli.command()
+@click.option("--seconds", type=click.FloatRange(0, min_open=True), help="End by itself; else at Ctrl-C.")
+@click.option("--nodes", default=6, show_default=True, type=click.IntRange(1, 500))
+@click.option("--routers", default=1, show_default=True, type=click.IntRange(1, 50))
+@click.option("--rate", default=60.0, show_default=True, type=click.FloatRange(0, min_open=True))
+@click.option("--fault", metavar="NAME", help="A fault that strikes now and then; see `saltport fault list`.")
+@click.option("--seed", default=1, show_default=True)
+@_AS_JSON
+def demo(**told: Any) -> None:
+    """Stand-ins, a router and light load on loopback, with nothing else to set up."""
+    import uvloop
+
+    from saltport.demo import DemoOptions, run_demo
+    from saltport.harness import HarnessError
+    from saltport.standins.faults import FaultError, checked
+
+    options = DemoOptions(**told)
+    try:
+        if options.fault is not None:
+            checked(options.fault, {})
+        status = uvloop.run(run_demo(options, lambda line: click.echo(line, err=True)))
+    except FaultError as error:
+        _wrong(str(error), 2)
+    except (HarnessError, OSError) as error:
+        _wrong(str(error), 1)
+    except KeyboardInterrupt:
+        status = 1
+    sys.exit(status)
+
+
+@cli.command()
+@click.option("--router", "routers", type=_ADDRESS, multiple=True, required=True, help="May be given again.")
+@click.option("--rate", "steps", default="100", show_default=True, help="RATE, or RATE,SECONDS:RATE,...")
+@click.option("--seconds", default=10.0, show_default=True, type=click.FloatRange(0, min_open=True))
+@click.option(
+    "--closed", default=0, type=click.IntRange(0), help="Closed loop: so many clients, one after another."
+)
+@click.option("--keys", default=2000, show_default=True, type=click.IntRange(1))
+@click.option("--zipf", default=1.0, show_default=True, type=click.FloatRange(0))
+@click.option(
+    "--scan", default=0.0, show_default=True, type=click.FloatRange(0, 1), help="Share of once-only keys."
+)
+@click.option("--retries", default=2, show_default=True, type=click.IntRange(0))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--plot", is_flag=True, help="Draw the run over time.")
+@click.option("--ledger", type=_FILE, help="Write the clients' ledger, for `saltport audit`.")
+@_AS_JSON
+def load(
+    routers: tuple[Address, ...],
+    steps: str,
+    closed: int,
+    plot: bool,
+    ledger: Path | None,
+    as_json: bool,
+    **told: Any,
+) -> None:
+    """Drive load at routers; open loop, and each latency counts from the intended start."""
+    import uvloop
+
+    from saltport.load import report
+    from saltport.load.driver import LoadDriver
+    from saltport.load.plan import LoadPlan, PlanError, parse_steps
+    from saltport.standins.ledger import Ledger
+    from saltport.standins.profile import Profile
+
+    try:
+        plan = LoadPlan(parse_steps(steps), **told)
+        held = Ledger("clients", ledger)
+    except (PlanError, OSError) as error:
+        _wrong(str(error), 2)
+
+    async def drive() -> dict[str, Any]:
+        named = {f"r{number + 1}": address for number, address in enumerate(routers)}
+        driver = LoadDriver(plan, Profile(), named, held, closed)
+        return await driver.run(lambda line: click.echo(line, err=True))
+
+    try:
+        summary = uvloop.run(drive())
+    except KeyboardInterrupt:
+        _wrong("ended before its time", 1)
+    finally:
+        held.close()
+    if as_json:
+        _dump(summary)
+    else:
+        click.echo(report.table(summary))
+    if plot:
+        click.echo(report.plot(summary), err=as_json)
+    sys.exit(not summary["served"])
+
+
+@cli.command()
+@click.option("--nodes", default=8, show_default=True, type=click.IntRange(1))
+@click.option(
+    "--router", "routers", multiple=True, default=("r1",), help="A router's name; one registry each."
+)
+@click.option("--control", default=0, help="The control socket's port; 0: any.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--ledger", type=_FILE, help="Write the fleet's ledger.")
+def standins(nodes: int, routers: tuple[str, ...], control: int, seed: int, ledger: Path | None) -> None:
+    """Run a fleet of stand-ins; the first line tells the addresses as JSON."""
+    import uvloop
+
+    from saltport.standins.__main__ import serve
+    from saltport.standins.ledger import Ledger
+    from saltport.standins.profile import Profile
+
+    try:
+        uvloop.run(serve(nodes, list(routers), seed, control, Ledger("fleet", ledger), Profile()))
+    except OSError as error:
+        _wrong(str(error), 1)
+
+
+@cli.group()
+def fault() -> None:
+    """Faults on a running fleet of stand-ins, through its control socket."""
+
+
+_CONTROL = click.option("--control", type=_ADDRESS, required=True, help="The fleet's control socket.")
+
+
+def _call(control: Address, do: str, **fields: Any) -> None:
+    import asyncio
+
+    from saltport.standins.control import ControlClient
+    from saltport.standins.faults import FaultError
+
+    async def call() -> dict[str, Any]:
+        client = await ControlClient.connect(control)
+        try:
+            return await client.call(do, **fields)
+        finally:
+            await client.close()
+
+    try:
+        _dump(asyncio.run(call()), indent=True)
+    except FaultError as error:
+        _wrong(str(error), 2)
+    except OSError as error:
+        _wrong(f"{control[0]}:{control[1]}: {error.strerror or error}", 1)
+
+
+@fault.command("list")
+@_AS_JSON
+def list_faults(as_json: bool) -> None:
+    """Name every fault there is."""
+    from saltport.standins.faults import KINDS
+
+    if as_json:
+        _dump({name: {"target": kind.target, "about": kind.about} for name, kind in KINDS.items()})
+    else:
+        for name, kind in KINDS.items():
+            click.echo(f"{name:14} {kind.target:9} {kind.about}")
+
+
+@fault.command()
+@_CONTROL
+@click.argument("kind")
+@click.argument("target", default="")
+@click.option("--figure", "figures", multiple=True, metavar="NAME=VALUE", help="May be given again.")
+def strike(control: Address, kind: str, target: str, figures: tuple[str, ...]) -> None:
+    """Begin a fault now."""
+    told: dict[str, Any] = {}
+    for figure in figures:
+        name, sign, value = figure.partition("=")
+        if not sign:
+            _wrong(f"--figure: expected NAME=VALUE, got {figure!r}", 2)
+        try:
+            told[name] = float(value)
+        except ValueError:
+            told[name] = value
+    _call(control, "strike", kind=kind, target=target, figures=told)
+
+
+@fault.command()
+@_CONTROL
+@click.argument("target")
+def mend(control: Address, target: str) -> None:
+    """End the fault of a target."""
+    _call(control, "mend", target=target)
+
+
+@fault.command()
+@_CONTROL
+@click.option("--seed", default=1, show_default=True)
+@click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(0, min_open=True))
+@click.option("--kind", "kinds", multiple=True, help="Only these kinds; may be given again.")
+def play(control: Address, seed: int, seconds: float, kinds: tuple[str, ...]) -> None:
+    """Play a seeded schedule of faults, from now."""
+    _call(control, "play", seed=seed, seconds=seconds, kinds=list(kinds))
+
+
+@fault.command()
+@_CONTROL
+def state(control: Address) -> None:
+    """Tell how every stand-in is."""
+    _call(control, "state")
+
+
+@cli.command()
+@click.argument("ledgers", type=_THERE, nargs=-1, required=True)
+@click.option("--slack-ms", default=50, show_default=True, type=click.IntRange(0))
+@_AS_JSON
+def audit(ledgers: tuple[Path, ...], slack_ms: int, as_json: bool) -> None:
+    """Prove the four rules over a run from its ledgers. Status 1 if one was broken."""
+    from saltport.audit import AuditError, Limits, merge
+    from saltport.audit import audit as prove
+    from saltport.standins.ledger import read_ledger
+    from saltport.standins.profile import Profile
+
+    try:
+        records = merge(read_ledger(path) for path in ledgers)
+        verdict = prove(records, Profile(), Limits(slack_ms, slack_ms, slack_ms, slack_ms))
+    except (AuditError, orjson.JSONDecodeError, KeyError, TypeError) as error:
+        _wrong(f"no ledgers of one run: {error}", 2)
+    if as_json:
+        _dump(verdict.as_json())
+    else:
+        for violation in verdict.violations:
+            click.echo(f"{violation.rule}: {violation.what}")
+        cases = ", ".join(f"{rule} {count}" for rule, count in verdict.checked.items())
+        click.echo(f"{'clean' if verdict.clean else f'{len(verdict.violations)} violations'}; cases: {cases}")
+    sys.exit(not verdict.clean)
+
+
+@cli.command()
+@click.argument("shell", type=click.Choice(_SHELLS))
+def completion(shell: str) -> None:
+    """Print what a shell needs to complete `saltport`; `source` it."""
+    from click.shell_completion import get_completion_class
+
+    found = get_completion_class(shell)
+    assert found is not None
+    click.echo(found(cli, {}, "saltport", "_SALTPORT_COMPLETE").source())
+
+
+def main() -> None:
+    """The console script."""
+    cli(prog_name="saltport")
--- a/saltport/harness.py
+++ b/saltport/harness.py
@@ -26,7 +26,7 @@
 from saltport.load.plan import LoadPlan, popular
 from saltport.standins.control import ControlClient
 from saltport.standins.ledger import Ledger, read_ledger
-from saltport.standins.profile import Profile
+from saltport.standins.profile import Profile, profile_json
 
 START_S = 30.0
 END_S = 10.0
@@ -75,7 +75,6 @@
     nodes: int = 6
     routers: int = 1
     seed: int = 1
-    divide: float = 1.0
     ledger: Ledger = field(init=False)
     control: ControlClient = field(init=False)
     """Set once the fleet runs."""
@@ -97,11 +96,12 @@
             raise
 
     async def _start_fleet(self, names: list[str]) -> None:
+        (self.folder / "profile.json").write_bytes(orjson.dumps(profile_json(self.profile)))
         more = [word for name in names for word in ("--router", name)]
         self._fleet = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "saltport.standins", "--nodes", str(self.nodes), "--seed", str(self.seed),
-            "--divide", str(self.divide), "--ledger", str(self.folder / "fleet.jsonl"), *more,
-            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE, env=environment(),
+            "--profile", str(self.folder / "profile.json"), "--ledger", str(self.folder / "fleet.jsonl"),
+            *more, "--tied", stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, env=environment(),
             start_new_session=True,
         )  # fmt: skip
         assert self._fleet.stdout is not None
--- a/saltport/soak.py
+++ b/saltport/soak.py
@@ -49,7 +49,7 @@
 ) -> SoakResult:
     """Run a soak in an empty folder, which keeps its ledgers and logs; raises HarnessError."""
     profile = quick(Profile(), soak.divide)
-    harness = Harness(folder, profile, soak.nodes, soak.routers, soak.seed, soak.divide)
+    harness = Harness(folder, profile, soak.nodes, soak.routers, soak.seed)
     plan = LoadPlan((Step(0.0, soak.rate),), soak.seconds, keys=soak.keys, seed=soak.seed)
     await harness.start()
     try:
--- a/saltport/standins/__main__.py
+++ b/saltport/standins/__main__.py
@@ -14,18 +14,36 @@
 from saltport.standins.control import ControlServer
 from saltport.standins.fleet import Fleet
 from saltport.standins.ledger import Ledger
-from saltport.standins.profile import Profile, quick
+from saltport.standins.profile import Profile, read_profile
+
+
+class _Tie(asyncio.Protocol):
+    """Sees the end of the process that started this one, however it ended."""
+
+    def __init__(self, stopped: asyncio.Event) -> None:
+        self._stopped = stopped
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stopped.set()
 
 
 async def serve(
-    nodes: int, routers: list[str], seed: int, control: int, ledger: Ledger, profile: Profile
+    nodes: int,
+    routers: list[str],
+    seed: int,
+    control: int,
+    ledger: Ledger,
+    profile: Profile,
+    tied: bool = False,
 ) -> None:
-    """Run a fleet until SIGTERM, SIGINT, a `stop` command, or the end of standard input's owner."""
+    """Run a fleet until SIGTERM, SIGINT or a `stop` command; a tied one ends with its standard input."""
     loop = asyncio.get_running_loop()
     fleet = Fleet(profile, nodes, routers, ledger, seed)
     server = ControlServer(fleet)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, server.stopped.set)
+    if tied:
+        await loop.connect_read_pipe(lambda: _Tie(server.stopped), sys.stdin)
     addresses = fleet.open()
     address = await server.listen(port=control)
     line = orjson.dumps({"control": "{}:{}".format(*address), **addresses})
@@ -47,15 +65,20 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--control", type=int, default=0, help="the control socket's port; 0: any")
     parser.add_argument("--ledger", type=Path, help="the file for the ledger")
-    parser.add_argument("--divide", type=float, default=1.0, help="divide all work by this")
+    parser.add_argument("--profile", type=Path, help="a JSON file with what differs from the default profile")
+    parser.add_argument("--tied", action="store_true", help="end when standard input ends")
     told = parser.parse_args()
     ledger = Ledger("fleet", told.ledger)
-    profile = quick(Profile(), told.divide) if told.divide != 1 else Profile()
     try:
-        uvloop.run(serve(told.nodes, told.router or ["r1"], told.seed, told.control, ledger, profile))
+        profile = read_profile(orjson.loads(told.profile.read_bytes())) if told.profile else Profile()
+        routers = told.router or ["r1"]
+        uvloop.run(serve(told.nodes, routers, told.seed, told.control, ledger, profile, told.tied))
     except OSError as error:
         print(f"saltport standins: {error}", file=sys.stderr)
         return 1
+    except ValueError as error:
+        print(f"saltport standins: {told.profile}: {error}", file=sys.stderr)
+        return 2
     return 0
 
 
--- a/saltport/standins/control.py
+++ b/saltport/standins/control.py
@@ -118,6 +118,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._reader, self._writer = reader, writer
+        self._turn = asyncio.Lock()  # answers come in the order of commands, and each caller wants its own
 
     @classmethod
     async def connect(cls, address: Address) -> ControlClient:
@@ -126,8 +127,9 @@
 
     async def call(self, do: str, **fields: Any) -> dict[str, Any]:
         """Give one command; raises FaultError with the fleet's words, ConnectionError if it is gone."""
-        self._writer.write(orjson.dumps({"do": do, **fields}) + b"\n")
-        line = await self._reader.readline()
+        async with self._turn:
+            self._writer.write(orjson.dumps({"do": do, **fields}) + b"\n")
+            line = await self._reader.readline()
         if not line:
             raise ConnectionError("the fleet has closed its control socket")
         answer: dict[str, Any] = orjson.loads(line)
--- a/saltport/standins/origin.py
+++ b/saltport/standins/origin.py
@@ -138,7 +138,10 @@
 
     def size(self, key: str) -> int:
         """The size of a key's value: drawn from the key, so that it is always the same."""
-        return 200 + hash_of(key) % 3000
+        number, profile = hash_of(key), self.profile
+        is_large = number % 1000 < profile.large_share * 1000
+        low, high = profile.large_bytes if is_large else profile.small_bytes
+        return low + number // 1000 % (high - low + 1)
 
     def take(
         self, connection: OriginConnection, place: list[Any], method: bytes, target: str,
--- a/saltport/standins/profile.py
+++ b/saltport/standins/profile.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import asdict, dataclass, fields, replace
 from typing import Any
 
 MS = 1_000_000
@@ -42,6 +42,10 @@
     cores: int = 1
     queue: int = 24
     store_bytes: int = 8 << 20
+    small_bytes: tuple[int, int] = (200, 3200)
+    large_bytes: tuple[int, int] = (70_000, 200_000)
+    """Beyond 64 KiB a router passes a value on while it comes: faults strike in the middle of it."""
+    large_share: float = 0.02
     report_ms: int = 250
     idle_close_ms: int = 10_000
     max_connections: int = 120
@@ -119,6 +123,41 @@
         }
 
 
+def profile_json(profile: Profile) -> dict[str, Any]:
+    """The profile for a file."""
+    return asdict(profile)
+
+
+def read_profile(told: Any) -> Profile:
+    """A profile from a file's JSON; what is left out has its default. Raises ValueError in one plain line."""
+    if not isinstance(told, dict):
+        raise ValueError("profile: expected an object")
+    known: dict[str, Any] = {known.name: known.default for known in fields(Profile)}
+    full: dict[str, Any] = {}
+    for name, value in told.items():
+        if name not in known:
+            raise ValueError(f"profile: unknown name {name!r}")
+        if name == "classes":
+            value = tuple(_read_class(entry) for entry in value)
+        elif name == "tenants":
+            value = tuple((str(tenant), float(share)) for tenant, share in value)
+        elif isinstance(known[name], tuple):
+            low, high = value
+            value = (type(known[name][0])(low), type(known[name][1])(high))
+        elif isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+            raise ValueError(f"profile: {name} must be a number that is not negative, got {value!r}")
+        full[name] = value
+    return Profile(**full)
+
+
+def _read_class(entry: dict[str, Any]) -> ClassProfile:
+    try:
+        low, high = entry["work_ms"]
+        return ClassProfile(**{**entry, "work_ms": (float(low), float(high))})
+    except (TypeError, KeyError) as error:
+        raise ValueError(f"profile: classes: {error}") from None
+
+
 def quick(profile: Profile, divisor: float) -> Profile:
     """The same deployment with all work done in a part of the time, for light demos and short tests."""
     classes = tuple(
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of saltport.load."""
--- /dev/null
+++ b/tests/test_harness.py
@@ -0,0 +1,115 @@
+"""A real router between stand-ins: faults within a value, deaths in mid-answer, restarts under load."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from saltport.audit import Limits, Verdict
+from saltport.harness import Harness, HarnessError, run_load
+from saltport.load.plan import LoadPlan, Step
+from saltport.standins.ledger import Ledger, read_ledger
+from saltport.standins.profile import Profile, quick
+
+PATIENCE_S = 60.0
+GENEROUS = Limits(3_000, 3_000, 3_000, 3_000)
+QUICK = quick(Profile(), 20)
+
+
+def play(
+    folder: Path,
+    scene: Callable[[Harness], Awaitable[Any]],
+    profile: Profile = QUICK,
+    seconds: float = 3.0,
+    rate: float = 80,
+    **more: Any,
+) -> tuple[dict[str, Any], Verdict, list[dict[str, Any]]]:
+    """Run a scene beside a load; returns the report, the verdict and the clients' tries."""
+
+    async def run() -> tuple[dict[str, Any], Ledger, Harness]:
+        harness = Harness(folder, profile, 4, 1, seed=5)
+        plan = LoadPlan((Step(0, rate),), seconds, seed=5, **more)
+        async with asyncio.timeout(PATIENCE_S):
+            await harness.start()
+            try:
+                load = asyncio.get_running_loop().create_task(run_load(harness, plan))
+                await scene(harness)
+                summary, ledger = await load
+            finally:
+                await harness.stop()
+        return summary, ledger, harness
+
+    summary, ledger, harness = uvloop.run(run())
+    tries = [record for record in ledger.records if record["kind"] == "try"]
+    return summary, harness.audit([ledger], GENEROUS), tries
+
+
+def test_a_node_killed_while_its_value_streams_is_told_to_the_client_and_comes_back(tmp_path: Path) -> None:
+    """Half of the values are long and leave their nodes slowly: the kill strikes in the middle of them."""
+
+    async def scene(harness: Harness) -> None:
+        for node in harness.addresses["nodes"]:
+            await harness.control.call("strike", kind="trickle", target=node, figures={"rate": 40_000})
+        await asyncio.sleep(0.6)
+        for node in harness.addresses["nodes"]:
+            await harness.control.call("mend", target=node)
+            await harness.control.call("strike", kind="kill", target=node)
+        await asyncio.sleep(0.3)
+        for node in harness.addresses["nodes"]:
+            await harness.control.call("mend", target=node)
+
+    long = replace(QUICK, large_share=0.5)
+    summary, verdict, tries = play(tmp_path, scene, long, keys=50, zipf=0.0)
+    assert verdict.violations == []
+    assert {"cut", "served"} <= {record["answer"] for record in tries}
+    assert summary["served"] > 0
+    # The nodes are back on their ports, empty: what is asked there later is a miss that the origin fills.
+    fleet = list(read_ledger(tmp_path / "fleet.jsonl"))
+    back = max(record["t"] for record in fleet if record["kind"] == "cold")
+    assert [r for r in fleet if r["kind"] == "attempt" and r["t"] > back and r["node"].startswith("n")]
+
+
+def test_a_router_restarted_during_load_loses_only_what_it_held(tmp_path: Path) -> None:
+    async def scene(harness: Harness) -> None:
+        (router,) = harness.held
+        await asyncio.sleep(0.5)
+        await harness.kill_router(router)
+        assert await harness.start_router(router)
+        await asyncio.sleep(0.5)
+        await harness.end_router(router)
+        assert await harness.start_router(router)
+
+    summary, verdict, _ = play(tmp_path, scene, seconds=5.0)
+    assert verdict.violations == []
+    states = [r["state"] for r in read_ledger(tmp_path / "harness.jsonl") if r["kind"] == "router"]
+    once, killed, ended = ["ready"], ["killed", "exited"], ["terminated", "exited"]
+    assert states == [*once, *killed, *once, *ended, *once, *ended]
+    assert summary["served"] > 0
+
+
+def test_a_router_that_crashes_is_told(tmp_path: Path) -> None:
+    async def scene(harness: Harness) -> None:
+        (router,) = harness.held
+        assert router.process is not None
+        router.process.terminate()  # not through the harness: nobody wanted it to end
+        await router.process.wait()
+
+    _, verdict, _ = play(tmp_path, scene, seconds=1.0, retries=0)
+    assert "answers" in {violation.rule for violation in verdict.violations}
+
+
+def test_what_does_not_start_is_told_and_leaves_nothing_running(tmp_path: Path) -> None:
+    async def run() -> None:
+        harness = Harness(tmp_path, replace(Profile(), classes=()), 2, 1)
+        with pytest.raises(HarnessError, match="r1 did not start"):
+            await harness.start()
+        assert harness._fleet is not None
+        assert harness._fleet.returncode is not None
+
+    uvloop.run(run())
