Slot table whose rows catch up when asked, so that no list change holds the loop

A join hashed the new server against every remembered slot at once (27 to 69 ms), a leave searched all rows (5 to 21 ms), and a cold slot hashed the whole fleet in Python (5 to 6.6 ms at 5,000 nodes). A change is now only noted; a row applies what it missed when its slot is asked for. Large fleets can be ranked with numpy, off by default, by a file of features (--with deploy/large-fleet.toml). Placement is the same: tests compare it over random lists, weights and histories with the rule written out. Node and Pace moved to health.py.

--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -23,6 +23,9 @@
 _SHELLS = ("bash", "zsh", "fish")
 _FILE = click.Path(dir_okay=False, path_type=Path)
 _THERE = click.Path(exists=True, dir_okay=False, path_type=Path)
+_WITH = click.option(
+    "--with", "with_files", type=_FILE, multiple=True, help="A file of features, as in deploy/."
+)
 _AS_JSON = click.option("--json", "as_json", is_flag=True, help="Report as JSON.")
 
 
@@ -63,22 +66,27 @@
 @click.option("--listen", metavar="HOST:PORT", help="Where clients connect; goes before the file.")
 @click.option("--discovery", metavar="HOST:PORT", help="The registry; goes before the file.")
 @click.option("--name", help="This router's name; goes before the file.")
-def run(config: Path, listen: str | None, discovery: str | None, name: str | None) -> None:
+@_WITH
+def run(
+    config: Path, listen: str | None, discovery: str | None, name: str | None, with_files: tuple[Path, ...]
+) -> None:
     """Run a router with this configuration file, until SIGTERM."""
     told = {"LB_CONFIG": str(config), "LB_LISTEN": listen, "LB_DISCOVERY": discovery, "LB_NAME": name}
     environ = {**os.environ, **{variable: value for variable, value in told.items() if value is not None}}
     # A process of its own image: the router must not carry what the command line needed.
-    os.execve(sys.executable, [sys.executable, "-m", "saltport.router"], environ)
+    more = [word for path in with_files for word in ("--with", str(path))]
+    os.execve(sys.executable, [sys.executable, "-m", "saltport.router", *more], environ)
 
 
 @cli.command()
 @click.argument("config", type=_FILE)
+@_WITH
 @_AS_JSON
-def check(config: Path, as_json: bool) -> None:
+def check(config: Path, with_files: tuple[Path, ...], as_json: bool) -> None:
     """Tell every fault of a configuration file, with its path in the file. Status 1 if there is any."""
     from saltport.router.check import check_file
 
-    faults = check_file(config)
+    faults = check_file(config, with_files)
     if as_json:
         _dump({"ok": not faults, "faults": [asdict(fault) for fault in faults]})
     else:
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 NS_PER_S = 1_000_000_000
+DEFAULT_SLOTS = 8192
 
 
 class Effect(Enum):
@@ -130,6 +131,10 @@
     may_probe: bool = False
     load_fields: tuple[str, ...] = ()
     """The names of the values in a load report, in order."""
+    slots: int = DEFAULT_SLOTS
+    """Far more than servers, so that a slot's load is small beside a server's; the same at every router."""
+    vectors: bool = False
+    """Whether large fleets are ranked with numpy, which takes some 17 MB."""
 
     def __post_init__(self) -> None:
         _require(bool(self.classes), "classes", "must name at least one class")
@@ -138,6 +143,7 @@
         _require(0 < self.cold_share <= 1, "cold_share", "must lie above 0 and not over 1")
         _require(self.cold_time >= 0, "cold_time", "must not be negative")
         _require(self.max_attempts >= 1, "max_attempts", "must be at least 1")
+        _require(1 <= self.slots <= 1 << 20, "slots", "must be from 1 to 1,048,576")
         _require(self.max_retry_after >= 0, "max_retry_after", "must not be negative")
 
 
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -1,8 +1,8 @@
-"""Every decision of saltport.decisions, without I/O; the settings, events and actions are in interface.py.
+"""Every decision, without I/O; the settings, events and actions are in interface.py.
 
 Ordinary path: key -> slot -> the ready cache server with the highest weighted hash of (slot, server id);
 a read that misses there -> the origin, if its tenant's Suppressor admits the fetch; a write -> the origin.
-docs/design.md gives the source and the condition of every departure.
+The slot table stands in table.py, servers' health in health.py.
 """
 
 from __future__ import annotations
@@ -10,18 +10,14 @@
 import math
 import random
 from collections import deque
-from hashlib import blake2b
-from heapq import nlargest
 from itertools import takewhile
-from operator import itemgetter
 from zlib import crc32
 
 from saltport.decisions import interface as api
+from saltport.decisions.health import Node, Pace
 from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+from saltport.decisions.table import DEPTH, SlotTable
 
-SLOTS = 8192  # far more than servers, so that a slot's load is small beside a server's
-DEPTH = 8
-WORD = (1 << 64) - 1
 HARD_LIMIT_FACTOR = 1.5
 CHANCE_CACHED = NS_PER_S // 10
 WINDOW_CALLS = 8  # calls that a window should be able to hold at the generous limit
@@ -31,105 +27,8 @@
 HEAT_SHARE = 0.25  # part of a server's fair load that one slot may bring before it is spread
 HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
 BAD_SAMPLES, BAD_SHARE = 8, 0.2
-PASS_CUT, PASS_RISE, PASS_FLOOR = 0.25, 0.2, 0.05  # a chance: cut by a late answer, raised by a good one
-REGAIN = 60 * NS_PER_S
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 PATIENCE_SHARE, SLOW_SHARE = 0.95, 0.8
-DEAD = -0.02
-
-
-class Pace:
-    """How long answers take: their smoothed time, and its smoothed deviation."""
-
-    def __init__(self, usual: float = 0.0) -> None:
-        self.usual = self.spread = usual
-
-    def learn(self, latency: int) -> None:
-        """Take one answer's time."""
-        off = latency - self.usual
-        self.usual += off / 16
-        self.spread += (abs(off) - self.spread) / 16
-
-
-class Node:
-    """A ready server as this router sees it: own attempts out, and health as the chance to be sent to."""
-
-    def __init__(self, entry: api.Server, weighted: bool) -> None:
-        self.entry, self.load = entry, 0
-        self.weight = entry.weight if weighted else 1.0
-        self.seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
-        self.down = False
-        self.unheard = 0
-        self.pace = Pace()
-        self._chance, self._judged = 1.0, 0
-
-    def chance(self, now: int) -> float:
-        """The chance to be sent to; it comes back by itself."""
-        # Danger: counted from anything but its last attempt's end, a server that fails is back at once.
-        return min(1.0, self._chance + (now - self._judged) / REGAIN) if self._chance < 1.0 else 1.0
-
-    def judge(self, outcome: Outcome, late: bool, now: int) -> None:
-        """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
-        chance = self.chance(now)
-        self.unheard = self.unheard + 1 if outcome in (Outcome.TIMEOUT, Outcome.RESET) else 0
-        if outcome is Outcome.CONNECT_FAILED or (outcome is Outcome.RESET and self.unheard > 1):
-            chance, self.down = DEAD, True
-        elif late or outcome is Outcome.FULL or self.unheard > 1:
-            chance = max(chance * PASS_CUT, PASS_FLOOR)
-        elif outcome in (Outcome.OK, Outcome.MISS):
-            chance, self.down = min(1.0, chance + PASS_RISE), False
-        self._chance, self._judged = chance, now
-
-
-class SlotTable:
-    """Weighted rendezvous hashing of slots over the ready servers, remembered slot by slot."""
-
-    def __init__(self, settings: api.Settings) -> None:
-        self.nodes: dict[str, Node] = {}
-        self._settings = settings
-        self._memo: dict[int, list[tuple[float, Node]]] = {}
-        self._cold_until = 0
-
-    def update(self, ready: list[api.Server], left: list[str]) -> None:
-        """Take servers that are ready, and ids of those that left."""
-        changed = [e for e in ready if e.id not in self.nodes or self.nodes[e.id].entry != e]
-        gone = {*left, *(entry.id for entry in changed)}
-        for server_id in gone:
-            self.nodes.pop(server_id, None)
-        if len(gone) > DEPTH:
-            self._memo.clear()
-        for slot in [s for s, held in self._memo.items() if any(n.entry.id in gone for _, n in held)]:
-            del self._memo[slot]
-        for node in [Node(entry, self._settings.weighted) for entry in changed]:
-            self.nodes[node.entry.id] = node
-            for slot, held in self._memo.items():
-                ranked = [*held, (self._score(slot, node), node)]
-                held[:] = nlargest(max(DEPTH, len(held)), ranked, key=itemgetter(0))
-        newest = max((node.entry.started for node in self.nodes.values()), default=0)
-        self._cold_until = newest + self._settings.cold_time
-
-    def _score(self, slot: int, node: Node) -> float:
-        mixed = (node.seed ^ (slot + 1) * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 & WORD
-        mixed = (mixed ^ mixed >> 32) * 0xD6E8FEB86659FD93 & WORD
-        return -node.weight / math.log(((mixed ^ mixed >> 32) + 1) / (WORD + 2))
-
-    def warmth(self, node: Node, now: int) -> float:
-        """The part of its capacity that a server has surely reached."""
-        age = max(now - node.entry.started, 0)  # clocks differ: a start may lie ahead
-        cold, cold_time = self._settings.cold_share, self._settings.cold_time
-        warm = not node.entry.started or age >= cold_time
-        return 1.0 if warm else cold + (1 - cold) * age / cold_time
-
-    def rank(self, slot: int, now: int, depth: int = DEPTH) -> list[Node]:
-        """The slot's best servers, at least `depth`, best first, with cold ones at their ramped weight."""
-        held = self._memo.get(slot, [])
-        if len(held) < min(depth, len(self.nodes)):
-            scored = ((self._score(slot, node), node) for node in self.nodes.values())
-            held = self._memo[slot] = nlargest(2 * depth, scored, key=itemgetter(0))
-        if now < self._cold_until:
-            ramped = [(score * self.warmth(node, now), node) for score, node in held]
-            held = sorted(ramped, key=itemgetter(0), reverse=True)
-        return [node for _, node in held]
 
 
 class Heat:
@@ -327,7 +226,8 @@
     def _arrived(self, event: api.RequestArrived) -> None:
         guard = self._guards.get(event.tenant or "", self._guards[""])
         request = Request(event, self._classes[event.request_class], guard)
-        request.slot = self._rng.randrange(SLOTS) if event.key is None else crc32(event.key.encode()) % SLOTS
+        slots = self._settings.slots
+        request.slot = self._rng.randrange(slots) if event.key is None else crc32(event.key.encode()) % slots
         self._requests[request.id] = request
         if request.write and self._settings.origin_kind is not None:
             self._fetch(request)
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -8,7 +8,9 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from dataclasses import replace
+from pathlib import Path
 
 import uvloop
 
@@ -36,7 +38,7 @@
 log = logging.getLogger("saltport")
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, with_files: Sequence[Path] = ()) -> None:
     """Run until SIGTERM, and then until all that was taken is answered."""
     loop = asyncio.get_running_loop()
     # Danger: a fault in one callback, printed each time it comes, would take the CPU of the others.
@@ -61,7 +63,7 @@
     def reload() -> None:
         nonlocal config
         try:
-            told = reload_config(os.environ)
+            told = reload_config(os.environ, with_files)
         except (ConfigError, ValueError) as error:
             log.error("the new configuration can't be used, the old one stays: %s", error)
             return
@@ -108,20 +110,31 @@
             clients.finish(even_midway=True)
 
 
+def _with_files(words: Sequence[str]) -> list[Path]:
+    """The files named by `--with`, the only option; raises ConfigError."""
+    if len(words) % 2 or any(word != "--with" for word in words[::2]):
+        raise ConfigError("usage: python -m saltport.router [--with FILE]..., with LB_CONFIG set")
+    return [Path(word) for word in words[1::2]]
+
+
 def main() -> int:
     """Read the configuration and serve; returns the exit status."""
     try:
-        config = load_config(os.environ)
+        with_files = _with_files(sys.argv[1:])
+        config = load_config(os.environ, with_files)
         if config.known is not None:
             read_listing(config.known, Clock())
     except (ConfigError, ValueError) as error:
         print(f"saltport: {error}", file=sys.stderr)
         return 2
     make_logger(config.name)
+    if with_files:
+        settings = config.settings
+        log.info("table: %d slots%s", settings.slots, ", ranked with numpy" if settings.vectors else "")
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     try:
-        uvloop.run(serve(config))
+        uvloop.run(serve(config, with_files))
     except OSError as error:
         print(f"saltport: {error}", file=sys.stderr)
         return 1
--- a/saltport/router/check.py
+++ b/saltport/router/check.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeGuard
@@ -18,6 +18,7 @@
 from saltport.address import parse_address
 from saltport.membership.registry import Clock, read_listing
 from saltport.router.config import ConfigError, load_config
+from saltport.router.features import FeatureError, read_features
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,7 +205,7 @@
     return sorted(faults, key=lambda fault: fault.path)
 
 
-def check_file(path: Path) -> list[Fault]:
+def check_file(path: Path, with_files: Sequence[Path] = ()) -> list[Fault]:
     """Every fault of the file at this path; an empty list: a router takes it."""
     try:
         told = orjson.loads(path.read_bytes())
@@ -213,9 +214,14 @@
     except orjson.JSONDecodeError as error:
         return [Fault("", f"no JSON: {error}")]
     faults = find_faults(told)
+    for file in with_files:
+        try:
+            read_features([file])
+        except FeatureError as error:
+            faults.append(Fault("--with", str(error)))
     if not faults:
         try:
-            load_config({"LB_CONFIG": str(path)})
+            load_config({"LB_CONFIG": str(path)}, with_files)
         except ConfigError as error:
             faults.append(Fault("", str(error).removeprefix(f"{path}: ")))
     return faults
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +12,7 @@
 from saltport.address import Address, parse_address
 from saltport.decisions import Settings
 from saltport.decisions.settings import WireError, read_settings, typed
+from saltport.router.features import FeatureError, read_features
 
 DEFAULT_MAX_OPEN = 20_000
 DEFAULT_DIAL_TIMEOUT_NS = 250_000_000
@@ -45,27 +46,30 @@
     """The list of servers as last held, in discovery's form; it may be old."""
 
 
-def load_config(environ: Mapping[str, str]) -> Config:
-    """Read the configuration; the variables go before what the file says."""
+def load_config(environ: Mapping[str, str], with_files: Sequence[Path] = ()) -> Config:
+    """Read the configuration and the files of features; the variables go before what the file says."""
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
     try:
-        return _config(typed("the file", orjson.loads(Path(path).read_bytes()), dict), environ)
+        config = _config(typed("the file", orjson.loads(Path(path).read_bytes()), dict), environ)
+        return replace(config, settings=read_features(with_files).settings(config.settings))
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
     except KeyError as error:
         raise ConfigError(f"{path}: missing field {error.args[0]!r}") from None
+    except FeatureError as error:
+        raise ConfigError(str(error)) from None
     except (WireError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
-def reload_config(environ: Mapping[str, str]) -> Config:
+def reload_config(environ: Mapping[str, str], with_files: Sequence[Path] = ()) -> Config:
     """Read the file again for a running router.
 
     What it says of discovery goes before the variable: that is as old as the process.
     """
-    return load_config({name: value for name, value in environ.items() if name != "LB_DISCOVERY"})
+    return load_config({name: value for name, value in environ.items() if name != "LB_DISCOVERY"}, with_files)
 
 
 def _positive(where: str, value: Any, default: int) -> int:
--- /dev/null
+++ b/saltport/router/features.py
@@ -0,0 +1,84 @@
+"""What the platform's configuration has no place for: files named by `--with`, a section for each subsystem.
+
+Everything in them is off by default. A name that nobody knows is a fault, so that a slip of the pen is told.
+"""
+
+from __future__ import annotations
+
+import importlib.util
+import tomllib
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from saltport.decisions import Settings
+from saltport.decisions.interface import DEFAULT_SLOTS
+
+
+class FeatureError(ValueError):
+    """A file of features can't be used; the text is one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class TableFeatures:
+    """`[table]`: the slot table of large fleets."""
+
+    slots: int = DEFAULT_SLOTS
+    vectors: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Features:
+    """All sections."""
+
+    table: TableFeatures = TableFeatures()
+
+    def settings(self, settings: Settings) -> Settings:
+        """The module's settings with what these files say; raises ValueError."""
+        return replace(settings, slots=self.table.slots, vectors=self.table.vectors)
+
+
+def _int(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _bool(value: Any) -> bool:
+    return isinstance(value, bool)
+
+
+_KINDS: dict[str, dict[str, tuple[Callable[[Any], bool], str]]] = {
+    "table": {"slots": (_int, "a whole number"), "vectors": (_bool, "true or false")},
+}
+_SECTIONS: dict[str, Callable[..., Any]] = {"table": TableFeatures}
+
+
+def read_features(paths: Sequence[Path]) -> Features:
+    """Read the files; a name set twice counts as the last file says. Raises FeatureError."""
+    told: dict[str, dict[str, Any]] = {}
+    for path in paths:
+        try:
+            sections = tomllib.loads(path.read_text())
+        except OSError as error:
+            raise FeatureError(f"{path}: can't be read: {error.strerror or error}") from None
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            raise FeatureError(f"{path}: no TOML: {error}") from None
+        for section, values in sections.items():
+            _check(path, section, values)
+            told.setdefault(section, {}).update(values)
+    features = Features(**{section: _SECTIONS[section](**values) for section, values in told.items()})
+    if features.table.vectors and importlib.util.find_spec("numpy") is None:
+        raise FeatureError("table.vectors: numpy is not installed")
+    return features
+
+
+def _check(path: Path, section: str, values: Any) -> None:
+    known = _KINDS.get(section)
+    if known is None or not isinstance(values, dict):
+        raise FeatureError(f"{path}: unknown section [{section}]; there are {', '.join(_KINDS)}")
+    for name, value in values.items():
+        if name not in known:
+            raise FeatureError(f"{path}: {section}.{name} is unknown; there are {', '.join(known)}")
+        is_good, words = known[name]
+        if not is_good(value):
+            raise FeatureError(f"{path}: {section}.{name}: expected {words}, got {value!r}")
--- a/tests/decisions/test_slot_table.py
+++ b/tests/decisions/test_slot_table.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import itertools
+import math
+import random
 from dataclasses import replace
+from hashlib import blake2b
 
+import pytest
+from hypothesis import given, strategies
+from hypothesis import settings as profile
+
+from saltport.decisions.health import Node
 from saltport.decisions.interface import Server
-from saltport.decisions.logic import DEPTH, SLOTS, SlotTable
+from saltport.decisions.table import DEPTH, KEPT, MAX_ROWS, NOTED, SHOWN, SlotTable, score_of
 from tests.decisions.helpers import S, fleet, settings
 
+SLOTS = settings().slots
 COLD = {"cold_share": 0.25, "cold_time": 10 * S}
 
 
@@ -98,3 +107,120 @@
     table = SlotTable(settings(cold_share=0.5))
     table.update([Server("s1", started=5)], [])
     assert table.warmth(table.nodes["s1"], 4) == 1.0
+
+
+def by_the_rule(servers: dict[str, Server], weighted: bool, slot: int) -> list[str]:
+    """The ranking as it was before rows, notes and vectors: every server's weighted hash, highest first."""
+
+    def score(entry: Server) -> float:
+        seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
+        word = (1 << 64) - 1
+        mixed = (seed ^ (slot + 1) * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 & word
+        mixed = (mixed ^ mixed >> 32) * 0xD6E8FEB86659FD93 & word
+        weight = entry.weight if weighted else 1.0
+        return -weight / math.log(((mixed ^ mixed >> 32) + 1) / (word + 2))
+
+    return [entry.id for entry in sorted(servers.values(), key=score, reverse=True)]
+
+
+@pytest.mark.parametrize("vectors", [False, True])
+@pytest.mark.parametrize("weighted", [False, True])
+@given(seed=strategies.integers(0, 2**32), size=strategies.sampled_from([0, 1, 7, 20, 40, 130, 300, 700]))
+@profile(max_examples=30, deadline=None)
+def test_placement_is_that_of_the_rule_over_random_lists(
+    vectors: bool, weighted: bool, seed: int, size: int
+) -> None:
+    rng = random.Random(seed)
+
+    def drawn(number: int) -> Server:
+        return Server(f"s{number}", weight=rng.choice([1.0, 1.0, 0.5, 3.0, 0.01]))
+
+    table = SlotTable(settings(weighted=weighted, vectors=vectors))
+    held: dict[str, Server] = {}
+    slots = [rng.randrange(SLOTS) for _ in range(8)]
+    made = 0
+    for _ in range(6):
+        came = [drawn(made + number) for number in range(rng.choice([0, 1, 3, 60]) if made else size)]
+        made += len(came)
+        changed = [drawn(int(name[1:])) for name in rng.sample(sorted(held), min(len(held), 2))]
+        left = rng.sample(sorted(held), rng.choice([0, 1, min(len(held), 30)]) if held else 0)
+        changed = [entry for entry in changed if entry.id not in left]
+        ready = [*came, *changed]
+        rng.shuffle(ready)
+        table.update(ready, left)
+        for name in left:
+            del held[name]
+        held.update({entry.id: entry for entry in ready})
+        for slot in rng.sample(slots, 5):  # the others fall behind
+            told = [node.entry.id for node in table.rank(slot, 0)]
+            assert told == by_the_rule(held, weighted, slot)[: len(told)]
+            assert len(told) == min(SHOWN, len(held))
+    deep = [node.entry.id for node in table.rank(slots[0], 0, depth=50)]
+    assert deep == by_the_rule(held, weighted, slots[0])[: len(deep)]
+    assert len(deep) >= min(50, len(held))
+
+
+def test_cold_weights_ramp_alike_whatever_the_history() -> None:
+    servers = tuple(Server(f"s{n}", started=(90 + n % 20) * S if n % 3 == 0 else 0) for n in range(60))
+    grown, fresh = table_of(servers[:30], **COLD), table_of(servers, **COLD)
+    holders(grown)
+    for server in servers[30:]:
+        grown.update([server], [])
+        grown.rank(7, 0)
+    for now in range(90 * S, 130 * S, 4 * S):
+        for slot in range(200):
+            ranks = [[node.entry.id for node in table.rank(slot, now)] for table in (grown, fresh)]
+            assert ranks[0] == ranks[1]
+
+
+def test_a_change_costs_no_hash_and_a_known_slot_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    hashed = []
+
+    def counting(slot: int, node: Node) -> float:
+        hashed.append(node.entry.id)
+        return score_of(slot, node)
+
+    monkeypatch.setattr("saltport.decisions.table.score_of", counting)
+    for size in (130, 2000):
+        table = table_of(fleet(size) if size <= 250 else tuple(Server(f"s{n}") for n in range(size)))
+        for slot in range(100):
+            table.rank(slot, 0)
+        hashed.clear()
+        table.update([Server("new")], [])
+        table.update([], [next(iter(table.nodes))])
+        assert hashed == []
+        table.rank(5, 0)
+        assert hashed == ["new"]
+        table.rank(5, 0)
+        assert hashed == ["new"]
+
+
+def test_rows_are_bounded_in_number_and_length() -> None:
+    table = SlotTable(settings(slots=1 << 20))
+    table.update([Server(f"s{n}") for n in range(4)], [])
+    for slot in range(MAX_ROWS + 500):
+        table.rank(slot, 0)
+    assert len(table._rows) == MAX_ROWS
+    for number in range(4, 500):
+        table.update([Server(f"s{number}")], [])
+        table.rank(MAX_ROWS, 0)
+    assert len(table._rows[MAX_ROWS].ranked) <= 2 * KEPT
+    assert len(table._noted) <= NOTED
+
+
+def test_the_same_list_in_another_order_changes_nothing() -> None:
+    servers = tuple(Server(f"s{n}") for n in range(500))
+    table = table_of(servers)
+    before, version = holders(table, slots=50), table._version
+    table.update(list(reversed(servers)), [])
+    assert (holders(table, slots=50), table._version) == (before, version)
+
+
+def test_a_server_that_leaves_and_comes_back_at_once_is_where_it_was() -> None:
+    servers = fleet(30)
+    table = table_of(servers)
+    before = holders(table, slots=300)
+    for _ in range(40):
+        table.update([], [servers[3].id])
+        table.update([servers[3]], [])
+    assert holders(table, slots=300) == before
--- /dev/null
+++ b/tests/router/test_features.py
@@ -0,0 +1,71 @@
+"""Files of features: what they switch on, and that a slip of the pen is told."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from saltport.router.check import check_file
+from saltport.router.config import ConfigError, load_config
+from saltport.router.features import FeatureError, Features, TableFeatures, read_features
+from saltport.standins.profile import Profile
+from tests.sockets import ROOT, Peer, get, hit, routed
+
+
+def written(folder: Path, text: str, name: str = "features.toml") -> Path:
+    path = folder / name
+    path.write_text(text)
+    return path
+
+
+def test_all_is_off_by_default() -> None:
+    assert read_features([]) == Features(TableFeatures(slots=8192, vectors=False))
+
+
+def test_shipped_files_are_good() -> None:
+    assert read_features([ROOT / "deploy/large-fleet.toml"]).table == TableFeatures(65536, vectors=True)
+
+
+def test_later_files_go_before_earlier_ones(tmp_path: Path) -> None:
+    first = written(tmp_path, "[table]\nslots = 1024\nvectors = true\n")
+    second = written(tmp_path, "[table]\nslots = 2048\n", "second.toml")
+    assert read_features([first, second]).table == TableFeatures(2048, vectors=True)
+
+
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("[tabel]\nslots = 1", "unknown section [tabel]"),
+        ("table = 3", "unknown section [table]"),
+        ("[table]\nslot = 1", "table.slot is unknown"),
+        ("[table]\nslots = '1'", "table.slots: expected a whole number"),
+        ("[table]\nvectors = 1", "table.vectors: expected true or false"),
+        ("[table", "no TOML"),
+    ],
+)
+def test_slips_are_told_with_their_place(tmp_path: Path, text: str, words: str) -> None:
+    path = written(tmp_path, text)
+    with pytest.raises(FeatureError) as told:
+        read_features([path])
+    assert words in str(told.value)
+    assert str(path) in str(told.value)
+
+
+def test_check_and_router_turn_the_same_file_down(tmp_path: Path) -> None:
+    config = written(tmp_path, json.dumps(Profile().config("r", "127.0.0.1:1", "127.0.0.1:2", 1)), "c.json")
+    assert check_file(config, [ROOT / "deploy/large-fleet.toml"]) == []
+    for text in ("[table]\nslots = 0", "[table]\nslots = 99999999", "[nothing]"):
+        bad = written(tmp_path, text)
+        assert len(check_file(config, [bad])) == 1
+        with pytest.raises(ConfigError):
+            load_config({"LB_CONFIG": str(config)}, [bad])
+    assert "can't be read" in check_file(config, [tmp_path / "none.toml"])[0].reason
+
+
+def test_a_router_serves_with_them(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(words[1]))
+    large = ["--with", str(ROOT / "deploy/large-fleet.toml")]
+    with routed(tmp_path, {"s1": cache}, more=large) as router:
+        assert router.client().ask(get("r1", "a")) == b"a"
