Tell the router's own lag apart from its servers' slowness before anything is judged

Healthy nodes were refused for a busy router's stalls: timers run before the loop looks at the kernel, what a turn writes leaves only at its end, and attempts that waited for one of the router's own connections ran out of patience. A timer that fires now looks at the kernel first and gives back what the router's lag took, once and never beyond the deadline; LagMeter (no I/O) measures turns, and the module is told the router's part of a latency, without which a server counts as late.

--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -201,6 +201,8 @@
     latency: int
     note: CacheNote | None = None
     load: tuple[float, ...] | None = None
+    lag: int = 0
+    """The part of `latency` that this router took itself: waiting to send, sending late, reading late."""
     kept: bool = False
     """Whether its connection had carried others before: a break of such a one tells nothing of a server."""
 
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -315,7 +315,8 @@
         node, fetched, outcome = request.node, request.fetching, event.outcome
         request.out = request.fetching = False
         node.load -= 1
-        late = event.latency > request.cls.aim
+        # Danger: with the router's own lag in it, every server is late whenever this router is.
+        late = event.latency - event.lag > request.cls.aim
         # Danger: servers may close what they keep at any time; counted, that would eject healthy ones.
         broke = event.kept and outcome is Outcome.RESET
         if fetched:
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -29,6 +29,9 @@
 
     ready: bool
 
+    def touched(self) -> None:
+        """The kernel had something for a client's connection."""
+
     def request_arrived(self, request: Request, reply: Reply) -> None:
         """A request is whole."""
 
@@ -190,6 +193,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Read what has come; a fault in doing so ends only this connection."""
+        self.server.host.touched()
         try:
             self._read(data)
         except Exception:
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -51,6 +51,7 @@
     for_clients = int(descriptors * CLIENT_SHARE)
     pool = Pool(loop, descriptors - for_clients, config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S)
     host = RouterHost(loop, config.settings, config.seed, pool, config.max_open)
+    pool.touched = host.touched
     clients = ClientServer(loop, host, RespDialect, for_clients, int(config.memory * BUDGET_SHARE))
 
     def take(listing: Listing) -> None:
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -33,6 +33,7 @@
 )
 from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.clients import Reply
+from saltport.lag import HEARTBEAT_NS, LagMeter
 from saltport.membership.registry import Listing
 from saltport.messages import Request, ValueSource
 from saltport.upstream.http import OriginConnection
@@ -42,6 +43,8 @@
 
 NS_PER_MS = 1_000_000
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
+LOOK_S = 0.001  # in which the loop looks at the kernel once
+HELD_UP_NS = 5 * NS_PER_MS  # a timer that comes so late tells that the loop was held up
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
 
 log = logging.getLogger("saltport")
@@ -66,19 +69,59 @@
         self.request = request.asked
         self._number = request.attempts
         self._sent_at = time.monotonic_ns()
-        self._latency = 0  # until a long value's first bytes
+        self._latency = (0, 0)  # until a long value's first bytes
         self._source: ValueSource | None = None
         self._came_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        self._due = 0
+        self._begun_at = 0
+        self._looked = False
         request.attempts += 1
         request.out += 1
 
     def wait_until(self, due: int) -> None:
         """Give up at the time `due`."""
+        self._due = due
         self._timer = self._host.call_at(due, self._timed_out)
 
     def _timed_out(self) -> None:
-        self.give_up(Outcome.TIMEOUT)
+        """Its time is up by the clock; what this router's own lag took of it is given back once.
+
+        Danger: timers run before the loop looks at the kernel, and requests leave after it has. Judged at
+        once, an attempt would be held against its server though only this router was too busy for it.
+        """
+        host, now = self._host, time.monotonic_ns()
+        host.touched()
+        late = now - self._due
+        if not self._looked:
+            self._looked = True
+            # While it has not begun, its dial has not been looked at either.
+            taken = self._lag() if self._begun_at else 2 * late
+            again = min(self._due + taken, self._request.deadline)
+            if taken > HELD_UP_NS and again > now:
+                self._due = again
+                self._timer = host.call_at(again, self._timed_out)
+                return
+            if late > HELD_UP_NS or (self.connection is not None and self.connection.unread):
+                self._timer = host.loop.call_later(LOOK_S, self._timed_out)
+                return
+        # One that waits for a free connection never ran, and tells nothing of its server.
+        queued = not self._begun_at and not host.dialing(self._server)
+        self.give_up(Outcome.MOOT if queued else Outcome.TIMEOUT)
+
+    def begun(self) -> None:
+        """Its request is written."""
+        self._begun_at = time.monotonic_ns()
+
+    def _lag(self) -> int:
+        """The time from the module's word until the request had left."""
+        return self._host.lag.left(self._begun_at) - self._sent_at if self._begun_at else 0
+
+    def _took(self) -> tuple[int, int]:
+        """How long it took until now, and this router's own part of that."""
+        now = time.monotonic_ns()
+        took = now - self._sent_at
+        return took, min(self._lag() + self._host.lag.unread(now), took)
 
     def left_ms(self) -> int:
         """What is left of the client's time."""
@@ -86,7 +129,7 @@
 
     def value_started(self, length: int, source: ValueSource) -> None:
         """Begin the client's answer with a long value."""
-        self._latency = time.monotonic_ns() - self._sent_at
+        self._latency = self._took()
         request = self._request
         if request.closed:
             return  # nobody reads it: the attempt's time runs on
@@ -149,10 +192,19 @@
         elif outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
             reply.served(value)
-        latency = self._latency or time.monotonic_ns() - self._sent_at
+        latency, lag = self._latency if self._latency[0] else self._took()
         load = self._host.load(report)
         event = AttemptEnded(
-            request.id, self._number, self._server, outcome, request.closed, latency, note, load, self.kept
+            request.id,
+            self._number,
+            self._server,
+            outcome,
+            request.closed,
+            latency,
+            note,
+            load,
+            lag,
+            self.kept,
         )
         self._host.settle(request)
         self._host.tell(event)
@@ -201,6 +253,25 @@
         self._requests: dict[str, OpenRequest] = {}
         self._events: deque[Event] = deque()
         self._handling = False
+        self.lag = LagMeter()
+        self._beat()
+
+    # The router's own lag
+
+    def touched(self) -> None:
+        """An event from the kernel or the clock is dealt with: a turn of the loop has begun."""
+        if not self.lag.open:
+            self.lag.turn_begins(time.monotonic_ns())
+            # The loop runs this just before it looks at the kernel again.
+            self.loop.call_soon(self._turn_over)
+
+    def _turn_over(self) -> None:
+        self.lag.turn_ends(time.monotonic_ns())
+
+    def _beat(self) -> None:
+        """Wake now and then, so that a long wait of the loop tells of a process that stood still."""
+        self.touched()
+        self.loop.call_later(HEARTBEAT_NS / NS_PER_S, self._beat)
 
     @property
     def owed(self) -> int:
@@ -215,6 +286,10 @@
         """Read a load report."""
         return parse_load(report, self.settings.load_fields) if report else None
 
+    def dialing(self, server_id: str) -> bool:
+        """Whether a connection to this server is coming up."""
+        return self._pool.dialing(server_id)
+
     # Clients
 
     def request_arrived(self, asked: Request, reply: Reply) -> None:
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -34,6 +34,9 @@
     kept = False
     """Whether the connection had carried others before."""
 
+    def begun(self) -> None:
+        """Its request is written to a connection."""
+
     def left_ms(self) -> int:
         """What is left of the request's time, in whole milliseconds, 1 at least."""
         return 1
@@ -114,13 +117,19 @@
         Danger: the loop may not have seen yet that the server has closed, and a request written then counts
         as one that may have run; or that a second answer came, which the next request would take for its own.
         """
-        return self.usable and not self._arrivals.poll(0)
+        return self.usable and not self.unread
+
+    @property
+    def unread(self) -> bool:
+        """Whether the kernel has something that the loop has not read yet, be it an end."""
+        return self.transport is not None and not self.transport.is_closing() and bool(self._arrivals.poll(0))
 
     def start(self, exchange: Exchange) -> None:
         """Write the exchange's request."""
         assert self.transport is not None
         self.exchange, exchange.connection, exchange.kept = exchange, self, self.kept
         self.transport.write(self.request_bytes(exchange))
+        exchange.begun()
 
     def close(self) -> None:
         """Close at once; what is unsent is dropped."""
@@ -161,6 +170,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Read a part of the answer under way."""
+        self.server.pool.touched()
         if self.exchange is None:
             if self.usable:
                 self.spoil("sent an answer that nobody asked for")
@@ -209,8 +219,14 @@
     """Deals exchanges out to connections, within the share of descriptors that servers have."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, limit: int, dial_timeout: float, idle_close: float
+        self,
+        loop: asyncio.AbstractEventLoop,
+        limit: int,
+        dial_timeout: float,
+        idle_close: float,
     ) -> None:
+        self.touched: Callable[[], None] = lambda: None
+        """Called at each event that the kernel had for a connection, before it is dealt with."""
         self._loop, self._limit, self._dial_timeout = loop, limit, dial_timeout
         self._idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
@@ -248,6 +264,11 @@
         while server.idle:
             server.idle.pop().close()
 
+    def dialing(self, server_id: str) -> bool:
+        """Whether a connection to this server is coming up, so that what waits does so for the server."""
+        server = self._servers.get(server_id)
+        return server is not None and bool(server.dials)
+
     def listed(self) -> Iterator[str]:
         """The servers that may be sent to."""
         return (server.id for server in self._servers.values() if server.open)
--- /dev/null
+++ b/tests/test_lag.py
@@ -0,0 +1,89 @@
+"""The lag meter: how long an answer may have lain unread, by what the loop did before."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies
+
+from saltport.lag import HEARTBEAT_NS, LagMeter
+
+US = 1_000
+MS = 1_000_000
+
+
+def test_an_answer_that_the_loop_waited_for_was_read_at_once() -> None:
+    meter = LagMeter()
+    meter.turn_begins(10 * MS)
+    meter.turn_ends(11 * MS)
+    meter.turn_begins(15 * MS)  # after a wait of 4 ms
+    assert meter.unread(15 * MS) == 0
+    assert meter.unread(15 * MS + 300 * US) == 300 * US  # behind others of its turn
+
+
+def test_an_answer_found_without_a_wait_may_have_come_during_the_turn_before() -> None:
+    meter = LagMeter()
+    meter.turn_begins(10 * MS)
+    meter.turn_ends(40 * MS)
+    meter.turn_begins(40 * MS + 10 * US)
+    assert meter.unread(41 * MS) == 31 * MS
+
+
+def test_lag_does_not_add_up_over_turns() -> None:
+    meter = LagMeter()
+    for turn in range(100):
+        meter.turn_begins(turn * MS)
+        meter.turn_ends(turn * MS + 990 * US)
+    meter.turn_begins(100 * MS)
+    assert meter.unread(100 * MS) == MS
+
+
+def test_a_process_that_stood_still_read_nothing_meanwhile() -> None:
+    meter = LagMeter()
+    meter.turn_begins(10 * MS)
+    meter.turn_ends(11 * MS)
+    meter.turn_begins(311 * MS)  # the heartbeat would have ended the wait long before
+    assert meter.unread(311 * MS) == 300 * MS
+    meter.turn_ends(312 * MS)
+    assert meter.longest == 301 * MS
+    assert meter.stalls == 1
+    assert meter.take_longest() == 301 * MS
+    assert meter.take_longest() == 0
+
+
+def test_a_wait_up_to_the_heartbeat_is_a_wait() -> None:
+    meter = LagMeter()
+    meter.turn_begins(10 * MS)
+    meter.turn_ends(11 * MS)
+    meter.turn_begins(11 * MS + HEARTBEAT_NS + MS)
+    assert meter.unread(11 * MS + HEARTBEAT_NS + MS) == 0
+
+
+def test_what_a_long_turn_writes_leaves_at_its_end() -> None:
+    meter = LagMeter()
+    for begun, ended in ((10, 11), (20, 60), (70, 71), (80, 100)):
+        meter.turn_begins(begun * MS)
+        meter.turn_ends(ended * MS)
+    assert [meter.left(at * MS) // MS for at in (5, 10, 20, 59, 60, 70, 81, 100, 200)] == [
+        5, 10, 60, 60, 60, 70, 100, 100, 200,
+    ]  # fmt: skip
+
+
+def test_between_turns_nothing_is_told() -> None:
+    meter = LagMeter()
+    assert meter.unread(5) == 0
+    assert not meter.open
+    meter.turn_begins(10)
+    assert meter.open
+
+
+@given(gaps=strategies.lists(strategies.tuples(strategies.integers(0, 10**8), strategies.integers(0, 10**8))))
+def test_what_is_told_never_reaches_back_before_the_last_look_but_one(gaps: list[tuple[int, int]]) -> None:
+    meter = LagMeter()
+    now, looks = 1, [1, 1]
+    for waited, busy in gaps:
+        now += waited
+        meter.turn_begins(now)
+        looks = [looks[1], now]
+        assert 0 <= meter.unread(now) <= now - looks[0]
+        now += busy
+        assert busy <= meter.unread(now) <= now - looks[0]
+        meter.turn_ends(now)
