Audit: a value begun in time and finished late has failed and is not lost

Clients noted only an answer's end, so a long value that was being passed on in time could not be told from a late answer. They note its first byte now; one begun late, or never, is a violation as before.

Measured: the test holds both cases, with the first byte in time and too late.

--- a/saltport/load/driver.py
+++ b/saltport/load/driver.py
@@ -46,7 +46,7 @@
             self.drop()
             return
         try:
-            current.begun = True
+            current.first_byte()
             self._reader.feed(data)
             answer = self._reader.gets()
         except hiredis.ProtocolError:
@@ -91,7 +91,7 @@
     def __init__(self, work: _Work, router: _Router) -> None:
         self.work, self.router, self.driver = work, router, work.driver
         self.id = f"{self.driver.rng.getrandbits(64):016x}"
-        self.sent = 0
+        self.sent = self.begun_at = 0
         self.begun = self.resent = self.over = self.given_up = False
         self.connection: _Connection | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -171,6 +171,11 @@
         else:
             self.ended("failed", reason=repr(answer)[:80])
 
+    def first_byte(self) -> None:
+        """Something of the answer has come."""
+        if not self.begun:
+            self.begun, self.begun_at = True, time.monotonic_ns()
+
     def lost(self, reused: bool) -> None:
         """The connection ended without a whole answer."""
         if reused and not self.begun and not self.resent:
@@ -191,7 +196,8 @@
             "try", id=self.id, cls=work.known.name, tenant=work.arrival.tenant, key=work.arrival.key,
             k=work.arrival.token if work.known.write else None, router=self.router.name, number=work.tried,
             sent=self.sent, wait_ms=work.wait_ms, answer=answer, retry_after_ms=retry_after_ms,
-            resent=self.resent, **{name: value for name, value in more.items() if value is not None},
+            resent=self.resent, begun=self.begun_at,
+            **{name: value for name, value in more.items() if value is not None},
         )  # fmt: skip
         self.driver.tries_out -= 1
         if not self.given_up:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -157,6 +157,17 @@
     assert broken([*late, elsewhere]) == ["answers"]
 
 
+def test_a_value_begun_in_time_has_failed_and_is_not_lost() -> None:
+    late = tried("x", S, t=S + 900 * MS)
+    unfinished = tried("y", S, t=S + 1500 * MS, answer="none")
+    for record, note in ((late, "finished_late"), (unfinished, "not_finished")):
+        assert broken([*good_run(), record]) == ["answers"]
+        assert broken([*good_run(), {**record, "begun": S + 560 * MS}]) == ["answers"]  # too late itself
+        verdict = audit([*good_run(), {**record, "begun": S + 400 * MS}], PROFILE)
+        assert verdict.violations == []
+        assert verdict.notes[f"begun_in_time_and_{note}"] == 1
+
+
 def test_limits_can_be_widened() -> None:
     late = [*good_run(), tried("x", S, t=S + 700 * MS)]
     assert broken(late, answer_slack_ms=300) == []
