Stand-ins read a request's list of names and values with the wire's own reader

standins/node.py had a second parse_info beside that of wire/resp.py, the same loop with other words in its error, which nobody reads. Nothing else changes.

--- a/saltport/standins/node.py
+++ b/saltport/standins/node.py
@@ -16,6 +16,7 @@
 from saltport.standins.peer import Peer, PeerConnection
 from saltport.standins.profile import ClassProfile, Profile
 from saltport.standins.spoil import resp_answer, spoil_resp
+from saltport.wire.resp import parse_info
 
 SWEEP_S = 0.5
 TRICKLE_S = 0.05
@@ -29,17 +30,6 @@
         """A read missed at this node: it is one of those that the origin's answer will fill."""
 
 
-def parse_info(info: bytes) -> dict[str, str]:
-    """The list of names and values of a request; raises ValueError."""
-    fields: dict[str, str] = {}
-    for part in info.decode("ascii").split(","):
-        name, sign, value = part.partition("=")
-        if not sign:
-            raise ValueError(f"no value for {part!r}")
-        fields[name] = value
-    return fields
-
-
 def make_value(request_id: str, key: str, kept: Kept) -> bytes:
     """The value as made for one request: it names it, so that a mix-up shows, and has the object's size."""
     head = f"{request_id} {key} v{kept.version} ".encode()
--- a/saltport/standins/origin.py
+++ b/saltport/standins/origin.py
@@ -14,10 +14,11 @@
 
 from saltport.standins.ledger import Ledger
 from saltport.standins.model import MS, Cores, Kept, Repeats
-from saltport.standins.node import make_value, parse_info
+from saltport.standins.node import make_value
 from saltport.standins.peer import Peer, PeerConnection
 from saltport.standins.profile import ClassProfile, Profile
 from saltport.standins.spoil import http_answer, spoil_http
+from saltport.wire.resp import parse_info
 
 MAX_REMEMBERED = 100_000
 NOT_STARTED = b"Not-Started: 1"
