Eject servers by evidence in a row, by rate, with a ceiling, panic and single trials

Change: saltport/decisions/outliers.py, without I/O: three broken connections in a row (what one cause took down counts once) or silence beyond the longest deadline; half of the attempts failed beyond what fails everywhere; ejections of 1 s doubled up to 30 s; at most half ejected, beyond that nobody is believed bad; one harmless request as trial. Time-outs that a client's short deadline made, and those of one pause, are no evidence of silence.

--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -278,4 +278,11 @@
     server: str
 
 
-Action = Send | Refuse | Fail | SetTimer | Subscribe | Probe
+@dataclass(frozen=True, slots=True)
+class Log:
+    """A line for the operator; never more than a few for a server and ejection."""
+
+    message: str
+
+
+Action = Send | Refuse | Fail | SetTimer | Subscribe | Probe | Log
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -9,13 +9,14 @@
 
 import math
 import random
-from collections import deque
+from collections import Counter, deque
 from itertools import takewhile
 from zlib import crc32
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import Node, Pace
 from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+from saltport.decisions.outliers import OutlierDetector, Standing
 from saltport.decisions.table import DEPTH, SlotTable
 
 HARD_LIMIT_FACTOR = 1.5
@@ -122,6 +123,7 @@
         self.id, self.key, self.deadline, self.write = event.request, event.key, event.deadline, event.write
         self.cls, self.guard = cls, guard
         self.slot = self.sends = self.sent_at = 0
+        self.lost_after = 0  # the time after which the answer under way counts as lost
         self.share = 0.0
         self.failed: list[Node] = []
         self.node: Node | None = None
@@ -159,6 +161,7 @@
         tenants = (*settings.tenants, api.Tenant("", 1.0))
         self._guards = {tenant.name: Suppressor(tenant, settings.routers, self._rng) for tenant in tenants}
         self._caches, self._origins = SlotTable(settings), SlotTable(settings)
+        self._outliers = OutlierDetector(self._rng, max(cls.deadline for cls in settings.classes))
         self._heat = Heat()
         self._requests: dict[str, Request] = {}
         self._flights: dict[str, list[Request]] = {}
@@ -171,6 +174,7 @@
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._answers, self._fetches = Pace(aim), Pace(aim / 2)  # of the caches; good ones of the origin
         self._asking, self._failed_calls = False, 0
+        self._given_up: Counter[str] = Counter()  # requests that got no answer of a server, by reason
         self._now = 0
         self._actions: list[api.Action] = []
 
@@ -190,6 +194,26 @@
                 self._finish(self._requests[event.request])
         return self._actions
 
+    def view(self, now: int) -> dict[str, object]:
+        """The state that people ask for; nothing is decided by it."""
+        tenants = {
+            name or "(none)": {
+                "rate_limit_per_s": round(guard.limit, 3),
+                "cap_per_s": round(guard.cap, 3),
+                "fetches_per_s": round(guard.used(now), 3),
+                "declined": guard.declined,
+            }
+            for name, guard in self._guards.items()
+        }
+        return {
+            "caches": len(self._caches.nodes),
+            "origins": len(self._origins.nodes),
+            "open": len(self._requests),
+            "given_up": dict(self._given_up),
+            "tenants": tenants,
+            "outliers": self._outliers.view(now),
+        }
+
     def _servers_changed(self, event: api.ServersChanged) -> None:
         if self._settings.must_subscribe:
             self._keep_subscribed(event.kind)
@@ -201,6 +225,7 @@
             mine = [e for e in ready if (e.kind == self._settings.origin_kind) == is_origin]
             unlisted = table.nodes.keys() - {e.id for e in mine} if event.kind is not ListKind.DELTA else ()
             table.update(mine, [*left, *unlisted])
+        self._outliers.follow(self._caches.nodes, self._now)
 
     def _keep_subscribed(self, kind: ListKind) -> None:
         """Subscribe at the start and after every failure; jitter and back-off spare discovery."""
@@ -219,7 +244,7 @@
             return
         request = self._requests.get(token)
         if request and request.waiting and self._now >= request.deadline:
-            self._give_up(request)
+            self._give_up(request, "deadline")
         elif request and request.waiting and request.write:
             self._fetch(request)
 
@@ -235,39 +260,46 @@
             request.share = self._heat.add(request.slot)
             self._route(request)
 
-    def _send(self, request: Request, node: Node) -> None:
+    def _send(self, request: Request, node: Node, patience: int | None = None) -> None:
         request.sends += 1
         request.node, request.sent_at, request.out = node, self._now, True
         node.load += 1
-        self._actions.append(api.Send(request.id, node.entry.id, self._patience(request, node)))
+        usual = self._patience(request, node)
+        self._actions.append(api.Send(request.id, node.entry.id, usual if patience is None else patience))
 
     def _patience(self, request: Request, node: Node) -> int:
         known, aim = self._fetches if request.fetching else self._answers, request.cls.aim
         usual, spread = max(known.usual, node.pace.usual), max(known.spread, node.pace.spread)
+        request.lost_after = int(min(usual + spread * SPREADS, aim * PATIENCE_SHARE))
         slow = usual + spread * SPREADS / 2 > aim * SLOW_SHARE
         first = not request.refetching if request.fetching else request.sends == 1
-        if slow or not first or not request.may_repeat():
-            return 0
-        return int(min(usual + spread * SPREADS, aim * PATIENCE_SHARE))
+        return 0 if slow or not first or not request.may_repeat() else request.lost_after
 
     def _may_try(self, request: Request) -> bool:
         return request.sends < self._settings.max_attempts and self._now < request.deadline
 
     def _route(self, request: Request) -> None:
         if not self._may_try(request):
-            self._give_up(request)
+            self._give_up(request, "tries spent")
             return
         for node in self._candidates(request):
             if node in request.failed or not request.may_send(node, self._now):
                 continue
+            standing = self._outliers.standing(node.entry.id, self._now, first=not request.sends)
+            if standing is not Standing.HEALTHY:
+                if standing is Standing.EJECTED or not request.may_repeat():
+                    continue
+                if standing is Standing.TRIAL:
+                    self._outliers.try_out(node.entry.id, request.id)
+                self._send(request, node, int(request.cls.aim * PATIENCE_SHARE))
+                return
             chance = node.chance(self._now)
             # Danger: sent whenever the chance is above 0, a server that is overrun never gets less.
             if chance >= 1.0 or self._rng.random() < chance:
                 self._send(request, node)
-                return
-            if not node.down:
-                self._give_up(request)
-                return
+            else:
+                self._give_up(request, "server overrun")
+            return
         self._missed(request)
 
     def _candidates(self, request: Request) -> list[Node]:
@@ -291,7 +323,7 @@
         request.waiting = False
         origins = self._origins.rank(request.slot, self._now)
         if not origins or not self._may_try(request) or not request.may_send(origins[0], self._now):
-            self._give_up(request)
+            self._give_up(request, "tries spent" if origins else "no origin")
             return
         if request.write and origins[0].load >= self._width:
             self._held.append(request)
@@ -300,7 +332,7 @@
         if request.write:
             request.guard.count(self._now)
         elif not request.guard.admit(self._now):
-            self._give_up(request)
+            self._give_up(request, "fetch suppressed")
             return
         if request.key is not None and not request.write:
             self._flights.setdefault(request.key, [])
@@ -322,7 +354,7 @@
         if fetched:
             self._judge_fetch(node, event, late)
         elif not broke:
-            node.judge(outcome, late, self._now)
+            self._judge(request, node, event, late)
             if outcome in (Outcome.OK, Outcome.MISS):
                 node.pace.learn(event.latency)
                 self._answers.learn(event.latency)
@@ -341,6 +373,19 @@
                 request.failed.append(node)
             self._route(request)
 
+    def _judge(self, request: Request, node: Node, event: api.AttemptEnded, late: bool) -> None:
+        node.judge(event.outcome, late, request.sent_at, self._now)
+        if self._caches.nodes.get(node.entry.id) is not node:
+            return
+        # Danger: counted, clients with little time left would make every server look silent.
+        cut_short = event.outcome is Outcome.TIMEOUT and event.latency - event.lag < request.lost_after
+        outcome = Outcome.CANCELLED if cut_short else event.outcome
+        news = self._outliers.judge(node, request.id, outcome, request.sent_at, self._now)
+        if news is not None:
+            self._actions.append(api.Log(news.message))
+            if news.is_back:
+                node.forgive()
+
     def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first."""
         if event.outcome is Outcome.TIMEOUT:
@@ -384,7 +429,7 @@
         if request.write and self._now + pause < request.deadline and outcome is not Outcome.TIMEOUT:
             self._wait(request, pause)
         else:
-            self._give_up(request)
+            self._give_up(request, "origin failed")
 
     def _land(self, request: Request, stored: bool) -> None:
         """End a flight: its waiters ask the cache again, or one of them fetches in the leader's place."""
@@ -398,7 +443,8 @@
         request.waiting = True
         self._actions.append(api.SetTimer(delay, request.id))
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: Request, why: str) -> None:
+        self._given_up[why] += 1
         if request.may_refuse():
             wait = int(self._rng.uniform(0.5, 1.0) * self._settings.max_retry_after)
             self._actions.append(api.Refuse(request.id, wait if self._settings.retry_after else 0))
--- /dev/null
+++ b/saltport/decisions/outliers.py
@@ -0,0 +1,265 @@
+"""Passive outlier detection: the servers that look broken to this router, by the ends of its own attempts.
+
+Terms and order of things are Envoy's (outlier detection, ejection, panic threshold); docs/design/outliers.md
+tells what differs and why. It judges whether a server answers at all: one that answers late or is full is
+overrun, not broken, and gets less by its chance (health.py). Times are nanoseconds on the caller's clock.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from saltport.decisions.health import Node
+from saltport.decisions.interface import NS_PER_S, Outcome
+
+CONSECUTIVE = 3  # signs in a row: one failure in a hundred by chance makes a wrong ejection one in a million
+INTERVAL = 10 * NS_PER_S  # over which failures are counted
+MIN_ATTEMPTS, FAILURE_SHARE = 10, 0.5  # the share beyond what fails with all servers together
+BASE_EJECTION, MAX_EJECTION = NS_PER_S, 30 * NS_PER_S
+JITTER = 0.1  # added to each ejection, so that routers do not come back to a server together
+FORGIVEN = 60 * NS_PER_S  # without an ejection, after which one less counts
+MAX_EJECTED, PANIC_SHARE = 0.5, 0.5  # of the servers listed; a third is a zone of three
+REMEMBERED = 60 * NS_PER_S  # for which a server that left the list is known again
+
+BROKEN = (Outcome.CONNECT_FAILED, Outcome.RESET)
+SILENT = (*BROKEN, Outcome.TIMEOUT)
+FAILED = (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.ERROR)
+NO_EVIDENCE = (Outcome.CANCELLED, Outcome.MOOT)
+
+
+class Standing(Enum):
+    """What a server may get."""
+
+    HEALTHY = "healthy"
+    EJECTED = "ejected"
+    TRIAL = "trial"
+    """Its time out is over: one request may find out whether it is back."""
+    PANIC = "panic"
+    """It looks bad and is asked all the same, as nobody is believed bad."""
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What became of a server by an attempt's end."""
+
+    message: str
+    is_back: bool = False
+
+
+@dataclass(slots=True)
+class Tally:
+    """Attempts and failures of the interval under way and of the one before it."""
+
+    since: int = 0
+    attempts: int = 0
+    failures: int = 0
+    _old: tuple[int, int] = (0, 0)
+
+    def count(self, failed: bool, now: int) -> None:
+        """Count one attempt."""
+        if now - self.since >= INTERVAL:
+            recent = now - self.since < 2 * INTERVAL
+            self._old = (self.attempts, self.failures) if recent else (0, 0)
+            self.since, self.attempts, self.failures = now, 0, 0
+        self.attempts += 1
+        self.failures += failed
+
+    def both(self) -> tuple[int, int]:
+        """Attempts and failures of both intervals."""
+        return self.attempts + self._old[0], self.failures + self._old[1]
+
+
+@dataclass(slots=True)
+class Record:
+    """The evidence against one server. Servers without any have no record."""
+
+    started: int
+    tally: Tally
+    row: int = 0
+    """Failures in a row."""
+    broken: int = 0
+    """Those of them that were failed dials or resets, each sent after the one before was known."""
+    broken_at: int = 0
+    silent_since: int = 0
+    """When the first attempt of the row was sent."""
+    failed_at: int = 0
+    ejections: int = 0
+    ejected_at: int = 0
+    until: int = 0
+    """The end of the ejection; 0: not ejected."""
+    returned_at: int = 0
+    reason: str = ""
+    trial: str | None = None
+    """The request that tries it."""
+    left_at: int | None = None
+
+    def against(self, usual: float, silence: int) -> str:
+        """Why the server should be ejected, or nothing; `usual`: the share of failures with all servers."""
+        if self.broken >= CONSECUTIVE:
+            return f"{self.broken} broken or refused connections in a row"
+        # Danger: an overrun server answers later than patience lasts; ejected, it would overrun the next one.
+        silent = self.failed_at - self.silent_since
+        if self.row >= CONSECUTIVE and silent >= silence:
+            return f"{self.row} failures in a row over {silent / NS_PER_S:.1f} s"
+        attempts, failures = self.tally.both()
+        if attempts >= MIN_ATTEMPTS and failures >= attempts * (usual + FAILURE_SHARE):
+            return f"{failures} of {attempts} attempts failed"
+        return ""
+
+    def repeated(self, now: int) -> int:
+        """Its ejections that are not yet forgiven."""
+        return max(self.ejections - max(now - self.returned_at, 0) // FORGIVEN, 0)
+
+    def clean(self, now: int) -> bool:
+        """Whether nothing is held against it any more."""
+        return not (self.row or self.tally.both()[1] or self.until or self.repeated(now))
+
+
+class OutlierDetector:
+    """Holds the evidence and tells each server's standing."""
+
+    def __init__(self, rng: random.Random, silence: int) -> None:
+        self._rng = rng
+        self._silence = silence  # for which a server that only times out has to be silent, nanoseconds
+        self._records: dict[str, Record] = {}
+        self._ejected: set[str] = set()
+        self._suspects: set[str] = set()  # ejected but for the ceiling
+        self._listed = 0
+        self._all = Tally()
+
+    def follow(self, nodes: Mapping[str, Node], now: int) -> None:
+        """Take the list: one that leaves and comes back is known again, unless it started anew meanwhile."""
+        self._listed = len(nodes)
+        for server, record in list(self._records.items()):
+            node = nodes.get(server)
+            if node is None and record.left_at is None:
+                record.left_at, record.trial = now, None
+                self._ejected.discard(server)
+                self._suspects.discard(server)
+            elif node is None:
+                if now - (record.left_at or 0) > REMEMBERED:
+                    del self._records[server]
+            elif node.entry.started != record.started:
+                del self._records[server]
+                self._ejected.discard(server)
+                self._suspects.discard(server)
+            elif record.left_at is not None:
+                record.left_at = None
+                if record.until:
+                    self._ejected.add(server)
+
+    @property
+    def panicking(self) -> bool:
+        """Whether so many look bad that the fault is likelier this router's own."""
+        return len(self._ejected) + len(self._suspects) > self._listed * PANIC_SHARE
+
+    def standing(self, server: str, now: int, first: bool = True) -> Standing:
+        """What a server may get now of a request, `first`: that has been nowhere yet.
+
+        In panic the slot's holder is asked whatever is held against it, and then only who is not suspect.
+        """
+        if server not in self._ejected and server not in self._suspects:
+            return Standing.HEALTHY
+        if self.panicking:
+            return Standing.PANIC if first else Standing.EJECTED
+        if server in self._suspects:
+            return Standing.HEALTHY
+        record = self._records[server]
+        return Standing.EJECTED if now < record.until or record.trial else Standing.TRIAL
+
+    def try_out(self, server: str, request: str) -> None:
+        """Let one request find out whether a server is back; nobody else is sent there until it has ended."""
+        self._records[server].trial = request
+
+    def judge(self, node: Node, request: str, outcome: Outcome, sent_at: int, now: int) -> News | None:
+        """Take one attempt's end; returns what became of the server by it, if its standing changed."""
+        server = node.entry.id
+        record = self._records.get(server)
+        if outcome not in NO_EVIDENCE:
+            self._all.count(outcome in FAILED, now)
+        if record is None:
+            if outcome not in SILENT and outcome not in FAILED:
+                return None
+            record = self._records[server] = Record(node.entry.started, Tally(now))
+        is_trial = record.trial == request
+        if is_trial:
+            record.trial = None
+        if outcome in NO_EVIDENCE:
+            return None
+        self._count(record, outcome, sent_at, now)
+        answered = outcome not in SILENT and outcome not in FAILED
+        if server in self._ejected:
+            if answered and (is_trial or sent_at >= record.ejected_at):
+                return self._take_back(server, record, now)
+            return self._eject(server, record, f"trial: {outcome.value}", now) if is_trial else None
+        attempts, failures = self._all.both()
+        reason = record.against(failures / attempts, self._silence)
+        if reason:
+            return self._eject(server, record, reason, now)
+        if record.clean(now):
+            del self._records[server]
+        if server in self._suspects:
+            self._suspects.discard(server)
+            return News(f"{server}: answers again", is_back=True)
+        return None
+
+    def _count(self, record: Record, outcome: Outcome, sent_at: int, now: int) -> None:
+        record.tally.count(outcome in FAILED, now)
+        if outcome not in SILENT:
+            record.row = record.broken = 0
+            return
+        if not record.row or sent_at - record.failed_at > INTERVAL:
+            record.row, record.broken, record.silent_since = 0, 0, sent_at  # failures far apart are no row
+        record.row, record.failed_at = record.row + 1, now
+        if outcome in BROKEN and (not record.broken or sent_at >= record.broken_at):
+            # Danger: what was out when one cause struck is one sign, however many attempts it took down.
+            record.broken, record.broken_at = record.broken + 1, now
+
+    def _eject(self, server: str, record: Record, reason: str, now: int) -> News | None:
+        record.reason = reason
+        if server not in self._ejected and len(self._ejected) >= max(1, int(self._listed * MAX_EJECTED)):
+            told = server in self._suspects
+            self._suspects.add(server)
+            return None if told else News(f"{server}: {reason}; kept in, as too many are ejected")
+        if server not in self._ejected:
+            record.ejections = record.repeated(now)
+        record.ejections += 1
+        time_out = min(BASE_EJECTION << min(record.ejections - 1, 8), MAX_EJECTION)
+        record.ejected_at, record.until = now, now + int(time_out * (1 + self._rng.random() * JITTER))
+        self._ejected.add(server)
+        self._suspects.discard(server)
+        return News(f"{server}: ejected for {(record.until - now) / NS_PER_S:.1f} s: {reason}")
+
+    def _take_back(self, server: str, record: Record, now: int) -> News:
+        self._ejected.discard(server)
+        out = (now - record.ejected_at) / NS_PER_S
+        record.until, record.returned_at, record.row, record.reason = 0, now, 0, ""
+        record.broken = 0
+        record.tally = Tally(now)
+        return News(f"{server}: back; it was last ejected {out:.1f} s ago", is_back=True)
+
+    def view(self, now: int) -> dict[str, object]:
+        """Its state, for people: the servers with anything against them, and why."""
+        servers = {
+            server: {
+                "standing": self.standing(server, now).value,
+                "reason": record.reason,
+                "failures_in_a_row": record.row,
+                "attempts": record.tally.both()[0],
+                "failures": record.tally.both()[1],
+                "ejections": record.ejections if record.until else record.repeated(now),
+                "ejected_for_s": round(max(record.until - now, 0) / NS_PER_S, 3),
+                "kept_in": server in self._suspects,
+            }
+            for server, record in self._records.items()
+            if record.left_at is None
+        }
+        return {
+            "listed": self._listed,
+            "ejected": len(self._ejected),
+            "panic": self.panicking,
+            "servers": servers,
+        }
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -16,6 +16,7 @@
     Event,
     Fail,
     ListKind,
+    Log,
     Outcome,
     Probe,
     ProbeEnded,
@@ -278,6 +279,11 @@
         """Requests that have no final answer yet, or one that is still being passed on."""
         return sum(1 for request in self._requests.values() if not request.closed or request.streaming)
 
+    def view(self) -> dict[str, object]:
+        """The state of decisions and loop, for people."""
+        lag = {"longest_ms": self.lag.longest / NS_PER_MS, "stalls": self.lag.stalls}
+        return {"ready": self.ready, "owed": self.owed, "lag": lag, **self._router.view(time.monotonic_ns())}
+
     def call_at(self, due: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
         """Call back once the clock shows `due`; never before, though the loop counts in milliseconds."""
         return self.loop.call_later(max(due - time.monotonic_ns(), 0) / NS_PER_S + TIMER_STEP_S, callback)
@@ -422,6 +428,8 @@
                 self._final(action.request, None)
             case Subscribe():
                 self.subscribe()
+            case Log():
+                log.info("%s", action.message)
             case Probe():
                 self._pool.submit(action.server, ProbeExchange(self, action.server, self._probe_timeout))
 
--- a/saltport/simulator/adapter.py
+++ b/saltport/simulator/adapter.py
@@ -111,6 +111,7 @@
     api.SetTimer: lambda a: {"setAlarm": {"fromNowNs": a.delay, "handle": a.token}},
     api.Subscribe: lambda a: {"listen": {"want": True}},
     api.Probe: lambda a: {"healthCheck": {"server": a.server}},
+    api.Log: lambda a: {"debug": {"message": a.message}},
 }
 
 
