Ask a running router for its state: an admin socket and saltport status

Need: what is ejected and why, what was given up and what the tenants are allowed could not be seen from outside.

--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -78,6 +78,48 @@
     os.execve(sys.executable, [sys.executable, "-m", "saltport.router", *more], environ)
 
 
+@cli.command()
+@click.argument("socket", type=click.Path(path_type=Path))
+@_AS_JSON
+def status(socket: Path, as_json: bool) -> None:
+    """Show the state of the router whose admin socket this is."""
+    from saltport.router.admin import ask
+
+    try:
+        told: dict[str, Any] = ask(socket, "state")
+    except (OSError, ValueError) as error:
+        _wrong(f"{socket}: {getattr(error, 'strerror', None) or error}", 1)
+    if as_json:
+        _dump(told, indent=True)
+        return
+    state = "ready" if told["ready"] else "not ready"
+    click.echo(
+        f"{told['name']} (pid {told['pid']}, {told['version']}): {state}, "
+        f"{told['owed']} requests open, list generation {told['generation']}: "
+        f"{told['caches']} caches, {told['origins']} origins"
+    )
+    lag = told["lag"]
+    click.echo(f"longest turn of the loop {lag['longest_ms']:.1f} ms, {lag['stalls']} over 5 ms")
+    given_up = ", ".join(f"{count} {why}" for why, count in told["given_up"].items())
+    click.echo(f"given up: {given_up or 'none'}")
+    for name, tenant in told["tenants"].items():
+        click.echo(
+            f"tenant {name}: {tenant['fetches_per_s']:.1f} fetches a second of "
+            f"{tenant['rate_limit_per_s']:.1f} allowed "
+            f"(at most {tenant['cap_per_s']:.1f}), {tenant['declined']} declined in the window"
+        )
+    outliers = told["outliers"]
+    panic = "; PANIC: nobody is believed bad" if outliers["panic"] else ""
+    click.echo(f"ejected: {outliers['ejected']} of {outliers['listed']}{panic}")
+    for name, server in sorted(outliers["servers"].items()):
+        click.echo(
+            f"  {name}: {server['standing']}{' (kept in)' if server['kept_in'] else ''}"
+            f"{', ' + server['reason'] if server['reason'] else ''}, {server['failures_in_a_row']} in a row, "
+            f"{server['failures']} of {server['attempts']} failed, {server['ejections']} ejections, "
+            f"{server['ejected_for_s']:.1f} s to go"
+        )
+
+
 @cli.command()
 @click.argument("config", type=_FILE)
 @_WITH
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -14,6 +14,7 @@
 
 import uvloop
 
+from saltport import __version__
 from saltport.decisions import ListKind
 from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.clients import ClientServer
@@ -84,6 +85,16 @@
         known = read_listing(config.known, clock, ListKind.CACHED)
         discovery.generation = known.generation
         host.servers_changed(known)
+    admin = None
+    if config.admin_socket:
+        from saltport.router.admin import Admin  # not on the platform, which has no use for it
+
+        about = {"name": config.name, "pid": os.getpid(), "version": __version__}
+        admin = Admin(
+            Path(config.admin_socket),
+            {"state": lambda: {**about, "generation": discovery.generation, **host.view()}},
+        )
+        await admin.listen()
     await clients.listen(config.listen)
     if not asked:
         discovery.start()
@@ -91,6 +102,8 @@
         loop.call_later(READY_S, make_do)
     await terminated.wait()
     await _drain(loop, config, host, clients)
+    if admin is not None:
+        admin.close()
     clients.close()
     discovery.close()
     pool.close()
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -44,6 +44,8 @@
     sockets: int
     known: dict[str, Any] | None
     """The list of servers as last held, in discovery's form; it may be old."""
+    admin_socket: str = ""
+    """Where the operator may ask for the state; empty: nowhere."""
 
 
 def load_config(environ: Mapping[str, str], with_files: Sequence[Path] = ()) -> Config:
@@ -53,7 +55,12 @@
         raise ConfigError("LB_CONFIG is not set")
     try:
         config = _config(typed("the file", orjson.loads(Path(path).read_bytes()), dict), environ)
-        return replace(config, settings=read_features(with_files).settings(config.settings))
+        features = read_features(with_files)
+        return replace(
+            config,
+            settings=features.settings(config.settings),
+            admin_socket=features.admin.socket.replace("{name}", config.name),
+        )
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
     except KeyError as error:
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -28,11 +28,19 @@
     vectors: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class AdminFeatures:
+    """`[admin]`: the socket at which an operator asks for a router's state."""
+
+    socket: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Features:
     """All sections."""
 
     table: TableFeatures = TableFeatures()
+    admin: AdminFeatures = AdminFeatures()
 
     def settings(self, settings: Settings) -> Settings:
         """The module's settings with what these files say; raises ValueError."""
@@ -47,10 +55,16 @@
     return isinstance(value, bool)
 
 
+def _socket_path(value: Any) -> bool:
+    # 108 bytes are what the kernel takes, with one for the end.
+    return isinstance(value, str) and value.startswith("/") and len(value.encode()) < 108
+
+
 _KINDS: dict[str, dict[str, tuple[Callable[[Any], bool], str]]] = {
     "table": {"slots": (_int, "a whole number"), "vectors": (_bool, "true or false")},
+    "admin": {"socket": (_socket_path, "the whole path of a socket, shorter than 108 bytes")},
 }
-_SECTIONS: dict[str, Callable[..., Any]] = {"table": TableFeatures}
+_SECTIONS: dict[str, Callable[..., Any]] = {"table": TableFeatures, "admin": AdminFeatures}
 
 
 def read_features(paths: Sequence[Path]) -> Features:
