--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -217,8 +217,20 @@
     return {**told, "cpu_us": (cpu_s(process.pid) - before) * 1e6 / requests}
 
 
+def _row(width: int, bare: list[dict[str, Any]], whole: list[dict[str, Any]]) -> dict[str, Any]:
+    relay_us = statistics.fmean(told["cpu_us"] for told in bare)
+    router_us = statistics.fmean(told["cpu_us"] for told in whole)
+    return {
+        "connections": width, "relay_us": relay_us, "router_us": router_us, "ratio": router_us / relay_us,
+        "ratios": [mine["cpu_us"] / theirs["cpu_us"] for mine, theirs in zip(whole, bare, strict=True)],
+        "served": sum(told["served"] for told in whole),
+        "others": dict(sum((told["others"] for told in whole), Counter())),
+        **{name: statistics.median(told[name] for told in whole) for name in ("per_s", "p50_ms", "p99_ms")},
+    }  # fmt: skip
+
+
 async def compare(
-    requests: int, widths: list[int], say: Callable[[str], None], stop_ms: int = 0
+    requests: int, widths: list[int], say: Callable[[str], None], stop_ms: int = 0, rounds: int = 5
 ) -> list[dict[str, Any]]:
     """Measure relay and router in turn for each number of connections; returns a row each."""
     held: list[asyncio.subprocess.Process] = []
@@ -242,14 +254,19 @@
             if not await wait_ready(listen, START_S):
                 raise RuntimeError("the router did not start")
             for width in widths:
-                bare = await _measure(relay, parse_address("relay", address), requests, width)
-                whole = await _measure(router, listen, requests, width, stop_ms)
-                ratio = whole["cpu_us"] / bare["cpu_us"]
-                rows.append({"connections": width, "relay": bare, "router": whole, "ratio": ratio})
+                bare, whole = [], []
+                for _ in range(rounds):  # in turn, as a shared machine is slower now and faster then
+                    bare.append(await _measure(relay, parse_address("relay", address), requests, width))
+                    whole.append(await _measure(router, listen, requests, width, stop_ms))
+                row = _row(width, bare, whole)
+                rows.append(row)
                 say(
-                    f"{width:4} connections: relay {bare['cpu_us']:.1f} us, router {whole['cpu_us']:.1f} us, "
-                    f"ratio {ratio:.1f}; {whole['per_s']} a second, p50 {whole['p50_ms']} ms, "
-                    f"p99 {whole['p99_ms']} ms, not served {dict(whole['others']) or 0}"
+                    f"{width:4} connections: relay {row['relay_us']:.1f} us, "
+                    f"router {row['router_us']:.1f} us, ratio {row['ratio']:.2f} "
+                    f"(rounds {', '.join(f'{ratio:.1f}' for ratio in row['ratios'])}); "
+                    f"{row['per_s']} a second, "
+                    f"p50 {row['p50_ms']} ms, p99 {row['p99_ms']} ms, "
+                    f"served {row['served']}, others {row['others'] or 0}"
                 )
         finally:
             for process in held:
@@ -263,6 +280,7 @@
     """Run it, or play one of its processes."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--requests", type=int, default=20_000)
+    parser.add_argument("--rounds", type=int, default=5, help="relay and router in turn, so often")
     parser.add_argument("--connections", type=int, action="append")
     parser.add_argument("--stop-ms", type=int, default=0, help="hold the router still so long, once a second")
     parser.add_argument("--json", action="store_true")
@@ -275,7 +293,9 @@
         uvloop.run(_relay([parse_address("node", node) for node in told.nodes]))
     else:
         say = (lambda line: print(line, file=sys.stderr)) if told.json else print
-        rows = uvloop.run(compare(told.requests, told.connections or [8, 32, 128], say, told.stop_ms))
+        rows = uvloop.run(
+            compare(told.requests, told.connections or [8, 32, 128], say, told.stop_ms, told.rounds)
+        )
         if told.json:
             print(orjson.dumps(rows).decode())
     return 0
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -168,7 +168,7 @@
     servers: tuple[Server, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: four times as dear to make
 class RequestArrived:
     """A client's request; one final answer is owed by `deadline` (clock time)."""
 
@@ -189,7 +189,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: four times as dear to make
 class AttemptEnded:
     """The end of one attempt. `closed`: the request has its final answer already."""
 
@@ -234,7 +234,7 @@
 Event = ServersChanged | RequestArrived | StreamStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: four times as dear to make
 class Send:
     """Start an attempt at a server; `timeout` 0: until the client gives up."""
 
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import Counter, deque
+from collections.abc import Sequence
 from itertools import takewhile
 from zlib import crc32
 
@@ -119,16 +120,20 @@
 class Request:
     """An open request; it lives on after its final answer until its attempt has ended."""
 
+    # What most requests never change costs nothing here.
+    slot = sends = sent_at = 0
+    lost_after = 0
+    """The time after which the answer under way counts as lost."""
+    share = 0.0
+    failed: Sequence[Node] = ()
+    node: Node | None = None
+    ran: tuple[Node, int] | None = None
+    """The first attempt that may have run: where, when sent."""
+    fetching = refetching = out = leads = waiting = done = False
+
     def __init__(self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor) -> None:
         self.id, self.key, self.deadline, self.write = event.request, event.key, event.deadline, event.write
         self.cls, self.guard = cls, guard
-        self.slot = self.sends = self.sent_at = 0
-        self.lost_after = 0  # the time after which the answer under way counts as lost
-        self.share = 0.0
-        self.failed: list[Node] = []
-        self.node: Node | None = None
-        self.ran: tuple[Node, int] | None = None  # the first attempt that may have run: where, when sent
-        self.fetching = self.refetching = self.out = self.leads = self.waiting = self.done = False
 
     def may_send(self, node: Node, now: int) -> bool:
         """Rule 2: what may have run goes out again only where and while its repeat is dropped."""
@@ -370,7 +375,7 @@
             if (
                 outcome not in (Outcome.TIMEOUT, Outcome.RESET) or late or node.unheard > 1
             ):  # else it is asked once more
-                request.failed.append(node)
+                request.failed = (*request.failed, node)
             self._route(request)
 
     def _judge(self, request: Request, node: Node, event: api.AttemptEnded, late: bool) -> None:
--- a/saltport/decisions/table.py
+++ b/saltport/decisions/table.py
@@ -107,10 +107,12 @@
 class _Row:
     """A slot's best servers, in order, as of a version of the list."""
 
-    __slots__ = ("ranked", "version", "whole")
+    __slots__ = ("ranked", "shown", "version", "whole")
 
     def __init__(self, ranked: list[Ranked], version: int, whole: bool) -> None:
         self.ranked, self.version = ranked, version
+        self.shown: list[Node] = []
+        """The first SHOWN, as they are told again and again; empty: to be listed anew."""
         self.whole = whole
         """Whether it holds all servers there are."""
 
@@ -174,6 +176,10 @@
             row = None
         if row is None or (len(row.ranked) < shown and not row.whole):
             row = self._ranked(slot, shown)
+        if shown == SHOWN and now >= self._cold_until:
+            if not row.shown:
+                row.shown = [node for _, node in row.ranked[:SHOWN]]
+            return row.shown
         held = row.ranked[:shown]
         if now < self._cold_until:
             held = [(score * self.warmth(node, now), node) for score, node in held]
@@ -196,7 +202,7 @@
         behind = self._version - row.version
         if behind > min(CATCH_UP, len(self._noted)):
             return False
-        ranked = row.ranked
+        ranked, row.shown = row.ranked, []
         for node, came in self._noted[-behind:]:
             if not came:
                 row.ranked = ranked = [pair for pair in ranked if pair[1] is not node]
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -67,14 +67,16 @@
 class Reply:
     """The place of one answer among those of its connection."""
 
+    _held: list[bytes] | None = None
+    done = False
+    source: ValueSource | None = None
+    request: Any = None
+    """The host's."""
+    reserved = 0
+
     def __init__(self, connection: ClientConnection, answers: Answers | None = None) -> None:
         self._connection = connection
         self._answers = answers
-        self._held: list[bytes] = []
-        self.done = False
-        self.source: ValueSource | None = None
-        self.request: Any = None  # the host's
-        self.reserved = 0
 
     @property
     def answers(self) -> Answers:
@@ -124,6 +126,8 @@
         if connection.closed:
             return True
         if connection.replies[0] is not self:
+            if self._held is None:
+                self._held = []
             self._held.append(data)
             return False
         connection.write(data)
@@ -135,14 +139,15 @@
 
     def forgotten(self) -> None:
         """The host needs the command no longer."""
-        self._connection.server.budget.give_back(self.reserved)
-        self.reserved = 0
+        if self.reserved:
+            self._connection.server.budget.give_back(self.reserved)
+            self.reserved = 0
 
     def its_turn(self) -> None:
         """The answers ahead have been written."""
-        for data in self._held:
+        for data in self._held or ():
             self._connection.write(data)
-        self._held.clear()
+        self._held = None
         if self.source is not None and not self._connection.blocked:
             self.source.resume()
 
@@ -207,7 +212,8 @@
         commands = reader.feed(data)
         for message, answers in commands:
             reply = Reply(self, answers)
-            reply.reserved, self._reserved = self._reserved, 0
+            if self._reserved:
+                reply.reserved, self._reserved = self._reserved, 0
             self.replies.append(reply)
             self._take(message, reply)
         if reader.broken:
--- a/saltport/downstream/resp.py
+++ b/saltport/downstream/resp.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import re
+from functools import lru_cache
+
 from saltport.messages import Answers, Malformed, Message, Ping, Request
 from saltport.wire.resp import MAX_WORD, CommandReader, bulk, parse_info
 
@@ -39,6 +42,8 @@
 
 
 ANSWERS = RespAnswers()
+REMEMBERED_INFO = 128  # longer lists are read each time, so that strangers can't fill the memory
+_PLAIN = re.compile(rb"[ -~]+").fullmatch
 
 
 class RespDialect:
@@ -87,23 +92,26 @@
     if len(key) + len(request) + len(info) > MAX_WORD:
         raise ValueError("key, id or list too long")
     # Danger: these words become HTTP lines at the origin, where a line break would forge a header.
-    if not _plain(request) or not _plain(info):
+    if not _PLAIN(request) or not _PLAIN(info):
         raise ValueError("id and list must be plain text")
     try:
         if not key or not key.decode().isprintable() or b" " in key:
             raise ValueError("key must be text without spaces")
     except UnicodeDecodeError:
         raise ValueError("key must be text without spaces") from None
+    told = _told if len(info) <= REMEMBERED_INFO else _told.__wrapped__
+    request_class, tenant, timeout_ms, retry = told(info)
+    value = words[4] if is_write else None
+    return Request(request, key, request_class, tenant, timeout_ms, value, retry, info)
+
+
+@lru_cache(maxsize=512)
+def _told(info: bytes) -> tuple[str, str | None, int, bool]:
+    """Class, tenant, milliseconds and retry mark; most requests' lists are like some that came before."""
     fields = parse_info(info)
     timeout = fields.get("d", "")
     if not timeout.isdecimal() or len(timeout) > 9:
         raise ValueError("d must be a number of milliseconds")
     if not fields.get("c"):
         raise ValueError("c must name a class")
-    value = words[4] if is_write else None
-    retry = fields.get("r") == "1"
-    return Request(request, key, fields["c"], fields.get("t"), int(timeout), value, retry, info)
-
-
-def _plain(word: bytes) -> bool:
-    return bool(word) and word.isascii() and word.decode("ascii").isprintable()
+    return fields["c"], fields.get("t"), int(timeout), fields.get("r") == "1"
--- a/saltport/messages.py
+++ b/saltport/messages.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: four times as dear to make
 class Request:
     """A client's request, whatever wire it came on."""
 
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -40,7 +40,6 @@
 from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import Exchange, Pool
 from saltport.upstream.resp import CacheConnection
-from saltport.wire.resp import parse_load
 
 NS_PER_MS = 1_000_000
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
@@ -65,18 +64,20 @@
 class Attempt(Exchange):
     """One attempt at a request."""
 
+    # What most attempts never change costs nothing here.
+    _latency = (0, 0)  # until a long value's first bytes
+    _source: ValueSource | None = None
+    _came_at = 0.0
+    _timer: asyncio.TimerHandle | None = None
+    _due = 0
+    _begun_at = 0
+    _looked = False
+
     def __init__(self, host: RouterHost, request: OpenRequest, server: str) -> None:
         self._host, self._request, self._server = host, request, server
         self.request = request.asked
         self._number = request.attempts
         self._sent_at = time.monotonic_ns()
-        self._latency = (0, 0)  # until a long value's first bytes
-        self._source: ValueSource | None = None
-        self._came_at = 0.0
-        self._timer: asyncio.TimerHandle | None = None
-        self._due = 0
-        self._begun_at = 0
-        self._looked = False
         request.attempts += 1
         request.out += 1
 
@@ -194,7 +195,7 @@
             request.closed = True
             reply.served(value)
         latency, lag = self._latency if self._latency[0] else self._took()
-        load = self._host.load(report)
+        # Load reports are not read: the design decides nothing by them.
         event = AttemptEnded(
             request.id,
             self._number,
@@ -203,7 +204,7 @@
             request.closed,
             latency,
             note,
-            load,
+            None,
             lag,
             self.kept,
         )
@@ -233,8 +234,7 @@
         """Tell the module."""
         self._timer.cancel()
         latency = time.monotonic_ns() - self._sent_at
-        load = self._host.load(report or value)
-        self._host.tell(ProbeEnded(self._server, outcome, latency, load))
+        self._host.tell(ProbeEnded(self._server, outcome, latency))
 
 
 class RouterHost:
@@ -288,10 +288,6 @@
         """Call back once the clock shows `due`; never before, though the loop counts in milliseconds."""
         return self.loop.call_later(max(due - time.monotonic_ns(), 0) / NS_PER_S + TIMER_STEP_S, callback)
 
-    def load(self, report: bytes | None) -> tuple[float, ...] | None:
-        """Read a load report."""
-        return parse_load(report, self.settings.load_fields) if report else None
-
     def dialing(self, server_id: str) -> bool:
         """Whether a connection to this server is coming up."""
         return self._pool.dialing(server_id)
@@ -391,7 +387,8 @@
     def tell(self, event: Event) -> None:
         """Give the module an event; one made while actions are carried out waits for its turn."""
         self._events.append(event)
-        self._handle_events()
+        if not self._handling:
+            self._handle_events()
 
     def _handle_events(self) -> None:
         if self._handling:
--- a/saltport/upstream/resp.py
+++ b/saltport/upstream/resp.py
@@ -36,7 +36,11 @@
             return command(b"INFO", b"load") if exchange.wants_load else command(b"PING")
         info = info_with(request.info, exchange.left_ms())
         if request.value is None:
-            return command(b"KV.GET", request.key, request.id, info)
+            key, name = request.key, request.id
+            # The most common command, in one step.
+            return b"*4\r\n$6\r\nKV.GET\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n" % (
+                len(key), key, len(name), name, len(info), info
+            )  # fmt: skip
         return command(b"KV.SET", request.key, request.id, info, request.value)
 
     def answer_came(self, data: bytes) -> None:
@@ -101,7 +105,7 @@
         self._begun, self._came, self._length = False, 0, 0
         if isinstance(answer, hiredis.ReplyError):
             self._error(str(answer))
-        elif isinstance(answer, list) and answer and isinstance(answer[0], bytes | None):
+        elif isinstance(answer, list) and answer and (answer[0] is None or isinstance(answer[0], bytes)):
             note = answer[1] if len(answer) > 1 else None
             report = answer[2] if len(answer) > 2 and isinstance(answer[2], bytes) else None
             value = None if streamed else answer[0]
--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -8,6 +8,7 @@
 
 MAX_VALUE = 4 << 20  # PROTOCOL: values hold at most 4 MiB
 LARGE = 64 << 10
+SHORT = 2048
 MAX_PARTS = 16
 MAX_WORD = 16 << 10  # all words of a command but its value together: far more than any has
 MAX_HEADER = 16  # a length line: its mark, digits and end
@@ -36,6 +37,9 @@
             data = bytes(self._held)
             self._held.clear()
             self.need = 0
+        words = _plain_command(data)
+        if words is not None:
+            return [words]
         commands: list[list[bytes]] = []
         position = 0
         while position < len(data):
@@ -87,6 +91,20 @@
         return int(digits), end + 2
 
 
+def _plain_command(data: bytes) -> list[bytes] | None:
+    """The words of one whole, short command, as most reads come; None: it is to be read strictly."""
+    if len(data) > SHORT:
+        return None
+    lines = data.split(b"\r\n")
+    words = lines[2:-1:2]
+    if not words or lines[0] != b"*%d" % len(words) or len(lines) != 2 * len(words) + 2 or lines[-1]:
+        return None
+    for at, word in enumerate(words, 1):
+        if lines[2 * at - 1] != b"$%d" % len(word):
+            return None
+    return words if len(words) <= MAX_PARTS else None
+
+
 def parse_info(info: bytes) -> dict[str, str]:
     """Take a request's list of names and values apart; raises ValueError in words for the client."""
     fields: dict[str, str] = {}
@@ -113,13 +131,4 @@
 
 def command(*words: bytes) -> bytes:
     """Encode one command."""
-    return b"*%d\r\n%b" % (len(words), b"".join(map(bulk, words)))
-
-
-def parse_load(report: bytes, names: tuple[str, ...]) -> tuple[float, ...] | None:
-    """Read a load report into the order of the settings; None where it is not whole."""
-    try:
-        told = dict(part.split("=", 1) for part in report.decode("ascii").split(","))
-        return tuple(float(told[name]) for name in names) or None
-    except (ValueError, KeyError):
-        return None
+    return b"*%d\r\n%b" % (len(words), b"".join([b"$%d\r\n%b\r\n" % (len(word), word) for word in words]))
--- /dev/null
+++ b/tests/wire/test_resp.py
@@ -0,0 +1,75 @@
+"""Clients' commands off the wire: the short way and the strict one read the same, in any split."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies
+from hypothesis import settings as profile
+
+from saltport.downstream.resp import RespDialect, parse_request
+from saltport.messages import Request
+from saltport.wire import resp
+from saltport.wire.resp import CommandReader, command
+
+WORDS = strategies.lists(strategies.binary(max_size=40), min_size=1, max_size=resp.MAX_PARTS)
+TRICKY = strategies.lists(
+    strategies.sampled_from(
+        [
+            b"*1",
+            b"*2",
+            b"*4",
+            b"*04",
+            b"$0",
+            b"$1",
+            b"$2",
+            b"$-1",
+            b"\r\n",
+            b"\r",
+            b"\n",
+            b"a",
+            b"ab",
+            b"*",
+            b"$",
+        ]
+    ),
+    max_size=14,
+).map(b"".join)
+
+
+def strictly(data: bytes) -> tuple[list[list[bytes]], str, int]:
+    """What the strict way alone makes of these bytes."""
+    reader = CommandReader()
+    short, resp.SHORT = resp.SHORT, -1
+    try:
+        return reader.feed(data), reader.broken, reader.need
+    finally:
+        resp.SHORT = short
+
+
+@given(words=WORDS, cuts=strategies.lists(strategies.integers(0, 600), max_size=6))
+@profile(derandomize=True, max_examples=300, deadline=None)
+def test_any_command_survives_any_split(words: list[bytes], cuts: list[int]) -> None:
+    whole = command(*words) * 2
+    reader, read = CommandReader(), []
+    at = 0
+    for cut in sorted({min(cut, len(whole)) for cut in cuts} | {len(whole)}):
+        read += reader.feed(whole[at:cut])
+        at = cut
+    assert read == [words, words]
+    assert (reader.need, reader.broken) == (0, "")
+
+
+@given(data=TRICKY)
+@profile(derandomize=True, max_examples=1500, deadline=None)
+def test_the_short_way_reads_what_the_strict_one_does(data: bytes) -> None:
+    reader = CommandReader()
+    assert (reader.feed(data), reader.broken, reader.need) == strictly(data)
+
+
+def test_long_lists_are_read_and_not_remembered() -> None:
+    dialect = RespDialect()
+    info = b"c=get,d=5,x=" + b"y" * 300
+    ((message, _),) = dialect.feed(command(b"KV.GET", b"k", b"id", info))
+    assert isinstance(message, Request)
+    assert (message.request_class, message.timeout_ms, message.tenant) == ("get", 5, None)
+    short = parse_request([b"KV.GET", b"k", b"id", b"c=get,t=a,d=7,r=1"])
+    assert (short.tenant, short.timeout_ms, short.retry) == ("a", 7, True)
