--- /dev/null
+++ b/saltport/membership/listing.py
@@ -0,0 +1,66 @@
+"""The list of servers in discovery's form, read into the module's event."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from saltport.address import Address, parse_address
+from saltport.decisions import ListKind, Server, ServersChanged, ServerState
+
+_STATES = {"up": ServerState.READY, "draining": ServerState.DRAINING, "removed": ServerState.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One answer of discovery: the module's event, and the address of each server in it."""
+
+    generation: int
+    change: ServersChanged
+    addresses: dict[str, Address]
+    more: bool = False
+    """Whether further steps of the same list follow."""
+
+
+class Clock:
+    """Turns Unix times into times of the monotonic clock, always by the same difference."""
+
+    def __init__(self) -> None:
+        self._behind = time.time_ns() - time.monotonic_ns()
+
+    def monotonic(self, unix_ms: int) -> int:
+        """The monotonic time in nanoseconds; 0 stays 0, for long ago."""
+        return unix_ms * 1_000_000 - self._behind if unix_ms else 0
+
+
+def read_listing(body: Any, clock: Clock, kind: ListKind | None = None) -> Listing:
+    """Read discovery's form; raises ValueError on anything amiss, and then nothing of it counts."""
+    try:
+        servers = tuple(read_server(entry, clock) for entry in body["instances"])
+        addresses = {
+            entry["instanceId"]: parse_address("hostPort", entry["hostPort"])
+            for entry in body["instances"]
+            if entry["lifecycle"] != "removed"
+        }
+        if kind is None:
+            kind = ListKind.FULL if body["reset"] else ListKind.DELTA
+        return Listing(int(body["generation"]), ServersChanged(kind, servers), addresses)
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not a list of servers: {type(error).__name__}: {error}") from None
+
+
+def read_server(entry: dict[str, Any], clock: Clock) -> Server:
+    """Read one entry; raises KeyError, TypeError, AttributeError or ValueError on anything amiss."""
+    if not isinstance(entry["instanceId"], str):
+        raise TypeError("instanceId must be a string")
+    weight = entry.get("weight")
+    return Server(
+        id=entry["instanceId"],
+        kind=entry.get("machineType") or "",
+        state=_STATES[entry["lifecycle"]],
+        weight=1.0 if weight is None else float(weight),
+        started=clock.monotonic(int(entry.get("startedAtMs") or 0)),
+        zone=entry.get("zone") or "",
+        cell=int(entry.get("cell") or 0),
+    )
--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -4,15 +4,14 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, cast
 
 import orjson
 
-from saltport.address import Address, parse_address
-from saltport.decisions import ListKind, Server, ServersChanged, ServerState
+from saltport.address import Address
+from saltport.membership.listing import Clock, Listing
+from saltport.membership.steps import ListSteps
 from saltport.wire.http import HttpError, HttpReader, request
 
 MAX_BODY = 8 << 20
@@ -23,62 +22,9 @@
 LIST_TIMEOUT_S = 2.0
 RETRY_S = 0.1  # a watch goes on if the next call comes within 0.2 s
 
-_STATES = {"up": ServerState.READY, "draining": ServerState.DRAINING, "removed": ServerState.GONE}
-
 log = logging.getLogger("saltport")
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """One answer of discovery: the module's event, and the address of each server in it."""
-
-    generation: int
-    change: ServersChanged
-    addresses: dict[str, Address]
-
-
-class Clock:
-    """Turns Unix times into times of the monotonic clock, always by the same difference."""
-
-    def __init__(self) -> None:
-        self._behind = time.time_ns() - time.monotonic_ns()
-
-    def monotonic(self, unix_ms: int) -> int:
-        """The monotonic time in nanoseconds; 0 stays 0, for long ago."""
-        return unix_ms * 1_000_000 - self._behind if unix_ms else 0
-
-
-def read_listing(body: Any, clock: Clock, kind: ListKind | None = None) -> Listing:
-    """Read discovery's form; raises ValueError on anything amiss, and then nothing of it counts."""
-    try:
-        servers = tuple(_server(entry, clock) for entry in body["instances"])
-        addresses = {
-            entry["instanceId"]: parse_address("hostPort", entry["hostPort"])
-            for entry in body["instances"]
-            if entry["lifecycle"] != "removed"
-        }
-        if kind is None:
-            kind = ListKind.FULL if body["reset"] else ListKind.DELTA
-        return Listing(int(body["generation"]), ServersChanged(kind, servers), addresses)
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"not a list of servers: {type(error).__name__}: {error}") from None
-
-
-def _server(entry: dict[str, Any], clock: Clock) -> Server:
-    if not isinstance(entry["instanceId"], str):
-        raise TypeError("instanceId must be a string")
-    weight = entry.get("weight")
-    return Server(
-        id=entry["instanceId"],
-        kind=entry.get("machineType") or "",
-        state=_STATES[entry["lifecycle"]],
-        weight=1.0 if weight is None else float(weight),
-        started=clock.monotonic(int(entry.get("startedAtMs") or 0)),
-        zone=entry.get("zone") or "",
-        cell=int(entry.get("cell") or 0),
-    )
-
-
 class _Call(asyncio.Protocol, HttpReader):
     """One connection to discovery."""
 
@@ -145,12 +91,18 @@
         take: Callable[[Listing], None],
         failed: Callable[[], None],
     ) -> None:
-        self._address, self._asked, self._clock = address, asked, clock
+        self._address, self._asked = address, asked
+        self._steps = ListSteps(clock)
         self._take, self._failed = take, failed
         self._call: _Call | None = None
         self._task: asyncio.Task[None] | None = None
         self.generation = 0
 
+    def hold(self, known: Any, generation: int) -> None:
+        """The router holds this list already, in discovery's form; it may be old."""
+        self.generation = generation
+        self._steps.hold(known)
+
     def start(self) -> None:
         """Follow the pushed list."""
         self._task = asyncio.get_running_loop().create_task(self._follow())
@@ -215,6 +167,9 @@
             raise
         if status != 200:
             raise ValueError(f"answered {status}")
-        listing = read_listing(orjson.loads(body), self._clock)
-        self.generation = listing.generation
-        self._take(listing)
+        for listing in self._steps.changes(orjson.loads(body)):
+            if listing is not None:
+                self._take(listing)
+                if not listing.more:
+                    self.generation = listing.generation
+            await asyncio.sleep(0)
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -19,7 +19,8 @@
 from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.clients import ClientServer
 from saltport.downstream.resp import RespDialect
-from saltport.membership.registry import Clock, Discovery, Listing, read_listing
+from saltport.membership.listing import Clock, Listing, read_listing
+from saltport.membership.registry import Discovery
 from saltport.router.config import Config, ConfigError, load_config, reload_config
 from saltport.router.host import RouterHost
 from saltport.router.log import make_logger
@@ -57,7 +58,7 @@
 
     def take(listing: Listing) -> None:
         host.servers_changed(listing)
-        host.ready = True
+        host.ready = host.ready or not listing.more
 
     def make_do() -> None:
         host.ready = True
@@ -83,7 +84,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     if config.known is not None:
         known = read_listing(config.known, clock, ListKind.CACHED)
-        discovery.generation = known.generation
+        discovery.hold(config.known, known.generation)
         host.servers_changed(known)
     admin = None
     if config.admin_socket:
--- a/saltport/router/check.py
+++ b/saltport/router/check.py
@@ -16,7 +16,7 @@
 from jsonschema import Draft202012Validator
 
 from saltport.address import parse_address
-from saltport.membership.registry import Clock, read_listing
+from saltport.membership.listing import Clock, read_listing
 from saltport.router.config import ConfigError, load_config
 from saltport.router.features import FeatureError, read_features
 
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -35,7 +35,7 @@
 from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.clients import Reply
 from saltport.lag import HEARTBEAT_NS, LagMeter
-from saltport.membership.registry import Listing
+from saltport.membership.listing import Listing
 from saltport.messages import Request, ValueSource
 from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import Exchange, Pool
