Shed the router's own overload by tenants' shares, and blame no server for it

Need: with too little CPU everything ran late, the loudest tenant took the most, and healthy servers were ejected for answers that lay unread here. While the loop has no rest that delay is taken off what servers took, and dials given up late end as never run.

--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -108,6 +108,14 @@
             f"{tenant['rate_limit_per_s']:.1f} allowed "
             f"(at most {tenant['cap_per_s']:.1f}), {tenant['declined']} declined in the window"
         )
+    overload = told["overload"]
+    state = f"admits {overload['admitted_share']:.0%}" if overload["overloaded"] else "none"
+    shed = ", ".join(f"{count} of {name}" for name, count in overload["shed"].items())
+    click.echo(
+        f"overload: {state if overload['on'] else 'not watched'}; "
+        f"loop busy {overload['loop_busy_share']:.0%}, "
+        f"what comes lies unread for {overload['loop_delay_ms']:.1f} ms; shed {shed or 'nothing'}"
+    )
     outliers = told["outliers"]
     panic = "; PANIC: nobody is believed bad" if outliers["panic"] else ""
     click.echo(f"ejected: {outliers['ejected']} of {outliers['listed']}{panic}")
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -135,6 +135,8 @@
     """Far more than servers, so that a slot's load is small beside a server's; the same at every router."""
     vectors: bool = False
     """Whether large fleets are ranked with numpy, which takes some 17 MB."""
+    overload_target: int = 0
+    """For so long, in nanoseconds, what comes may lie unread before the router sheds; 0: it never does."""
 
     def __post_init__(self) -> None:
         _require(bool(self.classes), "classes", "must name at least one class")
@@ -144,6 +146,7 @@
         _require(self.cold_time >= 0, "cold_time", "must not be negative")
         _require(self.max_attempts >= 1, "max_attempts", "must be at least 1")
         _require(1 <= self.slots <= 1 << 20, "slots", "must be from 1 to 1,048,576")
+        _require(self.overload_target >= 0, "overload_target", "must not be negative")
         _require(self.max_retry_after >= 0, "max_retry_after", "must not be negative")
 
 
@@ -231,7 +234,26 @@
     load: tuple[float, ...] | None = None
 
 
-Event = ServersChanged | RequestArrived | StreamStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded
+@dataclass(frozen=True, slots=True)
+class LoopReport:
+    """How the host's loop fared lately: the share of the time that it was busy, for how long what comes lies
+    unread, and the time that this tells of; both in nanoseconds."""
+
+    busy: float
+    delay: int
+    span: int = NS_PER_S // 10
+
+
+Event = (
+    ServersChanged
+    | RequestArrived
+    | StreamStarted
+    | AttemptEnded
+    | ClientGone
+    | TimerFired
+    | ProbeEnded
+    | LoopReport
+)
 
 
 @dataclass(slots=True)  # not frozen: four times as dear to make
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -18,6 +18,7 @@
 from saltport.decisions.health import Node, Pace
 from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
 from saltport.decisions.outliers import OutlierDetector, Standing
+from saltport.decisions.overload import FIRST, HOPELESS, RETRY, OverloadControl
 from saltport.decisions.table import DEPTH, SlotTable
 
 HARD_LIMIT_FACTOR = 1.5
@@ -167,6 +168,7 @@
         self._guards = {tenant.name: Suppressor(tenant, settings.routers, self._rng) for tenant in tenants}
         self._caches, self._origins = SlotTable(settings), SlotTable(settings)
         self._outliers = OutlierDetector(self._rng, max(cls.deadline for cls in settings.classes))
+        self._overload = OverloadControl(settings, self._rng)
         self._heat = Heat()
         self._requests: dict[str, Request] = {}
         self._flights: dict[str, list[Request]] = {}
@@ -195,6 +197,10 @@
                 self._servers_changed(event)
             case api.TimerFired():
                 self._timer(event.token)
+            case api.LoopReport():
+                news = self._overload.report(event)
+                if news is not None:
+                    self._actions.append(api.Log(news))
             case api.ClientGone() if event.request in self._requests:
                 self._finish(self._requests[event.request])
         return self._actions
@@ -217,6 +223,7 @@
             "given_up": dict(self._given_up),
             "tenants": tenants,
             "outliers": self._outliers.view(now),
+            "overload": self._overload.view(),
         }
 
     def _servers_changed(self, event: api.ServersChanged) -> None:
@@ -259,7 +266,11 @@
         slots = self._settings.slots
         request.slot = self._rng.randrange(slots) if event.key is None else crc32(event.key.encode()) % slots
         self._requests[request.id] = request
-        if request.write and self._settings.origin_kind is not None:
+        late = event.deadline - self._now < self._answers.usual
+        rank = HOPELESS if late else RETRY if event.retry else FIRST
+        if not self._overload.admit(event.tenant or "", request.write, rank):
+            self._give_up(request, "router overloaded")
+        elif request.write and self._settings.origin_kind is not None:
             self._fetch(request)
         else:
             request.share = self._heat.add(request.slot)
@@ -353,13 +364,14 @@
         request.out = request.fetching = False
         node.load -= 1
         # Danger: with the router's own lag in it, every server is late whenever this router is.
-        late = event.latency - event.lag > request.cls.aim
+        took = event.latency - max(event.lag, self._overload.lag)
+        late = took > request.cls.aim
         # Danger: servers may close what they keep at any time; counted, that would eject healthy ones.
         broke = event.kept and outcome is Outcome.RESET
         if fetched:
             self._judge_fetch(node, event, late)
         elif not broke:
-            self._judge(request, node, event, late)
+            self._judge(request, node, event, late, took)
             if outcome in (Outcome.OK, Outcome.MISS):
                 node.pace.learn(event.latency)
                 self._answers.learn(event.latency)
@@ -378,13 +390,14 @@
                 request.failed = (*request.failed, node)
             self._route(request)
 
-    def _judge(self, request: Request, node: Node, event: api.AttemptEnded, late: bool) -> None:
-        node.judge(event.outcome, late, request.sent_at, self._now)
+    def _judge(self, request: Request, node: Node, event: api.AttemptEnded, late: bool, took: int) -> None:
+        # Danger: counted, clients with little time left would make every server look silent, and a router
+        # whose loop has no rest would take its own lateness for theirs.
+        cut_short = event.outcome is Outcome.TIMEOUT and took < request.lost_after
+        outcome = Outcome.CANCELLED if cut_short else event.outcome
+        node.judge(outcome if self._overload.lag else event.outcome, late, request.sent_at, self._now)
         if self._caches.nodes.get(node.entry.id) is not node:
             return
-        # Danger: counted, clients with little time left would make every server look silent.
-        cut_short = event.outcome is Outcome.TIMEOUT and event.latency - event.lag < request.lost_after
-        outcome = Outcome.CANCELLED if cut_short else event.outcome
         news = self._outliers.judge(node, request.id, outcome, request.sent_at, self._now)
         if news is not None:
             self._actions.append(api.Log(news.message))
--- /dev/null
+++ b/saltport/decisions/overload.py
@@ -0,0 +1,129 @@
+"""The router's own overload: when its loop has no rest and what comes lies unread for long, it sheds early.
+
+Shed is what is worth least: traffic beyond a tenant's portion, and within a tenant what can't be in time
+any more, then clients' marked retries, then first tries. Writes are counted and never shed. No I/O; the host
+tells how its loop fares, times are nanoseconds. docs/design/overload.md weighs the options.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Mapping
+
+from saltport.decisions import interface as api
+from saltport.decisions.interface import NS_PER_S
+
+BUSY = 0.95  # of the time without a wait for the kernel: there is no rest left
+PATIENT = 3  # reports in a row before it counts: a lone stall is no overload
+STEP = 0.3  # of the way to the share that there is room for, with each report
+RISE_S = 4.0  # in which the share admitted would rise from nothing to all
+LEAST = 0.05
+SMOOTH = 0.3
+LEAST_WEIGHT = 0.01  # of tenants that state no portion
+HOPELESS, RETRY, FIRST = 0, 1, 2  # ranks of reads, the least worth first
+
+
+def fair_shares(
+    capacity: float, asked: Mapping[str, float], weights: Mapping[str, float]
+) -> dict[str, float]:
+    """Weighted max-min: who asks for less than its share gets it all, its rest goes to the others."""
+    given: dict[str, float] = {}
+    left = dict(asked)
+    while left:
+        total = sum(weights[name] for name in left)
+        content = [name for name in left if left[name] <= capacity * weights[name] / total]
+        if not content:
+            return given | {name: capacity * weights[name] / total for name in left}
+        for name in content:
+            given[name] = left.pop(name)
+        capacity = max(capacity - sum(given[name] for name in content), 0.0)
+    return given
+
+
+class OverloadControl:
+    """Learns from the host's reports, and admits arrivals by them."""
+
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+        self._target = settings.overload_target
+        self._rng = rng
+        self._weights = {tenant.name: max(tenant.portion, LEAST_WEIGHT) for tenant in settings.tenants}
+        self._weights[""] = LEAST_WEIGHT
+        self._over = 0
+        self.admitted = 1.0
+        """The share of what arrives that there is room for."""
+        self._came: Counter[tuple[str, int]] = Counter()  # since the last report, by tenant and rank
+        self._usual: dict[tuple[str, int], float] = {}  # the same, smoothed
+        self._chances: dict[tuple[str, int], float] = {}
+        self.shed: Counter[str] = Counter()
+        self._told = api.LoopReport(0.0, 0)
+
+    @property
+    def lag(self) -> int:
+        """For how long what comes lies unread while the loop has no rest: this router's part of any wait."""
+        return self._told.delay if self._told.busy >= BUSY else 0
+
+    def report(self, told: api.LoopReport) -> str | None:
+        """Take a report of the loop; returns a line for the operator when the state changes."""
+        self._told = told
+        if not self._target:
+            return None
+        over = told.busy >= BUSY and told.delay > self._target
+        self._over = self._over + 1 if over else 0
+        before = self.admitted
+        if self._over >= PATIENT:
+            # Danger: refusals cost CPU too; cut for as long as the loop has no rest, all would be refused.
+            room = max(self._target / told.delay, LEAST)
+            self.admitted += (min(room, 1.0) - self.admitted) * STEP
+        elif not over:
+            self.admitted = min(self.admitted + told.span / (RISE_S * NS_PER_S), 1.0)
+        for kind in self._usual.keys() | self._came.keys():
+            usual = self._usual.get(kind, 0.0)
+            self._usual[kind] = usual + (self._came[kind] - usual) * SMOOTH
+        self._came.clear()
+        self._chances = self._ranked() if self.admitted < 1.0 else {}
+        if (before < 1.0) == (self.admitted < 1.0):
+            return None
+        if self.admitted < 1.0:
+            return f"overloaded: what comes lies unread for {told.delay / 1e6:.0f} ms; shedding begins"
+        return f"no longer overloaded; {self.shed.total()} reads were shed since the start"
+
+    def _ranked(self) -> dict[tuple[str, int], float]:
+        """The chance of each kind of read: a tenant's fair share goes to its best ranks first."""
+        asked: Counter[str] = Counter()
+        for (tenant, _), count in self._usual.items():
+            asked[tenant] += count  # type: ignore[assignment]
+        shares = fair_shares(self.admitted * asked.total(), asked, self._weights)
+        chances = {}
+        for tenant, left in shares.items():
+            for rank in (FIRST, RETRY, HOPELESS):
+                came = self._usual.get((tenant, rank), 0.0)
+                chances[tenant, rank] = min(left / came, 1.0) if came > 0 else 1.0
+                left = max(left - came, 0.0)
+        return chances
+
+    def admit(self, tenant: str, write: bool, rank: int) -> bool:
+        """Whether to take a request on; counts it."""
+        if not self._target:
+            return True
+        if tenant not in self._weights:
+            tenant = ""
+        self._came[tenant, FIRST if write else rank] += 1
+        if write or not self._chances:
+            return True
+        chance = self._chances.get((tenant, rank), 1.0)
+        if chance >= 1.0 or self._rng.random() < chance:
+            return True
+        self.shed[tenant] += 1
+        return False
+
+    def view(self) -> dict[str, object]:
+        """Its state, for people."""
+        return {
+            "on": self._target > 0,
+            "overloaded": self.admitted < 1.0,
+            "admitted_share": round(self.admitted, 3),
+            "loop_busy_share": round(self._told.busy, 3),
+            "loop_delay_ms": round(self._told.delay / 1e6, 3),
+            "shed": {tenant or "(none)": count for tenant, count in self.shed.items()},
+        }
--- a/saltport/lag.py
+++ b/saltport/lag.py
@@ -35,6 +35,10 @@
         self.stalls = 0
         """How often that was more than 5 ms."""
 
+        self._waited = 0
+        self._squares = 0.0  # of the turns' lengths: what comes in a turn waits for about as long as it takes
+        self._reported_at = 0
+
     @property
     def open(self) -> bool:
         """Whether a turn is under way."""
@@ -45,8 +49,10 @@
         waited = now - self._waiting_since if self._waiting_since else 0
         if waited > HEARTBEAT_NS + HEARTBEAT_SLACK_NS:
             self._unread_since = self._waiting_since  # the process stood still
+            self._squares += waited * waited
         elif waited > self._least_wait or not self._waiting_since:
             self._unread_since = now  # the kernel had nothing before
+            self._waited += waited
         else:
             self._unread_since = self._begun_before or now
         self._begun = now
@@ -54,6 +60,7 @@
     def turn_ends(self, now: int) -> None:
         """The loop is about to look at the kernel again."""
         busy = now - self._unread_since
+        self._squares += (now - self._begun) ** 2
         self.longest = max(self.longest, busy)
         self.stalls += busy > STALL_NS
         if now - self._begun > STALL_NS:
@@ -74,6 +81,14 @@
                 return ended
         return written
 
+    def take_report(self, now: int) -> tuple[float, int, int]:
+        """Since the last call: the share of it without a wait, how long what came lay unread, the time."""
+        span = max(now - self._reported_at, 1) if self._reported_at else 0
+        busy = 1 - min(self._waited / span, 1.0) if span else 0.0
+        delay = int(self._squares / span) if span else 0
+        self._waited, self._squares, self._reported_at = 0, 0.0, now
+        return busy, delay, span
+
     def take_longest(self) -> int:
         """The longest stall since the last call."""
         longest, self.longest = self.longest, 0
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -35,22 +35,39 @@
     socket: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class OverloadFeatures:
+    """`[overload]`: shedding when the router's own CPU is the bottleneck; 0: never."""
+
+    target_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Features:
     """All sections."""
 
     table: TableFeatures = TableFeatures()
     admin: AdminFeatures = AdminFeatures()
+    overload: OverloadFeatures = OverloadFeatures()
 
     def settings(self, settings: Settings) -> Settings:
         """The module's settings with what these files say; raises ValueError."""
-        return replace(settings, slots=self.table.slots, vectors=self.table.vectors)
+        return replace(
+            settings,
+            slots=self.table.slots,
+            vectors=self.table.vectors,
+            overload_target=self.overload.target_ms * 1_000_000,
+        )
 
 
 def _int(value: Any) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
 
 
+def _milliseconds(value: Any) -> bool:
+    return _int(value) and 0 <= value <= 60_000
+
+
 def _bool(value: Any) -> bool:
     return isinstance(value, bool)
 
@@ -62,9 +79,14 @@
 
 _KINDS: dict[str, dict[str, tuple[Callable[[Any], bool], str]]] = {
     "table": {"slots": (_int, "a whole number"), "vectors": (_bool, "true or false")},
+    "overload": {"target_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000")},
     "admin": {"socket": (_socket_path, "the whole path of a socket, shorter than 108 bytes")},
 }
-_SECTIONS: dict[str, Callable[..., Any]] = {"table": TableFeatures, "admin": AdminFeatures}
+_SECTIONS: dict[str, Callable[..., Any]] = {
+    "table": TableFeatures,
+    "admin": AdminFeatures,
+    "overload": OverloadFeatures,
+}
 
 
 def read_features(paths: Sequence[Path]) -> Features:
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -17,6 +17,7 @@
     Fail,
     ListKind,
     Log,
+    LoopReport,
     Outcome,
     Probe,
     ProbeEnded,
@@ -45,6 +46,7 @@
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
 LOOK_S = 0.001  # in which the loop looks at the kernel once
 HELD_UP_NS = 5 * NS_PER_MS  # a timer that comes so late tells that the loop was held up
+REPORT_NS = 95 * NS_PER_MS  # between two reports of the loop to the module, with heartbeats of 20 ms: 100
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
 
 log = logging.getLogger("saltport")
@@ -255,6 +257,7 @@
         self._events: deque[Event] = deque()
         self._handling = False
         self.lag = LagMeter()
+        self._reported_at = 0
         self._beat()
 
     # The router's own lag
@@ -273,6 +276,11 @@
         """Wake now and then, so that a long wait of the loop tells of a process that stood still."""
         self.touched()
         self.loop.call_later(HEARTBEAT_NS / NS_PER_S, self._beat)
+        # By the clock: where beats come late, reports must not come rarely.
+        now = time.monotonic_ns()
+        if now - self._reported_at >= REPORT_NS:
+            self._reported_at = now
+            self.tell(LoopReport(*self.lag.take_report(now)))
 
     @property
     def owed(self) -> int:
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -349,6 +349,7 @@
 
     async def _dial(self, server: Server) -> None:
         connection: Connection | None = None
+        own_lag = False
         address = server.address
         attempt = self._loop.create_connection(lambda: server.connect(server), *address)
         connecting = self._loop.create_task(attempt)
@@ -357,9 +358,11 @@
         try:
             due = self._loop.time() + self._dial_timeout
             await asyncio.wait((connecting,), timeout=self._dial_timeout)
-            if not connecting.done() and self._loop.time() - due > LATE_NOTICE_S:
+            own_lag = self._loop.time() - due > LATE_NOTICE_S
+            if not connecting.done() and own_lag:
                 await asyncio.wait((connecting,), timeout=LATE_NOTICE_S)
             if connecting.done():
+                own_lag = False
                 _, connection = connecting.result()
         except OSError:
             pass
@@ -371,18 +374,19 @@
         if connection is None or not connection.usable:
             if connection is not None:
                 self._held -= 1
-            self._dial_failed(server)
+            # One that was given up late says more of this router than of the server.
+            self._dial_failed(server, Outcome.MOOT if own_lag else Outcome.CONNECT_FAILED)
             return
         server.connections.add(connection)
         connection.retired = not server.open or server.address != address
         self.released(connection)
 
-    def _dial_failed(self, server: Server) -> None:
+    def _dial_failed(self, server: Server, outcome: Outcome) -> None:
         while server.waiting:
             exchange = server.waiting.popleft()
             if not exchange.over:
                 # Danger: one that is only dropped here would count as under way until its deadline.
-                exchange.end(Outcome.CONNECT_FAILED)
+                exchange.end(outcome)
                 break
         self._dial_for(server)
         self._forget(server)
--- a/tests/test_lag.py
+++ b/tests/test_lag.py
@@ -87,3 +87,41 @@
         now += busy
         assert busy <= meter.unread(now) <= now - looks[0]
         meter.turn_ends(now)
+
+
+def test_report_of_a_loop_that_rests_between_turns() -> None:
+    meter = LagMeter()
+    meter.take_report(MS)
+    for turn in range(1, 11):
+        meter.turn_begins(turn * 10 * MS)
+        meter.turn_ends(turn * 10 * MS + 2 * MS)
+    busy, delay, span = meter.take_report(101 * MS)
+    assert 0.1 < busy < 0.35
+    assert delay == 10 * (2 * MS) ** 2 // (100 * MS)
+    assert span == 100 * MS
+
+
+def test_report_of_a_loop_without_rest() -> None:
+    meter = LagMeter()
+    meter.take_report(MS)
+    for turn in range(1, 6):
+        meter.turn_begins(turn * 20 * MS + 10 * US)
+        meter.turn_ends((turn + 1) * 20 * MS)
+    busy, delay, span = meter.take_report(121 * MS)
+    assert busy > 0.95
+    assert 15 * MS < delay < 20 * MS
+    assert span == 120 * MS
+
+
+def test_report_of_a_process_that_stood_still() -> None:
+    meter = LagMeter()
+    meter.turn_begins(MS)
+    meter.turn_ends(2 * MS)
+    meter.take_report(2 * MS)
+    meter.turn_begins(302 * MS)  # the heartbeat was due 280 ms ago
+    meter.turn_ends(303 * MS)
+    busy, delay, span = meter.take_report(303 * MS)
+    assert busy > 0.95
+    assert delay > 250 * MS
+    assert span == 301 * MS
+    assert meter.take_report(403 * MS)[1] == 0
