Take clients of the memcached binary protocol on the same core

Need: older build machines speak only the memcached binary protocol. Change: wire/memcached.py, a codec without I/O, and downstream/memcached.py, a dialect beside RESP: GET, SET and DELETE in all their forms become reads and writes of configured classes; what can't be kept is answered Not supported; refusals (Busy) and failures (Temporary failure) are told for quiet commands too. One listener for both by the first byte, or one alone ([memcached], deploy/memcached.toml, off by default). Nodes of that protocol are not reached yet.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -155,13 +155,13 @@
 class ClientConnection(asyncio.Protocol):
     """One client's connection."""
 
-    def __init__(self, server: ClientServer) -> None:
+    def __init__(self, server: ClientServer, dialect: Callable[[], ClientDialect]) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
         self.used_at = server.loop.time()
-        self._dialect = server.dialect()
+        self._dialect = dialect()
         self._reading = True
         self._reserved = 0  # set aside for the command under way
         self._begun_at = 0.0
@@ -360,15 +360,17 @@
         self.loop, self.host, self.dialect, self._limit = loop, host, dialect, limit
         self.budget = Budget(budget)
         self._connections: dict[ClientConnection, None] = {}
-        self._listener: asyncio.Server | None = None
+        self._listeners: list[asyncio.Server] = []
         self._draining = False
         self._timer = loop.call_later(SWEEP_S, self._sweep)
 
-    async def listen(self, address: Address) -> None:
-        """Accept clients at this address."""
-        self._listener = await self.loop.create_server(
-            lambda: ClientConnection(self), *address, backlog=BACKLOG
+    async def listen(self, address: Address, dialect: Callable[[], ClientDialect] | None = None) -> None:
+        """Accept clients at this address, of the server's dialect or another; they share all limits."""
+        speaks = dialect or self.dialect
+        listener = await self.loop.create_server(
+            lambda: ClientConnection(self, speaks), *address, backlog=BACKLOG
         )
+        self._listeners.append(listener)
 
     def opened(self, connection: ClientConnection) -> None:
         """Count a new connection in, making room for it where there is none."""
@@ -398,9 +400,8 @@
 
     def stop_accepting(self) -> None:
         """Close the listener, and the connections that stand between requests."""
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        while self._listeners:
+            self._listeners.pop().close()
         self.finish(even_midway=False)
 
     def finish(self, even_midway: bool) -> None:
--- a/saltport/downstream/resp.py
+++ b/saltport/downstream/resp.py
@@ -5,6 +5,7 @@
 import re
 from functools import lru_cache
 
+from saltport.downstream.words import check_key
 from saltport.messages import Answers, Malformed, Message, Ping, Request
 from saltport.wire.resp import MAX_WORD, CommandReader, bulk, parse_info
 
@@ -94,11 +95,7 @@
     # Danger: these words become HTTP lines at the origin, where a line break would forge a header.
     if not _PLAIN(request) or not _PLAIN(info):
         raise ValueError("id and list must be plain text")
-    try:
-        if not key or not key.decode().isprintable() or b" " in key:
-            raise ValueError("key must be text without spaces")
-    except UnicodeDecodeError:
-        raise ValueError("key must be text without spaces") from None
+    check_key(key)
     told = _told if len(info) <= REMEMBERED_INFO else _told.__wrapped__
     request_class, tenant, timeout_ms, retry = told(info)
     value = words[4] if is_write else None
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -8,20 +8,24 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 
 import uvloop
 
 from saltport import __version__
+from saltport.address import parse_address
 from saltport.decisions import ListKind
 from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.clients import ClientServer
 from saltport.downstream.resp import RespDialect
 from saltport.membership.listing import Clock, Listing, read_listing
 from saltport.membership.registry import Discovery
+from saltport.messages import ClientDialect
 from saltport.router.config import Config, ConfigError, load_config, reload_config
+from saltport.router.features import MemcachedFeatures
 from saltport.router.host import RouterHost
 from saltport.router.log import make_logger
 from saltport.upstream.pool import Pool
@@ -54,7 +58,13 @@
     pool = Pool(loop, descriptors - for_clients, config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S)
     host = RouterHost(loop, config.settings, config.seed, pool, config.max_open)
     pool.touched = host.touched
-    clients = ClientServer(loop, host, RespDialect, for_clients, int(config.memory * BUDGET_SHARE))
+    memcached = _memcached(config.memcached) if config.memcached.on else None
+    dialect: Callable[[], ClientDialect] = RespDialect
+    if memcached is not None and config.memcached.shared:
+        from saltport.downstream.memcached import EitherDialect
+
+        dialect = partial(EitherDialect, memcached, RespDialect)
+    clients = ClientServer(loop, host, dialect, for_clients, int(config.memory * BUDGET_SHARE))
 
     def take(listing: Listing) -> None:
         host.servers_changed(listing)
@@ -97,6 +107,8 @@
         )
         await admin.listen()
     await clients.listen(config.listen)
+    if memcached is not None and config.memcached.listen:
+        await clients.listen(parse_address("memcached.listen", config.memcached.listen), memcached)
     if not asked:
         discovery.start()
     if config.known is not None:
@@ -111,6 +123,15 @@
     await asyncio.sleep(0)
 
 
+def _memcached(told: MemcachedFeatures) -> Callable[[], ClientDialect]:
+    from saltport.downstream.memcached import MemcachedDialect, MemcachedRules  # only where it is on
+
+    rules = MemcachedRules(
+        told.read_class, told.write_class, told.delete_class, told.tenant or None, told.deadline_ms
+    )
+    return partial(MemcachedDialect, rules)
+
+
 async def _drain(
     loop: asyncio.AbstractEventLoop, config: Config, host: RouterHost, clients: ClientServer
 ) -> None:
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -12,7 +12,7 @@
 from saltport.address import Address, parse_address
 from saltport.decisions import Settings
 from saltport.decisions.settings import WireError, read_settings, typed
-from saltport.router.features import FeatureError, read_features
+from saltport.router.features import FeatureError, MemcachedFeatures, read_features
 
 DEFAULT_MAX_OPEN = 20_000
 DEFAULT_DIAL_TIMEOUT_NS = 250_000_000
@@ -44,6 +44,7 @@
     sockets: int
     known: dict[str, Any] | None
     """The list of servers as last held, in discovery's form; it may be old."""
+    memcached: MemcachedFeatures = field(default_factory=MemcachedFeatures)
     admin_socket: str = ""
     """Where the operator may ask for the state; empty: nowhere."""
 
@@ -59,6 +60,7 @@
         return replace(
             config,
             settings=features.settings(config.settings),
+            memcached=features.memcached,
             admin_socket=features.admin.socket.replace("{name}", config.name),
         )
     except OSError as error:
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -12,7 +12,8 @@
 from pathlib import Path
 from typing import Any
 
-from saltport.decisions import Settings
+from saltport.address import parse_address
+from saltport.decisions import Effect, Settings
 from saltport.decisions.interface import DEFAULT_SLOTS
 
 
@@ -42,6 +43,27 @@
     target_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class MemcachedFeatures:
+    """`[memcached]`: clients that speak the memcached binary protocol."""
+
+    shared: bool = False
+    """Whether the router's own listener takes them beside RESP, told apart by the first byte."""
+    listen: str = ""
+    """A listener for them alone; empty: none."""
+    read_class: str = ""
+    write_class: str = ""
+    delete_class: str = ""
+    tenant: str = ""
+    """Of all of them; empty: of none."""
+    deadline_ms: int = 0
+
+    @property
+    def on(self) -> bool:
+        """Whether any listener takes them."""
+        return self.shared or bool(self.listen)
+
+
 @dataclass(frozen=True, slots=True)
 class Features:
     """All sections."""
@@ -49,9 +71,12 @@
     table: TableFeatures = TableFeatures()
     admin: AdminFeatures = AdminFeatures()
     overload: OverloadFeatures = OverloadFeatures()
+    memcached: MemcachedFeatures = MemcachedFeatures()
 
     def settings(self, settings: Settings) -> Settings:
         """The module's settings with what these files say; raises ValueError."""
+        if self.memcached.on:
+            _check_memcached(self.memcached, settings)
         return replace(
             settings,
             slots=self.table.slots,
@@ -60,6 +85,25 @@
         )
 
 
+def _check_memcached(told: MemcachedFeatures, settings: Settings) -> None:
+    """What can only be told from the settings; raises FeatureError."""
+    classes = {known.name: known for known in settings.classes}
+    for name in ("read_class", "write_class", "delete_class"):
+        if getattr(told, name) not in classes:
+            raise FeatureError(f"memcached.{name}: {getattr(told, name)!r} is none of {', '.join(classes)}")
+    if classes[told.read_class].effect is not Effect.SAFE:
+        raise FeatureError(f"memcached.read_class: repeats of {told.read_class!r} do harm; reads' do not")
+    if told.tenant and told.tenant not in {tenant.name for tenant in settings.tenants}:
+        raise FeatureError(f"memcached.tenant: {told.tenant!r} is unknown")
+    if not told.deadline_ms:
+        raise FeatureError("memcached.deadline_ms: must be above 0, as the wire tells no deadlines")
+    if told.listen:
+        try:
+            parse_address("memcached.listen", told.listen)
+        except ValueError as error:
+            raise FeatureError(str(error)) from None
+
+
 def _int(value: Any) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
 
@@ -68,6 +112,10 @@
     return _int(value) and 0 <= value <= 60_000
 
 
+def _text(value: Any) -> bool:
+    return isinstance(value, str)
+
+
 def _bool(value: Any) -> bool:
     return isinstance(value, bool)
 
@@ -80,12 +128,22 @@
 _KINDS: dict[str, dict[str, tuple[Callable[[Any], bool], str]]] = {
     "table": {"slots": (_int, "a whole number"), "vectors": (_bool, "true or false")},
     "overload": {"target_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000")},
+    "memcached": {
+        "shared": (_bool, "true or false"),
+        "listen": (_text, "host:port, or nothing"),
+        "read_class": (_text, "the name of a class"),
+        "write_class": (_text, "the name of a class"),
+        "delete_class": (_text, "the name of a class"),
+        "tenant": (_text, "the name of a tenant, or nothing"),
+        "deadline_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000"),
+    },
     "admin": {"socket": (_socket_path, "the whole path of a socket, shorter than 108 bytes")},
 }
 _SECTIONS: dict[str, Callable[..., Any]] = {
     "table": TableFeatures,
     "admin": AdminFeatures,
     "overload": OverloadFeatures,
+    "memcached": MemcachedFeatures,
 }
 
 
--- /dev/null
+++ b/tests/downstream/test_memcached.py
@@ -0,0 +1,153 @@
+"""The memcached dialect alone: what each opcode becomes, and how each outcome is worded."""
+
+from __future__ import annotations
+
+import pytest
+
+from saltport.downstream.memcached import EitherDialect, MemcachedDialect, MemcachedRules
+from saltport.downstream.resp import RespDialect
+from saltport.messages import Answers, Malformed, Message, Ping, Request
+from saltport.wire.memcached import (
+    REQUEST_MAGIC,
+    RESPONSE_MAGIC,
+    Opcode,
+    Packet,
+    PacketReader,
+    Status,
+    encode,
+)
+
+RULES = MemcachedRules("get", "put", "drop", "acme", 800)
+NO_META = bytes(8)
+READS = [Opcode.GET, Opcode.GETQ, Opcode.GETK, Opcode.GETKQ]
+NOT_KEPT = [
+    Packet(Opcode.ADD, b"k", NO_META, b"v"),
+    Packet(Opcode.REPLACEQ, b"k", NO_META, b"v"),
+    Packet(Opcode.APPEND, b"k", value=b"v"),
+    Packet(Opcode.INCREMENT, b"k", bytes(20)),
+    Packet(Opcode.TOUCH, b"k", bytes(4)),
+    Packet(Opcode.GATKQ, b"k", bytes(4)),
+    Packet(Opcode.FLUSH),
+    Packet(Opcode.VERBOSITY, extras=bytes(4)),
+    Packet(Opcode.STAT, b"items"),
+    Packet(Opcode.SET, b"k", b"\0\0\0\1" + bytes(4), b"v"),
+    Packet(Opcode.SET, b"k", bytes(7) + b"\1", b"v"),
+    Packet(Opcode.SET, b"k", NO_META, b"v", cas=5),
+    Packet(Opcode.DELETEQ, b"k", cas=5),
+]
+
+
+def read(packet: Packet) -> tuple[Message, Answers]:
+    ((message, answers),) = MemcachedDialect(RULES).feed(encode(packet, REQUEST_MAGIC))
+    return message, answers
+
+
+def told(data: bytes) -> list[Packet]:
+    return PacketReader(RESPONSE_MAGIC).feed(data)
+
+
+@pytest.mark.parametrize("opcode", READS)
+def test_reads(opcode: Opcode) -> None:
+    message, answers = read(Packet(opcode, b"pkg/a", opaque=77))
+    assert isinstance(message, Request)
+    assert (message.key, message.request_class, message.tenant) == (b"pkg/a", "get", "acme")
+    assert (message.timeout_ms, message.value, message.info) == (800, None, b"c=get,t=acme,d=800")
+    key = b"pkg/a" if opcode in (Opcode.GETK, Opcode.GETKQ) else b""
+    hit = Packet(opcode, key, bytes(4), b"value", opaque=77)
+    assert told(answers.served(b"value")) == [hit]
+    assert told(answers.head(5) + b"value" + answers.tail()) == [hit]
+
+
+@pytest.mark.parametrize(
+    ("packet", "cls"),
+    [
+        (Packet(Opcode.SET, b"k", NO_META, b"v", opaque=3), "put"),
+        (Packet(Opcode.SETQ, b"k", NO_META, b"v", opaque=3), "put"),
+        (Packet(Opcode.DELETE, b"k", opaque=3), "drop"),
+        (Packet(Opcode.DELETEQ, b"k", opaque=3), "drop"),
+    ],
+)
+def test_writes_have_a_key_of_their_own_and_quiet_ones_are_silent_once_done(packet: Packet, cls: str) -> None:
+    message, answers = read(packet)
+    assert isinstance(message, Request)
+    assert message.request_class == cls
+    assert message.value == packet.value
+    assert message.info == f"c={cls},t=acme,d=800,k={message.id.decode()}".encode()
+    expected = [] if packet.quiet else [Packet(packet.opcode, opaque=3)]
+    assert told(answers.served(b"receipt")) == expected
+
+
+@pytest.mark.parametrize("opcode", [*READS, Opcode.SET, Opcode.SETQ, Opcode.DELETE, Opcode.DELETEQ])
+def test_refusals_and_failures_are_never_silent_and_differ(opcode: Opcode) -> None:
+    extras = NO_META if opcode in (Opcode.SET, Opcode.SETQ) else b""
+    _, answers = read(Packet(opcode, b"k", extras, opaque=9))
+    (busy,), (failed,) = told(answers.refused(250)), told(answers.failed())
+    assert (busy.status, busy.opaque, busy.value) == (Status.BUSY, 9, b"Busy; again after 250 ms")
+    assert (failed.status, failed.opaque, failed.opcode) == (Status.TEMPORARY_FAILURE, 9, opcode)
+
+
+@pytest.mark.parametrize("packet", NOT_KEPT, ids=lambda packet: Opcode(packet.opcode).name)
+def test_what_cannot_be_kept_is_said_so(packet: Packet) -> None:
+    message, answers = read(packet)
+    assert isinstance(message, Malformed)
+    (answer,) = told(answers.rejected(message.reason))
+    assert (answer.status, answer.opcode) == (Status.NOT_SUPPORTED, packet.opcode)
+    assert answer.value.startswith(b"Not supported; ")
+
+
+@pytest.mark.parametrize("opcode", [0x77, 0xFF, Opcode.SASL_LIST])
+def test_unknown_opcodes(opcode: int) -> None:
+    message, answers = read(Packet(opcode))
+    assert isinstance(message, Malformed)
+    (answer,) = told(answers.rejected(message.reason))
+    assert (answer.status, answer.value) == (Status.UNKNOWN_COMMAND, b"Unknown command")
+
+
+@pytest.mark.parametrize("key", [b"a b", b"a\r\nX: y", b"\xff\xfe", b"k" * 251])
+def test_keys_that_cannot_be_passed_on(key: bytes) -> None:
+    message, answers = read(Packet(Opcode.GETQ, key))
+    assert isinstance(message, Malformed)
+    assert told(answers.rejected(message.reason))[0].status == Status.INVALID_ARGUMENTS
+
+
+def test_noop_version_and_stat() -> None:
+    message, answers = read(Packet(Opcode.NOOP, opaque=4))
+    assert isinstance(message, Ping)
+    assert told(answers.pong(ready=False)) == [Packet(Opcode.NOOP, opaque=4)]
+    _, answers = read(Packet(Opcode.VERSION))
+    assert told(answers.pong(ready=True))[0].value
+    _, answers = read(Packet(Opcode.STAT))
+    *stats, last = told(answers.pong(ready=True))
+    assert {stat.key for stat in stats} == {b"pid", b"version", b"ready"}
+    assert (last.key, last.value) == (b"", b"")
+
+
+def test_quit_ends_the_stream_behind_what_came_before_it() -> None:
+    for opcode, expected in ((Opcode.QUIT, [Packet(Opcode.QUIT)]), (Opcode.QUITQ, [])):
+        dialect = MemcachedDialect(RULES)
+        stream = [Packet(Opcode.GET, b"k"), Packet(opcode), Packet(Opcode.GET, b"never")]
+        messages = dialect.feed(b"".join(encode(packet, REQUEST_MAGIC) for packet in stream))
+        assert len(messages) == 1
+        assert dialect.broken
+        assert told(dialect.breaking()) == expected
+
+
+def test_broken_streams_are_told_why() -> None:
+    dialect = MemcachedDialect(RULES)
+    assert dialect.feed(b"\x80" + b"\xff" * 23) == []
+    assert dialect.broken
+    (answer,) = told(dialect.breaking())
+    assert answer.status == Status.INVALID_ARGUMENTS
+    assert b"data type" in answer.value
+
+
+def test_the_first_byte_tells_the_dialect() -> None:
+    def either() -> EitherDialect:
+        return EitherDialect(lambda: MemcachedDialect(RULES), RespDialect)
+
+    binary, plain = either(), either()
+    assert (binary.need, binary.broken, binary.breaking()) == (0, "", b"")
+    assert isinstance(binary.feed(encode(Packet(Opcode.NOOP), REQUEST_MAGIC))[0][0], Ping)
+    assert isinstance(plain.feed(b"*1\r\n$4\r\nPING\r\n")[0][0], Ping)
+    assert binary.feed(b"*1\r\n$4\r\nPING\r\n") == []
+    assert "magic 0x2a" in binary.broken
--- /dev/null
+++ b/tests/router/test_memcached.py
@@ -0,0 +1,237 @@
+"""Clients of the memcached binary protocol before the real router: a real library, and scripted ones."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import bmemcached
+import pytest
+
+from saltport.router.config import ConfigError, load_config
+from saltport.router.features import FeatureError, read_features
+from saltport.wire.memcached import (
+    REQUEST_MAGIC,
+    RESPONSE_MAGIC,
+    Opcode,
+    Packet,
+    PacketReader,
+    Status,
+    encode,
+)
+from tests.sockets import (
+    MISS,
+    PATIENCE_S,
+    Peer,
+    Routed,
+    eventually,
+    free_port,
+    get,
+    hit,
+    http_answer,
+    routed,
+    start_router,
+)
+
+FRONT = """
+[memcached]
+shared = true
+listen = "127.0.0.1:{port}"
+read_class = "get"
+write_class = "put"
+delete_class = "put"
+tenant = "acme"
+deadline_ms = 5000
+"""
+
+
+class Store:
+    """An origin that keeps what it is given, and caches that miss until it has been asked."""
+
+    def __init__(self) -> None:
+        self.values: dict[bytes, bytes] = {}
+        self.writes: list[tuple[bytes, bytes, bytes]] = []
+        self.cache = Peer(self._cached)
+        self.origin = Peer(self._origin, is_http=True)
+
+    def _cached(self, _: socket.socket, words: list[bytes]) -> bytes:
+        return MISS if words[1].startswith(b"cold") else self._hit(words[1])
+
+    def _hit(self, key: bytes) -> bytes:
+        return hit(self.values[key]) if key in self.values else MISS
+
+    def _origin(self, _: socket.socket, message: list[bytes]) -> bytes:
+        method, target, head, body = message
+        key = target[1:]
+        if method == b"PUT":
+            self.writes.append((key, body, head))
+            self.values[key] = body
+            return http_answer(200, b"receipt")
+        if key == b"broken":
+            return http_answer(500)
+        return http_answer(200, self.values.get(key, b"fresh " + key))
+
+
+@contextmanager
+def front(folder: Path, store: Store) -> Iterator[tuple[Routed, int]]:
+    port = free_port()
+    features = folder / "memcached.toml"
+    features.write_text(FRONT.format(port=port))
+    with routed(folder, {"s1": store.cache}, store.origin, more=["--with", str(features)]) as router:
+        yield router, port
+
+
+class Binary:
+    """A scripted client."""
+
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
+        self._reader, self._read = PacketReader(RESPONSE_MAGIC), list[Packet]()
+
+    def send(self, *packets: Packet) -> None:
+        self.socket.sendall(b"".join(encode(packet, REQUEST_MAGIC) for packet in packets))
+
+    def answers(self, count: int) -> list[Packet]:
+        while len(self._read) < count:
+            data = self.socket.recv(65536)
+            assert data, "closed"
+            self._read += self._reader.feed(data)
+        told, self._read = self._read[:count], self._read[count:]
+        return told
+
+    def at_end(self) -> bool:
+        try:
+            return self.socket.recv(1) == b""
+        except ConnectionResetError:
+            return True
+
+
+@pytest.mark.parametrize("shared", [True, False])
+def test_a_real_library_reads_writes_and_deletes(tmp_path: Path, shared: bool) -> None:
+    store = Store()
+    store.values = {b"a": b"one", b"long": b"x" * 200_000}
+    with front(tmp_path, store) as (router, port):
+        client = bmemcached.Client([f"127.0.0.1:{router.port if shared else port}"])
+        assert client.get("a") == "one"
+        assert client.get("cold") == "fresh cold"
+        assert client.get("long") == "x" * 200_000
+        assert client.set("b", "two") is True
+        assert client.get("b") == "two"
+        assert client.get_multi(["a", "b", "cold2"]) == {"a": "one", "b": "two", "cold2": "fresh cold2"}
+        assert client.set_multi({"c": "three", "d": "four"}) == []
+        assert client.delete("b")
+        client.disconnect_all()
+    first, *both, last = [(key, body) for key, body, _ in store.writes]
+    assert (first, last) == ((b"b", b"two"), (b"b", b""))
+    assert sorted(both) == [(b"c", b"three"), (b"d", b"four")]  # a batch runs side by side
+    assert all(b"c=put,t=acme,d=5000,k=" in head for _, _, head in store.writes)
+
+
+def test_both_protocols_on_one_listener_see_the_same(tmp_path: Path) -> None:
+    store = Store()
+    store.values = {b"k": b"value"}
+    with front(tmp_path, store) as (router, port):
+        binary = Binary(router.port)
+        binary.send(Packet(Opcode.GET, b"k", opaque=1))
+        assert binary.answers(1) == [Packet(Opcode.GET, extras=bytes(4), value=b"value", opaque=1)]
+        assert router.client().ask(get("r1", "k")) == b"value"
+        alone = Binary(port)
+        alone.socket.sendall(b"*1\r\n$4\r\nPING\r\n")
+        (answer,) = alone.answers(1)
+        assert answer.status == Status.INVALID_ARGUMENTS
+        assert alone.at_end()
+
+
+def test_quiet_reads_are_answered_in_order_and_failures_are_never_silent(tmp_path: Path) -> None:
+    store = Store()
+    store.values = {b"k%d" % i: b"v%d" % i for i in range(1000)}
+    with front(tmp_path, store) as (_, port):
+        client = Binary(port)
+        reads = [Packet(Opcode.GETKQ, b"k%d" % i, opaque=i) for i in range(1000)]
+        client.send(*reads, Packet(Opcode.GETQ, b"broken", opaque=5000), Packet(Opcode.NOOP, opaque=6000))
+        told = client.answers(1002)
+        assert [packet.opaque for packet in told] == [*range(1000), 5000, 6000]
+        assert all(packet.key == b"k%d" % i for i, packet in enumerate(told[:1000]))
+        assert told[1000].status in (Status.BUSY, Status.TEMPORARY_FAILURE)
+        client.send(
+            Packet(Opcode.SETQ, b"n", bytes(8), b"1"), Packet(Opcode.DELETEQ, b"n"), Packet(Opcode.NOOP)
+        )
+        assert client.answers(1) == [Packet(Opcode.NOOP)]
+        assert [key for key, _, _ in store.writes] == [b"n", b"n"]
+
+
+def test_quit_and_a_client_gone_in_the_middle_of_a_batch(tmp_path: Path) -> None:
+    store = Store()
+    store.values = {b"k": b"v"}
+    with front(tmp_path, store) as (router, port):
+        client = Binary(port)
+        client.send(Packet(Opcode.GET, b"k"), Packet(Opcode.QUIT, opaque=8))
+        assert [packet.opcode for packet in client.answers(2)] == [Opcode.GET, Opcode.QUIT]
+        assert client.at_end()
+        held = router.descriptors()
+        leaver = Binary(port)
+        leaver.send(*[Packet(Opcode.GETQ, b"cold%d" % i) for i in range(200)])
+        leaver.socket.close()
+        eventually(lambda: router.descriptors() <= held + 20, "the client's connection is closed")
+        again = Binary(port)
+        again.send(Packet(Opcode.GET, b"k"))
+        assert again.answers(1)[0].value == b"v"
+
+
+@pytest.mark.parametrize(
+    "junk",
+    [
+        b"\x80" + b"\xff" * 23,
+        b"\x80\x00\x00\x05\x08\x00\x00\x00\xff\xff\xff\xff" + bytes(12),
+        b"\x81" + bytes(23),
+    ],
+    ids=["ones", "4 GB", "response"],
+)
+def test_what_cannot_be_followed_gets_an_error_and_a_close_and_harms_nobody(
+    tmp_path: Path, junk: bytes
+) -> None:
+    store = Store()
+    store.values = {b"k": b"v"}
+    with front(tmp_path, store) as (_, port):
+        good, bad = Binary(port), Binary(port)
+        bad.send(Packet(Opcode.GET, b"k", opaque=1))
+        bad.socket.sendall(junk)
+        first, last = bad.answers(2)
+        assert (first.value, last.status) == (b"v", Status.INVALID_ARGUMENTS)
+        assert bad.at_end()
+        good.send(Packet(Opcode.GET, b"k"))
+        assert good.answers(1)[0].value == b"v"
+
+
+@pytest.mark.parametrize(
+    ("line", "words"),
+    [
+        ('read_class = "nothing"', "memcached.read_class: 'nothing' is none of get, put, once"),
+        ('read_class = "put"', "memcached.read_class: repeats"),
+        ('tenant = "nobody"', "memcached.tenant: 'nobody' is unknown"),
+        ("deadline_ms = 0", "memcached.deadline_ms: must be above 0"),
+        ('listen = "nowhere"', "memcached.listen"),
+        ("shared = 1", "memcached.shared: expected true or false"),
+    ],
+)
+def test_slips_are_told_with_their_place(tmp_path: Path, line: str, words: str) -> None:
+    name = line.split(" ", maxsplit=1)[0]
+    kept = [old for old in FRONT.format(port=1).splitlines() if not old.startswith(name + " ")]
+    path = tmp_path / "memcached.toml"
+    path.write_text("\n".join([*kept, line]))
+    with routed(tmp_path, {"s1": Peer(lambda _, words: hit(words[2]))}) as router:
+        told = router.told()
+    config = tmp_path / "config.json"
+    with pytest.raises((ConfigError, FeatureError)) as raised:
+        load_config({"LB_CONFIG": str(config)}, [path])
+    assert words in str(raised.value)
+    process = start_router(tmp_path, told, ["--with", str(path)])
+    _, log = process.communicate(timeout=PATIENCE_S)
+    assert (process.returncode, words in log) == (2, True)
+
+
+def test_the_shipped_file_is_good() -> None:
+    told = read_features([Path(__file__).parents[2] / "deploy/memcached.toml"]).memcached
+    assert (told.on, told.read_class) == (True, "fetch")
--- /dev/null
+++ b/tests/wire/test_memcached.py
@@ -0,0 +1,167 @@
+"""The memcached binary codec: the published examples, any split, any noise, and every opcode's rules."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, strategies
+from hypothesis import settings as profile
+
+from saltport.wire.memcached import (
+    HEADER,
+    MAX_KEY,
+    QUIET,
+    REQUEST_MAGIC,
+    RESPONSE_MAGIC,
+    Opcode,
+    Packet,
+    PacketReader,
+    Status,
+    encode,
+)
+
+# The examples of the published protocol, as hexadecimal words.
+GET_HELLO = "80000005 00000000 00000005 00000000 00000000 00000000 48656c6c 6f"
+WORLD = "81000000 04000000 00000009 00000000 00000000 00000001 deadbeef 576f726c 64"
+ADD_HELLO = "80020005 08000000 00000012 00000000 00000000 00000000 deadbeef 00001c20 48656c6c 6f576f72 6c64"
+NOT_FOUND = "81000000 00000001 00000009 00000000 00000000 00000000 4e6f7420 666f756e 64"
+
+
+@pytest.mark.parametrize(
+    ("words", "magic", "packet"),
+    [
+        (GET_HELLO, REQUEST_MAGIC, Packet(Opcode.GET, b"Hello")),
+        (WORLD, RESPONSE_MAGIC, Packet(Opcode.GET, extras=b"\xde\xad\xbe\xef", value=b"World", cas=1)),
+        (
+            ADD_HELLO,
+            REQUEST_MAGIC,
+            Packet(Opcode.ADD, b"Hello", b"\xde\xad\xbe\xef\x00\x00\x1c\x20", b"World"),
+        ),
+        (NOT_FOUND, RESPONSE_MAGIC, Packet(Opcode.GET, value=b"Not found", status=Status.KEY_NOT_FOUND)),
+    ],
+    ids=["get", "value", "add", "not-found"],
+)
+def test_published_examples_are_read_and_written_to_the_byte(words: str, magic: int, packet: Packet) -> None:
+    data = bytes.fromhex(words)
+    assert PacketReader(magic).feed(data) == [packet]
+    assert encode(packet, magic) == data
+
+
+PACKETS = strategies.builds(
+    Packet,
+    opcode=strategies.integers(0, 255),
+    key=strategies.binary(max_size=60),
+    extras=strategies.binary(max_size=24),
+    value=strategies.binary(max_size=80),
+    status=strategies.integers(0, 0xFFFF),
+    opaque=strategies.integers(0, 2**32 - 1),
+    cas=strategies.integers(0, 2**64 - 1),
+)
+
+
+@given(
+    packets=strategies.lists(PACKETS, max_size=5),
+    cuts=strategies.lists(strategies.integers(0, 900), max_size=8),
+    magic=strategies.sampled_from([REQUEST_MAGIC, RESPONSE_MAGIC]),
+)
+@profile(derandomize=True, max_examples=400, deadline=None)
+def test_any_packets_survive_any_split(packets: list[Packet], cuts: list[int], magic: int) -> None:
+    whole = b"".join(encode(packet, magic) for packet in packets)
+    reader, read, at = PacketReader(magic), [], 0
+    for cut in sorted({min(cut, len(whole)) for cut in cuts} | {len(whole)}):
+        read += reader.feed(whole[at:cut])
+        at = cut
+    for packet in read:
+        packet.fault = ""
+    assert read == packets
+    assert (reader.need, reader.broken) == (0, "")
+
+
+@given(noise=strategies.lists(strategies.binary(max_size=120), max_size=6))
+@profile(derandomize=True, max_examples=400, deadline=None)
+def test_noise_ends_in_one_stated_error_or_waits_for_no_more_than_a_packet(noise: list[bytes]) -> None:
+    reader = PacketReader(REQUEST_MAGIC, max_value=1000)
+    for data in noise:
+        reader.feed(data)
+        assert reader.need <= HEADER.size + 255 + 0xFFFF + 1000
+        if reader.broken:
+            told = reader.broken
+            assert reader.feed(b"\x80" * 50) == []
+            assert reader.broken == told
+
+
+@given(packet=PACKETS, place=strategies.integers(0, 23), byte=strategies.integers(0, 255))
+@profile(derandomize=True, max_examples=400, deadline=None)
+def test_a_spoilt_header_never_raises(packet: Packet, place: int, byte: int) -> None:
+    data = bytearray(encode(packet, REQUEST_MAGIC))
+    data[place] = byte
+    reader = PacketReader(REQUEST_MAGIC, max_value=1000)
+    reader.feed(bytes(data) + encode(Packet(Opcode.NOOP), REQUEST_MAGIC))
+
+
+def header(key: int = 0, extras: int = 0, body: int = 0, magic: int = 0x80, kind: int = 0) -> bytes:
+    return HEADER.pack(magic, Opcode.GET, key, extras, kind, 0, body, 7, 0)
+
+
+@pytest.mark.parametrize(
+    ("head", "words"),
+    [
+        (header(body=0xFFFFFFFF), "a value of 4294967295 bytes"),
+        (header(key=5, extras=4, body=8), "extras and key of 9 bytes in a body of 8"),
+        (header(magic=0x81), "magic 0x81 for 0x80"),
+        (header(kind=3), "data type 0x03"),
+        (b"GET / HTTP/1.1\r\n", "magic 0x47 for 0x80"),
+    ],
+    ids=["4 GB", "lengths", "response", "data-type", "http"],
+)
+def test_what_cannot_be_followed_is_told_from_its_header_alone(head: bytes, words: str) -> None:
+    reader = PacketReader(REQUEST_MAGIC)
+    good = encode(Packet(Opcode.GET, b"k"), REQUEST_MAGIC)
+    assert [packet.key for packet in reader.feed(good + head)] == [b"k"]
+    assert words in reader.broken
+
+
+@pytest.mark.parametrize(
+    ("packet", "words"),
+    [
+        (Packet(Opcode.GET), "no key"),
+        (Packet(Opcode.GET, b"k", value=b"v"), "a value"),
+        (Packet(Opcode.GETKQ, b"k", extras=b"1234"), "extras of 4 bytes"),
+        (Packet(Opcode.SET, b"k", value=b"v"), "extras of 0 bytes"),
+        (Packet(Opcode.INCREMENT, b"k", extras=b"12345678"), "extras of 8 bytes"),
+        (Packet(Opcode.NOOP, b"k"), "a key"),
+        (Packet(Opcode.FLUSH, extras=b"12"), "extras of 2 bytes"),
+        (Packet(Opcode.TOUCH, b"k"), "extras of 0 bytes"),
+        (Packet(Opcode.GET, b"k" * (MAX_KEY + 1)), "a key of 251 bytes"),
+    ],
+    ids=lambda told: told if isinstance(told, str) else f"0x{told.opcode:02x}",
+)
+def test_what_breaks_its_opcodes_rules_is_told_and_the_stream_goes_on(packet: Packet, words: str) -> None:
+    reader = PacketReader(REQUEST_MAGIC)
+    noop = Packet(Opcode.NOOP, opaque=9)
+    bad, after = reader.feed(encode(packet, REQUEST_MAGIC) + encode(noop, REQUEST_MAGIC))
+    assert words in bad.fault
+    assert after == noop
+    assert reader.broken == ""
+
+
+def test_every_opcode_has_a_rule_and_unknown_ones_are_followed() -> None:
+    for code in Opcode:
+        bare = PacketReader(REQUEST_MAGIC).feed(encode(Packet(code, extras=b"1" * 19), REQUEST_MAGIC))[0]
+        assert bare.fault, code
+    (strange,) = PacketReader(REQUEST_MAGIC).feed(encode(Packet(0x77, b"k", b"e", b"v"), REQUEST_MAGIC))
+    assert (strange.opcode, strange.fault) == (0x77, "")
+
+
+def test_quiet_opcodes() -> None:
+    assert Packet(Opcode.GETKQ).quiet
+    assert Packet(Opcode.QUITQ).quiet
+    assert not Packet(Opcode.QUIT).quiet
+    assert not Packet(0x77).quiet
+    assert len(QUIET) == 14
+
+
+def test_lengths_that_fit_no_field_are_no_packet() -> None:
+    with pytest.raises(ValueError, match="memcached"):
+        encode(Packet(Opcode.GET, b"k" * 70_000), REQUEST_MAGIC)
+    with pytest.raises(ValueError, match="memcached"):
+        encode(Packet(Opcode.GET, b"k", opaque=2**32), REQUEST_MAGIC)
