Carry no load reports through the pool, and own two shared facts once

Need: reports were still cut out of every answer and handed through five signatures since nothing reads them; the ends that tell nothing of a server, and how an entry of the list is read, stood twice. Change: the parameter is gone from exchanges and connections; NO_EVIDENCE stands in health.py; read_entry in listing.py serves whole lists and steps. No behaviour is meant to change.

--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -10,6 +10,7 @@
 from saltport.decisions import interface as api
 from saltport.decisions.interface import NS_PER_S, Outcome
 
+NO_EVIDENCE = (Outcome.CANCELLED, Outcome.MOOT)  # ends that tell nothing of a server
 PASS_CUT, PASS_RISE, PASS_FLOOR = 0.25, 0.2, 0.05  # a chance: cut by a late answer, raised by a good one
 REGAIN = 60 * NS_PER_S
 
@@ -47,7 +48,7 @@
 
     def judge(self, outcome: Outcome, late: bool, sent_at: int, now: int) -> None:
         """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
-        if outcome in (Outcome.CANCELLED, Outcome.MOOT):
+        if outcome in NO_EVIDENCE:
             return
         chance = self.chance(now)
         silent = outcome in (Outcome.TIMEOUT, Outcome.RESET)
--- a/saltport/decisions/outliers.py
+++ b/saltport/decisions/outliers.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from saltport.decisions.health import Node
+from saltport.decisions.health import NO_EVIDENCE, Node
 from saltport.decisions.interface import NS_PER_S, Outcome
 
 CONSECUTIVE = 3  # signs in a row: one failure in a hundred by chance makes a wrong ejection one in a million
@@ -27,7 +27,6 @@
 BROKEN = (Outcome.CONNECT_FAILED, Outcome.RESET)
 SILENT = (*BROKEN, Outcome.TIMEOUT)
 FAILED = (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.ERROR)
-NO_EVIDENCE = (Outcome.CANCELLED, Outcome.MOOT)
 
 
 class Standing(Enum):
--- a/saltport/membership/listing.py
+++ b/saltport/membership/listing.py
@@ -37,12 +37,9 @@
 def read_listing(body: Any, clock: Clock, kind: ListKind | None = None) -> Listing:
     """Read discovery's form; raises ValueError on anything amiss, and then nothing of it counts."""
     try:
-        servers = tuple(read_server(entry, clock) for entry in body["instances"])
-        addresses = {
-            entry["instanceId"]: parse_address("hostPort", entry["hostPort"])
-            for entry in body["instances"]
-            if entry["lifecycle"] != "removed"
-        }
+        read = [read_entry(entry, clock) for entry in body["instances"]]
+        servers = tuple(server for server, _ in read)
+        addresses = {server.id: address for server, address in read if address is not None}
         if kind is None:
             kind = ListKind.FULL if body["reset"] else ListKind.DELTA
         return Listing(int(body["generation"]), ServersChanged(kind, servers), addresses)
@@ -50,12 +47,15 @@
         raise ValueError(f"not a list of servers: {type(error).__name__}: {error}") from None
 
 
-def read_server(entry: dict[str, Any], clock: Clock) -> Server:
-    """Read one entry; raises KeyError, TypeError, AttributeError or ValueError on anything amiss."""
+def read_entry(entry: dict[str, Any], clock: Clock) -> tuple[Server, Address | None]:
+    """Read one entry and its address, which one that is gone needs not have.
+
+    Raises KeyError, TypeError, AttributeError or ValueError on anything amiss.
+    """
     if not isinstance(entry["instanceId"], str):
         raise TypeError("instanceId must be a string")
     weight = entry.get("weight")
-    return Server(
+    server = Server(
         id=entry["instanceId"],
         kind=entry.get("machineType") or "",
         state=_STATES[entry["lifecycle"]],
@@ -64,3 +64,5 @@
         zone=entry.get("zone") or "",
         cell=int(entry.get("cell") or 0),
     )
+    gone = server.state is ServerState.GONE
+    return server, None if gone else parse_address("hostPort", entry["hostPort"])
--- a/saltport/membership/steps.py
+++ b/saltport/membership/steps.py
@@ -11,9 +11,9 @@
 from itertools import chain, islice
 from typing import Any
 
-from saltport.address import Address, parse_address
+from saltport.address import Address
 from saltport.decisions import ListKind, Server, ServersChanged, ServerState
-from saltport.membership.listing import Clock, Listing, read_listing, read_server
+from saltport.membership.listing import Clock, Listing, read_entry, read_listing
 
 STEP = 64  # entries; some 0.5 ms
 LONG = 256  # entries; shorter lists are taken whole
@@ -56,7 +56,7 @@
                 leaving.pop(entry["instanceId"], None)
                 ready.pop(entry["instanceId"], None)
                 if self._held.get(entry["instanceId"]) != entry:
-                    server, address = self._read(entry)
+                    server, address = read_entry(entry, self._clock)
                     news = ready if server.state is ServerState.READY else leaving
                     news[server.id] = server, address, entry
                 if not number % STEP:
@@ -83,11 +83,6 @@
                 else:
                     self._held[server.id] = entry
 
-    def _read(self, entry: Any) -> tuple[Server, Address | None]:
-        server = read_server(entry, self._clock)
-        gone = server.state is ServerState.GONE
-        return server, None if gone else parse_address("hostPort", entry["hostPort"])
-
     def _keep(self, entries: list[Any], whole: bool) -> None:
         if whole:
             self._held = {}
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -174,13 +174,7 @@
         """Nobody reads the value any more."""
         self.give_up(Outcome.CANCELLED)
 
-    def ended(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """The first OK is the client's answer; the module is told of every end."""
         if self._timer is not None:
             self._timer.cancel()
@@ -197,7 +191,6 @@
             request.closed = True
             reply.served(value)
         latency, lag = self._latency if self._latency[0] else self._took()
-        # Load reports are not read: the design decides nothing by them.
         event = AttemptEnded(
             request.id,
             self._number,
@@ -226,13 +219,7 @@
     def _timed_out(self) -> None:
         self.give_up(Outcome.TIMEOUT)
 
-    def ended(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """Tell the module."""
         self._timer.cancel()
         latency = time.monotonic_ns() - self._sent_at
--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -40,18 +40,18 @@
             return
         if not whole:
             return
-        status, report = self.status, self.headers.get(b"server-load")
+        status = self.status
         not_started = self.headers.get(b"not-started") == b"1"
         value = None if self._streaming else bytes(self._body)
         self._streaming = False
         self._body.clear()
         self.retired = not self.answer_done() or self.retired
         if status == 200:
-            self.finish(Outcome.OK, value, None, report)
+            self.finish(Outcome.OK, value)
         elif status in _NEVER_RAN and not_started:
-            self.finish(Outcome.FULL, None, None, report)
+            self.finish(Outcome.FULL)
         else:
-            self.finish(Outcome.ERROR, None, None, report)
+            self.finish(Outcome.ERROR)
 
     def body_starts(self, length: int | None) -> None:
         """Pass a long value on as it comes; a short one, or one of unknown length, is gathered."""
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -42,13 +42,7 @@
         return 1
 
     @abstractmethod
-    def ended(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """Take the end."""
 
     def value_started(self, length: int, source: ValueSource) -> None:
@@ -57,17 +51,11 @@
     def value_came(self, data: bytes) -> None:
         """Take a part of it."""
 
-    def end(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def end(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """Take the first end; later ones are dropped."""
         if not self.over:
             self.over, self.connection = True, None
-            self.ended(outcome, value, note, report)
+            self.ended(outcome, value, note)
 
     def give_up(self, outcome: Outcome) -> None:
         """Stop waiting."""
@@ -147,18 +135,12 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
-    def finish(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def finish(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """End the exchange on this connection, which may take another."""
         exchange, self.exchange, self.kept = self.exchange, None, True
         self.server.pool.released(self)
         if exchange is not None:
-            exchange.end(outcome, value, note, report)
+            exchange.end(outcome, value, note)
 
     def spoil(self, reason: str) -> None:
         """End a connection whose answers can't be followed; its request may have run."""
--- a/saltport/upstream/resp.py
+++ b/saltport/upstream/resp.py
@@ -104,20 +104,14 @@
         streamed = self._length > 0
         self._begun, self._came, self._length = False, 0, 0
         if isinstance(answer, hiredis.ReplyError):
-            self._error(str(answer))
+            self.finish(Outcome.FULL if str(answer).startswith("BUSY") else Outcome.ERROR)
         elif isinstance(answer, list) and answer and (answer[0] is None or isinstance(answer[0], bytes)):
+            # Load reports, here and in error lines, are not read: the design decides nothing by them.
             note = answer[1] if len(answer) > 1 else None
-            report = answer[2] if len(answer) > 2 and isinstance(answer[2], bytes) else None
             value = None if streamed else answer[0]
             outcome = Outcome.MISS if answer[0] is None else Outcome.OK
-            self.finish(outcome, value, _NOTES.get(note) if isinstance(note, bytes) else None, report)
+            self.finish(outcome, value, _NOTES.get(note) if isinstance(note, bytes) else None)
         elif isinstance(answer, bytes) and self.exchange is not None and self.exchange.request is None:
-            self.finish(Outcome.OK, None, None, answer)
+            self.finish(Outcome.OK)
         else:
             self.spoil("sent an answer of an unknown form")
-
-    def _error(self, text: str) -> None:
-        """An error line; a load report may stand last in it."""
-        last = text.rpartition(" ")[2]
-        report = last.encode() if "=" in last else None
-        self.finish(Outcome.FULL if text.startswith("BUSY") else Outcome.ERROR, None, None, report)
--- a/tests/router/test_routing.py
+++ b/tests/router/test_routing.py
@@ -330,13 +330,7 @@
     def left_ms(self) -> int:
         return 5000
 
-    def ended(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        note: CacheNote | None = None,
-        report: bytes | None = None,
-    ) -> None:
+    def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         self.came.set_result((outcome, value))
 
 
