--- a/saltport/lag.py
+++ b/saltport/lag.py
@@ -37,7 +37,8 @@
 
         self._waited = 0
         self._squares = 0.0  # of the turns' lengths: what comes in a turn waits for about as long as it takes
-        self._reported_at = 0
+        self.reported_at = 0
+        """When a report was last taken; 0: never."""
 
     @property
     def open(self) -> bool:
@@ -83,10 +84,10 @@
 
     def take_report(self, now: int) -> tuple[float, int, int]:
         """Since the last call: the share of it without a wait, how long what came lay unread, the time."""
-        span = max(now - self._reported_at, 1) if self._reported_at else 0
+        span = max(now - self.reported_at, 1) if self.reported_at else 0
         busy = 1 - min(self._waited / span, 1.0) if span else 0.0
         delay = int(self._squares / span) if span else 0
-        self._waited, self._squares, self._reported_at = 0, 0.0, now
+        self._waited, self._squares, self.reported_at = 0, 0.0, now
         return busy, delay, span
 
     def take_longest(self) -> int:
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -244,7 +244,6 @@
         self._events: deque[Event] = deque()
         self._handling = False
         self.lag = LagMeter()
-        self._reported_at = 0
         self._beat()
 
     # The router's own lag
@@ -265,8 +264,7 @@
         self.loop.call_later(HEARTBEAT_NS / NS_PER_S, self._beat)
         # By the clock: where beats come late, reports must not come rarely.
         now = time.monotonic_ns()
-        if now - self._reported_at >= REPORT_NS:
-            self._reported_at = now
+        if now - self.lag.reported_at >= REPORT_NS:
             self.tell(LoopReport(*self.lag.take_report(now)))
 
     @property
