--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -26,6 +26,7 @@
 _WITH = click.option(
     "--with", "with_files", type=_FILE, multiple=True, help="A file of features, as in deploy/."
 )
+_TOP_KEYS = 10
 _AS_JSON = click.option("--json", "as_json", is_flag=True, help="Report as JSON.")
 
 
@@ -116,6 +117,7 @@
         f"loop busy {overload['loop_busy_share']:.0%}, "
         f"what comes lies unread for {overload['loop_delay_ms']:.1f} ms; shed {shed or 'nothing'}"
     )
+    _hot_keys(told["hot_keys"])
     outliers = told["outliers"]
     panic = "; PANIC: nobody is believed bad" if outliers["panic"] else ""
     click.echo(f"ejected: {outliers['ejected']} of {outliers['listed']}{panic}")
@@ -128,6 +130,27 @@
         )
 
 
+def _hot_keys(told: dict[str, Any]) -> None:
+    if not told["on"]:
+        click.echo("hot keys: not told apart")
+        return
+    voids, counts = told["voids"], told["counts"]
+    click.echo(
+        f"hot keys: {told['spread']} spread, {told['watched']} watched, "
+        f"{sum(told['counted'].values())} counted; {told['copied_bytes']} bytes of further copies, "
+        f"filled by {told['fill']}; voids {voids['under_way']} under way, {voids['in_doubt']} in doubt; "
+        f"{', '.join(f'{count} {what}' for what, count in counts.items()) or 'nothing done yet'}"
+    )
+    for key in told["top"][:_TOP_KEYS]:
+        share = f", {key['share']:.1%} of all" if key["share"] is not None else ""
+        held = f", {key['held']} of {key['copies']} nodes" if key["copies"] > 1 else ""
+        why = f" ({'cooling; ' if key['releasing'] else ''}{key['why']})" if key["why"] else ""
+        click.echo(
+            f"  {key['key']}: {key['reads_per_s']:.1f} (+{key['error_per_s']:.1f}) reads a second "
+            f"of {key['tenant']}{share}{held}{why}"
+        )
+
+
 @cli.command()
 @click.argument("config", type=_FILE)
 @_WITH
@@ -206,6 +229,14 @@
 @click.option(
     "--scan", default=0.0, show_default=True, type=click.FloatRange(0, 1), help="Share of once-only keys."
 )
+@click.option(
+    "--hot", default=0.0, show_default=True, type=click.FloatRange(0, 1), help="Share of one hot key."
+)
+@click.option("--hot-from", default=0.0, show_default=True, help="Seconds from which it is hot.")
+@click.option("--hot-until", default=1e9, help="Seconds until which it is hot.")
+@click.option(
+    "--hot-every", default=0.0, help="Seconds that it is hot and then not, in turn; 0: all the while."
+)
 @click.option("--retries", default=2, show_default=True, type=click.IntRange(0))
 @click.option("--seed", default=1, show_default=True)
 @click.option("--plot", is_flag=True, help="Draw the run over time.")
--- a/saltport/decisions/hotkeys/meter.py
+++ b/saltport/decisions/hotkeys/meter.py
@@ -154,11 +154,14 @@
         return count / max(items.span(now) for items in self._items.values())
 
     def top(self, count: int) -> list[tuple[str, str, float, float]]:
-        """Tenant, key, least count and error of the keys counted most, most first."""
+        """Tenant that reads it most, key, least count and error of the keys read most, most first."""
+        by_key: dict[str, list[tuple[float, str, float]]] = {}
+        for tenant, items in self._items.items():
+            for key, seen in items.top(count):
+                by_key.setdefault(key, []).append((seen, tenant, items.error))
         held = [
-            (tenant, key, seen, items.error)
-            for tenant, items in self._items.items()
-            for key, seen in items.top(count)
+            (max(parts)[1], key, sum(part[0] for part in parts), sum(part[2] for part in parts))
+            for key, parts in by_key.items()
         ]
         return sorted(held, key=lambda entry: -entry[2])[:count]
 
--- a/saltport/harness.py
+++ b/saltport/harness.py
@@ -75,6 +75,8 @@
     nodes: int = 6
     routers: int = 1
     seed: int = 1
+    features: str = ""
+    """Sections for a file that routers are started `--with`; `{folder}` stands for this run's folder."""
     ledger: Ledger = field(init=False)
     control: ControlClient = field(init=False)
     """Set once the fleet runs."""
@@ -88,6 +90,8 @@
         """Start the fleet and the routers; raises HarnessError, with nothing left running."""
         self.ledger = Ledger("harness", self.folder / "harness.jsonl")
         names = [f"r{number + 1}" for number in range(self.routers)]
+        if self.features:
+            (self.folder / "features.toml").write_text(self.features.replace("{folder}", str(self.folder)))
         try:
             await self._start_fleet(names)
             await asyncio.gather(*(self._first_start(name) for name in names))
@@ -135,8 +139,8 @@
         environ = {**environment(), "LB_CONFIG": str(router.folder / "config.json")}
         with (router.folder / "log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "saltport.router", stdin=asyncio.subprocess.DEVNULL,
-                stdout=log, stderr=log, env=environ, start_new_session=True,
+                sys.executable, "-m", "saltport.router", *self._with_features(),
+                stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=environ, start_new_session=True,
             )  # fmt: skip
         router.process = process
         ready = await wait_ready(router.address, START_S, lambda: process.returncode is None)
@@ -147,6 +151,9 @@
             task.add_done_callback(self._watchers.discard)
         return ready
 
+    def _with_features(self) -> list[str]:
+        return ["--with", str(self.folder / "features.toml")] if self.features else []
+
     async def _watch(self, router: RouterProcess, process: asyncio.subprocess.Process) -> None:
         status = await process.wait()
         wanted = router.name in self._ending
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -83,7 +83,7 @@
 def test_good_run_is_clean() -> None:
     verdict = audit(good_run(), PROFILE)
     assert verdict.violations == []
-    assert verdict.checked == {"answers": 10, "effects": 3, "drains": 1, "cold": 1}
+    assert verdict.checked == {"answers": 10, "effects": 3, "drains": 1, "cold": 1, "stale": 0}
     assert verdict.notes["lost_with_a_router"] == verdict.notes["closed_with_nothing_sent_on"] == 1
 
 
@@ -141,7 +141,8 @@
         "stale", lambda: [
             tried("x", 6 * S, cls="yank"), attempt("x", 6 * S, ORIGIN, cls="yank"),
             effect("x", 6 * S + MS, key="k", version=3),
-            tried("y", 7 * S, version=3), attempt("y", 7 * S), tried("z", 7 * S, version=2), attempt("z", 7 * S),
+            tried("y", 7 * S, version=3), attempt("y", 7 * S),
+            tried("z", 7 * S, version=2), attempt("z", 7 * S),
             tried("during", 6 * S + 10 * MS, version=2), attempt("during", 6 * S + 10 * MS),
         ],
     ),
