--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -18,6 +18,7 @@
 from saltport.decisions import (
     AttemptEnded,
     Event,
+    HotKeySettings,
     ListKind,
     Outcome,
     RequestArrived,
@@ -44,11 +45,11 @@
 class _Played:
     """A router with a fleet, fed from one clock that the benchmark moves on."""
 
-    def __init__(self, size: int, vectors: bool) -> None:
+    def __init__(self, size: int, vectors: bool, hot_keys: bool) -> None:
         settings = Settings(
             classes=(RequestClass("read", aim=300 * MS, deadline=S),),
             tenants=(Tenant("a", 1.0, 1e6),), origin_kind="origin", cold_share=0.4, cold_time=6 * S,
-            vectors=vectors,
+            vectors=vectors, hot_keys=HotKeySettings() if hot_keys else None,
         )  # fmt: skip
         self.router, self.now, self.asked = Router(settings, 1), S, 0
         fleet = tuple(_server(number) for number in range(size))
@@ -78,9 +79,9 @@
     return statistics.fmean(times) * 1e6
 
 
-def measure(size: int, changes: int, vectors: bool) -> dict[str, float]:
+def measure(size: int, changes: int, vectors: bool, hot_keys: bool = False) -> dict[str, float]:
     """The costs at one size of fleet."""
-    played = _Played(size, vectors)
+    played = _Played(size, vectors, hot_keys)
     cold = [played.hit(f"k{number}") for number in range(1_000)]
     for number in range(WARM_KEYS * 2):
         played.hit(f"k{number % WARM_KEYS}")
@@ -108,13 +109,14 @@
     parser.add_argument("--nodes", type=int, action="append")
     parser.add_argument("--changes", type=int, default=10)
     parser.add_argument("--vectors", action="store_true", help="rank large fleets with numpy")
+    parser.add_argument("--hot-keys", action="store_true", help="with keys told apart")
     parser.add_argument("--json", action="store_true")
     told = parser.parse_args()
     say: Callable[[str], None] = (lambda line: print(line, file=sys.stderr)) if told.json else print
     rows = []
     say("  nodes  cold slot us  warm us  after changes us  longest join ms  longest leave ms")
     for size in told.nodes or SIZES:
-        row = measure(size, told.changes, told.vectors)
+        row = measure(size, told.changes, told.vectors, told.hot_keys)
         rows.append(row)
         say(
             f"{size:7} {row['cold_us']:13.0f} {row['warm_us']:8.1f} {row['after_changes_us']:17.1f} "
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -26,6 +26,7 @@
 COPIES_AT_ONCE = 8  # set from one answer that passes by
 MAX_FILLING = 256  # plain writes under way, of all keys together
 FETCH_PAUSE, LONGEST_FETCH_PAUSE = NS_PER_S // 10, 5 * NS_PER_S
+SHARE_MOVED = 0.05  # part of its share that a key may gain or lose before its nodes' room is counted anew
 COUNTED = NS_PER_S // 2  # for which what was sent to a node is counted, twice
 LEAST_CHANCE = 0.05
 LATE_SHARE = 8  # part of a write's time, as 1 / this, that is kept for its answer
@@ -96,7 +97,7 @@
             if now >= spread.look_at:
                 self._look(watched, spread, now)
         elif now >= watched.look_at:
-            watched.look_at = now + LOOK // 4
+            watched.look_at = now + LOOK // 2
             if self._meter.share(watched) > self._meter.threshold:
                 self._consider(watched, now)
 
@@ -105,7 +106,9 @@
         nodes = self._caches.nodes
         self._weigh(now)
         own = min((node.weight for node in nodes.values()), default=1.0)
-        self._meter.threshold = threshold(own / (sum(node.weight for node in nodes.values()) or 1.0))
+        self._meter.threshold = threshold(
+            own / (sum(node.weight for node in nodes.values()) or 1.0), self._told.promise
+        )
         self._actions += self._voids.gone(nodes, now)
         for key in list(self._spreads):
             self._spreads[key].look_at = 0
@@ -125,11 +128,11 @@
         ranking = self._caches.rank(slot, now, 2 * self._told.max_copies)[: 2 * self._told.max_copies]
         return over_zones(ranking)[: self._told.max_copies]
 
-    def _need(self, watched: Watched, order: list[Node], now: int) -> int:
+    def _need(self, watched: Watched, order: list[Node], share: float, now: int) -> int:
         if now - self._weight_at >= NS_PER_S:
             self._weigh(now)
         # The chance of an overrun node swings by the second and is no size: it counts in the choice alone.
-        share, total = self._meter.share(watched), self._total_weight or 1.0
+        total = self._total_weight or 1.0
         mine = self._spreads.get(watched.key)
         own = {}
         if mine is not None:
@@ -137,7 +140,12 @@
         hot = min(self._hot + share - (mine.share if mine is not None else 0.0), 1.0)
         brought = self._brought
         rooms = (
-            room(self._weight(node, now) / total, hot, brought.get(node, 0.0) - own.get(node, 0.0))
+            room(
+                self._weight(node, now) / total,
+                hot,
+                brought.get(node, 0.0) - own.get(node, 0.0),
+                self._told.promise,
+            )
             for node in order
         )
         return copies_needed(share, rooms)
@@ -156,7 +164,8 @@
 
     def _consider(self, watched: Watched, now: int) -> None:
         """A key looks too hot for its own node: spread it if that holds, and if the budget allows."""
-        need = self._need(watched, self._healthy(self._order(watched.slot, now), now), now)
+        order = self._healthy(self._order(watched.slot, now), now)
+        need = self._need(watched, order, self._meter.share(watched), now)
         if need < 2:
             return
         limit = self._limit_for(watched, now)
@@ -194,20 +203,29 @@
 
     def _look(self, watched: Watched, spread: Spread, now: int) -> None:
         """Find what a spread key needs now, and place it."""
-        spread.look_at, spread.version = now + LOOK, self._caches.version
-        order = self._healthy(self._order(spread.slot, now), now)
-        need = self._need(watched, order, now)
+        spread.look_at = now + LOOK
+        if spread.version != self._caches.version or now - spread.ordered_at >= NS_PER_S:
+            # Also as time goes by: cold nodes rise in the ranking while they warm up.
+            spread.version, spread.ordered_at = self._caches.version, now
+            spread.order = self._order(spread.slot, now)
+        order = self._healthy(spread.order, now)
+        share = self._meter.share(watched)
+        need, most = self._need(watched, order, share, now), self._room(watched, spread)
         before = spread.copies
-        most = self._room(watched, spread)
         spread.follow(min(need, most), now)
         spread.copies = min(spread.copies, most)  # a limit is one at once
         if spread.copies != before or not spread.why:
-            share = self._meter.share(watched)
             spread.why = f"{share:.1%} of all reads, {share * len(self._caches.nodes):.1f} fair shares"
-        self._bring(spread, -1)
-        spread.share = self._meter.share(watched)
-        spread.place(order[: spread.copies], now)
-        self._bring(spread, 1)
+        members = order[: spread.copies]
+        moved = members != spread.members
+        if moved or abs(share - spread.share) > spread.share * SHARE_MOVED:
+            self._bring(spread, -1)
+            spread.share = share
+            if moved:
+                spread.place(members, now)
+            self._bring(spread, 1)
+        elif now - spread.placed_at >= NS_PER_S:
+            spread.place(members, now)  # copies whose time is over are absent now
 
     def _room(self, watched: Watched, spread: Spread) -> int:
         """How many nodes the budget of bytes allows this key."""
--- a/saltport/decisions/hotkeys/meter.py
+++ b/saltport/decisions/hotkeys/meter.py
@@ -85,6 +85,8 @@
         """The share from which a key needs a second node; whoever knows the fleet sets it."""
         self._least = EVIDENCE
         self._next_look = 0
+        self.total = 0.0
+        """All reads lately, by the sketches' decay."""
 
     def add(self, tenant: str, key: str, slot: int, now: int) -> Watched | None:
         """Count a read; returns the key's record if it is watched."""
@@ -111,14 +113,12 @@
 
     def _look(self, now: int) -> None:
         self._next_look = now + LOOK
-        for items in self._items.values():
-            items.advance(now)
+        self._advance(now)
         self._least = max(EVIDENCE, self.total * self.threshold / WATCHED_AT)
 
     def sweep(self, now: int) -> None:
         """Close panes of keys that nobody asks for any more, and watch no more what has long been cool."""
-        for items in self._items.values():
-            items.advance(now)
+        self._advance(now)
         low = self.threshold / WATCHED_AT / 2
         for watched in list(self.watched.values()):
             watched.close_pane(now, self.seen)
@@ -127,10 +127,11 @@
                 del self.watched[watched.key]
                 self._watching[watched.tenant] -= 1
 
-    @property
-    def total(self) -> float:
-        """All reads lately, by the sketches' decay."""
-        return sum(items.total for items in self._items.values())
+    def _advance(self, now: int) -> None:
+        self.total = 0.0
+        for items in self._items.values():
+            items.advance(now)
+            self.total += items.total
 
     def counted(self, key: str) -> float:
         """The least that a key was read lately, by all tenants."""
@@ -142,10 +143,13 @@
 
     def share(self, watched: Watched) -> float:
         """A key's share of all reads, by the sketch within the bounds of its last pane."""
-        total = self.total
+        count = 0.0
+        for items in self._items.values():
+            count += items.count(watched.key)
+        # The total is as old as the last look, and never less than what is counted of one key.
+        total = max(self.total, count)
         if total <= 0:
             return 0.0
-        count = self.counted(watched.key)
         surely = max(count - math.sqrt(count), 0.0) / total
         return min(max(surely, watched.low), watched.high)
 
--- a/saltport/decisions/hotkeys/need.py
+++ b/saltport/decisions/hotkeys/need.py
@@ -7,26 +7,25 @@
 
 from saltport.decisions.health import Node
 
-PROMISE = 2.0
-"""Times its fair share of all reads that no node should get."""
 RESERVE = 1.4
-"""Times the least weight that the promise takes: for the estimate's error, for what other hot keys bring to
+"""Times the least weight that the promise takes (`promise`: the times its fair share of all reads that a node
+may get): for the estimate's error, for what other hot keys bring to
 the same nodes, and for the ups and downs of chance. With 1.5 it would be more copies than they are worth."""
 
 
-def room(fair: float, hot: float, others: float) -> float:
+def room(fair: float, hot: float, others: float, promise: float = 2.0) -> float:
     """The share of all reads that a node has left for one more hot key under the promise.
 
     `fair`: the node's fair share, by weight; `hot`: the share of all hot keys together; `others`: what other
     hot keys bring to this node. Of the reads that are not hot it gets its fair share.
     """
-    return max(fair * (PROMISE - 1 + hot) - others, 0.0)
+    return max(fair * (promise - 1 + hot) - others, 0.0)
 
 
-def threshold(fair: float) -> float:
+def threshold(fair: float, promise: float = 2.0) -> float:
     """The share of all reads past which a key needs more than one node of this fair share."""
     part = fair / RESERVE
-    return min((PROMISE - 1) * part / (1 - part), 1.0) if part < 1 else 1.0
+    return min((promise - 1) * part / (1 - part), 1.0) if part < 1 else 1.0
 
 
 def copies_needed(share: float, rooms: Iterable[float]) -> int:
--- a/saltport/decisions/hotkeys/spread.py
+++ b/saltport/decisions/hotkeys/spread.py
@@ -35,7 +35,11 @@
         """The read that visits absent members just now."""
         self.visited: list[Node] = []
         self.fill_after = 0
+        self.order: list[Node] = []
+        """The nodes that may have it, as of `version` of the list and `ordered_at`."""
         self.version = -1
+        self.ordered_at = 0
+        self.placed_at = 0
         self.look_at = 0
         self._calm_since = 0
         self._next_release = 0
@@ -61,7 +65,7 @@
 
     def place(self, members: list[Node], now: int) -> None:
         """Take the nodes that it should be on."""
-        self.members = members
+        self.members, self.placed_at = members, now
         home = members[0] if members else None
         self.ready = IndexedSet(
             node for node in members if node is home or self.held.get(node.entry.id, 0) > now
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -135,6 +135,8 @@
     """After which a copy that was set by a plain write goes void by itself."""
     capacity: int = 1024
     """Keys that are counted, of all tenants together."""
+    promise: float = 2.0
+    """Times its fair share of all reads that a node may get; what nodes can bear at their usual load."""
 
     def __post_init__(self) -> None:
         _require(self.max_keys >= 1, "hot_keys.max_keys", "must be at least 1")
@@ -143,6 +145,7 @@
         _require(0 < self.max_value <= 64 << 10, "hot_keys.max_value", "must be from 1 to 65,536")
         _require(self.lease >= NS_PER_S, "hot_keys.lease", "must be at least a second")
         _require(16 <= self.capacity <= 1 << 16, "hot_keys.capacity", "must be from 16 to 65,536")
+        _require(1.05 <= self.promise <= 100, "hot_keys.fair_shares", "must be from 1.05 to 100")
 
 
 @dataclass(frozen=True, slots=True)
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -56,6 +56,7 @@
     max_value: int = _HOT.max_value
     lease_ms: int = _HOT.lease // 1_000_000
     capacity: int = _HOT.capacity
+    fair_shares: float = _HOT.promise
 
     def settings(self) -> HotKeySettings | None:
         """The module's settings, or nothing where it is off; raises ValueError."""
@@ -63,7 +64,7 @@
             return None
         return HotKeySettings(
             Fill(self.fill), self.max_keys, self.max_copies, self.max_bytes, self.max_value,
-            self.lease_ms * 1_000_000, self.capacity,
+            self.lease_ms * 1_000_000, self.capacity, float(self.fair_shares),
         )  # fmt: skip
 
 
@@ -136,6 +137,10 @@
     return isinstance(value, int) and not isinstance(value, bool)
 
 
+def _number(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
 def _milliseconds(value: Any) -> bool:
     return _int(value) and 0 <= value <= 60_000
 
@@ -177,6 +182,7 @@
         "max_value": (_int, "bytes, a whole number"),
         "lease_ms": (_int, "milliseconds, a whole number"),
         "capacity": (_int, "a whole number"),
+        "fair_shares": (_number, "a number"),
     },
     "admin": {"socket": (_socket_path, "the whole path of a socket, shorter than 108 bytes")},
 }
--- a/tests/hotkeys/test_need.py
+++ b/tests/hotkeys/test_need.py
@@ -9,13 +9,13 @@
 
 from saltport.decisions import Server
 from saltport.decisions.health import Node
-from saltport.decisions.hotkeys.need import PROMISE, copies_needed, over_zones, room, threshold
+from saltport.decisions.hotkeys.need import copies_needed, over_zones, room, threshold
 
 
 def least(share: float, count: int) -> int:
     """The least number of equal nodes on which none gets more than the promise, tried one by one."""
     for copies in range(1, count + 1):
-        if (1 - share) / count + share / copies <= PROMISE / count * (1 + 1e-9):
+        if (1 - share) / count + share / copies <= 2 / count * (1 + 1e-9):
             return copies
     return count
 
--- a/tests/router/test_hot_keys.py
+++ b/tests/router/test_hot_keys.py
@@ -195,6 +195,7 @@
         ("max_value = 100000", "max_value must be from 1"),
         ("lease_ms = 10", "lease must be at least a second"),
         ("capacity = 3", "capacity must be from 16"),
+        ("fair_shares = 1", "fair_shares must be from 1.05"),
     ],
 )
 def test_figures_out_of_range_are_told(tmp_path: Path, text: str, words: str) -> None:
