Learn a limit for each node from its answers, in place of a chance that swings

Change: decisions/limits.py, a limit on what this router has out at a node: additive rise while it is in use and answers are prompt, a cut by how late they are, once a round-trip. A read whose node has no room goes to the next in the ranking that has much, unless an eighth of all reads find their node full (then it is the load) or half of the tenant's fetches are used. Clients' retries go only where there is much room. Status shows the limits. The seam of popular keys has a file of its own.

--- a/benchmarks/hot_keys.py
+++ b/benchmarks/hot_keys.py
@@ -31,8 +31,9 @@
 from saltport.audit import Limits
 from saltport.decisions import Fill, HotKeySettings, RequestClass, Server, Settings, Tenant
 from saltport.decisions.health import Node
-from saltport.decisions.heat import Heat, Spreading
+from saltport.decisions.heat import Heat
 from saltport.decisions.hotkeys import HotKeys
+from saltport.decisions.seam import Spreading
 from saltport.decisions.table import SlotTable
 from saltport.harness import Harness, run_load
 from saltport.load.plan import HOT_KEY, LoadPlan, Step
--- /dev/null
+++ b/benchmarks/overrun.py
@@ -0,0 +1,102 @@
+"""Overrun nodes, decisions alone in virtual time: `python -m benchmarks.overrun`.
+
+Four routers before twelve nodes of one core each, reads of 35 to 65 ms, aim 300 ms, clients that retry twice.
+Load as a part of what the nodes can do; an oracle serves all of that in time. How often a node's limit (or
+chance) moves by more than a third within a second tells whether the estimate swings.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from typing import Any
+
+import orjson
+
+from benchmarks.hot_world import MS, S, World
+
+NODES, ROUTERS, KEYS = 12, 4, 600
+WORK = 50 * MS
+
+
+def _estimates(world: World) -> dict[tuple[int, str], float]:
+    found = {}
+    for number, router in enumerate(world.routers):
+        for name, node in router._caches.nodes.items():
+            limit: Any = getattr(node, "limit", None)
+            found[number, name] = limit.limit if limit is not None else node.chance(world.now)
+    return found
+
+
+def play(
+    load: float, seconds: int, slow_node: float = 1.0, pause: bool = False, seed: int = 1
+) -> dict[str, float]:
+    """Steady load on a warm fleet; returns goodput, the oracle's, and how the estimates moved."""
+    world = World(NODES, None, seed, ROUTERS, work=WORK, spread_work=0.3, retries=2)
+    for number in range(KEYS):
+        for node in world.nodes.values():
+            node.kept[f"k{number}"] = 0, 0
+    rate = load * NODES / (WORK / S)
+    if slow_node > 1:
+        next(iter(world.nodes.values())).slow = slow_node
+
+    def keys() -> tuple[str, bool]:
+        return f"k{world.rng.randrange(KEYS)}", False
+
+    world.load(rate, keys, 3)
+    world.run(world.now + 3 * S)
+    if pause:
+        for node in world.nodes.values():
+            node.free_at = world.now + 2 * S
+        world.load(rate, keys, 4)
+        world.run(world.now + 4 * S)
+    world.in_time = world.first_tries = 0
+    world.ends.clear()
+    world.clear()
+    moves = samples = 0
+    before = _estimates(world)
+    world.load(rate, keys, seconds)
+    for _ in range(seconds):
+        world.run(world.now + S)
+        now = _estimates(world)
+        samples += len(now)
+        moves += sum(abs(now[at] - before[at]) > before[at] / 3 for at in now)
+        before = now
+    capacity = NODES - (1 - 1 / slow_node)
+    return {
+        "load": load, "in_time": world.in_time / world.first_tries,
+        "oracle": min(capacity / NODES / load, 1.0),
+        "refused": world.ends["refused"] / world.first_tries,
+        "sent": world.sent.total() / world.first_tries, "moves": moves / samples,
+    }  # fmt: skip
+
+
+def main() -> int:
+    """Run it."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=int, default=20)
+    parser.add_argument("--json", action="store_true")
+    told = parser.parse_args()
+    rows: list[dict[str, object]] = []
+    scenes: tuple[tuple[str, tuple[float, ...], dict[str, Any]], ...] = (
+        ("steady", (0.5, 0.8, 1.0, 1.3), {}),
+        ("one node at a tenth of its speed", (0.5, 0.8), {"slow_node": 10.0}),
+        ("2 s after all had stood still for 2 s", (0.5, 0.8), {"pause": True}),
+    )
+    for what, loads, more in scenes:
+        for load in loads:
+            row = play(load, told.seconds, **more)
+            rows.append({"what": what, **row})
+            print(
+                f"{what:38} load {load:.1f}: {row['in_time']:6.1%} in time (oracle {row['oracle']:.1%}), "
+                f"{row['refused']:.2f} refusals and {row['sent']:.2f} sends a first try, "
+                f"{row['moves']:.1%} of estimates moved by a third in a second",
+                file=sys.stderr if told.json else sys.stdout, flush=True,
+            )  # fmt: skip
+    if told.json:
+        print(orjson.dumps(rows).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -117,6 +117,16 @@
         f"loop busy {overload['loop_busy_share']:.0%}, "
         f"what comes lies unread for {overload['loop_delay_ms']:.1f} ms; shed {shed or 'nothing'}"
     )
+    limits = told["limits"]
+    click.echo(
+        f"servers overrun: {limits['crowded_share']:.0%} of reads find their server full, "
+        f"{limits['overflowed']} went to another one"
+    )
+    for name, server in list(limits["servers"].items())[:_TOP_KEYS]:
+        click.echo(
+            f"  {name}: {server['out']} out of {server['limit']:.1f}, "
+            f"work {server['work_ms']:.1f} ms, waiting {server['waiting_ms']:.1f} ms"
+        )
     _hot_keys(told["hot_keys"])
     outliers = told["outliers"]
     panic = "; PANIC: nobody is believed bad" if outliers["panic"] else ""
--- a/saltport/decisions/heat.py
+++ b/saltport/decisions/heat.py
@@ -1,81 +1,19 @@
-"""The seam through which reads of popular keys get further nodes, and its plain form: the heat of slots.
-
-The plain form is what the platform runs. Where `Settings.hot_keys` is given, hotkeys/ stands in its place.
-"""
+"""The heat of slots: reads of a popular slot are shared by several owners. seam.py says who asks what."""
 
 from __future__ import annotations
 
 import math
 import random
-from collections.abc import Sequence
-from typing import Any, Protocol
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import Node
+from saltport.decisions.seam import Asked
 from saltport.decisions.table import DEPTH, SlotTable
 
 HEAT_SHARE = 0.25  # part of a server's fair load that one slot may bring before it is spread
 HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
 
 
-class Asked(Protocol):
-    """What the seam sees of an open request, and its own note on it."""
-
-    id: str
-    key: str | None
-    deadline: int
-    slot: int
-    sends: int
-    sent_at: int
-    write: bool
-    failed: Sequence[Node]
-    spread: Any
-    share: float
-
-
-class Spreading(Protocol):
-    """Which nodes a key's reads may go to, and what its writes have to reach."""
-
-    def arrived(self, request: Asked, tenant: str, now: int) -> None:
-        """Count a request that was admitted."""
-
-    def candidates(self, request: Asked, now: int) -> list[Node]:
-        """The nodes that a read may go to, the best first."""
-
-    def sent(self, request: Asked, node: Node) -> None:
-        """A read goes to a cache node."""
-
-    def missed(self, request: Asked, node: Node, now: int) -> bool:
-        """A node lacks the key; whether another one is to be asked before the origin."""
-
-    def fetches_itself(self, request: Asked) -> bool:
-        """Whether a read is to ask the origin though another one asks for its key already."""
-
-    def fetch_after(self, request: Asked) -> int:
-        """Until when a read of this key is not worth a fetch, as the last ones failed; 0: it is."""
-
-    def ended(self, request: Asked, node: Node, event: api.AttemptEnded, fetched: bool, now: int) -> None:
-        """An attempt has ended."""
-
-    def done(self, request: Asked, stored: bool, now: int) -> None:
-        """A request is over."""
-
-    def holds(self, request: Asked) -> bool:
-        """Whether a write's answer has to wait until its copies are void."""
-
-    def told(self, event: api.CopyEnded | api.VoidEnded, now: int) -> None:
-        """A copy or a void has ended."""
-
-    def due(self, token: str, now: int) -> None:
-        """A timer of the seam's own is due."""
-
-    def take_actions(self) -> list[api.Action]:
-        """What there is to do since last asked."""
-
-    def view(self, now: int) -> dict[str, object]:
-        """Its state, for people."""
-
-
 class Heat:
     """Each slot's share of the requests seen lately, by counts halved now and then, and owners by it."""
 
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -1,4 +1,4 @@
-"""Hot keys joined together: asked through the seam in heat.py, it finds, spreads, fills, voids, lets go."""
+"""Hot keys joined together: asked through the seam in seam.py, it finds, spreads, fills, voids, lets go."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import Node
-from saltport.decisions.heat import Asked
 from saltport.decisions.hotkeys.meter import KeyMeter, Watched
 from saltport.decisions.hotkeys.need import copies_needed, over_zones, room, threshold
 from saltport.decisions.hotkeys.spread import FILL_PAUSE, FOR_GOOD, Spread
 from saltport.decisions.hotkeys.voiding import Voids
 from saltport.decisions.interface import NS_PER_S, Fill, Outcome
+from saltport.decisions.seam import Asked
 from saltport.decisions.table import DEPTH, SlotTable
 
 TICK = NS_PER_S // 4
--- /dev/null
+++ b/saltport/decisions/limits.py
@@ -0,0 +1,63 @@
+"""What one server can take: a limit on what this router has out there, learnt from how long answers take.
+
+Additive rise while the limit is in use and answers are prompt; otherwise a cut by how late they are, one
+for each round-trip at most (TCP's congestion avoidance; Netflix's concurrency-limits apply it to servers).
+A late answer is one sample, not a verdict. What other routers send shows in the answers' time alone.
+Times are nanoseconds.
+"""
+
+from __future__ import annotations
+
+from saltport.decisions.interface import NS_PER_S
+
+START = 64.0  # before anything is known; cuts are from what is out, so that it is left at once
+LEAST = 1.0  # one request out finds out how the server is
+MOST = 256.0
+CUT = 0.5
+PROMPT, LATE = 0.4, 0.6  # of the aim: below the one the limit may rise, above the other it is cut
+SMOOTH = 1 / 4
+FORGETS = 10 * NS_PER_S  # unheard for so long, what was learnt of waiting is worth nothing
+
+
+class Limit:
+    """The limit of one server."""
+
+    __slots__ = ("_cut_at", "_heard_at", "limit", "took", "work")
+
+    def __init__(self) -> None:
+        self.limit = START
+        self.took = 0.0
+        """Smoothed time of an answer."""
+        self.work = 0.0
+        """The part of it that is work: the least time seen lately."""
+        self._cut_at = self._heard_at = 0
+
+    def learn(self, took: int, out: int, sent_at: int, now: int, aim: int) -> None:
+        """Take one answer's time, with so many out when it came."""
+        if not self.took or now - self._heard_at > FORGETS:
+            self.took, self.work = float(took), float(took)
+        self._heard_at = now
+        self.took += (took - self.took) * SMOOTH
+        # The least falls at once and rises slowly, so that a standing queue is not taken for work for long.
+        self.work = min(float(took), self.work + (self.took - self.work) / 64)
+        if self.took > LATE * aim:
+            self.cut(sent_at, now, out, LATE * aim / self.took)
+        elif self.took < PROMPT * aim and out + 1 >= self.limit / 2:
+            self.limit = min(self.limit + 1 / self.limit, MOST)
+
+    def cut(self, sent_at: int, now: int, out: int, part: float = CUT) -> None:
+        """The server is overrun: less from now on, once for all that was out when that began."""
+        if sent_at < self._cut_at:
+            return
+        self._cut_at = now
+        self.limit = max(min(self.limit, out + 1.0) * max(part, CUT), LEAST)
+
+    def view(self, out: int) -> dict[str, float]:
+        """Its state, for people; times in milliseconds."""
+        wait = max(self.took - self.work, 0.0)
+        return {"limit": round(self.limit, 1), "out": out, "work_ms": round(self.work / 1e6, 1),
+                "waiting_ms": round(wait / 1e6, 1)}  # fmt: skip
+
+    def room(self, out: int) -> bool:
+        """Whether one more may go."""
+        return out < self.limit
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -11,16 +11,19 @@
 import random
 from collections import Counter, deque
 from collections.abc import Sequence
+from heapq import nsmallest
 from itertools import takewhile
 from typing import Any
 from zlib import crc32
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import Node, Pace
-from saltport.decisions.heat import Heat, Spreading
+from saltport.decisions.heat import Heat
 from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+from saltport.decisions.limits import Limit
 from saltport.decisions.outliers import OutlierDetector, Standing
 from saltport.decisions.overload import FIRST, HOPELESS, RETRY, OverloadControl
+from saltport.decisions.seam import Spreading
 from saltport.decisions.table import SlotTable
 
 HARD_LIMIT_FACTOR = 1.5
@@ -31,6 +34,9 @@
 CUT, RISE_S = 0.7, 15.0
 BAD_SAMPLES, BAD_SHARE = 8, 0.2
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
+OVERFLOW = 2  # servers after the key's own that are asked for room
+CROWDED = 0.125  # share of reads that find their server full, past which it is the load and no server
+SHOWN = 20  # servers in a view
 PATIENCE_SHARE, SLOW_SHARE = 0.95, 0.8
 
 
@@ -81,11 +87,15 @@
 
     def rise(self, now: int) -> None:
         """Additive rise after a good fetch, up to the cap, and only while the limit is in use."""
-        if self.accepted(now) * 2 >= self.limit * self.window_s:
+        if self.in_use(now):
             idle = min((now - self._last_rise) / NS_PER_S, self.window_s)
             self.limit = min(self.cap, self.limit + self.cap / RISE_S * idle)
         self._last_rise = now
 
+    def in_use(self, now: int) -> bool:
+        """Whether half of what is allowed or more is used."""
+        return self.accepted(now) * 2 >= self.limit * self.window_s
+
     def used(self, now: int) -> float:
         """Calls a second that went to the origin."""
         return self.accepted(now) / self.window_s
@@ -117,7 +127,7 @@
 
     def __init__(self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor) -> None:
         self.id, self.key, self.deadline, self.write = event.request, event.key, event.deadline, event.write
-        self.cls, self.guard = cls, guard
+        self.cls, self.guard, self.retry = cls, guard, event.retry
 
     def may_send(self, node: Node, now: int) -> bool:
         """Rule 2: what may have run goes out again only where and while its repeat is dropped."""
@@ -163,6 +173,8 @@
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._answers, self._fetches = Pace(aim), Pace(aim / 2)  # of the caches; good ones of the origin
+        self._overflowed = 0
+        self._crowded = 0.0  # smoothed share of reads that found their server full
         self._asking, self._failed_calls = False, 0
         self._given_up: Counter[str] = Counter()  # requests that got no answer of a server, by reason
         self._now = 0
@@ -226,6 +238,15 @@
             "outliers": self._outliers.view(now),
             "overload": self._overload.view(),
             "hot_keys": self._spreading.view(now),
+            "limits": {
+                "crowded_share": round(self._crowded, 3),
+                "overflowed": self._overflowed,
+                # Those with the least, as fleets may be large.
+                "servers": {
+                    node.entry.id: node.limit.view(node.load)
+                    for node in nsmallest(SHOWN, self._caches.nodes.values(), key=lambda n: n.limit.limit)
+                },
+            },
         }
 
     def _servers_changed(self, event: api.ServersChanged) -> None:
@@ -306,6 +327,7 @@
         if not self._may_try(request):
             self._give_up(request, "tries spent")
             return
+        full = 0
         for node in self._spreading.candidates(request, self._now):
             if node in request.failed or not request.may_send(node, self._now):
                 continue
@@ -317,14 +339,21 @@
                     self._outliers.try_out(node.entry.id, request.id)
                 self._send(request, node, int(request.cls.aim * PATIENCE_SHARE))
                 return
-            chance = node.chance(self._now)
-            # Danger: sent whenever the chance is above 0, a server that is overrun never gets less.
-            if chance >= 1.0 or self._rng.random() < chance:
+            # A server that is none of the key's lacks it, which costs a fetch: only where there is much room.
+            # A client's retry can't be in time any more: what is in time goes first.
+            if node.limit.room(2 * node.load if full or request.retry else node.load):
+                self._crowded += (bool(full) - self._crowded) / 64
+                self._overflowed += bool(full)
                 self._send(request, node)
-            else:
-                self._give_up(request, "server overrun")
-            return
-        self._missed(request)
+                return
+            full += 1
+            if full > OVERFLOW or self._crowded > CROWDED or request.guard.in_use(self._now):
+                break
+        if full:
+            self._crowded += (1 - self._crowded) / 64
+            self._give_up(request, "servers overrun")
+        else:
+            self._missed(request)
 
     def _missed(self, request: Request) -> None:
         if not request.write and self._spreading.fetch_after(request) > self._now:
@@ -404,14 +433,15 @@
         # whose loop has no rest would take its own lateness for theirs.
         cut_short = event.outcome is Outcome.TIMEOUT and took < request.lost_after
         outcome = Outcome.CANCELLED if cut_short else event.outcome
-        node.judge(outcome if self._overload.lag else event.outcome, late, request.sent_at, self._now)
+        ended = outcome if self._overload.lag else event.outcome
+        node.judge(ended, took, request.cls.aim, request.sent_at, self._now)
         if self._caches.nodes.get(node.entry.id) is not node:
             return
         news = self._outliers.judge(node, request.id, outcome, request.sent_at, self._now)
         if news is not None:
             self._actions.append(api.Log(news.message))
             if news.is_back:
-                node.forgive()
+                node.limit = Limit()
 
     def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first."""
--- /dev/null
+++ b/tests/decisions/test_limits.py
@@ -0,0 +1,118 @@
+"""A server's limit: learnt from its answers' time, slow to condemn, quick to come back, never shut."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from saltport.decisions.limits import LEAST, MOST, START, Limit
+
+MS = 1_000_000
+AIM = 300 * MS
+
+
+def fed(limit: Limit, took: int, answers: int, out: int = 8, now: int = 0, gap: int = 50 * MS) -> int:
+    """So many answers, each sent when the one before had come."""
+    for _ in range(answers):
+        limit.learn(took, out, now, now + gap, AIM)
+        now += gap
+    return now
+
+
+def test_one_late_answer_is_a_sample_and_no_verdict() -> None:
+    limit = Limit()
+    now = fed(limit, 50 * MS, 20)
+    before = limit.limit
+    limit.learn(5 * AIM // 4, 8, now, now + 10, AIM)
+    assert limit.limit >= before * 0.9
+
+
+def test_heavy_tail_leaves_the_limit_up() -> None:
+    """One answer in fifty is late by chance."""
+    limit, rng, now = Limit(), random.Random(1), 0
+    low = START
+    for _ in range(2_000):
+        now = fed(limit, 400 * MS if rng.random() < 0.02 else 50 * MS, 1, now=now)
+        low = min(low, limit.limit)
+    assert low >= 4  # of the eight that are out
+
+
+def test_steady_lateness_cuts_it_to_what_still_finds_out() -> None:
+    limit = Limit()
+    now = fed(limit, 400 * MS, 40)
+    assert limit.limit == LEAST
+    assert limit.room(0)
+    assert not limit.room(1)
+    fed(limit, 50 * MS, 40, out=1, now=now)
+    assert limit.limit > 3
+
+
+def test_prompt_answers_raise_it_only_while_it_is_used() -> None:
+    limit = Limit()
+    fed(limit, 50 * MS, 200, out=0)
+    assert limit.limit == START
+    fed(limit, 50 * MS, 100_000, out=1000)
+    assert limit.limit == MOST
+
+
+def test_all_that_was_out_when_it_was_cut_cuts_once() -> None:
+    limit = Limit()
+    for _ in range(10):
+        limit.cut(0, 100, 10)
+    assert limit.limit == 11 / 2
+    limit.cut(101, 200, 10)
+    assert limit.limit == 11 / 4
+
+
+def test_cut_is_by_how_late_answers_are() -> None:
+    little, much = Limit(), Limit()
+    for limit, took in ((little, 200 * MS), (much, 290 * MS)):
+        limit.learn(took, 20, 0, 1, AIM)
+    assert 21 > little.limit > much.limit >= 21 / 2
+
+
+def test_work_is_told_apart_from_waiting() -> None:
+    limit = Limit()
+    now = fed(limit, 50 * MS, 20)
+    fed(limit, 250 * MS, 10, now=now)
+    assert limit.work < 90 * MS
+    assert limit.took > 200 * MS
+
+
+def test_what_was_long_ago_is_forgotten() -> None:
+    limit = Limit()
+    now = fed(limit, 400 * MS, 10)
+    limit.learn(50 * MS, 1, now + 20_000 * MS, now + 20_050 * MS, AIM)
+    assert limit.took == limit.work == 50 * MS
+
+
+@given(st.lists(st.tuples(st.integers(1, 2_000), st.integers(0, 300), st.booleans()), max_size=200))
+def test_limit_stays_within_its_bounds_whatever_comes(answers: list[tuple[int, int, bool]]) -> None:
+    limit, now = Limit(), 0
+    for took, out, turned_away in answers:
+        now += took * MS
+        if turned_away:
+            limit.cut(now - took * MS, now, out)
+        else:
+            limit.learn(took * MS, out, now - took * MS, now, AIM)
+        assert LEAST <= limit.limit <= MOST
+        assert limit.room(0)
+        assert limit.work <= limit.took + 1
+
+
+@pytest.mark.parametrize(("load", "least"), [(0.5, 0.97), (0.8, 0.85)])
+def test_steady_load_below_capacity_is_served_in_time(load: float, least: float) -> None:
+    from benchmarks.overrun import play
+
+    assert play(load, 8)["in_time"] >= least
+
+
+def test_storm_is_over_soon_after_its_cause() -> None:
+    from benchmarks.overrun import play
+
+    row = play(0.5, 8, pause=True)
+    assert row["in_time"] >= 0.9
+    assert row["refused"] <= 0.1
--- a/tests/decisions/test_rules.py
+++ b/tests/decisions/test_rules.py
@@ -205,4 +205,8 @@
                 failed = AttemptEnded(f"r{i}", 0, action.server, Outcome.ERROR, False, MS)
                 retried = [a.server for a in router.handle(failed, S) if isinstance(a, Send)]
                 sent += retried.count("cold")
+                for server in retried:
+                    router.handle(AttemptEnded(f"r{i}", 1, server, Outcome.OK, True, MS), S)
+            else:
+                router.handle(AttemptEnded(f"r{i}", 0, action.server, Outcome.OK, True, MS), S)
     assert sent < 1500 * share / 9 * 1.6 + 10  # its ramped share of first tries and retries, with slack
