No limit before a node was ever late, and pauses for one that turns all away at once

Need: with a limit of 64 to begin with the 65th of 600 reads in one batch was refused at an idle node; and a node that answers -BUSY at once leaves nothing out, so that it was asked for every read of its keys.

Change: a limit comes with the first sign of lateness, from what is out then; after -BUSY a node is asked again after about an answer's time, doubled up to a second.

--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -124,7 +124,7 @@
     )
     for name, server in list(limits["servers"].items())[:_TOP_KEYS]:
         click.echo(
-            f"  {name}: {server['out']} out of {server['limit']:.1f}, "
+            f"  {name}: {server['out']} out of {server['limit'] or 'no limit'}, "
             f"work {server['work_ms']:.1f} ms, waiting {server['waiting_ms']:.1f} ms"
         )
     _hot_keys(told["hot_keys"])
--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -55,7 +55,9 @@
             self.unheard = 0
         elif again or not self.unheard:
             self.unheard, self._unheard_at = self.unheard + 1, now
-        if outcome is Outcome.FULL or (again and outcome is Outcome.TIMEOUT):
+        if outcome is Outcome.FULL:
+            self.limit.turned_away(sent_at, now, self.load)
+        elif again and outcome is Outcome.TIMEOUT:
             self.limit.cut(sent_at, now, self.load)
         elif outcome in (Outcome.OK, Outcome.MISS):
             self.limit.learn(took, self.load, sent_at, now, aim)
--- a/saltport/decisions/limits.py
+++ b/saltport/decisions/limits.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
+import math
+
 from saltport.decisions.interface import NS_PER_S
 
-START = 64.0  # before anything is known; cuts are from what is out, so that it is left at once
 LEAST = 1.0  # one request out finds out how the server is
-MOST = 256.0
 CUT = 0.5
 PROMPT, LATE = 0.4, 0.6  # of the aim: below the one the limit may rise, above the other it is cut
+LEAST_PAUSE, MOST_PAUSE = NS_PER_S // 50, NS_PER_S  # after refusals: about an answer's time, then doubled
 SMOOTH = 1 / 4
 FORGETS = 10 * NS_PER_S  # unheard for so long, what was learnt of waiting is worth nothing
 
@@ -22,28 +23,29 @@
 class Limit:
     """The limit of one server."""
 
-    __slots__ = ("_cut_at", "_heard_at", "limit", "took", "work")
+    __slots__ = ("_cut_at", "_heard_at", "_pause", "_until", "limit", "took", "work")
 
     def __init__(self) -> None:
-        self.limit = START
+        self.limit = math.inf
+        """None before the first sign of lateness: what it can take is unknown, a burst is no overload."""
         self.took = 0.0
         """Smoothed time of an answer."""
         self.work = 0.0
         """The part of it that is work: the least time seen lately."""
-        self._cut_at = self._heard_at = 0
+        self._cut_at = self._heard_at = self._pause = self._until = 0
 
     def learn(self, took: int, out: int, sent_at: int, now: int, aim: int) -> None:
         """Take one answer's time, with so many out when it came."""
         if not self.took or now - self._heard_at > FORGETS:
             self.took, self.work = float(took), float(took)
-        self._heard_at = now
+        self._heard_at, self._pause = now, 0
         self.took += (took - self.took) * SMOOTH
         # The least falls at once and rises slowly, so that a standing queue is not taken for work for long.
         self.work = min(float(took), self.work + (self.took - self.work) / 64)
         if self.took > LATE * aim:
             self.cut(sent_at, now, out, LATE * aim / self.took)
         elif self.took < PROMPT * aim and out + 1 >= self.limit / 2:
-            self.limit = min(self.limit + 1 / self.limit, MOST)
+            self.limit = self.limit + 1 / self.limit
 
     def cut(self, sent_at: int, now: int, out: int, part: float = CUT) -> None:
         """The server is overrun: less from now on, once for all that was out when that began."""
@@ -52,12 +54,20 @@
         self._cut_at = now
         self.limit = max(min(self.limit, out + 1.0) * max(part, CUT), LEAST)
 
-    def view(self, out: int) -> dict[str, float]:
+    def view(self, out: int) -> dict[str, float | None]:
         """Its state, for people; times in milliseconds."""
         wait = max(self.took - self.work, 0.0)
-        return {"limit": round(self.limit, 1), "out": out, "work_ms": round(self.work / 1e6, 1),
+        limit = None if math.isinf(self.limit) else round(self.limit, 1)
+        return {"limit": limit, "out": out, "work_ms": round(self.work / 1e6, 1),
                 "waiting_ms": round(wait / 1e6, 1)}  # fmt: skip
 
-    def room(self, out: int) -> bool:
+    def turned_away(self, sent_at: int, now: int, out: int) -> None:
+        """It has no place at all: a cut, and a pause, as quick refusals leave nothing out to count."""
+        self.cut(sent_at, now, out)
+        if sent_at >= self._until:
+            self._pause = min(max(2 * self._pause, int(self.took), LEAST_PAUSE), MOST_PAUSE)
+            self._until = now + self._pause
+
+    def room(self, out: int, now: int) -> bool:
         """Whether one more may go."""
-        return out < self.limit
+        return out < self.limit and now >= self._until
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -341,7 +341,7 @@
                 return
             # A server that is none of the key's lacks it, which costs a fetch: only where there is much room.
             # A client's retry can't be in time any more: what is in time goes first.
-            if node.limit.room(2 * node.load if full or request.retry else node.load):
+            if node.limit.room(2 * node.load if full or request.retry else node.load, self._now):
                 self._crowded += (bool(full) - self._crowded) / 64
                 self._overflowed += bool(full)
                 self._send(request, node)
--- a/saltport/decisions/outliers.py
+++ b/saltport/decisions/outliers.py
@@ -2,7 +2,7 @@
 
 Terms and order of things are Envoy's (outlier detection, ejection, panic threshold); docs/design/outliers.md
 tells what differs and why. It judges whether a server answers at all: one that answers late or is full is
-overrun, not broken, and gets less by its chance (health.py). Times are nanoseconds on the caller's clock.
+overrun, not broken, and gets less by its limit (limits.py). Times are nanoseconds on the caller's clock.
 """
 
 from __future__ import annotations
--- a/tests/router/test_hot_keys.py
+++ b/tests/router/test_hot_keys.py
@@ -152,6 +152,8 @@
         assert told["hot_keys"]["voids"]["in_doubt"] == 1
         shown = CliRunner().invoke(cli, ["status", str(tmp_path / "n1.sock")])
         assert "1 in doubt" in shown.output
+        assert "servers overrun: 0% of reads find their server full, 0 went to another one" in shown.output
+        assert "out of no limit" in shown.output
         nodes["s1"].let_go.set()
 
         def settled() -> bool:
