Renew copies of a hot key before they run out

Need: all copies that plain writes had made at one time ran out together, and their readers met at the slot's own node until they were made again.

Change: an answer that passes by renews copies with less than half of their lease left, those that run out first first.

--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -347,16 +347,20 @@
             return
         if not fetched and node in spread.absent:
             spread.holds(node, now + self._told.lease // 2 if self._writes else FOR_GOOD)
-        if self._writes and spread.absent and event.size:
+        if self._writes and event.size:
             self._copy(request, spread, event.size, now)
 
     def _copy(self, request: Asked, spread: Spread, size: int, now: int) -> None:
         if size > self._told.max_value or not self._voids.may_copy(spread.key, request.sent_at):
             return
+        # Danger: copies that all run out together leave their readers to the slot's own node.
+        due = spread.renewable(now + self._told.lease // 2, COPIES_AT_ONCE)
+        if not due and not spread.absent:
+            return
         filling = self._filling.setdefault(spread.key, {})
         doubts = self._voids.in_doubt(spread.key)
         room = min(COPIES_AT_ONCE, MAX_FILLING - sum(map(len, self._filling.values())))
-        for node in spread.absent:
+        for node in (*due, *islice(spread.absent, len(filling) + COPIES_AT_ONCE)):
             if room <= 0:
                 break
             server = node.entry.id
--- a/saltport/decisions/hotkeys/spread.py
+++ b/saltport/decisions/hotkeys/spread.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from saltport.decisions.health import Node
 from saltport.decisions.interface import NS_PER_S
 from saltport.structures.indexed import IndexedSet
@@ -29,6 +31,8 @@
         """The members that lack it."""
         self.held: dict[str, int] = {}
         """Until when a node holds it, by server, members or not."""
+        self.leases: deque[tuple[int, Node]] = deque()
+        """The copies whose time runs out, the first to do so first; what was renewed stands twice."""
         self.fillers: dict[str, list[Node]] = {}
         """The reads that visit absent members just now, with those that each is to fill."""
         self.fill_after = 0
@@ -72,10 +76,21 @@
     def holds(self, node: Node, until: int) -> None:
         """A node turned out to hold it, or was given it."""
         self.held[node.entry.id] = until
+        if until < FOR_GOOD:
+            self.leases.append((until, node))
         if node in self.absent:
             self.absent.discard(node)
             self.ready.add(node)
 
+    def renewable(self, before: int, most: int) -> list[Node]:
+        """Members that hold it until then at the most, each told once."""
+        found: list[Node] = []
+        while self.leases and self.leases[0][0] <= before and len(found) < most:
+            until, node = self.leases.popleft()
+            if self.held.get(node.entry.id) == until and node in self.ready:
+                found.append(node)
+        return found
+
     def lacks(self, node: Node) -> None:
         """A node turned out to lack it; its own node stays in, as the next fetch fills it."""
         self.held.pop(node.entry.id, None)
