Give the seam of popular keys one base with null verbs, and carry plain commands one way

Change: Spreading is a base whose verbs do nothing, Heat and HotKeys say what they do otherwise; one sum; one way for a plain command to arrive. Behaviour is the same.

--- a/benchmarks/hot_world.py
+++ b/benchmarks/hot_world.py
@@ -304,35 +304,40 @@
         end(Outcome.OK, True, self.size_of(read.key))
 
     def _copy(self, router: int, copy: Copy) -> None:
-        node, version = self.nodes[copy.server], self.reads[copy.request].version
+        version = self.reads[copy.request].version
 
-        def arrive() -> None:
-            if node.down:
-                outcome = Outcome.CONNECT_FAILED
-            elif node.cut:
-                outcome = Outcome.TIMEOUT
-            else:
-                outcome = Outcome.OK
-                self.copied += 1
-                node.kept[copy.key] = version, self.now + copy.lease
-            self.tell(router, CopyEnded(copy.key, copy.server, outcome))
+        def arrive(node: WorldNode) -> None:
+            self.copied += 1
+            node.kept[copy.key] = version, self.now + copy.lease
 
-        self.at(2 * MS, arrive)
+        self._plain(router, copy.server, arrive, partial(CopyEnded, copy.key, copy.server))
 
     def _void(self, router: int, void: Void) -> None:
-        node = self.nodes[void.server]
+        def arrive(node: WorldNode) -> None:
+            node.kept.pop(void.key, None)
 
-        def arrive() -> None:
+        def told(outcome: Outcome) -> Event:
+            return VoidEnded(void.key, void.server, outcome, void.turn)
+
+        self._plain(router, void.server, arrive, told, lambda: self.on_void(void.key, void.server))
+
+    def _plain(
+        self, router: int, server: str, arrive: Callable[[WorldNode], None],
+        told: Callable[[Outcome], Event], gets_there: Callable[[], bool] = lambda: True,
+    ) -> None:  # fmt: skip
+        """Carry a plain command out at a node, if it gets there."""
+
+        def land() -> None:
+            node, outcome = self.nodes[server], Outcome.OK
             if node.down:
                 outcome = Outcome.CONNECT_FAILED
-            elif node.cut or not self.on_void(void.key, void.server):
+            elif node.cut or not gets_there():
                 outcome = Outcome.TIMEOUT
             else:
-                outcome = Outcome.OK
-                node.kept.pop(void.key, None)
-            self.tell(router, VoidEnded(void.key, void.server, outcome, void.turn))
+                arrive(node)
+            self.tell(router, told(outcome))
 
-        self.at(2 * MS, arrive)
+        self.at(2 * MS, land)
 
     # The list
 
--- a/saltport/decisions/heat.py
+++ b/saltport/decisions/heat.py
@@ -5,16 +5,15 @@
 import math
 import random
 
-from saltport.decisions import interface as api
 from saltport.decisions.health import Node
-from saltport.decisions.seam import Asked
+from saltport.decisions.seam import Asked, Spreading
 from saltport.decisions.table import DEPTH, SlotTable
 
 HEAT_SHARE = 0.25  # part of a server's fair load that one slot may bring before it is spread
 HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
 
 
-class Heat:
+class Heat(Spreading):
     """Each slot's share of the requests seen lately, by counts halved now and then, and owners by it."""
 
     def __init__(self, caches: SlotTable, rng: random.Random, routes_writes: bool) -> None:
@@ -46,42 +45,3 @@
     def _draw(self, node: Node) -> tuple[float, float]:
         weight = node.weight * self._caches.warmth(node, self._now)
         return node.load / weight, self._rng.expovariate(1.0) / weight
-
-    def sent(self, request: Asked, node: Node) -> None:
-        """It keeps no copies: the platform's own rule fills them."""
-
-    def missed(self, request: Asked, node: Node, now: int) -> bool:
-        """The origin is asked at once."""
-        return False
-
-    def fetches_itself(self, request: Asked) -> bool:
-        """One fetch of a key at a time."""
-        return False
-
-    def fetch_after(self, request: Asked) -> int:
-        """Any read may be fetched."""
-        return 0
-
-    def ended(self, request: Asked, node: Node, event: api.AttemptEnded, fetched: bool, now: int) -> None:
-        """It learns from arrivals alone."""
-
-    def done(self, request: Asked, stored: bool, now: int) -> None:
-        """It learns from arrivals alone."""
-
-    def holds(self, request: Asked) -> bool:
-        """The origin drops the copies."""
-        return False
-
-    def told(self, event: api.CopyEnded | api.VoidEnded, now: int) -> None:
-        """It asks for none."""
-
-    def due(self, token: str, now: int) -> None:
-        """It sets no timers."""
-
-    def take_actions(self) -> list[api.Action]:
-        """Nothing, ever."""
-        return []
-
-    def view(self, now: int) -> dict[str, object]:
-        """Its state, for people."""
-        return {"on": False}
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -15,15 +15,13 @@
 from saltport.decisions.hotkeys.spread import FILL_PAUSE, FOR_GOOD, Spread
 from saltport.decisions.hotkeys.voiding import Voids
 from saltport.decisions.interface import NS_PER_S, Fill, Outcome
-from saltport.decisions.seam import Asked
+from saltport.decisions.seam import Asked, Spreading
 from saltport.decisions.table import DEPTH, SlotTable
 
 TICK = NS_PER_S // 4
 TOKEN = "hot keys"  # of its timer; no request's id has a space
 LOOK = NS_PER_S // 5  # between two looks at what a key needs
-VISITED = (
-    2  # nodes that one fetch fills where reads fill them: the platform stores at the first two that missed
-)
+VISITED = 2  # nodes that one fetch fills: the platform stores at the first two that missed
 MAX_FILLERS = 4  # reads that fill nodes of one key at a time
 COPIES_AT_ONCE = 8  # set from one answer that passes by
 MAX_FILLING = 256  # plain writes under way, of all keys together
@@ -39,7 +37,7 @@
 Usable = Callable[[str, int], bool]
 
 
-class HotKeys:
+class HotKeys(Spreading):
     """Keeps the keys that are too hot for their own node on several."""
 
     def __init__(
--- a/saltport/decisions/hotkeys/meter.py
+++ b/saltport/decisions/hotkeys/meter.py
@@ -137,15 +137,9 @@
         """The least that a key was read lately, by all tenants."""
         return sum(items.count(key) for items in self._items.values())
 
-    def error(self, key: str) -> float:
-        """How much more it may have been."""
-        return sum(items.error for items in self._items.values())
-
     def share(self, watched: Watched) -> float:
         """A key's share of all reads, by the sketch within the bounds of its last pane."""
-        count = 0.0
-        for items in self._items.values():
-            count += items.count(watched.key)
+        count = self.counted(watched.key)
         # The total is as old as the last look, and never less than what is counted of one key.
         total = max(self.total, count)
         if total <= 0:
--- a/saltport/decisions/seam.py
+++ b/saltport/decisions/seam.py
@@ -28,26 +28,30 @@
     share: float
 
 
-class Spreading(Protocol):
-    """Which nodes a key's reads may go to, and what its writes have to reach."""
+class Spreading:
+    """Which nodes a key's reads may go to, and what its writes have to reach; each verb's null form."""
 
     def arrived(self, request: Asked, tenant: str, now: int) -> None:
         """Count a request that was admitted."""
 
     def candidates(self, request: Asked, now: int) -> list[Node]:
         """The nodes that a read may go to, the best first."""
+        raise NotImplementedError
 
     def sent(self, request: Asked, node: Node) -> None:
         """A read goes to a cache node."""
 
     def missed(self, request: Asked, node: Node, now: int) -> bool:
         """A node lacks the key; whether another one is to be asked before the origin."""
+        return False
 
     def fetches_itself(self, request: Asked) -> bool:
         """Whether a read is to ask the origin though another one asks for its key already."""
+        return False
 
     def fetch_after(self, request: Asked) -> int:
         """Until when a read of this key is not worth a fetch, as the last ones failed; 0: it is."""
+        return 0
 
     def ended(self, request: Asked, node: Node, event: api.AttemptEnded, fetched: bool, now: int) -> None:
         """An attempt has ended."""
@@ -57,6 +61,7 @@
 
     def holds(self, request: Asked) -> bool:
         """Whether a write's answer has to wait until its copies are void."""
+        return False
 
     def told(self, event: api.CopyEnded | api.VoidEnded, now: int) -> None:
         """A copy or a void has ended."""
@@ -66,6 +71,8 @@
 
     def take_actions(self) -> list[api.Action]:
         """What there is to do since last asked."""
+        return []
 
-    def view(self, now: int) -> dict[str, object]:
+    def view(self, now: int) -> dict[str, Any]:
         """Its state, for people."""
+        return {"on": False}
