Leave two algorithms of the sketch measurement to their libraries

The measurement had count-min and HeavyKeeper twice, written out and from libraries, and three copies of how the most of a dict is told.

--- a/benchmarks/sketches.py
+++ b/benchmarks/sketches.py
@@ -14,14 +14,12 @@
 import sys
 import time
 import tracemalloc
-from array import array
 from bisect import bisect
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from heapq import nlargest
 from itertools import accumulate
 from typing import Any, Protocol
-from zlib import crc32
 
 import orjson
 
@@ -47,7 +45,17 @@
     return nlargest(TOP, counts.items(), key=lambda pair: pair[1])
 
 
-class Plain:
+class Counting:
+    """What keeps its counts in a dict."""
+
+    _counts: Mapping[str, float]
+
+    def best(self) -> list[tuple[str, float]]:
+        """The items seen most."""
+        return _most(self._counts)
+
+
+class Plain(Counting):
     """A dict of all keys: exact, and as large as they are many."""
 
     def __init__(self, capacity: int) -> None:
@@ -57,12 +65,8 @@
         """Count an item."""
         self._counts[item] = self._counts.get(item, 0.0) + 1
 
-    def best(self) -> list[tuple[str, float]]:
-        """The items seen most."""
-        return _most(self._counts)
-
 
-class Halved:
+class Halved(Counting):
     """As the heat of slots is counted: all halved each 1,024 requests, single counts dropped."""
 
     def __init__(self, capacity: int) -> None:
@@ -77,10 +81,6 @@
             self._counts = {key: count / 2 for key, count in self._counts.items() if count > 1}
             self._total = sum(self._counts.values())
 
-    def best(self) -> list[tuple[str, float]]:
-        """The items seen most."""
-        return _most(self._counts)
-
 
 class Decayed:
     """The one that is used."""
@@ -94,7 +94,7 @@
         return self._items.top(TOP)
 
 
-class SpaceSaving:
+class SpaceSaving(Counting):
     """Metwally, Agrawal, El Abbadi 2005, with the stream summary: keys in buckets by count."""
 
     def __init__(self, capacity: int) -> None:
@@ -128,83 +128,6 @@
             bucket = buckets[count + 1] = {}
         bucket[item] = None
 
-    def best(self) -> list[tuple[str, float]]:
-        """The items seen most."""
-        return _most(self._counts)
-
-
-class CountMin:
-    """Cormode and Muthukrishnan 2005, conservative update (Estan and Varghese 2002), and a dict."""
-
-    ROWS = 4
-
-    def __init__(self, capacity: int) -> None:
-        self._width = 1 << max((capacity * 4).bit_length() - 1, 4)
-        self._rows = [array("L", [0]) * self._width for _ in range(self.ROWS)]
-        self._best: dict[str, int] = {}
-        self._least = 0
-
-    def add(self, item: str, now: int) -> None:
-        """Count an item in all rows that are at the least."""
-        data, mask = item.encode(), self._width - 1
-        one = crc32(data)
-        two = (one * 0x9E3779B1 >> 7) | 1
-        places = [(one + row * two) & mask for row in range(self.ROWS)]
-        count = min(row[place] for row, place in zip(self._rows, places, strict=True)) + 1
-        for row, place in zip(self._rows, places, strict=True):
-            if row[place] < count:
-                row[place] = count
-        if count > self._least or item in self._best:
-            self._best[item] = count
-            if len(self._best) > 4 * TOP:
-                kept = sorted(self._best.items(), key=lambda pair: -pair[1])[: 2 * TOP]
-                self._best, self._least = dict(kept), kept[-1][1]
-
-    def best(self) -> list[tuple[str, float]]:
-        """The items seen most."""
-        return _most(self._best)
-
-
-class HeavyKeeper:
-    """Gong and others 2018: counters with fingerprints that others wear down, by chance."""
-
-    ROWS, BASE = 2, 1.08
-
-    def __init__(self, capacity: int) -> None:
-        self._width = 1 << max((capacity * 4).bit_length() - 1, 4)
-        self._prints = [array("L", [0]) * self._width for _ in range(self.ROWS)]
-        self._counts = [array("L", [0]) * self._width for _ in range(self.ROWS)]
-        self._worn = [self.BASE**-count for count in range(256)]
-        self._rng = random.Random(1)
-        self._best: dict[str, int] = {}
-        self._least = 0
-
-    def add(self, item: str, now: int) -> None:
-        """Count an item where its fingerprint stands, wear the other down elsewhere."""
-        one, most = crc32(item.encode()), 0
-        two = (one * 0x9E3779B1 >> 7) | 1
-        for row in range(self.ROWS):
-            place = (one + row * two) & (self._width - 1)
-            counts, prints = self._counts[row], self._prints[row]
-            if prints[place] == one or not counts[place]:
-                prints[place] = one
-                counts[place] += 1
-                most = max(most, counts[place])
-            elif counts[place] < 256 and self._rng.random() < self._worn[counts[place]]:
-                counts[place] -= 1
-                if not counts[place]:
-                    prints[place], counts[place] = one, 1
-                    most = max(most, 1)
-        if most > self._least or item in self._best:
-            self._best[item] = max(most, self._best.get(item, 0))
-            if len(self._best) > 4 * TOP:
-                kept = sorted(self._best.items(), key=lambda pair: -pair[1])[: 2 * TOP]
-                self._best, self._least = dict(kept), kept[-1][1]
-
-    def best(self) -> list[tuple[str, float]]:
-        """The items seen most."""
-        return _most(self._best)
-
 
 class DataSketches:
     """Apache DataSketches' frequent items, from its wheel."""
@@ -258,7 +181,7 @@
 
 KINDS: dict[str, Callable[[int], Sketch]] = {
     "plain dict": Plain, "dict, halved": Halved, "frequent items, decayed": Decayed,
-    "Space-Saving": SpaceSaving, "count-min, conservative": CountMin, "HeavyKeeper": HeavyKeeper,
+    "Space-Saving": SpaceSaving,
     "datasketches (library)": DataSketches, "pyprobables (library)": Probables,
     "heavykeeper (library)": RustKeeper,
 }  # fmt: skip
