Call what is left of a node's limit headroom, and look at limits alone in the measurement

The name and an argument were left over from the chance that limits replaced; the overrun measurement still asked for either. Behaviour is the same. Checked: ruff, mypy, tests of limits and of the world.

--- a/benchmarks/overrun.py
+++ b/benchmarks/overrun.py
@@ -1,8 +1,8 @@
 """Overrun nodes, decisions alone in virtual time: `python -m benchmarks.overrun`.
 
 Four routers before twelve nodes of one core each, reads of 35 to 65 ms, aim 300 ms, clients that retry twice.
-Load as a part of what the nodes can do; an oracle serves all of that in time. How often a node's limit (or
-chance) moves by more than a third within a second tells whether the estimate swings.
+Load as a part of what the nodes can do; an oracle serves all of that in time. How often a node's limit
+moves by more than a third within a second tells whether the estimate swings.
 """
 
 from __future__ import annotations
@@ -20,12 +20,11 @@
 
 
 def _estimates(world: World) -> dict[tuple[int, str], float]:
-    found = {}
-    for number, router in enumerate(world.routers):
-        for name, node in router._caches.nodes.items():
-            limit: Any = getattr(node, "limit", None)
-            found[number, name] = limit.limit if limit is not None else node.chance(world.now)
-    return found
+    return {
+        (number, name): node.limit.limit
+        for number, router in enumerate(world.routers)
+        for name, node in router._caches.nodes.items()
+    }
 
 
 def play(
--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -40,7 +40,8 @@
         self.limit = Limit()
         self._unheard_at = 0
 
-    def chance(self, now: int) -> float:
+    @property
+    def headroom(self) -> float:
         """What is left of its limit, as a share."""
         return max(1.0 - self.load / self.limit.limit, 0.0)
 
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -28,7 +28,7 @@
 FETCH_PAUSE, LONGEST_FETCH_PAUSE = NS_PER_S // 10, 5 * NS_PER_S
 SHARE_MOVED = 0.05  # part of its share that a key may gain or lose before its nodes' room is counted anew
 COUNTED = NS_PER_S // 2  # for which what was sent to a node is counted, twice
-LEAST_CHANCE = 0.05
+LEAST_HEADROOM = 0.05
 LATE_SHARE = 8  # part of a write's time, as 1 / this, that is kept for its answer
 SHOWN, SHOWN_KEY = 20, 80  # keys in a view, characters of a key in a log line
 TURNED_DOWN = 60 * NS_PER_S  # for which a node that takes no plain writes gets none
@@ -131,7 +131,7 @@
     def _need(self, watched: Watched, order: list[Node], share: float, now: int) -> int:
         if now - self._weight_at >= NS_PER_S:
             self._weigh(now)
-        # The chance of an overrun node swings by the second and is no size: it counts in the choice alone.
+        # What is left of a node's limit moves by the second and is no size: it counts in the choice alone.
         total = self._total_weight or 1.0
         mine = self._spreads.get(watched.key)
         own = {}
@@ -282,7 +282,7 @@
         """What it has of this router's and what it will soon have, against what it can do."""
         seen = self._sent[node] + self._sent_before[node]
         span = max(now - self._counted_at + COUNTED, 1)
-        weight = self._weight(node, now) * max(node.chance(now), LEAST_CHANCE)
+        weight = self._weight(node, now) * max(node.headroom, LEAST_HEADROOM)
         return (node.load + seen * self._usual / span) / weight
 
     def sent(self, request: Asked, node: Node) -> None:
