Refuse at once what has less time left than is worth sending

A moving quantile of each node's answers, at the level of how busy it is, is the least time worth sending; a read with less is refused before it costs work, also before a fetch. What a client's short time ended is no evidence against a node. An answer's time less this router's lag is never below nothing: negative, it made a node look endlessly busy.

--- a/benchmarks/hot_world.py
+++ b/benchmarks/hot_world.py
@@ -80,6 +80,8 @@
     tried: int = 1
     begun_at: int = 0
     tenant: str = ""
+    within: int = S
+    """For how long its client waits."""
     least: int = 0
     """The version that the last write answered before it was asked for has made."""
 
@@ -126,6 +128,11 @@
         self.fetches: Counter[str] = Counter()
         self.origin_fails: set[str] = set()
         self.ends: Counter[str] = Counter()
+        self.served_of: Counter[str] = Counter()
+        self.refused_of: Counter[str] = Counter()
+        """The same by tenant."""
+        self.on_refusal: Callable[[Read], object] = lambda read: None
+        """What a client that is turned away does besides."""
         self.stale = 0
         self.stalest = 0
         """The longest time from a write's answer to a read that was asked for since and served with what was
@@ -163,20 +170,23 @@
 
     # Clients
 
-    def ask(self, key: str, write: bool = False, tenant: str | None = None, again: Read | None = None) -> str:
-        """One request, at any router; returns its id. `again`: the try before this one."""
+    def ask(
+        self, key: str, write: bool = False, tenant: str | None = None, again: Read | None = None,
+        within: int = S,
+    ) -> str:  # fmt: skip
+        """One request, at any router; returns its id. `again`: the try before it; `within`: its time."""
         self._number += 1
         name = f"{self._number:x}"
         router = self.rng.randrange(len(self.routers))
         tenant = tenant or ("a" if self.rng.random() < 0.7 else "b")
         read = self.reads[name] = Read(key, write, router, self.now, least=self.answered[key])
-        read.tenant, read.begun_at = tenant, again.begun_at if again else self.now
+        read.tenant, read.within, read.begun_at = tenant, within, again.begun_at if again else self.now
         read.tried = again.tried + 1 if again else 1
         self.first_tries += again is None
         kind = "edit" if write else "read"
         self.tell(
             router,
-            RequestArrived(name, kind, self.now + S, tenant, key, write, retry=again is not None),
+            RequestArrived(name, kind, self.now + within, tenant, key, write, retry=again is not None),
         )
         return name
 
@@ -194,8 +204,10 @@
                     token = action.token
                     self.at(action.delay, lambda token=token: self.tell(router, TimerFired(token)))  # type: ignore[misc]
                 case Refuse() | Fail():
-                    self.ends["refused" if isinstance(action, Refuse) else "failed"] += 1
                     read = self.reads[action.request]
+                    self.ends["refused" if isinstance(action, Refuse) else "failed"] += 1
+                    self.refused_of[read.tenant] += 1
+                    self.on_refusal(read)
                     if read.tried <= self.retries and not read.write:
                         told = action.retry_after if isinstance(action, Refuse) else 0
                         pause = max(told, 40 * MS << read.tried) * self.rng.uniform(0.7, 1.3)
@@ -244,7 +256,7 @@
             self.at(MS, lambda: end(Outcome.FULL))
             return
         node.free_at = max(node.free_at, self.now) + work
-        given_up = min(self.now + (send.timeout or S), read.asked_at + S)
+        given_up = min(self.now + (send.timeout or S), read.asked_at + read.within)
         if node.free_at + MS > given_up:
             # A time-out stops nothing: the work goes on.
             self.at(max(given_up - self.now, 0), lambda: end(Outcome.TIMEOUT))
@@ -274,6 +286,7 @@
         read.version = version
         self.in_time += self.now - read.begun_at <= 300 * MS
         self.ends["served"] += 1
+        self.served_of[read.tenant] += 1
         if version < read.least:
             self.stale += 1
             since = self.answered_at[read.key, version + 1]
--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -10,6 +10,7 @@
 from saltport.decisions import interface as api
 from saltport.decisions.interface import Outcome
 from saltport.decisions.limits import Limit
+from saltport.decisions.promptness import Promptness
 
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.MOOT)  # ends that tell nothing of a server
 
@@ -38,6 +39,7 @@
         self.unheard = 0
         self.pace = Pace()
         self.limit = Limit()
+        self.promptness = Promptness()
         self._unheard_at = 0
 
     @property
--- a/saltport/decisions/limits.py
+++ b/saltport/decisions/limits.py
@@ -54,6 +54,11 @@
         self._cut_at = now
         self.limit = max(min(self.limit, out + 1.0) * max(part, CUT), LEAST)
 
+    @property
+    def busy(self) -> float:
+        """The part of the server that is busy: that of an answer's time that is waiting (exact for M/M/1)."""
+        return 1.0 - self.work / self.took if self.took else 0.0
+
     def view(self, out: int) -> dict[str, float | None]:
         """Its state, for people; times in milliseconds."""
         wait = max(self.took - self.work, 0.0)
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -94,7 +94,11 @@
 
     def in_use(self, now: int) -> bool:
         """Whether half of what is allowed or more is used."""
-        return self.accepted(now) * 2 >= self.limit * self.window_s
+        return self.in_use_share(now) >= 0.5
+
+    def in_use_share(self, now: int) -> float:
+        """The part of what is allowed that is used, at most 1."""
+        return min(self.accepted(now) / (self.limit * self.window_s), 1.0)
 
     def used(self, now: int) -> float:
         """Calls a second that went to the origin."""
@@ -166,10 +170,7 @@
         self._requests: dict[str, Request] = {}
         self._flights: dict[str, list[Request]] = {}
         aim = min(cls.aim for cls in settings.classes)
-        self._width, self._last_cut = (
-            math.inf,
-            0,
-        )
+        self._width, self._last_cut = math.inf, 0
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._answers, self._fetches = Pace(aim), Pace(aim / 2)  # of the caches; good ones of the origin
@@ -243,7 +244,7 @@
                 "overflowed": self._overflowed,
                 # Those with the least, as fleets may be large.
                 "servers": {
-                    node.entry.id: node.limit.view(node.load)
+                    node.entry.id: node.limit.view(node.load) | {"least_ms": node.promptness.least / 1e6}
                     for node in nsmallest(SHOWN, self._caches.nodes.values(), key=lambda n: n.limit.limit)
                 },
             },
@@ -339,6 +340,9 @@
                     self._outliers.try_out(node.entry.id, request.id)
                 self._send(request, node, int(request.cls.aim * PATIENCE_SHARE))
                 return
+            if not request.write and not node.promptness.worth(request.deadline - self._now, self._now):
+                self._give_up(request, "too little time left")
+                return
             # A server that is none of the key's lacks it, which costs a fetch: only where there is much room.
             # A client's retry can't be in time any more: what is in time goes first.
             if node.limit.room(2 * node.load if full or request.retry else node.load, self._now):
@@ -378,6 +382,9 @@
             return
         if request.write:
             request.guard.count(self._now)
+        elif not origins[0].promptness.worth(request.deadline - self._now, self._now):
+            self._give_up(request, "too little time left")
+            return
         elif not request.guard.admit(self._now):
             self._give_up(request, "fetch suppressed")
             return
@@ -395,11 +402,14 @@
         request.out = request.fetching = False
         node.load -= 1
         # Danger: with the router's own lag in it, every server is late whenever this router is.
-        took = event.latency - max(event.lag, self._overload.lag)
+        took = max(event.latency - max(event.lag, self._overload.lag), 0)
         late = took > request.cls.aim
         # Danger: servers may close what they keep at any time; counted, that would eject healthy ones.
         broke = event.kept and outcome is Outcome.RESET
         self._spreading.ended(request, node, event, fetched, self._now)
+        if outcome in (Outcome.OK, Outcome.MISS, Outcome.TIMEOUT) and not request.write:
+            busy = request.guard.in_use_share(self._now) if fetched else node.limit.busy
+            node.promptness.learn(took, outcome is not Outcome.TIMEOUT, busy, self._now)
         if fetched:
             self._judge_fetch(node, event, late)
         elif not broke:
@@ -422,9 +432,8 @@
         elif fetched:
             self._fetch_failed(request, outcome, late, broke)
         else:
-            if (
-                outcome not in (Outcome.TIMEOUT, Outcome.RESET) or late or node.unheard > 1
-            ):  # else it is asked once more
+            silent = outcome in (Outcome.TIMEOUT, Outcome.RESET)
+            if not silent or late or node.unheard > 1:  # else it is asked once more
                 request.failed = (*request.failed, node)
             self._route(request)
 
@@ -433,8 +442,7 @@
         # whose loop has no rest would take its own lateness for theirs.
         cut_short = event.outcome is Outcome.TIMEOUT and took < request.lost_after
         outcome = Outcome.CANCELLED if cut_short else event.outcome
-        ended = outcome if self._overload.lag else event.outcome
-        node.judge(ended, took, request.cls.aim, request.sent_at, self._now)
+        node.judge(outcome, took, request.cls.aim, request.sent_at, self._now)
         if self._caches.nodes.get(node.entry.id) is not node:
             return
         news = self._outliers.judge(node, request.id, outcome, request.sent_at, self._now)
--- /dev/null
+++ b/saltport/decisions/promptness.py
@@ -0,0 +1,42 @@
+"""The least time that is worth sending: a request with less is refused at once, before it costs anybody work.
+
+An attempt whose client soon gives up costs its server as much as one that is answered, for servers go on with
+work that nobody waits for. It is worth that while the chance that it is answered in time is at least the part
+of the server that is busy: work on a server that has none would be lost anyhow, on one that is always busy it
+is taken from somebody who would have been answered. So `least` is the time within which that part of the
+answers comes, tracked as a moving quantile (Robbins and Monro 1951). Times are nanoseconds.
+"""
+
+from __future__ import annotations
+
+STEP = 1 / 16  # of `least`, for an answer
+UNHEARD = 10  # times `least` without an answer, after which one request finds out
+
+
+class Promptness:
+    """How soon one server's answers come."""
+
+    __slots__ = ("_heard_at", "least")
+
+    def __init__(self) -> None:
+        self.least = 0.0
+        """0: nothing is known, everything is worth sending."""
+        self._heard_at = 0
+
+    def learn(self, took: int, answered: bool, busy: float, now: int) -> None:
+        """Take an answer's time, or the time after which one was given up; `busy`: from 0 to 1."""
+        if not answered and took < self.least:
+            return  # it would have taken longer than that, by how much nobody knows
+        self._heard_at = now
+        if not self.least:
+            self.least = float(took)
+        self.least += self.least * STEP * (busy if took > self.least else busy - 1)
+
+    def worth(self, left: int, now: int) -> bool:
+        """Whether a request with so much time left is to be sent."""
+        if left >= self.least:
+            return True
+        if now - self._heard_at <= UNHEARD * self.least:
+            return False
+        self._heard_at = now
+        return True
--- /dev/null
+++ b/tests/decisions/test_promptness.py
@@ -0,0 +1,150 @@
+"""The least time worth sending: a quantile that follows how busy a server is, and what comes of it."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from benchmarks.hot_world import MS, Read, S, World
+from saltport.decisions import LoopReport, Outcome, Refuse
+from saltport.decisions.promptness import UNHEARD, Promptness
+from tests.decisions.helpers import ended, fleet, only_send, request, sends, settings, started
+
+
+def learnt(busy: float, seed: int = 1, count: int = 4_000) -> float:
+    """The least time after so many answers of 0 to 100 ms, evenly drawn: what came by then, in percent."""
+    promptness, rng = Promptness(), random.Random(seed)
+    tail = []
+    for n in range(count):
+        promptness.learn(int(rng.uniform(0, 100) * MS), True, busy, n * MS)
+        if n > count / 2:
+            tail.append(promptness.least / MS)
+    return sum(tail) / len(tail)
+
+
+@pytest.mark.parametrize("busy", [0.2, 0.5, 0.8])
+def test_least_is_the_time_within_which_as_much_comes_as_the_server_is_busy(busy: float) -> None:
+    assert learnt(busy) == pytest.approx(100 * busy, abs=6)
+
+
+def test_what_was_given_up_sooner_than_that_tells_nothing() -> None:
+    promptness = Promptness()
+    promptness.learn(50 * MS, True, 1.0, 0)
+    before = promptness.least
+    promptness.learn(20 * MS, False, 1.0, MS)
+    assert promptness.least == before
+    promptness.learn(80 * MS, False, 1.0, MS)
+    assert promptness.least > before
+
+
+def test_unheard_for_long_one_finds_out() -> None:
+    promptness = Promptness()
+    promptness.learn(50 * MS, True, 1.0, S)
+    assert not promptness.worth(24 * MS, S + MS)
+    later = S + int(UNHEARD * promptness.least) + 1
+    assert promptness.worth(24 * MS, later)
+    assert not promptness.worth(24 * MS, later + MS), "one, and no more until an answer or as long again"
+
+
+@given(st.lists(st.tuples(st.integers(1, 10_000), st.booleans(), st.floats(0, 1)), max_size=200))
+def test_stays_sane_whatever_comes(answers: list[tuple[int, bool, float]]) -> None:
+    promptness, now = Promptness(), 0
+    for took, answered, busy in answers:
+        now += took * MS
+        promptness.learn(took * MS, answered, busy, now)
+        assert 0 <= promptness.least <= 11_000 * MS
+        assert promptness.worth(11_000 * MS, now)
+
+
+def test_request_with_too_little_time_is_refused_at_once_and_costs_nobody_work() -> None:
+    router = started(settings(retry_after=True), fleet(1))
+    now = 0
+    for n in range(40):  # answers that wait: 40 to 200 ms
+        now += S // 4
+        send = only_send(router.handle(request(f"a{n}", now), now))
+        took = 40 * MS if n % 4 == 0 else 200 * MS
+        router.handle(ended(send, Outcome.OK, latency=took), now + took)
+    now += S // 4
+    actions = router.handle(request("late", now, deadline=now + 24 * MS), now)
+    assert sends(actions) == []
+    assert [type(action) for action in actions] == [Refuse]
+    assert router.view(now)["given_up"] == {"too little time left": 1}
+    assert sends(router.handle(request("early", now), now))
+    write = router.handle(request("write", now, "edit", deadline=now + 24 * MS), now)
+    assert sends(write), "writes are never refused for that"
+
+
+def test_router_whose_own_lag_was_longer_than_the_answer_took_goes_on_sending() -> None:
+    """Less than nothing taken for an answer's time would make a server look busier than can be."""
+    router = started(settings(), fleet(1))
+    for n in range(300):
+        now = n * 20 * MS
+        if n in (20, 40):
+            router.handle(LoopReport(1.0, 200 * MS) if n == 20 else LoopReport(0.1, 0), now)
+        send = only_send(router.handle(request(f"a{n}", now), now))
+        router.handle(ended(send, Outcome.OK, latency=(5 + n % 3) * MS), now + 5 * MS)
+    assert sends(router.handle(request("b", 6 * S, deadline=6 * S + 100 * MS), 6 * S))
+
+
+def test_miss_with_too_little_time_for_the_origin_costs_it_no_fetch() -> None:
+    router = started(settings(), fleet(1))
+    now = 0
+    for n in range(200):
+        now += 20 * MS
+        fetch = only_send(
+            router.handle(
+                ended(
+                    only_send(router.handle(request(f"a{n}", now, key=f"k{n}"), now)),
+                    Outcome.MISS, latency=2 * MS,
+                ),
+                now + 2 * MS,
+            )
+        )  # fmt: skip
+        assert fetch.server == "origin:1"
+        router.handle(ended(fetch, Outcome.OK, 1, latency=150 * MS), now + 152 * MS)
+    now += 200 * MS
+    send = only_send(router.handle(request("late", now, key="x", deadline=now + 30 * MS), now))
+    actions = router.handle(ended(send, Outcome.MISS, latency=2 * MS), now + 2 * MS)
+    assert sends(actions) == []
+    assert isinstance(actions[0], Refuse)
+
+
+def hammered(seconds: int = 10) -> tuple[float, float]:
+    """One tenant asks again within 2 ms, seven times with 60 ms; the parts that each tenant got in time."""
+    world = World(12, None, 1, 2, work=50 * MS, spread_work=0.3, kept="k")
+
+    def again(read: Read) -> None:
+        if read.tenant == "b" and read.tried < 8:
+            within = 60 * MS if read.tried < 7 else S
+            world.at(2 * MS, partial(world.ask, read.key, False, "b", read, within))
+
+    world.on_refusal = again
+    asked = {"a": 0, "b": 0}
+
+    def arrive(until: int) -> None:
+        if world.now < until:
+            tenant = "a" if world.rng.random() < 0.6 else "b"
+            asked[tenant] += 1
+            short = tenant == "b" and until > 5 * S
+            world.ask(f"k{world.rng.randrange(600)}", False, tenant, within=60 * MS if short else S)
+            world.at(int(world.rng.expovariate(0.7 * 12 / 0.05) * S), lambda: arrive(until))
+
+    arrive(world.now + 3 * S)
+    world.run(world.now + 4 * S)
+    asked.update(a=0, b=0)
+    world.served_of.clear()
+    arrive(world.now + seconds * S)
+    world.run(world.now + (seconds + 1) * S)
+    return world.served_of["a"] / asked["a"], world.served_of["b"] / asked["b"]
+
+
+def test_clients_that_hammer_with_too_little_time_harm_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    quiet, hammering = hammered()
+    monkeypatch.setattr(Promptness, "worth", lambda *_: True)
+    quiet_before, hammering_before = hammered()
+    assert quiet > 0.95 > 0.7 > quiet_before
+    assert hammering > 0.9 > 0.5 > hammering_before
