Let marked retries yield to first tries beyond capacity; tell refusals by tenant over time

Beyond capacity a third of what nodes did went to retries that could not be in time any more, and retries that found no room counted as more demand. A marked retry now keeps away from nodes that are half busy while an eighth of first tries find no room, and is no sign of demand. Given-up reads are counted by tenant and reason over the last 10 and 60 s (structures/recent.py).

--- a/benchmarks/overrun.py
+++ b/benchmarks/overrun.py
@@ -2,18 +2,28 @@
 
 Four routers before twelve nodes of one core each, reads of 35 to 65 ms, aim 300 ms, clients that retry twice.
 Load as a part of what the nodes can do; an oracle serves all of that in time. How often a node's limit
-moves by more than a third within a second tells whether the estimate swings.
+moves by more than a third within a second tells whether the estimate swings. With `--real` a storm on
+loopback: routers before stand-ins that do less the more they hold, 8 s beyond what these can do.
 """
 
 from __future__ import annotations
 
 import argparse
 import sys
+import tempfile
+from collections import Counter, defaultdict
+from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import orjson
+import uvloop
 
 from benchmarks.hot_world import MS, S, World
+from saltport.audit import Limits
+from saltport.harness import Harness, run_load
+from saltport.load.plan import LoadPlan, Step
+from saltport.standins.profile import Profile
 
 NODES, ROUTERS, KEYS = 12, 4, 600
 WORK = 50 * MS
@@ -70,13 +80,82 @@
     }  # fmt: skip
 
 
+CALM_S, STORM_S, AFTER_S = 8, 8, 12
+
+
+async def _storm(harness: Harness, plan: LoadPlan) -> Any:
+    await harness.start()
+    try:
+        return (await run_load(harness, plan))[1]
+    finally:
+        await harness.stop()
+
+
+def _sum(seconds: dict[int, Counter[str]], begin: int, end: int) -> dict[str, int]:
+    return dict(sum((seconds[n] for n in range(begin, end)), Counter()))
+
+
+def storm(load: float, peak: float, crowding: float, say: Any) -> dict[str, Any]:
+    """Load, then a storm, then the load as before; how long refusals outlast the storm."""
+    nodes, capacity = 8, 8 / 0.05  # reads a second, of 35 to 64 ms
+    profile = replace(Profile(), crowding=crowding, classes=Profile().classes[:1])
+    steps = (
+        Step(0, load * capacity),
+        Step(CALM_S, peak * capacity),
+        Step(CALM_S + STORM_S, load * capacity),
+    )
+    plan = LoadPlan(steps, CALM_S + STORM_S + AFTER_S, keys=400, zipf=0.3, seed=1)
+    folder = Path(tempfile.mkdtemp(prefix="saltport-storm-"))
+    harness = Harness(folder, profile, nodes, 2, 1)
+    ledger = uvloop.run(_storm(harness, plan))
+    verdict = harness.audit([ledger], Limits(1_000, 1_000, 1_000, 1_000))
+    begun = next(record["t"] for record in ledger.records if record["kind"] == "load")
+    seconds: defaultdict[int, Counter[str]] = defaultdict(Counter)
+    for record in ledger.records:
+        if record["kind"] == "try":
+            in_time = record["answer"] == "served" and record["t"] - record["sent"] <= 300 * MS
+            end = "in time" if in_time else "late" if record["answer"] == "served" else record["answer"]
+            seconds[(record["sent"] - begun) // S][end] += 1
+    over = CALM_S + STORM_S
+
+    def calm(second: int) -> bool:
+        return seconds[second]["refused"] <= 0.05 * seconds[second].total()
+
+    last = max((second for second in range(over, over + AFTER_S) if not calm(second)), default=over - 1)
+    row = {
+        "load": load, "peak": peak, "crowding": crowding, "recovered_after_s": last + 1 - over,
+        "before": _sum(seconds, 2, CALM_S),
+        "storm": _sum(seconds, CALM_S, over),
+        "after": _sum(seconds, over + 2, over + AFTER_S),
+        "broken": sorted({violation.rule for violation in verdict.violations}),
+    }  # fmt: skip
+    say(
+        f"storm of {peak} between {load}, work {1 + crowding:.1f} times as long with a full queue: tries "
+        f"before {row['before']}, in it {row['storm']}, from 2 s after it {row['after']}; "
+        f"the last second with over 5% refused ended {row['recovered_after_s']} s after it; "
+        f"broken rules {row['broken']}"
+    )
+    return row
+
+
 def main() -> int:
     """Run it."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=int, default=20)
+    parser.add_argument("--real", action="store_true", help="a storm on routers and stand-ins")
     parser.add_argument("--json", action="store_true")
     told = parser.parse_args()
     rows: list[dict[str, object]] = []
+    if told.real:
+        for crowding in (0.0, 1.0):
+            rows.append(
+                storm(
+                    0.5, 2.0, crowding, lambda line: print(line, file=sys.stderr if told.json else sys.stdout)
+                )
+            )
+        if told.json:
+            print(orjson.dumps(rows).decode())
+        return 0
     scenes: tuple[tuple[str, tuple[float, ...], dict[str, Any]], ...] = (
         ("steady", (0.5, 0.8, 1.0, 1.3), {}),
         ("one node at a tenth of its speed", (0.5, 0.8), {"slow_node": 10.0}),
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -101,8 +101,10 @@
     )
     lag = told["lag"]
     click.echo(f"longest turn of the loop {lag['longest_ms']:.1f} ms, {lag['stalls']} over 5 ms")
-    given_up = ", ".join(f"{count} {why}" for why, count in told["given_up"].items())
-    click.echo(f"given up: {given_up or 'none'}")
+    click.echo("given up: none" if not told["given_up"] else "given up, in 10 s, in 60 s, since the start:")
+    for row in told["given_up"]:
+        tenant, why = row["name"]
+        click.echo(f"  {row['last_10_s']:7} {row['last_60_s']:7} {row['total']:9}  {tenant}: {why}")
     for name, tenant in told["tenants"].items():
         click.echo(
             f"tenant {name}: {tenant['fetches_per_s']:.1f} fetches a second of "
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Sequence
 from heapq import nsmallest
 from itertools import takewhile
@@ -25,6 +25,7 @@
 from saltport.decisions.overload import FIRST, HOPELESS, RETRY, OverloadControl
 from saltport.decisions.seam import Spreading
 from saltport.decisions.table import SlotTable
+from saltport.structures.recent import RecentCounts
 
 HARD_LIMIT_FACTOR = 1.5
 CHANCE_CACHED = NS_PER_S // 10
@@ -36,6 +37,9 @@
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 OVERFLOW = 2  # servers after the key's own that are asked for room
 CROWDED = 0.125  # share of reads that find their server full, past which it is the load and no server
+YIELDS = (
+    0.5  # part of a server that is busy, from which marked retries do not go there while reads find no room
+)
 SHOWN = 20  # servers in a view
 PATIENCE_SHARE, SLOW_SHARE = 0.95, 0.8
 
@@ -44,7 +48,7 @@
     """One tenant's guard of the origin: sliding-window counts, three regimes, AIMD rate limit."""
 
     def __init__(self, tenant: api.Tenant, routers: int, rng: random.Random) -> None:
-        self.portion = tenant.portion
+        self.name, self.portion = tenant.name or "(none)", tenant.portion
         self.cap = self.limit = (tenant.quota_per_s or UNSTATED_LIMIT) / routers
         self.window_s = min(max(WINDOW_CALLS / self.cap, WINDOW_MIN_S), WINDOW_MAX_S)
         self.floor = min(1 / self.window_s, self.cap)  # one call a window: with none counted a fetch goes
@@ -177,7 +181,7 @@
         self._overflowed = 0
         self._crowded = 0.0  # smoothed share of reads that found their server full
         self._asking, self._failed_calls = False, 0
-        self._given_up: Counter[str] = Counter()  # requests that got no answer of a server, by reason
+        self._given_up = RecentCounts()  # requests that got no answer of a server, by tenant and reason
         self._now = 0
         self._actions: list[api.Action] = []
 
@@ -222,19 +226,19 @@
     def view(self, now: int) -> dict[str, object]:
         """The state that people ask for; nothing is decided by it."""
         tenants = {
-            name or "(none)": {
+            guard.name: {
                 "rate_limit_per_s": round(guard.limit, 3),
                 "cap_per_s": round(guard.cap, 3),
                 "fetches_per_s": round(guard.used(now), 3),
                 "declined": guard.declined,
             }
-            for name, guard in self._guards.items()
+            for guard in self._guards.values()
         }
         return {
             "caches": len(self._caches.nodes),
             "origins": len(self._origins.nodes),
             "open": len(self._requests),
-            "given_up": dict(self._given_up),
+            "given_up": self._given_up.view(now),
             "tenants": tenants,
             "outliers": self._outliers.view(now),
             "overload": self._overload.view(),
@@ -345,8 +349,10 @@
                 return
             # A server that is none of the key's lacks it, which costs a fetch: only where there is much room.
             # A client's retry can't be in time any more: what is in time goes first.
-            if node.limit.room(2 * node.load if full or request.retry else node.load, self._now):
-                self._crowded += (bool(full) - self._crowded) / 64
+            yields = request.retry and self._crowded > CROWDED and node.limit.busy >= YIELDS
+            out = 2 * node.load if full or request.retry else node.load
+            if not yields and node.limit.room(out, self._now):
+                self._found_full(request, bool(full))
                 self._overflowed += bool(full)
                 self._send(request, node)
                 return
@@ -354,11 +360,15 @@
             if full > OVERFLOW or self._crowded > CROWDED or request.guard.in_use(self._now):
                 break
         if full:
-            self._crowded += (1 - self._crowded) / 64
+            self._found_full(request, True)
             self._give_up(request, "servers overrun")
         else:
             self._missed(request)
 
+    def _found_full(self, request: Request, full: bool) -> None:
+        if not request.retry:  # the same demand once more is no more of it
+            self._crowded += (full - self._crowded) / 64
+
     def _missed(self, request: Request) -> None:
         if not request.write and self._spreading.fetch_after(request) > self._now:
             self._give_up(request, "its key's fetch failed just now")
@@ -509,7 +519,7 @@
         self._actions.append(api.SetTimer(delay, request.id))
 
     def _give_up(self, request: Request, why: str) -> None:
-        self._given_up[why] += 1
+        self._given_up.add((request.guard.name, why), self._now)
         if request.may_refuse():
             wait = int(self._rng.uniform(0.5, 1.0) * self._settings.max_retry_after)
             self._actions.append(api.Refuse(request.id, wait if self._settings.retry_after else 0))
--- a/saltport/standins/node.py
+++ b/saltport/standins/node.py
@@ -140,7 +140,7 @@
         profile = self.profile
         self.started = started
         self.store = LruStore(profile.store_bytes)
-        self.cores = Cores(profile.cores, profile.queue)
+        self.cores = Cores(profile.cores, profile.queue, profile.crowding)
         self.warmth = Warmth(started, profile.cold_from, profile.cold_ms * MS)
         self.budget = ColdBudget(profile.cores, profile.fall_multiple, profile.fall_ms * MS)
         self.report = LoadReport(profile.report_ms * MS)
--- a/saltport/standins/profile.py
+++ b/saltport/standins/profile.py
@@ -41,6 +41,8 @@
     tenants: tuple[tuple[str, float], ...] = (("public", 0.63), ("municipal", 0.37))
     cores: int = 1
     queue: int = 24
+    crowding: float = 0.0
+    """The part by which work takes longer with a full queue: past its knee a node does less, not more."""
     store_bytes: int = 8 << 20
     small_bytes: tuple[int, int] = (200, 3200)
     large_bytes: tuple[int, int] = (70_000, 200_000)
--- a/tests/decisions/helpers.py
+++ b/tests/decisions/helpers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from typing import Any
+
 from saltport.decisions import (
     Action,
     AttemptEnded,
@@ -90,3 +93,12 @@
 
 def finals(actions: list[Action]) -> list[Refuse | Fail]:
     return [action for action in actions if isinstance(action, Refuse | Fail)]
+
+
+def given_up(view: dict[str, object]) -> dict[str, int]:
+    """Requests given up since the start, by reason, from a router's view."""
+    rows: Any = view["given_up"]
+    found: Counter[str] = Counter()
+    for row in rows:
+        found[row["name"][1]] += row["total"]
+    return dict(found)
--- a/tests/standins/test_model.py
+++ b/tests/standins/test_model.py
@@ -78,3 +78,11 @@
     report.served(80)
     assert report.text(99 * MS, 7) == first
     assert report.text(100 * MS, 7) == b"latency_ms=10.000,queue=7"
+
+
+def test_crowded_node_does_less_the_more_it_holds() -> None:
+    plain, crowded = Cores(1, 10), Cores(1, 10, crowding=1.0)
+    last = {name: [cores.take(0, 10.0, 1.0) for _ in range(11)][-1] for name, cores in
+            (("plain", plain), ("crowded", crowded))}  # fmt: skip
+    assert last["plain"] == 110 * MS
+    assert last["crowded"] == 10 * MS + sum(int((10 + waiting) * MS) for waiting in range(10))
