--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -12,6 +12,7 @@
 from saltport.decisions.limits import Limit
 from saltport.decisions.promptness import Promptness
 
+ANSWERED, SILENT = (Outcome.OK, Outcome.MISS), (Outcome.TIMEOUT, Outcome.RESET)
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.MOOT)  # ends that tell nothing of a server
 
 
@@ -51,16 +52,16 @@
         """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
         if outcome in NO_EVIDENCE:
             return
-        silent = outcome in (Outcome.TIMEOUT, Outcome.RESET)
+        silent = outcome in SILENT
         # Danger: counted each, what was out in one short pause of a server would pass for its being overrun.
         again = silent and bool(self.unheard) and sent_at >= self._unheard_at
         if not silent:
             self.unheard = 0
         elif again or not self.unheard:
             self.unheard, self._unheard_at = self.unheard + 1, now
-        if outcome is Outcome.FULL:
+        if outcome in ANSWERED:
+            self.limit.learn(took, self.load, sent_at, now, aim)
+        elif outcome is Outcome.FULL:
             self.limit.turned_away(sent_at, now, self.load)
         elif again and outcome is Outcome.TIMEOUT:
             self.limit.cut(sent_at, now, self.load)
-        elif outcome in (Outcome.OK, Outcome.MISS):
-            self.limit.learn(took, self.load, sent_at, now, aim)
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -17,7 +17,7 @@
 from zlib import crc32
 
 from saltport.decisions import interface as api
-from saltport.decisions.health import Node, Pace
+from saltport.decisions.health import ANSWERED, Node, Pace
 from saltport.decisions.heat import Heat
 from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
 from saltport.decisions.limits import Limit
@@ -32,15 +32,14 @@
 WINDOW_CALLS = 8  # calls that a window should be able to hold at the generous limit
 WINDOW_MIN_S, WINDOW_MAX_S = 5.0, 20.0
 UNSTATED_LIMIT = 1000.0  # generous start for all routers together where no quota is stated
-CUT, RISE_S = 0.7, 15.0
+CUT, RISE_S, IN_USE = 0.7, 15.0, 0.5  # IN_USE: the part of the allowance that counts as its use
 BAD_SAMPLES, BAD_SHARE = 8, 0.2
 SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 OVERFLOW = 2  # servers after the key's own that are asked for room
 CROWDED = 0.125  # share of reads that find their server full, past which it is the load and no server
-YIELDS = (
-    0.5  # part of a server that is busy, from which marked retries do not go there while reads find no room
-)
+YIELDS = 0.5  # busy part of a server from which marked retries keep away while reads find no room
 SHOWN = 20  # servers in a view
+TELLING = (*ANSWERED, Outcome.TIMEOUT)
 PATIENCE_SHARE, SLOW_SHARE = 0.95, 0.8
 
 
@@ -91,16 +90,12 @@
 
     def rise(self, now: int) -> None:
         """Additive rise after a good fetch, up to the cap, and only while the limit is in use."""
-        if self.in_use(now):
+        if self.in_use(now) >= IN_USE:
             idle = min((now - self._last_rise) / NS_PER_S, self.window_s)
             self.limit = min(self.cap, self.limit + self.cap / RISE_S * idle)
         self._last_rise = now
 
-    def in_use(self, now: int) -> bool:
-        """Whether half of what is allowed or more is used."""
-        return self.in_use_share(now) >= 0.5
-
-    def in_use_share(self, now: int) -> float:
+    def in_use(self, now: int) -> float:
         """The part of what is allowed that is used, at most 1."""
         return min(self.accepted(now) / (self.limit * self.window_s), 1.0)
 
@@ -344,7 +339,9 @@
                     self._outliers.try_out(node.entry.id, request.id)
                 self._send(request, node, int(request.cls.aim * PATIENCE_SHARE))
                 return
-            if not request.write and not node.promptness.worth(request.deadline - self._now, self._now):
+            left = request.deadline - self._now
+            little = left < node.promptness.least and not request.write
+            if little and not node.promptness.worth(left, self._now):
                 self._give_up(request, "too little time left")
                 return
             # A server that is none of the key's lacks it, which costs a fetch: only where there is much room.
@@ -352,12 +349,13 @@
             yields = request.retry and self._crowded > CROWDED and node.limit.busy >= YIELDS
             out = 2 * node.load if full or request.retry else node.load
             if not yields and node.limit.room(out, self._now):
-                self._found_full(request, bool(full))
-                self._overflowed += bool(full)
+                if full or self._crowded:
+                    self._found_full(request, bool(full))
+                    self._overflowed += bool(full)
                 self._send(request, node)
                 return
             full += 1
-            if full > OVERFLOW or self._crowded > CROWDED or request.guard.in_use(self._now):
+            if full > OVERFLOW or self._crowded > CROWDED or request.guard.in_use(self._now) >= IN_USE:
                 break
         if full:
             self._found_full(request, True)
@@ -367,7 +365,7 @@
 
     def _found_full(self, request: Request, full: bool) -> None:
         if not request.retry:  # the same demand once more is no more of it
-            self._crowded += (full - self._crowded) / 64
+            self._crowded = max(self._crowded + (full - self._crowded) / 64 - 1e-6, 0.0)
 
     def _missed(self, request: Request) -> None:
         if not request.write and self._spreading.fetch_after(request) > self._now:
@@ -417,14 +415,14 @@
         # Danger: servers may close what they keep at any time; counted, that would eject healthy ones.
         broke = event.kept and outcome is Outcome.RESET
         self._spreading.ended(request, node, event, fetched, self._now)
-        if outcome in (Outcome.OK, Outcome.MISS, Outcome.TIMEOUT) and not request.write:
-            busy = request.guard.in_use_share(self._now) if fetched else node.limit.busy
-            node.promptness.learn(took, outcome is not Outcome.TIMEOUT, busy, self._now)
+        if outcome in TELLING and not request.write:
+            busy = request.guard.in_use(self._now) if fetched else node.limit.busy
+            node.promptness.learn(took, outcome in ANSWERED, busy, self._now)
         if fetched:
             self._judge_fetch(node, event, late)
         elif not broke:
             self._judge(request, node, event, late, took)
-            if outcome in (Outcome.OK, Outcome.MISS):
+            if outcome in ANSWERED:
                 node.pace.learn(event.latency)
                 self._answers.learn(event.latency)
         if not outcome.never_ran and request.ran is None:
