--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/mypy
-	$(VENV)/bin/pytest -q
+	$(VENV)/bin/pytest -q -n 4 --dist loadfile
 
 soak: $(MADE)
 	$(VENV)/bin/python -m benchmarks.soak $(ARGS)
