--- a/benchmarks/hot_world.py
+++ b/benchmarks/hot_world.py
@@ -128,6 +128,11 @@
         self.fetches: Counter[str] = Counter()
         self.origin_fails: set[str] = set()
         self.ends: Counter[str] = Counter()
+        self.choose_router: Callable[[], int] = lambda: self.rng.randrange(len(self.routers))
+        self.asked_of: Counter[int] = Counter()
+        self.served_by: Counter[int] = Counter()
+        self.refused_by: Counter[int] = Counter()
+        """Requests, and what came of them, by router."""
         self.served_of: Counter[str] = Counter()
         self.refused_of: Counter[str] = Counter()
         """The same by tenant."""
@@ -177,7 +182,8 @@
         """One request, at any router; returns its id. `again`: the try before it; `within`: its time."""
         self._number += 1
         name = f"{self._number:x}"
-        router = self.rng.randrange(len(self.routers))
+        router = self.choose_router()
+        self.asked_of[router] += 1
         tenant = tenant or ("a" if self.rng.random() < 0.7 else "b")
         read = self.reads[name] = Read(key, write, router, self.now, least=self.answered[key])
         read.tenant, read.within, read.begun_at = tenant, within, again.begun_at if again else self.now
@@ -207,6 +213,7 @@
                     read = self.reads[action.request]
                     self.ends["refused" if isinstance(action, Refuse) else "failed"] += 1
                     self.refused_of[read.tenant] += 1
+                    self.refused_by[router] += 1
                     self.on_refusal(read)
                     if read.tried <= self.retries and not read.write:
                         told = action.retry_after if isinstance(action, Refuse) else 0
@@ -287,6 +294,7 @@
         self.in_time += self.now - read.begun_at <= 300 * MS
         self.ends["served"] += 1
         self.served_of[read.tenant] += 1
+        self.served_by[read.router] += 1
         if version < read.least:
             self.stale += 1
             since = self.answered_at[read.key, version + 1]
