Say it once: a harness as a context, the load report's own timeline, one count by router and tenant

Read over again: the storm counted ends by second that the load report has already, three places started and stopped a harness by hand, five counters stood side by side in the virtual world, and load and run went in pairs. The count of what nodes get had one condition in two places and two triggers, and two tuples of outcomes had one name with two meanings.

--- a/benchmarks/hot_keys.py
+++ b/benchmarks/hot_keys.py
@@ -88,8 +88,7 @@
     seconds, busiest, copies = [], [], []
 
     def second(share: float, count: float) -> None:
-        world.load(rate, mixed(world.rng, share, max(OTHERS, 100 * nodes)), count)
-        world.run(world.now + int(count * S))
+        world.play(rate, mixed(world.rng, share, max(OTHERS, 100 * nodes)), count)
         seconds.append(world.now / S - 1 - CALM_S)
         busiest.append(world.busiest())
         copies.append(float(world.copies() if told else len(world.sent_of[HOT])))
@@ -137,8 +136,7 @@
     """Two seconds hot, two not, for a minute."""
     world = World(30, HotKeySettings(Fill.WRITES))
     for turn in range(30):
-        world.load(1_000, mixed(world.rng, 0.5 if turn % 2 == 0 else 0.0, OTHERS), 2)
-        world.run(world.now + 2 * S)
+        world.play(1_000, mixed(world.rng, 0.5 if turn % 2 == 0 else 0.0, OTHERS), 2)
     counts = world.hot_view()["counts"]
     say(f"flicker of 2 s for a minute: {counts['spread']} spread, {counts.get('released', 0)} released")
     return {"counts": dict(counts)}
@@ -147,8 +145,7 @@
 def yanks(count: int, say: Any, voids: bool = True) -> dict[str, Any]:
     """Yanks of the spread key; a third of them beside a kill, a third beside a cut, a tenth of voids lost."""
     world = World(30, HotKeySettings(Fill.WRITES), origin_drops=False)
-    world.load(1_000, mixed(world.rng, 0.5, OTHERS), 2)
-    world.run(world.now + 2 * S)
+    world.play(1_000, mixed(world.rng, 0.5, OTHERS), 2)
     members = list(world.sent_of[HOT])
     world.on_void = lambda key, server: voids and world.rng.random() > 0.1
     for turn in range(count):
@@ -162,8 +159,7 @@
         elif turn % 3 == 1:
             victim.cut = True
         world.ask(HOT, write=True)
-        world.load(1_000, mixed(world.rng, 0.5, OTHERS), 0.3)
-        world.run(world.now + 3 * S // 10)
+        world.play(1_000, mixed(world.rng, 0.5, OTHERS), 0.3)
     say(
         f"{count} yanks: {world.ends['written']} answered, {world.stale} stale reads "
         f"of {world.ends['served']}, {world.copied} copies made again, {world.hot_view()['voids']}"
@@ -198,8 +194,7 @@
 
 
 async def _play(harness: Harness, plan: LoadPlan, kill_every: float) -> tuple[Any, Any]:
-    await harness.start()
-    try:
+    async with harness:
         if kill_every:
             await harness.control.call(
                 "play", seed=plan.seed, seconds=plan.seconds, kinds=["kill"], every_s=kill_every
@@ -208,8 +203,6 @@
         told = [
             await asyncio.to_thread(ask, harness.folder / f"{r.name}.sock", "state") for r in harness.held
         ]
-    finally:
-        await harness.stop()
     return ledger, told
 
 
--- a/benchmarks/hot_world.py
+++ b/benchmarks/hot_world.py
@@ -47,6 +47,7 @@
 HOT = "hot"
 QUEUE = 24  # requests that wait at a node; more are turned away
 ORIGIN = "origin"
+Keys = Callable[[], tuple[Any, ...]]  # what `World.ask` is told: a key, whether it is a write, and more
 
 
 @dataclass(slots=True)
@@ -129,13 +130,8 @@
         self.origin_fails: set[str] = set()
         self.ends: Counter[str] = Counter()
         self.choose_router: Callable[[], int] = lambda: self.rng.randrange(len(self.routers))
-        self.asked_of: Counter[int] = Counter()
-        self.served_by: Counter[int] = Counter()
-        self.refused_by: Counter[int] = Counter()
-        """Requests, and what came of them, by router."""
-        self.served_of: Counter[str] = Counter()
-        self.refused_of: Counter[str] = Counter()
-        """The same by tenant."""
+        self.by: defaultdict[int | str, Counter[str]] = defaultdict(Counter)
+        """Requests, and what came of them, by router and by tenant."""
         self.on_refusal: Callable[[Read], object] = lambda read: None
         """What a client that is turned away does besides."""
         self.stale = 0
@@ -162,7 +158,7 @@
             what()
         self.now = until
 
-    def load(self, rate: float, keys: Callable[[], tuple[str, bool]], seconds: float) -> None:
+    def load(self, rate: float, keys: Keys, seconds: float) -> None:
         """Ask for keys at this rate, evenly drawn gaps, from now on."""
         end = self.now + int(seconds * S)
 
@@ -173,6 +169,11 @@
 
         arrive()
 
+    def play(self, rate: float, keys: Keys, seconds: float) -> None:
+        """Ask at this rate, and let that time go by."""
+        self.load(rate, keys, seconds)
+        self.run(self.now + int(seconds * S))
+
     # Clients
 
     def ask(
@@ -183,11 +184,11 @@
         self._number += 1
         name = f"{self._number:x}"
         router = self.choose_router()
-        self.asked_of[router] += 1
         tenant = tenant or ("a" if self.rng.random() < 0.7 else "b")
         read = self.reads[name] = Read(key, write, router, self.now, least=self.answered[key])
         read.tenant, read.within, read.begun_at = tenant, within, again.begun_at if again else self.now
         read.tried = again.tried + 1 if again else 1
+        self._count(read, "asked again" if again else "asked")
         self.first_tries += again is None
         kind = "edit" if write else "read"
         self.tell(
@@ -211,9 +212,7 @@
                     self.at(action.delay, lambda token=token: self.tell(router, TimerFired(token)))  # type: ignore[misc]
                 case Refuse() | Fail():
                     read = self.reads[action.request]
-                    self.ends["refused" if isinstance(action, Refuse) else "failed"] += 1
-                    self.refused_of[read.tenant] += 1
-                    self.refused_by[router] += 1
+                    self._end(read, "refused" if isinstance(action, Refuse) else "failed")
                     self.on_refusal(read)
                     if read.tried <= self.retries and not read.write:
                         told = action.retry_after if isinstance(action, Refuse) else 0
@@ -228,6 +227,14 @@
                 case Log():
                     self.logs.append(action.message)
 
+    def _count(self, read: Read, what: str) -> None:
+        self.by[read.router][what] += 1
+        self.by[read.tenant][what] += 1
+
+    def _end(self, read: Read, what: str) -> None:
+        self.ends[what] += 1
+        self._count(read, what)
+
     def _written(self, name: str) -> None:
         read = self.reads[name]
         self.ends["written"] += 1
@@ -292,9 +299,7 @@
     def _served(self, read: Read, version: int) -> None:
         read.version = version
         self.in_time += self.now - read.begun_at <= 300 * MS
-        self.ends["served"] += 1
-        self.served_of[read.tenant] += 1
-        self.served_by[read.router] += 1
+        self._end(read, "served")
         if version < read.least:
             self.stale += 1
             since = self.answered_at[read.key, version + 1]
--- a/benchmarks/overrun.py
+++ b/benchmarks/overrun.py
@@ -11,7 +11,6 @@
 import argparse
 import sys
 import tempfile
-from collections import Counter, defaultdict
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -23,6 +22,7 @@
 from saltport.audit import Limits
 from saltport.harness import Harness, run_load
 from saltport.load.plan import LoadPlan, Step
+from saltport.load.report import ENDS
 from saltport.standins.profile import Profile
 
 NODES, ROUTERS, KEYS = 12, 4, 600
@@ -41,10 +41,7 @@
     load: float, seconds: int, slow_node: float = 1.0, pause: bool = False, seed: int = 1
 ) -> dict[str, float]:
     """Steady load on a warm fleet; returns goodput, the oracle's, and how the estimates moved."""
-    world = World(NODES, None, seed, ROUTERS, work=WORK, spread_work=0.3, retries=2)
-    for number in range(KEYS):
-        for node in world.nodes.values():
-            node.kept[f"k{number}"] = 0, 0
+    world = World(NODES, None, seed, ROUTERS, work=WORK, spread_work=0.3, retries=2, kept="k")
     rate = load * NODES / (WORK / S)
     if slow_node > 1:
         next(iter(world.nodes.values())).slow = slow_node
@@ -52,13 +49,11 @@
     def keys() -> tuple[str, bool]:
         return f"k{world.rng.randrange(KEYS)}", False
 
-    world.load(rate, keys, 3)
-    world.run(world.now + 3 * S)
+    world.play(rate, keys, 3)
     if pause:
         for node in world.nodes.values():
             node.free_at = world.now + 2 * S
-        world.load(rate, keys, 4)
-        world.run(world.now + 4 * S)
+        world.play(rate, keys, 4)
     world.in_time = world.first_tries = 0
     world.ends.clear()
     world.clear()
@@ -84,15 +79,8 @@
 
 
 async def _storm(harness: Harness, plan: LoadPlan) -> Any:
-    await harness.start()
-    try:
-        return (await run_load(harness, plan))[1]
-    finally:
-        await harness.stop()
-
-
-def _sum(seconds: dict[int, Counter[str]], begin: int, end: int) -> dict[str, int]:
-    return dict(sum((seconds[n] for n in range(begin, end)), Counter()))
+    async with harness:
+        return await run_load(harness, plan)
 
 
 def storm(load: float, peak: float, crowding: float, say: Any) -> dict[str, Any]:
@@ -107,30 +95,25 @@
     plan = LoadPlan(steps, CALM_S + STORM_S + AFTER_S, keys=400, zipf=0.3, seed=1)
     folder = Path(tempfile.mkdtemp(prefix="saltport-storm-"))
     harness = Harness(folder, profile, nodes, 2, 1)
-    ledger = uvloop.run(_storm(harness, plan))
+    summary, ledger = uvloop.run(_storm(harness, plan))
     verdict = harness.audit([ledger], Limits(1_000, 1_000, 1_000, 1_000))
-    begun = next(record["t"] for record in ledger.records if record["kind"] == "load")
-    seconds: defaultdict[int, Counter[str]] = defaultdict(Counter)
-    for record in ledger.records:
-        if record["kind"] == "try":
-            in_time = record["answer"] == "served" and record["t"] - record["sent"] <= 300 * MS
-            end = "in time" if in_time else "late" if record["answer"] == "served" else record["answer"]
-            seconds[(record["sent"] - begun) // S][end] += 1
     over = CALM_S + STORM_S
 
+    def ends(begin: int, end: int) -> dict[str, int]:
+        return {name: sum(row[name] for row in summary["timeline"][begin:end]) for name in ENDS}
+
     def calm(second: int) -> bool:
-        return seconds[second]["refused"] <= 0.05 * seconds[second].total()
+        told = ends(second, second + 1)
+        return told["refused"] <= 0.05 * sum(told.values())
 
     last = max((second for second in range(over, over + AFTER_S) if not calm(second)), default=over - 1)
     row = {
         "load": load, "peak": peak, "crowding": crowding, "recovered_after_s": last + 1 - over,
-        "before": _sum(seconds, 2, CALM_S),
-        "storm": _sum(seconds, CALM_S, over),
-        "after": _sum(seconds, over + 2, over + AFTER_S),
+        "before": ends(2, CALM_S), "storm": ends(CALM_S, over), "after": ends(over + 2, over + AFTER_S),
         "broken": sorted({violation.rule for violation in verdict.violations}),
     }  # fmt: skip
     say(
-        f"storm of {peak} between {load}, work {1 + crowding:.1f} times as long with a full queue: tries "
+        f"storm of {peak} between {load}, work {1 + crowding:.1f} times as long with a full queue: requests "
         f"before {row['before']}, in it {row['storm']}, from 2 s after it {row['after']}; "
         f"the last second with over 5% refused ended {row['recovered_after_s']} s after it; "
         f"broken rules {row['broken']}"
@@ -146,31 +129,26 @@
     parser.add_argument("--json", action="store_true")
     told = parser.parse_args()
     rows: list[dict[str, object]] = []
+
+    def say(line: str) -> None:
+        print(line, file=sys.stderr if told.json else sys.stdout, flush=True)
+
     if told.real:
-        for crowding in (0.0, 1.0):
-            rows.append(
-                storm(
-                    0.5, 2.0, crowding, lambda line: print(line, file=sys.stderr if told.json else sys.stdout)
-                )
-            )
-        if told.json:
-            print(orjson.dumps(rows).decode())
-        return 0
+        rows += [storm(0.5, 2.0, crowding, say) for crowding in (0.0, 1.0)]
     scenes: tuple[tuple[str, tuple[float, ...], dict[str, Any]], ...] = (
         ("steady", (0.5, 0.8, 1.0, 1.3), {}),
         ("one node at a tenth of its speed", (0.5, 0.8), {"slow_node": 10.0}),
         ("2 s after all had stood still for 2 s", (0.5, 0.8), {"pause": True}),
     )
-    for what, loads, more in scenes:
+    for what, loads, more in () if told.real else scenes:
         for load in loads:
             row = play(load, told.seconds, **more)
             rows.append({"what": what, **row})
-            print(
+            say(
                 f"{what:38} load {load:.1f}: {row['in_time']:6.1%} in time (oracle {row['oracle']:.1%}), "
                 f"{row['refused']:.2f} refusals and {row['sent']:.2f} sends a first try, "
-                f"{row['moves']:.1%} of estimates moved by a third in a second",
-                file=sys.stderr if told.json else sys.stdout, flush=True,
-            )  # fmt: skip
+                f"{row['moves']:.1%} of estimates moved by a third in a second"
+            )
     if told.json:
         print(orjson.dumps(rows).decode())
     return 0
--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -12,7 +12,7 @@
 from saltport.decisions.limits import Limit
 from saltport.decisions.promptness import Promptness
 
-ANSWERED, SILENT = (Outcome.OK, Outcome.MISS), (Outcome.TIMEOUT, Outcome.RESET)
+ANSWERED, UNANSWERED = (Outcome.OK, Outcome.MISS), (Outcome.TIMEOUT, Outcome.RESET)
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.MOOT)  # ends that tell nothing of a server
 
 
@@ -52,7 +52,7 @@
         """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
         if outcome in NO_EVIDENCE:
             return
-        silent = outcome in SILENT
+        silent = outcome in UNANSWERED
         # Danger: counted each, what was out in one short pause of a server would pass for its being overrun.
         again = silent and bool(self.unheard) and sent_at >= self._unheard_at
         if not silent:
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -291,7 +291,7 @@
         """Count what a node gets, also before a key is spread: a flash finds the nodes with room at once."""
         self._sent[node] += 1
         self._sent_total += 1
-        if self._sent_total >= COUNTED_READS * len(self._caches.nodes):
+        if request.sent_at - self._counted_at >= COUNTED:
             self._count_anew(request.sent_at)
 
     def missed(self, request: Asked, node: Node, now: int) -> bool:
@@ -480,7 +480,6 @@
             self._actions.append(api.SetTimer(TICK, TOKEN))
 
     def _tick(self, now: int) -> None:
-        self._count_anew(now)
         self._meter.sweep(now)
         for key, spread in list(self._spreads.items()):
             self._look(self._meter.watched[key], spread, now)
@@ -505,9 +504,7 @@
         # Danger: with two reads a second to a node, half a second's count is chance: a node with many slots
         # of its own then gets as much of a hot key as one with few.
         age = now - self._counted_at
-        if age >= LONGEST_COUNTED or (
-            age >= COUNTED and self._sent_total >= COUNTED_READS * len(self._caches.nodes)
-        ):
+        if age >= LONGEST_COUNTED or self._sent_total >= COUNTED_READS * len(self._caches.nodes):
             self._sent_before, self._sent, self._sent_total = self._sent, Counter(), 0
             self._span_before, self._counted_at = min(age, LONGEST_COUNTED), now
 
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -17,7 +17,7 @@
 from zlib import crc32
 
 from saltport.decisions import interface as api
-from saltport.decisions.health import ANSWERED, Node, Pace
+from saltport.decisions.health import ANSWERED, UNANSWERED, Node, Pace
 from saltport.decisions.heat import Heat
 from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
 from saltport.decisions.limits import Limit
@@ -365,6 +365,7 @@
 
     def _found_full(self, request: Request, full: bool) -> None:
         if not request.retry:  # the same demand once more is no more of it
+            # Down to nothing in the end, as nothing costs a hit nothing.
             self._crowded = max(self._crowded + (full - self._crowded) / 64 - 1e-6, 0.0)
 
     def _missed(self, request: Request) -> None:
@@ -440,8 +441,8 @@
         elif fetched:
             self._fetch_failed(request, outcome, late, broke)
         else:
-            silent = outcome in (Outcome.TIMEOUT, Outcome.RESET)
-            if not silent or late or node.unheard > 1:  # else it is asked once more
+            # One that did not answer, and was not late, is asked once more.
+            if outcome not in UNANSWERED or late or node.unheard > 1:
                 request.failed = (*request.failed, node)
             self._route(request)
 
--- a/saltport/harness.py
+++ b/saltport/harness.py
@@ -99,6 +99,13 @@
             await self.stop()
             raise
 
+    async def __aenter__(self) -> Harness:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
     async def _start_fleet(self, names: list[str]) -> None:
         (self.folder / "profile.json").write_bytes(orjson.dumps(profile_json(self.profile)))
         more = [word for name in names for word in ("--router", name)]
--- a/saltport/soak.py
+++ b/saltport/soak.py
@@ -51,8 +51,7 @@
     profile = quick(Profile(), soak.divide)
     harness = Harness(folder, profile, soak.nodes, soak.routers, soak.seed)
     plan = LoadPlan((Step(0.0, soak.rate),), soak.seconds, keys=soak.keys, seed=soak.seed)
-    await harness.start()
-    try:
+    async with harness:
         told = await harness.control.call(
             "play", seed=soak.seed, seconds=soak.seconds, kinds=list(soak.kinds), every_s=soak.fault_every_s
         )
@@ -69,7 +68,5 @@
                     await chaos
         else:
             summary, ledger = await load
-    finally:
-        await harness.stop()
     struck = Counter(record["fault"] for record in harness.fleet_records() if record["kind"] == "fault")
     return SoakResult(summary, harness.audit([ledger], limits), dict(struck), told["schedule"])
--- a/tests/decisions/test_overrun_cases.py
+++ b/tests/decisions/test_overrun_cases.py
@@ -17,8 +17,7 @@
 def play(over: World, load: float, seconds: float) -> float:
     """Steady load; the part of first tries that is in time."""
     over.in_time = over.first_tries = 0
-    over.load(load * CAPACITY, lambda: (f"k{over.rng.randrange(KEYS)}", False), seconds)
-    over.run(over.now + int(seconds * S))
+    over.play(load * CAPACITY, lambda: (f"k{over.rng.randrange(KEYS)}", False), seconds)
     return over.in_time / over.first_tries
 
 
@@ -60,11 +59,10 @@
     if unequal:
         over.choose_router = lambda: 0 if over.rng.random() < 0.8 else 1 + draw(3)
     play(over, 0.75, 3)
-    over.served_by.clear()
-    over.asked_of.clear()
+    over.by.clear()
     play(over, 0.75, 10)
     over.run(over.now + S)
-    parts = [over.served_by[n] / over.asked_of[n] for n in range(4)]
+    parts = [over.by[n]["served"] / over.by[n]["asked"] for n in range(4)]
     assert min(parts) >= 0.85, parts
 
 
@@ -74,9 +72,7 @@
     play(over, 0.3, 3)
     over.choose_router = lambda: 0 if over.rng.random() < 0.75 else 1 + over.rng.randrange(3)
     play(over, 1.3, 2)
-    over.served_by.clear()
-    over.asked_of.clear()
-    over.refused_by.clear()
+    over.by.clear()
     play(over, 1.3, 8)
-    refused = [over.refused_by[n] / over.asked_of[n] for n in range(4)]
+    refused = [over.by[n]["refused"] / over.by[n]["asked"] for n in range(4)]
     assert refused[0] > max(refused[1:]), refused
--- a/tests/decisions/test_promptness.py
+++ b/tests/decisions/test_promptness.py
@@ -4,12 +4,13 @@
 
 import random
 from functools import partial
+from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from benchmarks.hot_world import MS, Read, S, World
+from benchmarks.hot_world import MS, Keys, Read, S, World
 from saltport.decisions import LoopReport, Outcome, Refuse
 from saltport.decisions.promptness import UNHEARD, Promptness
 from tests.decisions.helpers import ended, fleet, given_up, only_send, request, sends, settings, started
@@ -95,15 +96,8 @@
     now = 0
     for n in range(200):
         now += 20 * MS
-        fetch = only_send(
-            router.handle(
-                ended(
-                    only_send(router.handle(request(f"a{n}", now, key=f"k{n}"), now)),
-                    Outcome.MISS, latency=2 * MS,
-                ),
-                now + 2 * MS,
-            )
-        )  # fmt: skip
+        send = only_send(router.handle(request(f"a{n}", now, key=f"k{n}"), now))
+        fetch = only_send(router.handle(ended(send, Outcome.MISS, latency=2 * MS), now + 2 * MS))
         assert fetch.server == "origin:1"
         router.handle(ended(fetch, Outcome.OK, 1, latency=150 * MS), now + 152 * MS)
     now += 200 * MS
@@ -123,23 +117,22 @@
             world.at(2 * MS, partial(world.ask, read.key, False, "b", read, within))
 
     world.on_refusal = again
-    asked = {"a": 0, "b": 0}
 
-    def arrive(until: int) -> None:
-        if world.now < until:
+    def keys(within: int) -> Keys:
+        def draw() -> tuple[Any, ...]:
             tenant = "a" if world.rng.random() < 0.6 else "b"
-            asked[tenant] += 1
-            short = tenant == "b" and until > 5 * S
-            world.ask(f"k{world.rng.randrange(600)}", False, tenant, within=60 * MS if short else S)
-            world.at(int(world.rng.expovariate(0.7 * 12 / 0.05) * S), lambda: arrive(until))
-
-    arrive(world.now + 3 * S)
-    world.run(world.now + 4 * S)
-    asked.update(a=0, b=0)
-    world.served_of.clear()
-    arrive(world.now + seconds * S)
-    world.run(world.now + (seconds + 1) * S)
-    return world.served_of["a"] / asked["a"], world.served_of["b"] / asked["b"]
+            return f"k{world.rng.randrange(600)}", False, tenant, None, within if tenant == "b" else S
+
+        return draw
+
+    rate = 0.7 * 12 / 0.05
+    world.play(rate, keys(S), 3)
+    world.run(world.now + S)
+    world.by.clear()
+    world.play(rate, keys(60 * MS), seconds)
+    world.run(world.now + S)
+    quiet, hammering = (world.by[tenant]["served"] / world.by[tenant]["asked"] for tenant in "ab")
+    return quiet, hammering
 
 
 def test_clients_that_hammer_with_too_little_time_harm_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/hotkeys/test_world.py
+++ b/tests/hotkeys/test_world.py
@@ -8,13 +8,12 @@
 
 import pytest
 
-from benchmarks.hot_world import HOT, ORIGIN, S, World, mixed
+from benchmarks.hot_world import HOT, ORIGIN, Keys, S, World, mixed
 from saltport.decisions import Fill, HotKeySettings, Server, ServerState
 
 READS, WRITES = HotKeySettings(Fill.READS), HotKeySettings(Fill.WRITES)
 OTHERS = 1_000
 SLOTS = 1 << 16
-Keys = Callable[[], tuple[str, bool]]
 
 
 def spread_world(
@@ -29,8 +28,7 @@
 
 
 def play(world: World, keys: Keys, seconds: float, rate: float = 1_000) -> None:
-    world.load(rate, keys, seconds)
-    world.run(world.now + int(seconds * S))
+    world.play(rate, keys, seconds)
 
 
 def changes(world: World) -> int:
--- a/tests/router/test_hot_keys.py
+++ b/tests/router/test_hot_keys.py
@@ -41,8 +41,7 @@
         harness = Harness(folder, profile, 12, 1, seed=3, features=FEATURES.replace("FILL", fill))
         plan = LoadPlan((Step(0, 160),), seconds, keys=300, zipf=0.3, seed=3, hot=0.5)
         async with asyncio.timeout(60):
-            await harness.start()
-            try:
+            async with harness:
                 load = asyncio.get_running_loop().create_task(run_load(harness, plan))
                 if kills:
                     await asyncio.sleep(2)
@@ -52,8 +51,6 @@
                         await harness.control.call("mend", target=node)
                 _, ledger = await load
                 told = await asyncio.to_thread(admin.ask, folder / "r1.sock", "state")
-            finally:
-                await harness.stop()
             return harness, ledger, told
 
     harness, ledger, told = uvloop.run(run())
--- a/tests/test_harness.py
+++ b/tests/test_harness.py
@@ -36,13 +36,10 @@
         harness = Harness(folder, profile, 4, 1, seed=5)
         plan = LoadPlan((Step(0, rate),), seconds, seed=5, **more)
         async with asyncio.timeout(PATIENCE_S):
-            await harness.start()
-            try:
+            async with harness:
                 load = asyncio.get_running_loop().create_task(run_load(harness, plan))
                 await scene(harness)
                 summary, ledger = await load
-            finally:
-                await harness.stop()
         return summary, ledger, harness
 
     summary, ledger, harness = uvloop.run(run())
