Let an overrun node keep only a portion of its reads, by the load it reports

A router has 0.1 requests out at a node, so a limit of at least one (limits.py, LEAST) never binds, and forty of them let forty requests stand there. Ruled out: the routers' lag, dials, nodes' age, the origin.

A probe of the reports in answers: 101 ms at the median from nodes that are well, 543 ms from those that are not. portions.py multiplies what a node keeps of its slots by (fair / reported)^1/4, once a second at most; what it does not keep goes to the next node, the same slots at every router. resp.py dropped the reports unread.

--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -122,12 +122,13 @@
     limits = told["limits"]
     click.echo(
         f"servers overrun: {limits['crowded_share']:.0%} of reads find their server full, "
-        f"{limits['overflowed']} went to another one"
+        f"{limits['overflowed']} went to another one, {limits['moved']} by their server's portion"
     )
     for name, server in list(limits["servers"].items())[:_TOP_KEYS]:
         click.echo(
             f"  {name}: {server['out']} out of {server['limit'] or 'no limit'}, "
-            f"work {server['work_ms']:.1f} ms, waiting {server['waiting_ms']:.1f} ms"
+            f"keeps {server['portion']:.0%}, work {server['work_ms']:.1f} ms, "
+            f"waiting {server['waiting_ms']:.1f} ms"
         )
     _hot_keys(told["hot_keys"])
     outliers = told["outliers"]
--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -41,6 +41,7 @@
         self.pace = Pace()
         self.limit = Limit()
         self.promptness = Promptness()
+        self.portion, self.portion_at = 1.0, 0  # of its reads, and since when (portions.py)
         self._unheard_at = 0
 
     @property
--- a/saltport/decisions/heat.py
+++ b/saltport/decisions/heat.py
@@ -43,5 +43,5 @@
         return sorted(ranking[:owners], key=self._draw) + ranking[owners:] if owners > 1 else ranking
 
     def _draw(self, node: Node) -> tuple[float, float]:
-        weight = node.weight * self._caches.warmth(node, self._now)
+        weight = node.weight * self._caches.warmth(node, self._now) * node.portion
         return node.load / weight, self._rng.expovariate(1.0) / weight
--- a/saltport/decisions/limits.py
+++ b/saltport/decisions/limits.py
@@ -59,13 +59,6 @@
         """The part of the server that is busy: that of an answer's time that is waiting (exact for M/M/1)."""
         return 1.0 - self.work / self.took if self.took else 0.0
 
-    def view(self, out: int) -> dict[str, float | None]:
-        """Its state, for people; times in milliseconds."""
-        wait = max(self.took - self.work, 0.0)
-        limit = None if math.isinf(self.limit) else round(self.limit, 1)
-        return {"limit": limit, "out": out, "work_ms": round(self.work / 1e6, 1),
-                "waiting_ms": round(wait / 1e6, 1)}  # fmt: skip
-
     def turned_away(self, sent_at: int, now: int, out: int) -> None:
         """It has no place at all: a cut, and a pause, as quick refusals leave nothing out to count."""
         self.cut(sent_at, now, out)
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -11,18 +11,19 @@
 import random
 from collections import deque
 from collections.abc import Sequence
-from heapq import nsmallest
 from itertools import takewhile
 from typing import Any
 from zlib import crc32
 
 from saltport.decisions import interface as api
+from saltport.decisions import views
 from saltport.decisions.health import ANSWERED, UNANSWERED, Node, Pace
 from saltport.decisions.heat import Heat
 from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
 from saltport.decisions.limits import Limit
 from saltport.decisions.outliers import OutlierDetector, Standing
 from saltport.decisions.overload import FIRST, HOPELESS, RETRY, OverloadControl
+from saltport.decisions.portions import Portions, keeps
 from saltport.decisions.seam import Spreading
 from saltport.decisions.table import SlotTable
 from saltport.structures.recent import RecentCounts
@@ -38,7 +39,6 @@
 OVERFLOW = 2  # servers after the key's own that are asked for room
 CROWDED = 0.125  # share of reads that find their server full, past which it is the load and no server
 YIELDS = 0.5  # busy part of a server from which marked retries keep away while reads find no room
-SHOWN = 20  # servers in a view
 TELLING = (*ANSWERED, Outcome.TIMEOUT)
 PATIENCE_SHARE, SLOW_SHARE = 0.95, 0.8
 
@@ -173,7 +173,8 @@
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._answers, self._fetches = Pace(aim), Pace(aim / 2)  # of the caches; good ones of the origin
-        self._overflowed = 0
+        self._overflowed = self._moved = 0
+        self._portions = Portions(settings)
         self._crowded = 0.0  # smoothed share of reads that found their server full
         self._asking, self._failed_calls = False, 0
         self._given_up = RecentCounts()  # requests that got no answer of a server, by tenant and reason
@@ -220,33 +221,16 @@
 
     def view(self, now: int) -> dict[str, object]:
         """The state that people ask for; nothing is decided by it."""
-        tenants = {
-            guard.name: {
-                "rate_limit_per_s": round(guard.limit, 3),
-                "cap_per_s": round(guard.cap, 3),
-                "fetches_per_s": round(guard.used(now), 3),
-                "declined": guard.declined,
-            }
-            for guard in self._guards.values()
-        }
         return {
             "caches": len(self._caches.nodes),
             "origins": len(self._origins.nodes),
             "open": len(self._requests),
             "given_up": self._given_up.view(now),
-            "tenants": tenants,
-            "outliers": self._outliers.view(now),
-            "overload": self._overload.view(),
+            "tenants": views.tenants(self._guards.values(), now),
+            "outliers": views.outliers(self._outliers, now),
+            "overload": views.overload(self._overload),
             "hot_keys": self._spreading.view(now),
-            "limits": {
-                "crowded_share": round(self._crowded, 3),
-                "overflowed": self._overflowed,
-                # Those with the least, as fleets may be large.
-                "servers": {
-                    node.entry.id: node.limit.view(node.load) | {"least_ms": node.promptness.least / 1e6}
-                    for node in nsmallest(SHOWN, self._caches.nodes.values(), key=lambda n: n.limit.limit)
-                },
-            },
+            "limits": views.limits(self._caches.nodes.values(), self._crowded, self._overflowed, self._moved),
         }
 
     def _servers_changed(self, event: api.ServersChanged) -> None:
@@ -327,7 +311,8 @@
         if not self._may_try(request):
             self._give_up(request, "tries spent")
             return
-        full = 0
+        full = moved = 0
+        spare: Node | None = None  # the first that has room and keeps this slot from itself
         for node in self._spreading.candidates(request, self._now):
             if node in request.failed or not request.may_send(node, self._now):
                 continue
@@ -348,7 +333,14 @@
             # A client's retry can't be in time any more: what is in time goes first.
             yields = request.retry and self._crowded > CROWDED and node.limit.busy >= YIELDS
             out = 2 * node.load if full or request.retry else node.load
-            if not yields and node.limit.room(out, self._now):
+            room = not yields and node.limit.room(out, self._now)
+            moves = room and not full and moved < OVERFLOW and not keeps(node, request.slot)
+            if moves and request.guard.in_use(self._now) < IN_USE:
+                # No sign of crowding, as others have more room; elsewhere it may cost a fetch, as below.
+                spare, moved = spare or node, moved + 1
+                continue
+            if room:
+                self._moved += bool(moved)
                 if full or self._crowded:
                     self._found_full(request, bool(full))
                     self._overflowed += bool(full)
@@ -357,7 +349,9 @@
             full += 1
             if full > OVERFLOW or self._crowded > CROWDED or request.guard.in_use(self._now) >= IN_USE:
                 break
-        if full:
+        if spare is not None:
+            self._send(request, spare)
+        elif full:
             self._found_full(request, True)
             self._give_up(request, "servers overrun")
         else:
@@ -419,6 +413,8 @@
         if outcome in TELLING and not request.write:
             busy = request.guard.in_use(self._now) if fetched else node.limit.busy
             node.promptness.learn(took, outcome in ANSWERED, busy, self._now)
+        if event.load and not fetched:
+            self._portions.learn(node, event.load, request.cls.aim, request.sent_at, self._now)
         if fetched:
             self._judge_fetch(node, event, late)
         elif not broke:
--- a/saltport/decisions/outliers.py
+++ b/saltport/decisions/outliers.py
@@ -123,66 +123,66 @@
     def __init__(self, rng: random.Random, silence: int) -> None:
         self._rng = rng
         self._silence = silence  # for which a server that only times out has to be silent, nanoseconds
-        self._records: dict[str, Record] = {}
-        self._ejected: set[str] = set()
-        self._suspects: set[str] = set()  # ejected but for the ceiling
-        self._listed = 0
+        self.records: dict[str, Record] = {}
+        self.ejected: set[str] = set()
+        self.suspects: set[str] = set()  # ejected but for the ceiling
+        self.listed = 0
         self._all = Tally()
 
     def follow(self, nodes: Mapping[str, Node], now: int) -> None:
         """Take the list: one that leaves and comes back is known again, unless it started anew meanwhile."""
-        self._listed = len(nodes)
-        for server, record in list(self._records.items()):
+        self.listed = len(nodes)
+        for server, record in list(self.records.items()):
             node = nodes.get(server)
             if node is None and record.left_at is None:
                 record.left_at, record.trial = now, None
-                self._ejected.discard(server)
-                self._suspects.discard(server)
+                self.ejected.discard(server)
+                self.suspects.discard(server)
             elif node is None:
                 if now - (record.left_at or 0) > REMEMBERED:
-                    del self._records[server]
+                    del self.records[server]
             elif node.entry.started != record.started:
-                del self._records[server]
-                self._ejected.discard(server)
-                self._suspects.discard(server)
+                del self.records[server]
+                self.ejected.discard(server)
+                self.suspects.discard(server)
             elif record.left_at is not None:
                 record.left_at = None
                 if record.until:
-                    self._ejected.add(server)
+                    self.ejected.add(server)
 
     @property
     def panicking(self) -> bool:
         """Whether so many look bad that the fault is likelier this router's own."""
-        return len(self._ejected) + len(self._suspects) > self._listed * PANIC_SHARE
+        return len(self.ejected) + len(self.suspects) > self.listed * PANIC_SHARE
 
     def standing(self, server: str, now: int, first: bool = True) -> Standing:
         """What a server may get now of a request, `first`: that has been nowhere yet.
 
         In panic the slot's holder is asked whatever is held against it, and then only who is not suspect.
         """
-        if server not in self._ejected and server not in self._suspects:
+        if server not in self.ejected and server not in self.suspects:
             return Standing.HEALTHY
         if self.panicking:
             return Standing.PANIC if first else Standing.EJECTED
-        if server in self._suspects:
+        if server in self.suspects:
             return Standing.HEALTHY
-        record = self._records[server]
+        record = self.records[server]
         return Standing.EJECTED if now < record.until or record.trial else Standing.TRIAL
 
     def try_out(self, server: str, request: str) -> None:
         """Let one request find out whether a server is back; nobody else is sent there until it has ended."""
-        self._records[server].trial = request
+        self.records[server].trial = request
 
     def judge(self, node: Node, request: str, outcome: Outcome, sent_at: int, now: int) -> News | None:
         """Take one attempt's end; returns what became of the server by it, if its standing changed."""
         server = node.entry.id
-        record = self._records.get(server)
+        record = self.records.get(server)
         if outcome not in NO_EVIDENCE:
             self._all.count(outcome in FAILED, now)
         if record is None:
             if outcome not in SILENT and outcome not in FAILED:
                 return None
-            record = self._records[server] = Record(node.entry.started, Tally(now))
+            record = self.records[server] = Record(node.entry.started, Tally(now))
         is_trial = record.trial == request
         if is_trial:
             record.trial = None
@@ -190,7 +190,7 @@
             return None
         self._count(record, outcome, sent_at, now)
         answered = outcome not in SILENT and outcome not in FAILED
-        if server in self._ejected:
+        if server in self.ejected:
             if answered and (is_trial or sent_at >= record.ejected_at):
                 return self._take_back(server, record, now)
             return self._eject(server, record, f"trial: {outcome.value}", now) if is_trial else None
@@ -199,9 +199,9 @@
         if reason:
             return self._eject(server, record, reason, now)
         if record.clean(now):
-            del self._records[server]
-        if server in self._suspects:
-            self._suspects.discard(server)
+            del self.records[server]
+        if server in self.suspects:
+            self.suspects.discard(server)
             return News(f"{server}: answers again", is_back=True)
         return None
 
@@ -219,46 +219,23 @@
 
     def _eject(self, server: str, record: Record, reason: str, now: int) -> News | None:
         record.reason = reason
-        if server not in self._ejected and len(self._ejected) >= max(1, int(self._listed * MAX_EJECTED)):
-            told = server in self._suspects
-            self._suspects.add(server)
+        if server not in self.ejected and len(self.ejected) >= max(1, int(self.listed * MAX_EJECTED)):
+            told = server in self.suspects
+            self.suspects.add(server)
             return None if told else News(f"{server}: {reason}; kept in, as too many are ejected")
-        if server not in self._ejected:
+        if server not in self.ejected:
             record.ejections = record.repeated(now)
         record.ejections += 1
         time_out = min(BASE_EJECTION << min(record.ejections - 1, 8), MAX_EJECTION)
         record.ejected_at, record.until = now, now + int(time_out * (1 + self._rng.random() * JITTER))
-        self._ejected.add(server)
-        self._suspects.discard(server)
+        self.ejected.add(server)
+        self.suspects.discard(server)
         return News(f"{server}: ejected for {(record.until - now) / NS_PER_S:.1f} s: {reason}")
 
     def _take_back(self, server: str, record: Record, now: int) -> News:
-        self._ejected.discard(server)
+        self.ejected.discard(server)
         out = (now - record.ejected_at) / NS_PER_S
         record.until, record.returned_at, record.row, record.reason = 0, now, 0, ""
         record.broken = 0
         record.tally = Tally(now)
         return News(f"{server}: back; it was last ejected {out:.1f} s ago", is_back=True)
-
-    def view(self, now: int) -> dict[str, object]:
-        """Its state, for people: the servers with anything against them, and why."""
-        servers = {
-            server: {
-                "standing": self.standing(server, now).value,
-                "reason": record.reason,
-                "failures_in_a_row": record.row,
-                "attempts": record.tally.both()[0],
-                "failures": record.tally.both()[1],
-                "ejections": record.ejections if record.until else record.repeated(now),
-                "ejected_for_s": round(max(record.until - now, 0) / NS_PER_S, 3),
-                "kept_in": server in self._suspects,
-            }
-            for server, record in self._records.items()
-            if record.left_at is None
-        }
-        return {
-            "listed": self._listed,
-            "ejected": len(self._ejected),
-            "panic": self.panicking,
-            "servers": servers,
-        }
--- a/saltport/decisions/overload.py
+++ b/saltport/decisions/overload.py
@@ -45,7 +45,7 @@
     """Learns from the host's reports, and admits arrivals by them."""
 
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
-        self._target = settings.overload_target
+        self.target = settings.overload_target
         self._rng = rng
         self._weights = {tenant.name: max(tenant.portion, LEAST_WEIGHT) for tenant in settings.tenants}
         self._weights[""] = LEAST_WEIGHT
@@ -56,24 +56,24 @@
         self._usual: dict[tuple[str, int], float] = {}  # the same, smoothed
         self._chances: dict[tuple[str, int], float] = {}
         self.shed: Counter[str] = Counter()
-        self._told = api.LoopReport(0.0, 0)
+        self.told = api.LoopReport(0.0, 0)
 
     @property
     def lag(self) -> int:
         """For how long what comes lies unread while the loop has no rest: this router's part of any wait."""
-        return self._told.delay if self._told.busy >= BUSY else 0
+        return self.told.delay if self.told.busy >= BUSY else 0
 
     def report(self, told: api.LoopReport) -> str | None:
         """Take a report of the loop; returns a line for the operator when the state changes."""
-        self._told = told
-        if not self._target:
+        self.told = told
+        if not self.target:
             return None
-        over = told.busy >= BUSY and told.delay > self._target
+        over = told.busy >= BUSY and told.delay > self.target
         self._over = self._over + 1 if over else 0
         before = self.admitted
         if self._over >= PATIENT:
             # Danger: refusals cost CPU too; cut for as long as the loop has no rest, all would be refused.
-            room = max(self._target / told.delay, LEAST)
+            room = max(self.target / told.delay, LEAST)
             self.admitted += (min(room, 1.0) - self.admitted) * STEP
         elif not over:
             self.admitted = min(self.admitted + told.span / (RISE_S * NS_PER_S), 1.0)
@@ -104,7 +104,7 @@
 
     def admit(self, tenant: str, write: bool, rank: int) -> bool:
         """Whether to take a request on; counts it."""
-        if not self._target:
+        if not self.target:
             return True
         if tenant not in self._weights:
             tenant = ""
@@ -116,14 +116,3 @@
             return True
         self.shed[tenant] += 1
         return False
-
-    def view(self) -> dict[str, object]:
-        """Its state, for people."""
-        return {
-            "on": self._target > 0,
-            "overloaded": self.admitted < 1.0,
-            "admitted_share": round(self.admitted, 3),
-            "loop_busy_share": round(self._told.busy, 3),
-            "loop_delay_ms": round(self._told.delay / 1e6, 3),
-            "shed": {tenant or "(none)": count for tenant, count in self.shed.items()},
-        }
--- /dev/null
+++ b/saltport/decisions/views.py
@@ -0,0 +1,91 @@
+"""What people are shown of the decisions' state; nothing is decided by it, and the platform never asks."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from heapq import nsmallest
+from typing import TYPE_CHECKING
+
+from saltport.decisions.health import Node
+from saltport.decisions.interface import NS_PER_S
+from saltport.decisions.outliers import OutlierDetector
+from saltport.decisions.overload import OverloadControl
+
+if TYPE_CHECKING:
+    from saltport.decisions.logic import Suppressor
+
+SHOWN = 20  # servers, as fleets may be large
+
+
+def tenants(guards: Iterable[Suppressor], now: int) -> dict[str, object]:
+    """Each tenant's allowance at the origin, calls a second."""
+    return {
+        guard.name: {
+            "rate_limit_per_s": round(guard.limit, 3),
+            "cap_per_s": round(guard.cap, 3),
+            "fetches_per_s": round(guard.used(now), 3),
+            "declined": guard.declined,
+        }
+        for guard in guards
+    }
+
+
+def limits(nodes: Iterable[Node], crowded: float, overflowed: int, moved: int) -> dict[str, object]:
+    """What servers can take, those with the least first."""
+    least = nsmallest(SHOWN, nodes, key=lambda node: (node.portion, node.limit.limit))
+    return {
+        "crowded_share": round(crowded, 3),
+        "overflowed": overflowed,
+        "moved": moved,
+        "servers": {node.entry.id: limit(node) for node in least},
+    }
+
+
+def limit(node: Node) -> dict[str, float | None]:
+    """One server's limit and portion; times in milliseconds."""
+    learnt = node.limit
+    return {
+        "limit": None if math.isinf(learnt.limit) else round(learnt.limit, 1),
+        "out": node.load,
+        "work_ms": round(learnt.work / 1e6, 1),
+        "waiting_ms": round(max(learnt.took - learnt.work, 0.0) / 1e6, 1),
+        "portion": round(node.portion, 3),
+        "least_ms": node.promptness.least / 1e6,
+    }
+
+
+def outliers(detector: OutlierDetector, now: int) -> dict[str, object]:
+    """Its state, for people: the servers with anything against them, and why."""
+    servers = {
+        server: {
+            "standing": detector.standing(server, now).value,
+            "reason": record.reason,
+            "failures_in_a_row": record.row,
+            "attempts": record.tally.both()[0],
+            "failures": record.tally.both()[1],
+            "ejections": record.ejections if record.until else record.repeated(now),
+            "ejected_for_s": round(max(record.until - now, 0) / NS_PER_S, 3),
+            "kept_in": server in detector.suspects,
+        }
+        for server, record in detector.records.items()
+        if record.left_at is None
+    }
+    return {
+        "listed": detector.listed,
+        "ejected": len(detector.ejected),
+        "panic": detector.panicking,
+        "servers": servers,
+    }
+
+
+def overload(control: OverloadControl) -> dict[str, object]:
+    """Its state, for people."""
+    return {
+        "on": control.target > 0,
+        "overloaded": control.admitted < 1.0,
+        "admitted_share": round(control.admitted, 3),
+        "loop_busy_share": round(control.told.busy, 3),
+        "loop_delay_ms": round(control.told.delay / 1e6, 3),
+        "shed": {tenant or "(none)": count for tenant, count in control.shed.items()},
+    }
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -46,6 +46,7 @@
 from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import Exchange, Pool
 from saltport.upstream.resp import CacheConnection
+from saltport.wire.resp import read_report
 
 NS_PER_MS = 1_000_000
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
@@ -210,7 +211,7 @@
             request.closed,
             latency,
             note,
-            None,
+            read_report(self.report, self._host.settings.load_fields) if self.report else None,
             lag,
             self.kept,
             self._size if value is None else len(value),
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -33,6 +33,8 @@
     """A command of the node's own, as it goes over the wire: a plain write or void."""
     wants_load = False
     """Whether a probe asks for the load report, and not only for a sign of life."""
+    report: bytes | None = None
+    """The load report that came with the answer, as it came."""
     kept = False
     """Whether the connection had carried others before."""
 
--- a/saltport/upstream/resp.py
+++ b/saltport/upstream/resp.py
@@ -108,8 +108,9 @@
         if isinstance(answer, hiredis.ReplyError):
             self.finish(Outcome.FULL if str(answer).startswith("BUSY") else Outcome.ERROR)
         elif isinstance(answer, list) and answer and (answer[0] is None or isinstance(answer[0], bytes)):
-            # Load reports, here and in error lines, are not read: the design decides nothing by them.
             note = answer[1] if len(answer) > 1 else None
+            if self.exchange is not None and len(answer) > 2 and isinstance(answer[2], bytes):
+                self.exchange.report = answer[2]
             value = None if streamed else answer[0]
             outcome = Outcome.MISS if answer[0] is None else Outcome.OK
             self.finish(outcome, value, _NOTES.get(note) if isinstance(note, bytes) else None)
--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+import math
+
 MAX_VALUE = 4 << 20  # PROTOCOL: values hold at most 4 MiB
 LARGE = 64 << 10
 SHORT = 2048
 MAX_PARTS = 16
 MAX_WORD = 16 << 10  # all words of a command but its value together: far more than any has
+MAX_REPORT = 256
 MAX_HEADER = 16  # a length line: its mark, digits and end
 
 
@@ -116,6 +119,18 @@
     return fields
 
 
+def read_report(report: bytes, fields: tuple[str, ...]) -> tuple[float, ...] | None:
+    """The values of a load report in the order of `fields`; None where it can't be read."""
+    if len(report) > MAX_REPORT:
+        return None
+    try:
+        told = dict(part.split("=") for part in report.decode("ascii").split(","))
+        values = tuple([float(told[field]) for field in fields])
+    except (ValueError, KeyError):  # one that isn't ASCII is a ValueError too
+        return None
+    return values if all(0.0 <= value < math.inf for value in values) else None
+
+
 def info_with(info: bytes, left_ms: int) -> bytes:
     """The list of names and values with `d` telling how long the router will wait."""
     info = b"," + info
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -22,6 +22,7 @@
     Server,
     ServersChanged,
     ServerState,
+    views,
 )
 from saltport.decisions.health import Node
 from saltport.decisions.outliers import (
@@ -124,7 +125,7 @@
 def test_what_tells_nothing_neither_counts_nor_ends_the_row(nothing: Outcome) -> None:
     judged = Judged()
     judged.tell(1, nothing, nothing, nothing)
-    assert judged.detector.view(judged.now)["servers"] == {}
+    assert views.outliers(judged.detector, judged.now)["servers"] == {}
     judged.tell(1, Outcome.RESET, Outcome.RESET, nothing, Outcome.RESET)
     assert judged.standing(1) is Standing.EJECTED
 
@@ -136,7 +137,7 @@
     for at in range(50):
         judged.detector.judge(judged.node(1), f"r{at}", outcome, sent, sent + 80 * MS + at)
     assert judged.standing(1) is Standing.HEALTHY
-    assert judged.detector.view(sent + S)["servers"]["10.0.0.1:80"]["failures_in_a_row"] == 50  # type: ignore[index]
+    assert views.outliers(judged.detector, sent + S)["servers"]["10.0.0.1:80"]["failures_in_a_row"] == 50  # type: ignore[index]
 
 
 @pytest.mark.parametrize("outcome", FAILURES)
@@ -170,7 +171,7 @@
     for _ in range(40):
         for number in range(10):
             judged.tell(number, Outcome.ERROR, Outcome.OK, Outcome.ERROR)
-    assert judged.detector.view(judged.now)["ejected"] == 0
+    assert views.outliers(judged.detector, judged.now)["ejected"] == 0
     # among them one that always fails is none worse than they are by half
     judged.tell(3, *[Outcome.ERROR] * 20)
     assert judged.standing(3) is Standing.HEALTHY
@@ -195,7 +196,7 @@
     judged.tell(1, Outcome.OK)
     judged.now += 2 * INTERVAL
     judged.tell(1, Outcome.OK)
-    assert judged.detector.view(judged.now)["servers"] == {}
+    assert views.outliers(judged.detector, judged.now)["servers"] == {}
 
 
 def test_trial_is_single_and_its_answer_brings_the_server_back() -> None:
@@ -233,13 +234,13 @@
     judged.detector.try_out("10.0.0.1:80", "trial")
     judged.tell(1, Outcome.OK, request="trial")
     judged.tell(1, *[Outcome.RESET] * 3)
-    assert judged.detector.view(judged.now)["servers"]["10.0.0.1:80"]["ejected_for_s"] >= 30  # type: ignore[index]
+    assert views.outliers(judged.detector, judged.now)["servers"]["10.0.0.1:80"]["ejected_for_s"] >= 30  # type: ignore[index]
     judged.now += MAX_EJECTION * 2
     judged.detector.try_out("10.0.0.1:80", "trial")
     judged.tell(1, Outcome.OK, request="trial")
     judged.now += 20 * FORGIVEN
     judged.tell(1, *[Outcome.RESET] * 3)
-    assert judged.detector.view(judged.now)["servers"]["10.0.0.1:80"]["ejected_for_s"] <= 1.1  # type: ignore[index]
+    assert views.outliers(judged.detector, judged.now)["servers"]["10.0.0.1:80"]["ejected_for_s"] <= 1.1  # type: ignore[index]
 
 
 def test_at_most_half_are_ejected_and_beyond_it_nobody_is_believed_bad() -> None:
@@ -267,14 +268,14 @@
     assert judged.standing(1) is Standing.EJECTED
     assert judged.standing(5) is Standing.HEALTHY
     judged.tell(5, Outcome.OK)
-    assert judged.detector.view(judged.now)["ejected"] == 4
+    assert views.outliers(judged.detector, judged.now)["ejected"] == 4
 
 
 def test_server_that_leaves_and_comes_back_at_once_is_known_again() -> None:
     judged = Judged()
     judged.tell(1, *[Outcome.CONNECT_FAILED] * 3)
     judged.follow("10.0.0.1:80")
-    assert judged.detector.view(judged.now)["servers"] == {}
+    assert views.outliers(judged.detector, judged.now)["servers"] == {}
     assert judged.standing(1) is Standing.HEALTHY
     judged.follow()
     assert judged.standing(1) is Standing.EJECTED
@@ -291,7 +292,7 @@
     judged.follow("10.0.0.2:80")
     judged.follow()
     assert judged.standing(2) is Standing.HEALTHY
-    assert judged.detector.view(judged.now)["servers"] == {}
+    assert views.outliers(judged.detector, judged.now)["servers"] == {}
 
 
 # The same through the router
@@ -416,7 +417,7 @@
         for send in sends(actions):
             assert send.server != ORIGIN.id
             router.handle(ended(send, Outcome.OK), now)
-    assert router._outliers.view(now)["ejected"] == 0
+    assert views.outliers(router._outliers, now)["ejected"] == 0
     assert refused < 50  # of 1,000
 
 
@@ -428,7 +429,7 @@
         actions = router.handle(request(f"r{number}", at, key=f"k{number}", deadline=deadline), at)
         for send in sends(actions):
             router.handle(ended(send, Outcome.TIMEOUT, latency=5 * MS), deadline)
-    assert router._outliers.view(20 * S)["servers"] == {}
+    assert views.outliers(router._outliers, 20 * S)["servers"] == {}
 
 
 def test_failure_of_a_server_that_has_left_is_held_against_nobody() -> None:
@@ -437,4 +438,4 @@
     gone = Server(holder.server, kind="std", state=ServerState.GONE)
     router.handle(ServersChanged(ListKind.DELTA, (gone,)), 0)
     router.handle(ended(holder, Outcome.RESET), MS)
-    assert router._outliers.view(MS)["servers"] == {}
+    assert views.outliers(router._outliers, MS)["servers"] == {}
--- a/tests/decisions/test_overload.py
+++ b/tests/decisions/test_overload.py
@@ -9,7 +9,7 @@
 from hypothesis import given, strategies
 from hypothesis import settings as profile
 
-from saltport.decisions import LoopReport, Outcome, Refuse, Tenant
+from saltport.decisions import LoopReport, Outcome, Refuse, Tenant, views
 from saltport.decisions.overload import FIRST, HOPELESS, LEAST, PATIENT, RETRY, OverloadControl, fair_shares
 from tests.decisions.helpers import (
     MS,
@@ -70,7 +70,7 @@
 def test_it_is_off_unless_a_target_is_set() -> None:
     overload = control(0)
     assert load(overload, 50, OVER, public_first=50)["public_first"] == 2500
-    assert overload.view()["overloaded"] is False
+    assert views.overload(overload)["overloaded"] is False
 
 
 def test_it_ends_and_says_so() -> None:
@@ -114,7 +114,7 @@
     load(overload, 9, OVER, public_first=100, stranger_first=300, other_first=300)
     taken = load(overload, 1, OVER, public_first=100, stranger_first=300, other_first=300)
     assert taken["public_first"] == 100
-    assert overload.view()["shed"].keys() == {"(none)"}  # type: ignore[attr-defined]
+    assert views.overload(overload)["shed"].keys() == {"(none)"}  # type: ignore[attr-defined]
 
 
 NAMES = strategies.sampled_from("abcdef")
--- a/tests/router/test_routing.py
+++ b/tests/router/test_routing.py
@@ -7,6 +7,8 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
+from itertools import count
 from pathlib import Path
 
 import pytest
@@ -561,3 +563,26 @@
         for byte in get("r1", "slowly"):
             client.send(bytes([byte]))
         assert client.answer() == b"slowly"
+
+
+def test_server_that_reports_to_be_slow_gives_part_of_its_keys_to_the_next(tmp_path: Path) -> None:
+    def told(latency: bytes) -> Callable[[socket.socket, list[bytes]], bytes]:
+        return lambda _, words: hit(words[2]).replace(b"$22\r\nlatency_ms=1.5,queue=2", latency)
+
+    slow = Peer(told(b"$23\r\nlatency_ms=9500,queue=2"))
+    good, noisy = Peer(told(b"$20\r\nqueue=2,latency_ms=7")), Peer(told(b"$7\r\nlatency"))
+    with routed(tmp_path, {"slow": slow, "good": good, "noisy": noisy}) as router:
+        client = router.client()
+        keys = [f"k{i}" for i in range(60)]
+        for key in keys:
+            assert client.ask(get(f"first-{key}", key)) == f"first-{key}".encode()
+        its = {words[1] for words in slow.seen}
+        turns = count()
+
+        def given() -> bool:
+            turn = next(turns)
+            for key in keys:
+                assert client.ask(get(f"{turn}-{key}", key)) == f"{turn}-{key}".encode()
+            return any(words[1] in its for words in [*good.seen, *noisy.seen])
+
+        eventually(given, "keys at the next server")
