--- a/saltport/decisions/portions.py
+++ b/saltport/decisions/portions.py
@@ -4,8 +4,8 @@
 (limits.py), and forty routers that each saw one late answer go on as before. The report tells what all of
 them together do to the server. One that reports more time than the fleet usually does, and more than is
 prompt, keeps fewer of its reads. Which ones is a hash of slot and server: every router leaves out the same
-ones, and finds their copies at the next server. Gradient form (Netflix's concurrency-limits), with the fleet's
-time in place of a longer memory of the server's own. Times are nanoseconds.
+ones, and finds their copies at the next server. Gradient form (Netflix's concurrency-limits), with the
+fleet's time in place of a longer memory of the server's own. Times are nanoseconds.
 """
 
 from __future__ import annotations
