End a watch within the time that the settings let news wait, at differing times

Ruled out: full tables (they answer -BUSY; refused dials went to unlisted servers only).

A watch now waits for what the settings allow without a call (askWithinNs), less the slack, and up to a quarter less by chance, as routers that start together would ask together.

--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -17,7 +18,8 @@
 MAX_BODY = 8 << 20
 LIST_PATH = "/registry/instances"
 PUSHED_WAIT_MS = 5_000
-ASKED_WAIT_MS = 20_000  # where discovery is asked each call costs it work
+ASKED_LEAST_S = 1.0  # where discovery is asked each call costs it work
+ASKED_SPREAD = 0.25  # of a wait: routers that started together must not go on asking together
 CALL_SLACK_S = 1.0
 LIST_TIMEOUT_S = 2.0
 RETRY_S = 0.1  # a watch goes on if the next call comes within 0.2 s
@@ -90,8 +92,12 @@
         clock: Clock,
         take: Callable[[Listing], None],
         failed: Callable[[], None],
+        ask_within: float = 10.0,
+        rng: random.Random | None = None,
     ) -> None:
+        """`ask_within`: after so many seconds without a watch or a call the router counts as told."""
         self._address, self._asked = address, asked
+        self._longest_s, self._rng = max(ask_within - CALL_SLACK_S, ASKED_LEAST_S), rng or random.Random()
         self._steps = ListSteps(clock)
         self._take, self._failed = take, failed
         self._call: _Call | None = None
@@ -144,7 +150,10 @@
     async def _watch_asked(self, whole: bool = False) -> None:
         try:
             while True:
-                await self._ask_once(whole, ASKED_WAIT_MS)
+                # Danger: a watch that fell silent looks like one with no news until its wait is over; if it
+                # waits longer than the settings let news wait, whole zones go and this router sends to them.
+                share = 1 - ASKED_SPREAD * self._rng.random()
+                await self._ask_once(whole, int(self._longest_s * share * 1000))
                 whole = False
         except Exception as error:
             log.warning("discovery: %s", str(error) or type(error).__name__)
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import os
+import random
 import signal
 import sys
 from collections.abc import Callable, Sequence
@@ -88,7 +89,15 @@
 
     clock = Clock()
     asked = config.settings.must_subscribe
-    discovery = Discovery(config.discovery, asked, clock, take, host.discovery_failed)
+    discovery = Discovery(
+        config.discovery,
+        asked,
+        clock,
+        take,
+        host.discovery_failed,
+        config.settings.ask_within / NS_PER_S,
+        random.Random(config.seed),
+    )
     host.subscribe = discovery.subscribe
     # Danger: without a handler SIGHUP ends the process and all that it has taken.
     loop.add_signal_handler(signal.SIGHUP, reload)
--- /dev/null
+++ b/tests/membership/test_registry.py
@@ -0,0 +1,93 @@
+"""Discovery's client against a peer that goes wrong, on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import threading
+
+from saltport.membership.listing import Clock, Listing
+from saltport.membership.registry import ASKED_SPREAD, CALL_SLACK_S, Discovery
+from tests.sockets import PATIENCE_S, Peer, http_answer
+
+ASK_WITHIN_S = 2.0
+NEWS = b'{"generation":2,"reset":true,"instances":[]}'
+
+
+def wait_of(target: bytes) -> int:
+    return int(target.split(b"wait=")[1])
+
+
+def test_watch_that_fell_silent_is_given_up_within_the_time_that_news_may_wait() -> None:
+    over = threading.Event()
+
+    def answer(_: socket.socket, message: list[bytes]) -> bytes:
+        if len(peer.seen) == 1:
+            over.wait(2 * PATIENCE_S)  # taken, and never answered
+        return http_answer(200, NEWS)
+
+    peer = Peer(answer, is_http=True)
+
+    async def watch() -> Listing:
+        loop = asyncio.get_running_loop()
+        told: asyncio.Future[Listing] = loop.create_future()
+
+        def take(listing: Listing) -> None:
+            if not told.done():
+                told.set_result(listing)
+
+        discovery = Discovery(
+            ("127.0.0.1", peer.port),
+            True,
+            Clock(),
+            take,
+            lambda: discovery.subscribe(),
+            ASK_WITHIN_S,
+            random.Random(5),
+        )
+        discovery.subscribe()
+        try:
+            # Its own wait of 20 s would be longer than anybody waits here.
+            return await asyncio.wait_for(told, PATIENCE_S)
+        finally:
+            discovery.close()
+
+    try:
+        assert asyncio.run(watch()).generation == 2
+    finally:
+        over.set()
+        peer.close()
+
+
+def test_waits_of_routers_that_start_together_differ_and_end_in_time() -> None:
+    peer = Peer(lambda _, message: http_answer(200, NEWS), is_http=True)
+
+    async def ask(router: int) -> None:
+        loop = asyncio.get_running_loop()
+        told = loop.create_future()
+
+        def take(_: Listing) -> None:
+            if not told.done():
+                told.set_result(None)
+
+        discovery = Discovery(
+            ("127.0.0.1", peer.port), True, Clock(), take, lambda: None, 10.0, random.Random(router)
+        )
+        discovery.subscribe()
+        await asyncio.wait_for(told, PATIENCE_S)
+        discovery.close()
+
+    async def ask_all() -> None:
+        await asyncio.gather(*(ask(router) for router in range(40)))
+
+    try:
+        asyncio.run(ask_all())
+        waits = {wait_of(message[1]) for message in peer.seen}
+        longest = (10.0 - CALL_SLACK_S) * 1000
+        assert len(waits) >= 30
+        assert min(waits) >= longest * (1 - ASKED_SPREAD)
+        assert max(waits) <= longest
+        assert max(waits) - min(waits) >= longest * ASKED_SPREAD / 2
+    finally:
+        peer.close()
