Keep a read's last attempt for the origin

Ruled out: the origin (it answered in time, and the tenants' allowances were not half used).

The last attempt now goes to the origin, through the tenant's three regimes as ever; a router that allows one attempt asks the key's server with it.

--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -313,7 +313,9 @@
             return
         full = moved = 0
         spare: Node | None = None  # the first that has room and keeps this slot from itself
-        for node in self._spreading.candidates(request, self._now):
+        # One more server, none of the key's, would miss, with no attempt left for a fetch.
+        last = 0 < request.sends == self._settings.max_attempts - 1 and self._origins.nodes
+        for node in () if last else self._spreading.candidates(request, self._now):
             if node in request.failed or not request.may_send(node, self._now):
                 continue
             standing = self._outliers.standing(node.entry.id, self._now, first=not request.sends)
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -476,3 +476,48 @@
     assert again.server == first.server
     other = only_send(router.handle(ended(again, Outcome.RESET, 1), 10 * MS))
     assert other.server not in (first.server, ORIGIN.id)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.ERROR])
+def test_last_attempt_of_a_read_goes_to_the_origin(outcome: Outcome) -> None:
+    """A fourth server that has room lacks the key, and the miss would be the last attempt."""
+    router = started(settings(max_attempts=4), fleet(12))
+    actions = router.handle(request("r1"), 0)
+    asked = []
+    for attempt in range(3):
+        send = only_send(actions)
+        asked.append(send.server)
+        actions = router.handle(ended(send, outcome, attempt, latency=MS), (attempt + 1) * MS)
+    assert len(set(asked)) == 3
+    assert ORIGIN.id not in asked
+    assert only_send(actions).server == ORIGIN.id
+
+
+def test_only_attempt_is_at_the_keys_server() -> None:
+    router = started(settings(max_attempts=1), fleet(12))
+    assert only_send(router.handle(request("r1"), 0)).server != ORIGIN.id
+
+
+@pytest.mark.parametrize("routers", [1, 4, 40])
+def test_a_lost_zone_that_nobody_was_told_of_costs_no_read_its_answer(routers: int) -> None:
+    """Half of the servers refuse connections, as at routers that start anew with an old list."""
+    held = fleet(60)
+    gone = {entry.id for entry in held[::2]}
+    fleet_of_routers = [started(settings(routers=routers), held, seed=seed) for seed in range(routers)]
+    given_up = served = 0
+    for number in range(1200):
+        now = number * 20 * MS
+        router = fleet_of_routers[number % routers]
+        actions = router.handle(request(f"r{number}", now, key=f"k{number}"), now)
+        attempt = 0
+        while sends(actions):
+            send = only_send(actions)
+            outcome = Outcome.CONNECT_FAILED if send.server in gone else Outcome.MISS
+            if send.server == ORIGIN.id:
+                outcome = Outcome.OK
+            actions = router.handle(ended(send, outcome, attempt, latency=MS), now + (attempt + 1) * MS)
+            attempt += 1
+            served += outcome is Outcome.OK
+        given_up += len(finals(actions))
+    assert served + given_up == 1200
+    assert given_up <= 12
