Discovery is told its time and chance by whoever makes it; one watch for both tests

The defaults of ask_within and rng repeated the settings' and were used by nobody. The two tests of waits each wrote out the same watch.

--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -92,12 +92,12 @@
         clock: Clock,
         take: Callable[[Listing], None],
         failed: Callable[[], None],
-        ask_within: float = 10.0,
-        rng: random.Random | None = None,
+        ask_within: float,
+        rng: random.Random,
     ) -> None:
         """`ask_within`: after so many seconds without a watch or a call the router counts as told."""
         self._address, self._asked = address, asked
-        self._longest_s, self._rng = max(ask_within - CALL_SLACK_S, ASKED_LEAST_S), rng or random.Random()
+        self._longest_s, self._rng = max(ask_within - CALL_SLACK_S, ASKED_LEAST_S), rng
         self._steps = ListSteps(clock)
         self._take, self._failed = take, failed
         self._call: _Call | None = None
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -19,6 +19,24 @@
     return int(target.split(b"wait=")[1])
 
 
+async def first_listing(peer: Peer, ask_within: float, seed: int) -> Listing:
+    """The first news of a watch that begins anew whenever it has ended."""
+    told: asyncio.Future[Listing] = asyncio.get_running_loop().create_future()
+
+    def take(listing: Listing) -> None:
+        if not told.done():
+            told.set_result(listing)
+
+    address = "127.0.0.1", peer.port
+    rng = random.Random(seed)
+    discovery = Discovery(address, True, Clock(), take, lambda: discovery.subscribe(), ask_within, rng)
+    discovery.subscribe()
+    try:
+        return await asyncio.wait_for(told, PATIENCE_S)
+    finally:
+        discovery.close()
+
+
 def test_watch_that_fell_silent_is_given_up_within_the_time_that_news_may_wait() -> None:
     over = threading.Event()
 
@@ -28,33 +46,9 @@
         return http_answer(200, NEWS)
 
     peer = Peer(answer, is_http=True)
-
-    async def watch() -> Listing:
-        loop = asyncio.get_running_loop()
-        told: asyncio.Future[Listing] = loop.create_future()
-
-        def take(listing: Listing) -> None:
-            if not told.done():
-                told.set_result(listing)
-
-        discovery = Discovery(
-            ("127.0.0.1", peer.port),
-            True,
-            Clock(),
-            take,
-            lambda: discovery.subscribe(),
-            ASK_WITHIN_S,
-            random.Random(5),
-        )
-        discovery.subscribe()
-        try:
-            # Its own wait of 20 s would be longer than anybody waits here.
-            return await asyncio.wait_for(told, PATIENCE_S)
-        finally:
-            discovery.close()
-
     try:
-        assert asyncio.run(watch()).generation == 2
+        # A wait of 20 s would be longer than anybody waits here.
+        assert asyncio.run(first_listing(peer, ASK_WITHIN_S, 5)).generation == 2
     finally:
         over.set()
         peer.close()
@@ -63,23 +57,8 @@
 def test_waits_of_routers_that_start_together_differ_and_end_in_time() -> None:
     peer = Peer(lambda _, message: http_answer(200, NEWS), is_http=True)
 
-    async def ask(router: int) -> None:
-        loop = asyncio.get_running_loop()
-        told = loop.create_future()
-
-        def take(_: Listing) -> None:
-            if not told.done():
-                told.set_result(None)
-
-        discovery = Discovery(
-            ("127.0.0.1", peer.port), True, Clock(), take, lambda: None, 10.0, random.Random(router)
-        )
-        discovery.subscribe()
-        await asyncio.wait_for(told, PATIENCE_S)
-        discovery.close()
-
     async def ask_all() -> None:
-        await asyncio.gather(*(ask(router) for router in range(40)))
+        await asyncio.gather(*(first_listing(peer, 10.0, router) for router in range(40)))
 
     try:
         asyncio.run(ask_all())
