Portions' test plays the world of the other tests instead of one of its own

benchmarks/hot_world.py had routers, nodes with one core and a bounded queue, and clients in virtual time already; the test wrote them again. The world's nodes may now report the smoothed time of their answers, and how many wait at one can be stated; both off as before. The assertions are the same, at 1, 4 and 40 routers, with two differences in the scene: a node holds five waiting reads where it held ten, as this world's reads wait one second and not four, and the share in time is of first tries, not of attempts.

--- a/benchmarks/hot_world.py
+++ b/benchmarks/hot_world.py
@@ -45,7 +45,7 @@
 MS = 1_000_000
 S = 1_000 * MS
 HOT = "hot"
-QUEUE = 24  # requests that wait at a node; more are turned away
+QUEUE = 24
 ORIGIN = "origin"
 Keys = Callable[[], tuple[Any, ...]]  # what `World.ask` is told: a key, whether it is a write, and more
 
@@ -62,6 +62,8 @@
     """Its process is dead: connections are refused."""
     cut: bool = False
     """Nothing comes of what is sent there."""
+    told: float = 0.0
+    """What it reports: the smoothed time of its answers, milliseconds."""
 
 
 @dataclass(slots=True)
@@ -94,8 +96,10 @@
         self, nodes: int, hot_keys: HotKeySettings | None, seed: int = 1, routers: int = 1, zones: int = 3,
         work: int = 10 * MS, size: int = 2_000, vectors: bool = False, origin_drops: bool = True,
         sizes: dict[str, int] | None = None, retries: int = 0, spread_work: float = 0.0,
-        kept: str = "",
+        kept: str = "", reports: bool = False, queue: int = QUEUE,
     ) -> None:  # fmt: skip
+        self.queue_length = queue
+        """Requests that wait at a node; more are turned away."""
         self.kept = kept
         """Keys that begin so are kept by every node for good."""
         self.retries, self.spread_work = retries, spread_work
@@ -116,7 +120,7 @@
             ),
             tenants=(Tenant("a", 0.7), Tenant("b", 0.3)),
             routers=routers, origin_kind=ORIGIN, hot_keys=hot_keys, vectors=vectors, retry_after=True,
-            slots=1 << 16 if nodes <= 1_000 else 1 << 20,
+            slots=1 << 16 if nodes <= 1_000 else 1 << 20, load_fields=("latency_ms",) if reports else (),
         )  # fmt: skip
         self.routers = [Router(settings, seed + number) for number in range(routers)]
         self.queue: list[tuple[int, int, Callable[[], object]]] = []
@@ -248,9 +252,13 @@
         number, read.attempts = read.attempts, read.attempts + 1
         begun = self.now
 
-        def end(outcome: Outcome, closed: bool = False, size: int = 0) -> None:
+        def end(
+            outcome: Outcome, closed: bool = False, size: int = 0, load: tuple[float, ...] | None = None
+        ) -> None:
             took = self.now - begun
-            event = AttemptEnded(send.request, number, send.server, outcome, closed, took, size=size)
+            event = AttemptEnded(
+                send.request, number, send.server, outcome, closed, took, load=load, size=size
+            )
             self.tell(router, event)
 
         if send.server == ORIGIN:
@@ -266,7 +274,7 @@
             self.at(send.timeout or S, lambda: end(Outcome.TIMEOUT))
             return
         work = int(self.work * node.slow * self.rng.uniform(1 - self.spread_work, 1 + self.spread_work))
-        if node.free_at - self.now > QUEUE * self.work * node.slow:
+        if node.free_at - self.now > self.queue_length * self.work * node.slow:
             self.at(MS, lambda: end(Outcome.FULL))
             return
         node.free_at = max(node.free_at, self.now) + work
@@ -280,15 +288,17 @@
             if node.down:
                 end(Outcome.RESET)
                 return
+            node.told += ((self.now - begun) / MS - node.told) / 8
+            load = (node.told,)
             held = node.kept.get(read.key)
             if held is None and self.kept and read.key.startswith(self.kept):
                 held = 0, 0
             if held is None or 0 < held[1] <= self.now:
                 read.missed.append(send.server)
-                end(Outcome.MISS)
+                end(Outcome.MISS, load=load)
                 return
             self._served(read, held[0])
-            end(Outcome.OK, True, self.size_of(read.key))
+            end(Outcome.OK, True, self.size_of(read.key), load)
 
         self.at(node.free_at - self.now + MS, answer)
 
--- a/tests/decisions/test_portions.py
+++ b/tests/decisions/test_portions.py
@@ -2,20 +2,13 @@
 
 from __future__ import annotations
 
-import random
-from collections import Counter, deque
-from dataclasses import replace
-from heapq import heappop, heappush
-from itertools import count
-from typing import Any
-
 import pytest
 
-from saltport.decisions import AttemptEnded, Outcome, RequestClass, Router, Send
+from benchmarks.hot_world import World
 from saltport.decisions.health import Node
 from saltport.decisions.limits import PROMPT
 from saltport.decisions.portions import LEAST, SETTLES, Portions, keeps
-from tests.decisions.helpers import MS, S, fleet, request, settings, started
+from tests.decisions.helpers import MS, S, fleet, settings
 
 AIM = 300 * MS
 FIELDS = ("latency_ms", "queue")
@@ -91,67 +84,20 @@
     assert 0.55 * SLOTS < len(kept_by_one) < 0.65 * SLOTS
 
 
-class World:
-    """Servers of one core with a bounded queue, the first three times as slow; every read is a hit."""
-
-    WORK, SLOW, QUEUE = 50 * MS, 150 * MS, 10
-
-    def __init__(self, routers: int, servers: int) -> None:
-        self.rng = random.Random(11)
-        held = fleet(servers)
-        config = settings(
-            classes=(RequestClass("read", aim=AIM, deadline=4 * S),), routers=routers, load_fields=FIELDS
-        )
-        self.routers = [started(config, held, seed=seed) for seed in range(routers)]
-        self.free = {entry.id: 0 for entry in held}
-        self.waiting: dict[str, deque[int]] = {entry.id: deque() for entry in held}
-        self.told = {entry.id: float(self.WORK) for entry in held}
-        self.slow = held[0].id
-        self.sent: list[tuple[int, str]] = []
-        self.in_time = Counter[bool]()
-        self._heap: list[tuple[int, int, Router, Any]] = []
-        self._order = count()
-
-    def _act(self, router: Router, actions: list[Any], now: int) -> None:
-        for action in actions:
-            if not isinstance(action, Send):
-                continue
-            server = action.server
-            self.sent.append((now, server))
-            queue = self.waiting[server]
-            while queue and queue[0] <= now:
-                queue.popleft()
-            event = AttemptEnded(action.request, 0, server, Outcome.FULL, False, MS)
-            if len(queue) < self.QUEUE:
-                work = self.rng.uniform(0.7, 1.3) * (self.SLOW if server == self.slow else self.WORK)
-                self.free[server] = end = int(max(self.free[server], now) + work)
-                queue.append(end)
-                self.told[server] += (end - now - self.told[server]) / 8
-                load = (self.told[server] / MS, float(len(queue)))
-                event = replace(event, outcome=Outcome.OK, closed=True, latency=end - now, load=load)
-            heappush(self._heap, (now + event.latency, next(self._order), router, event))
-
-    def run(self, seconds: int, rate: float, keys: int = 5_000) -> None:
-        """So many reads a second, each at any router and of any key."""
-        now = 0
-        while now < seconds * S:
-            now += int(self.rng.expovariate(rate) * S)
-            while self._heap and self._heap[0][0] <= now:
-                at, _, router, event = heappop(self._heap)
-                self._act(router, router.handle(event, at), at)
-                self.in_time[event.outcome is Outcome.OK and event.latency <= AIM] += 1
-            router = self.rng.choice(self.routers)
-            event = request(
-                f"r{next(self._order)}", now, deadline=now + 4 * S, key=f"k{self.rng.randrange(keys)}"
-            )
-            self._act(router, router.handle(event, now), now)
-
-
 @pytest.mark.parametrize("routers", [1, 4, 40])
 def test_routers_together_send_a_slow_server_no_more_than_it_can_do(routers: int) -> None:
     """Ten servers at half of their capacity; the slow one's even part is half as much again as it can do."""
-    world = World(routers, 10)
-    world.run(90, rate=0.5 * 10 * S / World.WORK)
-    later = [server for at, server in world.sent if at >= 45 * S]
-    assert later.count(world.slow) / 45 <= S / World.SLOW
-    assert world.in_time[True] > 0.85 * sum(world.in_time.values())
+    work = 50 * MS
+    world = World(10, None, 11, routers, work=work, spread_work=0.3, kept="k", reports=True, queue=5)
+    slow, node = next(iter(world.nodes.items()))
+    node.slow = 3.0
+
+    def keys() -> tuple[str, bool]:
+        return f"k{world.rng.randrange(5_000)}", False
+
+    rate = 0.5 * 10 * S / work
+    world.play(rate, keys, 45)
+    world.sent.clear()
+    world.play(rate, keys, 45)
+    assert world.sent[slow] / 45 <= S / (work * node.slow)
+    assert world.in_time > 0.85 * world.first_tries
