Decisions: servers out by hand beside the list, and new settings as one event

Need: staff take servers out and retune a running router. roster.py holds the list and what is out; the tables follow both, and a server that is back is new and cold. SettingsChanged brings new settings in; open requests keep class and attempts.

--- a/benchmarks/hot_world.py
+++ b/benchmarks/hot_world.py
@@ -40,6 +40,7 @@
     TimerFired,
     Void,
     VoidEnded,
+    views,
 )
 
 MS = 1_000_000
@@ -397,7 +398,7 @@
 
     def hot_view(self, router: int = 0) -> dict[str, Any]:
         """What a router tells of its hot keys."""
-        told: Any = self.routers[router].view(self.now)["hot_keys"]
+        told: Any = views.whole(self.routers[router], self.now)["hot_keys"]
         return dict(told)
 
     def copies(self, key: str = HOT, router: int = 0) -> int:
--- a/benchmarks/overrun.py
+++ b/benchmarks/overrun.py
@@ -33,7 +33,7 @@
     return {
         (number, name): node.limit.limit
         for number, router in enumerate(world.routers)
-        for name, node in router._caches.nodes.items()
+        for name, node in router.caches.nodes.items()
     }
 
 
--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -11,24 +11,12 @@
 from saltport.decisions.interface import Outcome
 from saltport.decisions.limits import Limit
 from saltport.decisions.promptness import Promptness
+from saltport.structures.pace import Pace
 
 ANSWERED, UNANSWERED = (Outcome.OK, Outcome.MISS), (Outcome.TIMEOUT, Outcome.RESET)
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.MOOT)  # ends that tell nothing of a server
 
 
-class Pace:
-    """How long answers take: their smoothed time, and its smoothed deviation."""
-
-    def __init__(self, usual: float = 0.0) -> None:
-        self.usual = self.spread = usual
-
-    def learn(self, latency: int) -> None:
-        """Take one answer's time."""
-        off = latency - self.usual
-        self.usual += off / 16
-        self.spread += (abs(off) - self.spread) / 16
-
-
 class Node:
     """One ready server."""
 
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -52,10 +52,9 @@
         self._most = {name: max(int(told.max_keys * p / whole), 1) for name, p in portions.items()}
         self._most[""] = max(told.max_keys // 8, 1)
         self._spreads: dict[str, Spread] = {}
-        longest = max(cls.deadline for cls in settings.classes) + min(cls.aim for cls in settings.classes)
-        self._max_attempts = settings.max_attempts
         self._writes = told.fill is Fill.WRITES
-        self._voids = Voids(told.lease, longest)
+        self._voids = Voids(told.lease, 0)
+        self.follow_settings(settings)
         self._held_writes: dict[str, str] = {}  # writes whose answers wait, with their keys
         self._filling: dict[str, dict[str, int]] = {}  # plain writes under way, by key and server
         self._withdrawn: dict[str, dict[str, int]] = {}  # copies of keys that are spread no more, till when
@@ -76,6 +75,10 @@
 
     # Finding
 
+    def follow_settings(self, settings: api.Settings) -> None:
+        """Take new deadlines; tenants' portions of the keys stay as they were at the start."""
+        self._voids.longest = max(c.deadline for c in settings.classes) + min(c.aim for c in settings.classes)
+
     def arrived(self, request: Asked, tenant: str, now: int) -> None:
         """Count a read, and note what is known of its key; fence off a write."""
         key = request.key
@@ -301,7 +304,7 @@
         if spread is None or not spread.members:
             return False
         spread.lacks(node)
-        if request.sends + 2 > self._max_attempts:
+        if request.sends + 2 > request.attempts:
             return False  # one try is the origin's
         if request.id in spread.fillers:
             seen = (*request.failed, node)
--- a/saltport/decisions/hotkeys/voiding.py
+++ b/saltport/decisions/hotkeys/voiding.py
@@ -54,7 +54,7 @@
 
     def __init__(self, lease: int, longest: int) -> None:
         """`longest`: the time that a read and the copy of its answer can take at any router."""
-        self._lease, self._longest = lease, longest
+        self._lease, self.longest = lease, longest
         self._again: dict[str, tuple[int, set[str]]] = {}
         self._turn = 0
         self._open: dict[str, int] = {}
@@ -163,7 +163,7 @@
         self._fences[key] = now
         # Danger: another router may copy after the void what it had been answered before the write.
         self._again.pop(key, None)
-        self._again[key] = now + self._longest, job.servers
+        self._again[key] = now + self.longest, job.servers
         if len(self._again) > MAX_DOUBTS:
             del self._again[next(iter(self._again))]
         if key in self._doubts:
@@ -222,7 +222,7 @@
             servers = (servers & known) - self._doubts.get(key, {}).keys()
             actions += [api.Void(key, server, self._turn) for server in sorted(servers)]
         for key, at in list(self._fences.items()):
-            if now - at > self._longest and key not in self._jobs:
+            if now - at > self.longest and key not in self._jobs:
                 del self._fences[key]
         return actions
 
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -212,6 +212,27 @@
     servers: tuple[Server, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ServerOut:
+    """An operator takes a server out: it gets nothing more, whatever the list says, until ServerBack."""
+
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBack:
+    """An operator lets a server be used again."""
+
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """New settings are in force; requests that are open keep the class and the attempts they came with."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)  # not frozen: four times as dear to make
 class RequestArrived:
     """A client's request; one final answer is owed by `deadline` (clock time)."""
@@ -317,6 +338,9 @@
     | LoopReport
     | CopyEnded
     | VoidEnded
+    | ServerOut
+    | ServerBack
+    | SettingsChanged
 )
 
 
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -16,16 +16,16 @@
 from zlib import crc32
 
 from saltport.decisions import interface as api
-from saltport.decisions import views
-from saltport.decisions.health import ANSWERED, UNANSWERED, Node, Pace
-from saltport.decisions.heat import Heat
-from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+from saltport.decisions.health import ANSWERED, UNANSWERED, Node
+from saltport.decisions.interface import NS_PER_S, Effect, Group, ListKind, Outcome
 from saltport.decisions.limits import Limit
 from saltport.decisions.outliers import OutlierDetector, Standing
 from saltport.decisions.overload import FIRST, HOPELESS, RETRY, OverloadControl
 from saltport.decisions.portions import Portions, keeps
-from saltport.decisions.seam import Spreading
+from saltport.decisions.roster import Roster
+from saltport.decisions.seam import make_spreading
 from saltport.decisions.table import SlotTable
+from saltport.structures.pace import Pace
 from saltport.structures.recent import RecentCounts
 
 HARD_LIMIT_FACTOR = 1.5
@@ -47,16 +47,22 @@
     """One tenant's guard of the origin: sliding-window counts, three regimes, AIMD rate limit."""
 
     def __init__(self, tenant: api.Tenant, routers: int, rng: random.Random) -> None:
-        self.name, self.portion = tenant.name or "(none)", tenant.portion
-        self.cap = self.limit = (tenant.quota_per_s or UNSTATED_LIMIT) / routers
-        self.window_s = min(max(WINDOW_CALLS / self.cap, WINDOW_MIN_S), WINDOW_MAX_S)
-        self.floor = min(1 / self.window_s, self.cap)  # one call a window: with none counted a fetch goes
+        self.limit = math.inf
+        self.retune(tenant, routers)
         self._calls: deque[tuple[int, bool]] = deque()
         self.declined = 0
         self._rng = rng
         self._chance, self._chance_until = 1.0, 0
         self._last_rise = 0
 
+    def retune(self, tenant: api.Tenant, routers: int) -> None:
+        """Take the tenant's portion and quota; what was counted and learnt before stays."""
+        self.name, self.portion = tenant.name or "(none)", tenant.portion
+        self.cap = (tenant.quota_per_s or UNSTATED_LIMIT) / routers
+        self.limit = min(self.limit, self.cap)
+        self.window_s = min(max(WINDOW_CALLS / self.cap, WINDOW_MIN_S), WINDOW_MAX_S)
+        self.floor = min(1 / self.window_s, self.cap)  # one call a window: with none counted a fetch goes
+
     def count(self, now: int, declined: bool = False) -> None:
         """Count one call to the origin."""
         self._calls.append((now, declined))
@@ -128,9 +134,11 @@
     """The first attempt that may have run: where, when sent."""
     fetching = refetching = out = leads = waiting = done = False
 
-    def __init__(self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor) -> None:
+    def __init__(
+        self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor, attempts: int
+    ) -> None:
         self.id, self.key, self.deadline, self.write = event.request, event.key, event.deadline, event.write
-        self.cls, self.guard, self.retry = cls, guard, event.retry
+        self.cls, self.guard, self.retry, self.attempts = cls, guard, event.retry, attempts
 
     def may_send(self, node: Node, now: int) -> bool:
         """Rule 2: what may have run goes out again only where and while its repeat is dropped."""
@@ -157,39 +165,40 @@
     """One router's decisions: feed it events with the time, carry out the actions it returns."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self._settings = settings
         self._rng = random.Random(seed)
-        self._classes = {cls.name: cls for cls in settings.classes}
-        tenants = (*settings.tenants, api.Tenant("", 1.0))
-        self._guards = {tenant.name: Suppressor(tenant, settings.routers, self._rng) for tenant in tenants}
-        self._caches, self._origins = SlotTable(settings), SlotTable(settings)
-        self._outliers = OutlierDetector(self._rng, max(cls.deadline for cls in settings.classes))
-        self._overload = OverloadControl(settings, self._rng)
-        self._spreading = self._make_spreading(settings)
-        self._requests: dict[str, Request] = {}
+        self.guards: dict[str, Suppressor] = {}
+        self._follow(settings)
+        self.roster = Roster()
+        self.caches, self.origins = SlotTable(settings), SlotTable(settings)
+        self.outliers = OutlierDetector(settings, self._rng)
+        self.overload = OverloadControl(settings, self._rng)
+        self.spreading = make_spreading(settings, self.caches, self.outliers, self._rng)
+        self.requests: dict[str, Request] = {}
         self._flights: dict[str, list[Request]] = {}
         aim = min(cls.aim for cls in settings.classes)
         self._width, self._last_cut = math.inf, 0
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._answers, self._fetches = Pace(aim), Pace(aim / 2)  # of the caches; good ones of the origin
-        self._overflowed = self._moved = 0
+        self.overflowed = self.moved = 0
         self._portions = Portions(settings)
-        self._crowded = 0.0  # smoothed share of reads that found their server full
+        self.crowded = 0.0  # smoothed share of reads that found their server full
         self._asking, self._failed_calls = False, 0
-        self._given_up = RecentCounts()  # requests that got no answer of a server, by tenant and reason
+        self.given_up = RecentCounts()  # requests that got no answer of a server, by tenant and reason
         self._now = 0
         self._actions: list[api.Action] = []
 
-    def _make_spreading(self, settings: api.Settings) -> Spreading:
-        if settings.hot_keys is None:
-            return Heat(self._caches, self._rng, settings.origin_kind is None)
-        from saltport.decisions.hotkeys import HotKeys  # only where it is on
-
-        def usable(server: str, now: int) -> bool:
-            return self._outliers.standing(server, now) in (Standing.HEALTHY, Standing.PANIC)
-
-        return HotKeys(settings, settings.hot_keys, self._caches, usable, self._rng)
+    def _follow(self, settings: api.Settings) -> None:
+        """Take the settings, at the start or anew; open requests keep what they came with."""
+        self.settings, held = settings, self.guards
+        self._classes = {cls.name: cls for cls in settings.classes}
+        tenants = (*settings.tenants, api.Tenant("", 1.0))
+        self.guards = {
+            tenant.name: held.get(tenant.name) or Suppressor(tenant, settings.routers, self._rng)
+            for tenant in tenants
+        }
+        for tenant in tenants:
+            self.guards[tenant.name].retune(tenant, settings.routers)
 
     def handle(self, event: api.Event, now: int) -> list[api.Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
@@ -201,50 +210,49 @@
                 self._arrived(event)
             case api.ServersChanged():
                 self._servers_changed(event)
+            case api.SettingsChanged():
+                self._follow(event.settings)
+                self.caches.follow_settings(event.settings)
+                self.origins.follow_settings(event.settings)
+                self.outliers.follow_settings(event.settings)
+                self.overload.follow_settings(event.settings)
+                self.spreading.follow_settings(event.settings)
+            case api.ServerOut():
+                self.roster.take_out(event.server)
+                self._update([], [event.server])
+            case api.ServerBack():
+                entry = self.roster.put_back(event.server, now)
+                self._update([entry] if entry else [], [])
             case api.TimerFired():
                 self._timer(event.token)
             case api.LoopReport():
-                news = self._overload.report(event)
+                news = self.overload.report(event)
                 if news is not None:
                     self._actions.append(api.Log(news))
-            case api.ClientGone() if event.request in self._requests:
-                self._finish(self._requests[event.request])
+            case api.ClientGone() if event.request in self.requests:
+                self._finish(self.requests[event.request])
             case api.CopyEnded() | api.VoidEnded():
-                self._spreading.told(event, now)
-        for action in self._spreading.take_actions():
+                self.spreading.told(event, now)
+        for action in self.spreading.take_actions():
             if isinstance(action, api.Answer):
-                if action.request not in self._requests or self._requests[action.request].done:
+                if action.request not in self.requests or self.requests[action.request].done:
                     continue
-                self._finish(self._requests[action.request])
+                self._finish(self.requests[action.request])
             self._actions.append(action)
         return self._actions
 
-    def view(self, now: int) -> dict[str, object]:
-        """The state that people ask for; nothing is decided by it."""
-        return {
-            "caches": len(self._caches.nodes),
-            "origins": len(self._origins.nodes),
-            "open": len(self._requests),
-            "given_up": self._given_up.view(now),
-            "tenants": views.tenants(self._guards.values(), now),
-            "outliers": views.outliers(self._outliers, now),
-            "overload": views.overload(self._overload),
-            "hot_keys": self._spreading.view(now),
-            "limits": views.limits(self._caches.nodes.values(), self._crowded, self._overflowed, self._moved),
-        }
-
     def _servers_changed(self, event: api.ServersChanged) -> None:
-        if self._settings.must_subscribe:
+        if self.settings.must_subscribe:
             self._keep_subscribed(event.kind)
         if event.kind is ListKind.FAILED:
             return
-        ready = [entry for entry in event.servers if entry.state is ServerState.READY]
-        left = [entry.id for entry in event.servers if entry.state is not ServerState.READY]
-        for table, is_origin in ((self._caches, False), (self._origins, True)):
-            mine = [e for e in ready if (e.kind == self._settings.origin_kind) == is_origin]
-            unlisted = table.nodes.keys() - {e.id for e in mine} if event.kind is not ListKind.DELTA else ()
-            table.update(mine, [*left, *unlisted])
-        self._outliers.follow(self._caches.nodes, self._now)
+        self._update(*self.roster.follow(event))
+
+    def _update(self, ready: list[api.Server], left: list[str]) -> None:
+        for table, is_origin in ((self.caches, False), (self.origins, True)):
+            mine = [entry for entry in ready if (entry.kind == self.settings.origin_kind) == is_origin]
+            table.update(mine, left)
+        self.outliers.follow(self.caches.nodes, self._now)
 
     def _keep_subscribed(self, kind: ListKind) -> None:
         """Subscribe at the start and after every failure; jitter and back-off spare discovery."""
@@ -252,7 +260,7 @@
             self._failed_calls = 0
         elif not self._asking:
             self._asking = True
-            most = min(self._settings.ask_within // 2, NS_PER_S << min(self._failed_calls, 8))
+            most = min(self.settings.ask_within // 2, NS_PER_S << min(self._failed_calls, 8))
             self._failed_calls += kind is ListKind.FAILED
             self._actions.append(api.SetTimer(self._rng.randint(most // 4, most), "subscribe"))
 
@@ -261,26 +269,26 @@
             self._asking = False
             self._actions.append(api.Subscribe())
             return
-        self._spreading.due(token, self._now)
-        request = self._requests.get(token)
+        self.spreading.due(token, self._now)
+        request = self.requests.get(token)
         if request and request.waiting and self._now >= request.deadline:
             self._give_up(request, "deadline")
         elif request and request.waiting and request.write:
             self._fetch(request)
 
     def _arrived(self, event: api.RequestArrived) -> None:
-        guard = self._guards.get(event.tenant or "", self._guards[""])
-        request = Request(event, self._classes[event.request_class], guard)
-        slots = self._settings.slots
+        guard = self.guards.get(event.tenant or "", self.guards[""])
+        request = Request(event, self._classes[event.request_class], guard, self.settings.max_attempts)
+        slots = self.settings.slots
         request.slot = self._rng.randrange(slots) if event.key is None else crc32(event.key.encode()) % slots
-        self._requests[request.id] = request
+        self.requests[request.id] = request
         late = event.deadline - self._now < self._answers.usual
         rank = HOPELESS if late else RETRY if event.retry else FIRST
-        if not self._overload.admit(event.tenant or "", request.write, rank):
+        if not self.overload.admit(event.tenant or "", request.write, rank):
             self._give_up(request, "router overloaded")
             return
-        self._spreading.arrived(request, event.tenant or "", self._now)
-        if request.write and self._settings.origin_kind is not None:
+        self.spreading.arrived(request, event.tenant or "", self._now)
+        if request.write and self.settings.origin_kind is not None:
             self._fetch(request)
         else:
             self._route(request)
@@ -290,11 +298,11 @@
         request.node, request.sent_at, request.out = node, self._now, True
         node.load += 1
         usual = self._patience(request, node)
-        held = request.write and request.fetching and self._spreading.holds(request)
+        held = request.write and request.fetching and self.spreading.holds(request)
         timeout = usual if patience is None else patience
         self._actions.append(api.Send(request.id, node.entry.id, timeout, held))
         if not request.fetching:
-            self._spreading.sent(request, node)
+            self.spreading.sent(request, node)
 
     def _patience(self, request: Request, node: Node) -> int:
         known, aim = self._fetches if request.fetching else self._answers, request.cls.aim
@@ -305,7 +313,7 @@
         return 0 if slow or not first or not request.may_repeat() else request.lost_after
 
     def _may_try(self, request: Request) -> bool:
-        return request.sends < self._settings.max_attempts and self._now < request.deadline
+        return request.sends < request.attempts and self._now < request.deadline
 
     def _route(self, request: Request) -> None:
         if not self._may_try(request):
@@ -314,16 +322,16 @@
         full = moved = 0
         spare: Node | None = None  # the first that has room and keeps this slot from itself
         # One more server, none of the key's, would miss, with no attempt left for a fetch.
-        last = 0 < request.sends == self._settings.max_attempts - 1 and self._origins.nodes
-        for node in () if last else self._spreading.candidates(request, self._now):
+        last = 0 < request.sends == request.attempts - 1 and self.origins.nodes
+        for node in () if last else self.spreading.candidates(request, self._now):
             if node in request.failed or not request.may_send(node, self._now):
                 continue
-            standing = self._outliers.standing(node.entry.id, self._now, first=not request.sends)
+            standing = self.outliers.standing(node.entry.id, self._now, first=not request.sends)
             if standing is not Standing.HEALTHY:
                 if standing is Standing.EJECTED or not request.may_repeat():
                     continue
                 if standing is Standing.TRIAL:
-                    self._outliers.try_out(node.entry.id, request.id)
+                    self.outliers.try_out(node.entry.id, request.id)
                 self._send(request, node, int(request.cls.aim * PATIENCE_SHARE))
                 return
             left = request.deadline - self._now
@@ -333,7 +341,7 @@
                 return
             # A server that is none of the key's lacks it, which costs a fetch: only where there is much room.
             # A client's retry can't be in time any more: what is in time goes first.
-            yields = request.retry and self._crowded > CROWDED and node.limit.busy >= YIELDS
+            yields = request.retry and self.crowded > CROWDED and node.limit.busy >= YIELDS
             out = 2 * node.load if full or request.retry else node.load
             room = not yields and node.limit.room(out, self._now)
             moves = room and not full and moved < OVERFLOW and not keeps(node, request.slot)
@@ -342,14 +350,14 @@
                 spare, moved = spare or node, moved + 1
                 continue
             if room:
-                self._moved += bool(moved)
-                if full or self._crowded:
+                self.moved += bool(moved)
+                if full or self.crowded:
                     self._found_full(request, bool(full))
-                    self._overflowed += bool(full)
+                    self.overflowed += bool(full)
                 self._send(request, node)
                 return
             full += 1
-            if full > OVERFLOW or self._crowded > CROWDED or request.guard.in_use(self._now) >= IN_USE:
+            if full > OVERFLOW or self.crowded > CROWDED or request.guard.in_use(self._now) >= IN_USE:
                 break
         if spare is not None:
             self._send(request, spare)
@@ -362,14 +370,14 @@
     def _found_full(self, request: Request, full: bool) -> None:
         if not request.retry:  # the same demand once more is no more of it
             # Down to nothing in the end, as nothing costs a hit nothing.
-            self._crowded = max(self._crowded + (full - self._crowded) / 64 - 1e-6, 0.0)
+            self.crowded = max(self.crowded + (full - self.crowded) / 64 - 1e-6, 0.0)
 
     def _missed(self, request: Request) -> None:
-        if not request.write and self._spreading.fetch_after(request) > self._now:
+        if not request.write and self.spreading.fetch_after(request) > self._now:
             self._give_up(request, "its key's fetch failed just now")
             return
         flight = None if request.key is None else self._flights.get(request.key)
-        if flight is None or request.write or self._spreading.fetches_itself(request):
+        if flight is None or request.write or self.spreading.fetches_itself(request):
             self._fetch(request)
         else:
             flight.append(request)
@@ -377,7 +385,7 @@
 
     def _fetch(self, request: Request) -> None:
         request.waiting = False
-        origins = self._origins.rank(request.slot, self._now)
+        origins = self.origins.rank(request.slot, self._now)
         if not origins or not self._may_try(request) or not request.may_send(origins[0], self._now):
             self._give_up(request, "tries spent" if origins else "no origin")
             return
@@ -400,18 +408,18 @@
         self._send(request, origins[0])
 
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
-        request = self._requests.get(event.request)
+        request = self.requests.get(event.request)
         if request is None or request.node is None:
             return
         node, fetched, outcome = request.node, request.fetching, event.outcome
         request.out = request.fetching = False
         node.load -= 1
         # Danger: with the router's own lag in it, every server is late whenever this router is.
-        took = max(event.latency - max(event.lag, self._overload.lag), 0)
+        took = max(event.latency - max(event.lag, self.overload.lag), 0)
         late = took > request.cls.aim
         # Danger: servers may close what they keep at any time; counted, that would eject healthy ones.
         broke = event.kept and outcome is Outcome.RESET
-        self._spreading.ended(request, node, event, fetched, self._now)
+        self.spreading.ended(request, node, event, fetched, self._now)
         if outcome in TELLING and not request.write:
             busy = request.guard.in_use(self._now) if fetched else node.limit.busy
             node.promptness.learn(took, outcome in ANSWERED, busy, self._now)
@@ -428,8 +436,8 @@
             request.ran = node, request.sent_at
         if event.closed or request.done:
             self._finish(request, stored=fetched and outcome is Outcome.OK)
-        elif outcome is Outcome.MISS and not fetched and self._settings.origin_kind is not None:
-            if self._spreading.missed(request, node, self._now):
+        elif outcome is Outcome.MISS and not fetched and self.settings.origin_kind is not None:
+            if self.spreading.missed(request, node, self._now):
                 request.failed = (*request.failed, node)
                 self._route(request)
             else:
@@ -450,9 +458,9 @@
         cut_short = event.outcome is Outcome.TIMEOUT and took < request.lost_after
         outcome = Outcome.CANCELLED if cut_short else event.outcome
         node.judge(outcome, took, request.cls.aim, request.sent_at, self._now)
-        if self._caches.nodes.get(node.entry.id) is not node:
+        if self.caches.nodes.get(node.entry.id) is not node:
             return
-        news = self._outliers.judge(node, request.id, outcome, request.sent_at, self._now)
+        news = self.outliers.judge(node, request.id, outcome, request.sent_at, self._now)
         if news is not None:
             self._actions.append(api.Log(news.message))
             if news.is_back:
@@ -466,7 +474,7 @@
             self._origin_bad -= self._origin_bad / BAD_SAMPLES
             self._fetches.learn(event.latency)
             self._width += 1 / self._width
-            for guard in self._guards.values():
+            for guard in self.guards.values():
                 guard.rise(self._now)
         elif event.kept and event.outcome is Outcome.RESET:
             pass  # no sign of the origin's health
@@ -477,8 +485,8 @@
             if self._origin_bad >= BAD_SHARE and self._now - self._last_cut >= self._fetches.usual:
                 self._last_cut = self._now
                 self._width = max(1.0, min(self._width, node.load + 1) * CUT)
-                all_used = sum(guard.used(self._now) for guard in self._guards.values())
-                for guard in self._guards.values():  # the origin is shared: it speaks for all
+                all_used = sum(guard.used(self._now) for guard in self.guards.values())
+                for guard in self.guards.values():  # the origin is shared: it speaks for all
                     guard.cut(self._now, all_used)
         while self._held and node.load < self._width:
             waiter = self._held.pop()
@@ -516,19 +524,19 @@
         self._actions.append(api.SetTimer(delay, request.id))
 
     def _give_up(self, request: Request, why: str) -> None:
-        self._given_up.add((request.guard.name, why), self._now)
+        self.given_up.add((request.guard.name, why), self._now)
         if request.may_refuse():
-            wait = int(self._rng.uniform(0.5, 1.0) * self._settings.max_retry_after)
-            self._actions.append(api.Refuse(request.id, wait if self._settings.retry_after else 0))
+            wait = int(self._rng.uniform(0.5, 1.0) * self.settings.max_retry_after)
+            self._actions.append(api.Refuse(request.id, wait if self.settings.retry_after else 0))
         else:
             self._actions.append(api.Fail(request.id))
         self._finish(request)
 
     def _finish(self, request: Request, stored: bool = False) -> None:
         if not request.done:
-            self._spreading.done(request, stored, self._now)
+            self.spreading.done(request, stored, self._now)
         request.done, request.waiting = True, False
         if not request.out:
-            del self._requests[request.id]
+            del self.requests[request.id]
         if request.leads:
             self._land(request, stored)
--- a/saltport/decisions/outliers.py
+++ b/saltport/decisions/outliers.py
@@ -12,8 +12,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from saltport.decisions import interface as api
 from saltport.decisions.health import NO_EVIDENCE, Node
 from saltport.decisions.interface import NS_PER_S, Outcome
+from saltport.structures.tally import Tally
 
 CONSECUTIVE = 3  # signs in a row: one failure in a hundred by chance makes a wrong ejection one in a million
 INTERVAL = 10 * NS_PER_S  # over which failures are counted
@@ -48,29 +50,6 @@
     is_back: bool = False
 
 
-@dataclass(slots=True)
-class Tally:
-    """Attempts and failures of the interval under way and of the one before it."""
-
-    since: int = 0
-    attempts: int = 0
-    failures: int = 0
-    _old: tuple[int, int] = (0, 0)
-
-    def count(self, failed: bool, now: int) -> None:
-        """Count one attempt."""
-        if now - self.since >= INTERVAL:
-            recent = now - self.since < 2 * INTERVAL
-            self._old = (self.attempts, self.failures) if recent else (0, 0)
-            self.since, self.attempts, self.failures = now, 0, 0
-        self.attempts += 1
-        self.failures += failed
-
-    def both(self) -> tuple[int, int]:
-        """Attempts and failures of both intervals."""
-        return self.attempts + self._old[0], self.failures + self._old[1]
-
-
 @dataclass(slots=True)
 class Record:
     """The evidence against one server. Servers without any have no record."""
@@ -120,14 +99,19 @@
 class OutlierDetector:
     """Holds the evidence and tells each server's standing."""
 
-    def __init__(self, rng: random.Random, silence: int) -> None:
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self._rng = rng
-        self._silence = silence  # for which a server that only times out has to be silent, nanoseconds
+        self.follow_settings(settings)
         self.records: dict[str, Record] = {}
         self.ejected: set[str] = set()
         self.suspects: set[str] = set()  # ejected but for the ceiling
         self.listed = 0
-        self._all = Tally()
+        self._all = Tally(INTERVAL)
+
+    def follow_settings(self, settings: api.Settings) -> None:
+        """Take new settings; the evidence stays."""
+        # For so long a server that only times out has to be silent, nanoseconds.
+        self._silence = max(cls.deadline for cls in settings.classes)
 
     def follow(self, nodes: Mapping[str, Node], now: int) -> None:
         """Take the list: one that leaves and comes back is known again, unless it started anew meanwhile."""
@@ -182,7 +166,7 @@
         if record is None:
             if outcome not in SILENT and outcome not in FAILED:
                 return None
-            record = self.records[server] = Record(node.entry.started, Tally(now))
+            record = self.records[server] = Record(node.entry.started, Tally(INTERVAL, now))
         is_trial = record.trial == request
         if is_trial:
             record.trial = None
@@ -237,5 +221,5 @@
         out = (now - record.ejected_at) / NS_PER_S
         record.until, record.returned_at, record.row, record.reason = 0, now, 0, ""
         record.broken = 0
-        record.tally = Tally(now)
+        record.tally = Tally(INTERVAL, now)
         return News(f"{server}: back; it was last ejected {out:.1f} s ago", is_back=True)
--- a/saltport/decisions/overload.py
+++ b/saltport/decisions/overload.py
@@ -9,10 +9,10 @@
 
 import random
 from collections import Counter
-from collections.abc import Mapping
 
 from saltport.decisions import interface as api
 from saltport.decisions.interface import NS_PER_S
+from saltport.structures.shares import fair_shares
 
 BUSY = 0.95  # of the time without a wait for the kernel: there is no rest left
 PATIENT = 3  # reports in a row before it counts: a lone stall is no overload
@@ -24,31 +24,12 @@
 HOPELESS, RETRY, FIRST = 0, 1, 2  # ranks of reads, the least worth first
 
 
-def fair_shares(
-    capacity: float, asked: Mapping[str, float], weights: Mapping[str, float]
-) -> dict[str, float]:
-    """Weighted max-min: who asks for less than its share gets it all, its rest goes to the others."""
-    given: dict[str, float] = {}
-    left = dict(asked)
-    while left:
-        total = sum(weights[name] for name in left)
-        content = [name for name in left if left[name] <= capacity * weights[name] / total]
-        if not content:
-            return given | {name: capacity * weights[name] / total for name in left}
-        for name in content:
-            given[name] = left.pop(name)
-        capacity = max(capacity - sum(given[name] for name in content), 0.0)
-    return given
-
-
 class OverloadControl:
     """Learns from the host's reports, and admits arrivals by them."""
 
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
-        self.target = settings.overload_target
         self._rng = rng
-        self._weights = {tenant.name: max(tenant.portion, LEAST_WEIGHT) for tenant in settings.tenants}
-        self._weights[""] = LEAST_WEIGHT
+        self.follow_settings(settings)
         self._over = 0
         self.admitted = 1.0
         """The share of what arrives that there is room for."""
@@ -58,6 +39,12 @@
         self.shed: Counter[str] = Counter()
         self.told = api.LoopReport(0.0, 0)
 
+    def follow_settings(self, settings: api.Settings) -> None:
+        """Take new settings; what was shed stays counted."""
+        self.target = settings.overload_target
+        self._weights = {tenant.name: max(tenant.portion, LEAST_WEIGHT) for tenant in settings.tenants}
+        self._weights[""] = LEAST_WEIGHT
+
     @property
     def lag(self) -> int:
         """For how long what comes lies unread while the loop has no rest: this router's part of any wait."""
--- a/saltport/decisions/seam.py
+++ b/saltport/decisions/seam.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Sequence
 from typing import Any, Protocol
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import Node
+from saltport.decisions.outliers import OutlierDetector, Standing
+from saltport.decisions.table import SlotTable
 
 
 class Asked(Protocol):
@@ -21,6 +24,8 @@
     deadline: int
     slot: int
     sends: int
+    attempts: int
+    """That it may have at the most."""
     sent_at: int
     write: bool
     failed: Sequence[Node]
@@ -73,6 +78,25 @@
         """What there is to do since last asked."""
         return []
 
+    def follow_settings(self, settings: api.Settings) -> None:
+        """Take new settings; what was counted stays."""
+
     def view(self, now: int) -> dict[str, Any]:
         """Its state, for people."""
         return {"on": False}
+
+
+def make_spreading(
+    settings: api.Settings, caches: SlotTable, outliers: OutlierDetector, rng: random.Random
+) -> Spreading:
+    """The form that the settings ask for."""
+    if settings.hot_keys is None:
+        from saltport.decisions.heat import Heat
+
+        return Heat(caches, rng, settings.origin_kind is None)
+    from saltport.decisions.hotkeys import HotKeys  # only where it is on
+
+    def usable(server: str, now: int) -> bool:
+        return outliers.standing(server, now) in (Standing.HEALTHY, Standing.PANIC)
+
+    return HotKeys(settings, settings.hot_keys, caches, usable, rng)
--- a/saltport/decisions/table.py
+++ b/saltport/decisions/table.py
@@ -8,16 +8,11 @@
 from __future__ import annotations
 
 import importlib
-import math
-from array import array
 from bisect import insort
-from collections import Counter
-from heapq import nlargest
-from operator import itemgetter
-from typing import Any
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import Node
+from saltport.structures.lanes import Lanes, score_of
 
 DEPTH = 8
 SHOWN = 2 * DEPTH  # what a row tells; always so many, so that routers with other histories tell the same
@@ -25,85 +20,10 @@
 CATCH_UP = 48  # changes that a row catches up with; past that it is cheaper to rank it anew
 NOTED = 8 * CATCH_UP
 MAX_ROWS = 16_384
-VECTORS_FROM = 256  # servers; below that numpy's own cost is more than it saves
-WORD = (1 << 64) - 1
-MIX_SLOT, MIX = 0x9E3779B97F4A7C15, 0xD6E8FEB86659FD93
 
 Ranked = tuple[float, Node]
 
 
-def mixed(slot: int, seed: int) -> int:
-    """The hash of (slot, server), 64 bits."""
-    value = (seed ^ (slot + 1) * MIX_SLOT) * MIX & WORD
-    value = (value ^ value >> 32) * MIX & WORD
-    return value ^ value >> 32
-
-
-def score_of(slot: int, node: Node) -> float:
-    """The weighted hash by which servers are ranked; the highest holds the slot."""
-    return -node.weight / math.log((mixed(slot, node.seed) + 1) / (WORD + 2))
-
-
-class _Lanes:
-    """The servers' seeds and weights side by side, to hash a slot against all of them at once."""
-
-    def __init__(self) -> None:
-        self.nodes: list[Node] = []
-        self.seeds, self.weights = array("Q"), array("d")
-        self._places: dict[Node, int] = {}
-        self._weights: Counter[float] = Counter()
-
-    def add(self, node: Node) -> None:
-        """Take a server in, at the end."""
-        self._places[node] = len(self.nodes)
-        self.nodes.append(node)
-        self.seeds.append(node.seed)
-        self.weights.append(node.weight)
-        self._weights[node.weight] += 1
-
-    def remove(self, node: Node) -> None:
-        """Take a server out; the last one gets its place."""
-        place, last = self._places.pop(node), self.nodes[-1]
-        if last is not node:
-            self._places[last] = place
-            self.nodes[place], self.seeds[place], self.weights[place] = last, last.seed, last.weight
-        self.nodes.pop()
-        self.seeds.pop()
-        self.weights.pop()
-        self._weights[node.weight] -= 1
-        if not self._weights[node.weight]:
-            del self._weights[node.weight]
-
-    def best(self, slot: int, count: int, numpy: Any) -> list[Node]:
-        """At least the `count` best servers of a slot, in no order; all of them where there are no more."""
-        if count >= len(self.nodes):
-            return self.nodes
-        if numpy is not None and len(self.nodes) >= VECTORS_FROM:
-            return self._best_by_vectors(slot, count, numpy)
-        if len(self._weights) > 1:
-            held = [(score_of(slot, node), node) for node in self.nodes]
-            return [node for _, node in nlargest(count, held, key=itemgetter(0))]
-        # Of equal weights the higher hash wins, and its upper half is that of the last product already.
-        word, mix = (slot + 1) * MIX_SLOT & WORD, MIX
-        products = [((half := (seed ^ word) * mix & WORD) ^ half >> 32) * mix & WORD for seed in self.seeds]
-        least = nlargest(count, products)[-1] >> 32 << 32
-        return [self.nodes[place] for place, product in enumerate(products) if product >= least]
-
-    def _best_by_vectors(self, slot: int, count: int, numpy: Any) -> list[Node]:
-        word, mix, half = numpy.uint64((slot + 1) * MIX_SLOT & WORD), numpy.uint64(MIX), numpy.uint64(32)
-        values = (numpy.frombuffer(self.seeds, dtype=numpy.uint64) ^ word) * mix
-        values = (values ^ values >> half) * mix
-        if len(self._weights) > 1:
-            weights = numpy.frombuffer(self.weights, dtype=numpy.float64)
-            shares = ((values ^ values >> half).astype(numpy.float64) + 1) / (WORD + 2)
-            # Rounded where exact ones are not: what lies near the last place stays in, to be ranked exactly.
-            values = -weights / numpy.log(numpy.minimum(shares, 1 - 2**-53))
-            least = numpy.partition(values, -count)[-count] * (1 - 1e-9)
-        else:
-            least = numpy.partition(values, -count)[-count] >> half << half
-        return [self.nodes[place] for place in numpy.flatnonzero(values >= least)]
-
-
 class _Row:
     """A slot's best servers, in order, as of a version of the list."""
 
@@ -128,13 +48,17 @@
         self.nodes: dict[str, Node] = {}
         self._settings = settings
         self._numpy = importlib.import_module("numpy") if settings.vectors else None
-        self._lanes = _Lanes()
+        self._lanes = Lanes[Node]()
         self._rows: dict[int, _Row] = {}
         self._noted: list[tuple[Node, bool]] = []  # the latest changes: a server, and whether it came
         self.version = 0
         """It rises with each change of the list."""
         self._cold_until = 0
 
+    def follow_settings(self, settings: api.Settings) -> None:
+        """Take new settings; servers that are held keep theirs."""
+        self._settings = settings
+
     def update(self, ready: list[api.Server], left: list[str]) -> None:
         """Take servers that are ready, and ids of those that left."""
         for server_id in left:
--- a/saltport/decisions/views.py
+++ b/saltport/decisions/views.py
@@ -13,11 +13,36 @@
 from saltport.decisions.overload import OverloadControl
 
 if TYPE_CHECKING:
-    from saltport.decisions.logic import Suppressor
+    from saltport.decisions.logic import Router, Suppressor
 
 SHOWN = 20  # servers, as fleets may be large
 
 
+def whole(router: Router, now: int) -> dict[str, object]:
+    """The state that people ask for."""
+    return {
+        "caches": len(router.caches.nodes),
+        "origins": len(router.origins.nodes),
+        "out": sorted(router.roster.out),
+        "open": len(router.requests),
+        "given_up": router.given_up.view(now),
+        "tenants": tenants(router.guards.values(), now),
+        "outliers": outliers(router.outliers, now),
+        "overload": overload(router.overload),
+        "hot_keys": router.spreading.view(now),
+        "limits": limits(router.caches.nodes.values(), router.crowded, router.overflowed, router.moved),
+    }
+
+
+def cluster(router: Router) -> tuple[int, int]:
+    """How many cache servers are listed, and how many of them are avoided: out by hand, or ejected."""
+    origin = router.settings.origin_kind
+    caches = {server for server, entry in router.roster.listed.items() if entry.kind != origin}
+    panic = router.outliers.panicking  # nobody is believed bad
+    avoided = router.roster.out if panic else router.roster.out | router.outliers.ejected
+    return len(caches), len(caches & avoided)
+
+
 def tenants(guards: Iterable[Suppressor], now: int) -> dict[str, object]:
     """Each tenant's allowance at the origin, calls a second."""
     return {
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -37,6 +37,7 @@
     TimerFired,
     Void,
     VoidEnded,
+    views,
 )
 from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.clients import Reply
@@ -308,7 +309,8 @@
     def view(self) -> dict[str, object]:
         """The state of decisions and loop, for people."""
         lag = {"longest_ms": self.lag.longest / NS_PER_MS, "stalls": self.lag.stalls}
-        return {"ready": self.ready, "owed": self.owed, "lag": lag, **self._router.view(time.monotonic_ns())}
+        told = views.whole(self._router, time.monotonic_ns())
+        return {"ready": self.ready, "owed": self.owed, "lag": lag, **told}
 
     def call_at(self, due: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
         """Call back once the clock shows `due`; never before, though the loop counts in milliseconds."""
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -17,6 +17,7 @@
     ListKind,
     Log,
     Outcome,
+    RequestClass,
     Router,
     Send,
     Server,
@@ -57,7 +58,9 @@
 
     def __init__(self, count: int = 10) -> None:
         self.nodes = {entry.id: Node(entry, False) for entry in fleet(count)}
-        self.detector = OutlierDetector(random.Random(5), SILENCE)
+        self.detector = OutlierDetector(
+            settings(classes=(RequestClass("read", aim=100 * MS, deadline=SILENCE),)), random.Random(5)
+        )
         self.now = S
         self.follow()
 
@@ -317,7 +320,7 @@
     def _held(self) -> Iterator[str]:
         for number in count():
             key = f"k{number}"
-            if self.router._caches.rank(crc32(key.encode()) % 8192, 1 << 62)[0].entry.id == HOLDER:
+            if self.router.caches.rank(crc32(key.encode()) % 8192, 1 << 62)[0].entry.id == HOLDER:
                 yield key
 
     def ask(self, now: int, cls: str = "read") -> Send:
@@ -407,7 +410,7 @@
     router = started(settings(tenants=()), fleet(20))
     now = 8 * S  # by then the last one has run out
     play_silence(router, 6 * S)
-    assert router._outliers.panicking
+    assert router.outliers.panicking
     end, refused = now + 5 * S, 0
     while now < end:
         now += 5 * MS
@@ -417,7 +420,7 @@
         for send in sends(actions):
             assert send.server != ORIGIN.id
             router.handle(ended(send, Outcome.OK), now)
-    assert views.outliers(router._outliers, now)["ejected"] == 0
+    assert views.outliers(router.outliers, now)["ejected"] == 0
     assert refused < 50  # of 1,000
 
 
@@ -429,7 +432,7 @@
         actions = router.handle(request(f"r{number}", at, key=f"k{number}", deadline=deadline), at)
         for send in sends(actions):
             router.handle(ended(send, Outcome.TIMEOUT, latency=5 * MS), deadline)
-    assert views.outliers(router._outliers, 20 * S)["servers"] == {}
+    assert views.outliers(router.outliers, 20 * S)["servers"] == {}
 
 
 def test_failure_of_a_server_that_has_left_is_held_against_nobody() -> None:
@@ -438,4 +441,4 @@
     gone = Server(holder.server, kind="std", state=ServerState.GONE)
     router.handle(ServersChanged(ListKind.DELTA, (gone,)), 0)
     router.handle(ended(holder, Outcome.RESET), MS)
-    assert views.outliers(router._outliers, MS)["servers"] == {}
+    assert views.outliers(router.outliers, MS)["servers"] == {}
--- a/tests/decisions/test_overload.py
+++ b/tests/decisions/test_overload.py
@@ -10,7 +10,8 @@
 from hypothesis import settings as profile
 
 from saltport.decisions import LoopReport, Outcome, Refuse, Tenant, views
-from saltport.decisions.overload import FIRST, HOPELESS, LEAST, PATIENT, RETRY, OverloadControl, fair_shares
+from saltport.decisions.overload import FIRST, HOPELESS, LEAST, PATIENT, RETRY, OverloadControl
+from saltport.structures.shares import fair_shares
 from tests.decisions.helpers import (
     MS,
     S,
@@ -160,7 +161,7 @@
     assert len(waits) > 50
     assert all(S // 2 <= wait <= S for wait in waits)
     assert len({wait // MS for wait in waits}) > 30  # spread
-    view = router.view(2 * S)
+    view = views.whole(router, 2 * S)
     assert given_up(view) == {"router overloaded": len(waits)}
     assert view["outliers"]["servers"] == {}  # type: ignore[index]
     for _ in range(200):
--- a/tests/decisions/test_promptness.py
+++ b/tests/decisions/test_promptness.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from benchmarks.hot_world import MS, Keys, Read, S, World
-from saltport.decisions import LoopReport, Outcome, Refuse
+from saltport.decisions import LoopReport, Outcome, Refuse, views
 from saltport.decisions.promptness import UNHEARD, Promptness
 from tests.decisions.helpers import ended, fleet, given_up, only_send, request, sends, settings, started
 
@@ -73,7 +73,7 @@
     actions = router.handle(request("late", now, deadline=now + 24 * MS), now)
     assert sends(actions) == []
     assert [type(action) for action in actions] == [Refuse]
-    assert given_up(router.view(now)) == {"too little time left": 1}
+    assert given_up(views.whole(router, now)) == {"too little time left": 1}
     assert sends(router.handle(request("early", now), now))
     write = router.handle(request("write", now, "edit", deadline=now + 24 * MS), now)
     assert sends(write), "writes are never refused for that"
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -243,7 +243,7 @@
 
 def test_clients_retry_goes_only_where_there_is_much_room() -> None:
     router = started(settings(), fleet(1), origin=False)
-    node = router._caches.nodes[fleet(1)[0].id]
+    node = router.caches.nodes[fleet(1)[0].id]
     node.limit.cut(0, 1, 19)  # ten
     for i in range(5):
         only_send(router.handle(request(f"r{i}"), 0))
@@ -267,7 +267,7 @@
 def test_lone_bad_fetch_cuts_nobody_and_repeated_ones_cut_every_tenant() -> None:
     # Found on cluj's rough days: one late fetch in forty, by chance, starved every tenant.
     router = started(settings(), fleet(5))
-    guards = list(router._guards.values())
+    guards = list(router.guards.values())
     caps = [guard.limit for guard in guards]
 
     def fetch(i: int, outcome: Outcome) -> None:
@@ -288,12 +288,12 @@
     for i in range(12):
         send = only_send(router.handle(request(f"r{i}", S, key=f"k{i}"), S))
         fetches += sends(router.handle(ended(send, Outcome.MISS), S))
-    guard = router._guards["b"]
+    guard = router.guards["b"]
     for fetch in fetches:
         router.handle(ended(fetch, Outcome.RESET, 1), S + 200 * MS)
     once = guard.limit
     assert once < guard.cap
-    router._judge_fetch(router._origins.nodes[ORIGIN.id], ended(fetches[0], Outcome.RESET), False)
+    router._judge_fetch(router.origins.nodes[ORIGIN.id], ended(fetches[0], Outcome.RESET), False)
     assert guard.limit == once
 
 
--- a/tests/decisions/test_rules.py
+++ b/tests/decisions/test_rules.py
@@ -88,7 +88,7 @@
             self.deliver(event, now)
         unanswered = [name for name, known in self.open.items() if known.closed_at is None]
         assert not unanswered
-        assert not self.router._requests
+        assert not self.router.requests
         assert not self.router._flights
 
     def deliver(self, event: Event, now: int) -> None:
--- a/tests/decisions/test_slot_table.py
+++ b/tests/decisions/test_slot_table.py
@@ -14,7 +14,8 @@
 
 from saltport.decisions.health import Node
 from saltport.decisions.interface import Server
-from saltport.decisions.table import DEPTH, KEPT, MAX_ROWS, NOTED, SHOWN, SlotTable, score_of
+from saltport.decisions.table import DEPTH, KEPT, MAX_ROWS, NOTED, SHOWN, SlotTable
+from saltport.structures.lanes import score_of
 from tests.decisions.helpers import S, fleet, settings
 
 SLOTS = settings().slots
--- a/tests/hotkeys/test_world.py
+++ b/tests/hotkeys/test_world.py
@@ -430,7 +430,7 @@
     """One read a second to a node: what lies in half a second's count is chance."""
     nodes, rate = 60, 60.0
     world = World(nodes, WRITES)
-    table = world.routers[0]._caches
+    table = world.routers[0].caches
     laden = table.rank(crc32(HOT.encode()) % SLOTS, world.now)[3]
     own = [f"k{n}" for n in range(20_000) if table.rank(crc32(b"k%d" % n) % SLOTS, world.now)[0] is laden]
 
