--- /dev/null
+++ b/saltport/admin/calls.py
@@ -0,0 +1,114 @@
+"""The table of operators' calls: which there are, and how each is answered. No I/O; it decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+from urllib.parse import unquote
+
+SERVERS = "cache-servers"
+
+
+class CallError(Exception):
+    """What was asked for could not be done; the text is for the operator."""
+
+
+class Operations(Protocol):
+    """What the router can be asked for. Each is done, whole, when it returns."""
+
+    def healthy(self) -> bool:
+        """Whether this process takes clients."""
+
+    def stats(self) -> dict[str, Any]:
+        """The figures."""
+
+    def state(self) -> dict[str, Any]:
+        """The state of decisions and loop, for people."""
+
+    def take_out(self, server: str) -> bool:
+        """Send nothing more to a cache server; False: it was never listed. Raises CallError."""
+
+    def put_back(self, server: str) -> bool:
+        """Use a cache server again; False: it was never listed. Raises CallError."""
+
+    def drain(self) -> None:
+        """Empty the router."""
+
+    def resume(self) -> None:
+        """Go back to work."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a call is answered: an HTTP status, an object, and the methods allowed where it had another."""
+
+    status: int
+    body: dict[str, Any] = field(default_factory=dict)
+    allow: str = ""
+
+
+def _health(operations: Operations, _: str) -> Answer:
+    return Answer(200, {"healthy": True}) if operations.healthy() else Answer(503, {"healthy": False})
+
+
+def _out(operations: Operations, server: str) -> Answer:
+    return _of(operations.take_out(server), server, "maint")
+
+
+def _back(operations: Operations, server: str) -> Answer:
+    return _of(operations.put_back(server), server, "ready")
+
+
+def _of(known: bool, server: str, state: str) -> Answer:
+    return Answer(200, {"server": server, "state": state}) if known else _fault(404, "no such cache server")
+
+
+def _drain(operations: Operations, _: str) -> Answer:
+    operations.drain()
+    return Answer(200, {"draining": True})
+
+
+def _resume(operations: Operations, _: str) -> Answer:
+    operations.resume()
+    return Answer(200, {"draining": False})
+
+
+def _fault(status: int, reason: str, allow: str = "") -> Answer:
+    return Answer(status, {"error": reason}, allow)
+
+
+_Call = Callable[[Operations, str], Answer]
+_CALLS: dict[tuple[str, ...], tuple[str, _Call]] = {
+    ("healthcheck",): ("GET", _health),
+    ("stats",): ("GET", lambda operations, _: Answer(200, operations.stats())),
+    ("state",): ("GET", lambda operations, _: Answer(200, operations.state())),
+    ("healthcheck", "fail"): ("PUT", _drain),
+    ("healthcheck", "ok"): ("PUT", _resume),
+    (SERVERS, "", "maint"): ("PUT", _out),
+    (SERVERS, "", "ready"): ("PUT", _back),
+}
+"""By path, with an empty place where a server's id stands."""
+
+
+def answer(method: str, target: str, operations: Operations) -> Answer:
+    """Carry a call out: `target` as it came, with its percent signs and question mark."""
+    parts = target.partition("?")[0].split("/")
+    if parts[0] or len(parts) < 2:
+        return _fault(400, "the target must be a path")
+    path, server = tuple(parts[1:]), ""
+    if len(path) == 3 and path[0] == SERVERS:
+        try:
+            server = unquote(path[1], errors="strict")
+        except UnicodeDecodeError:
+            return _fault(400, "the id is no UTF-8")
+        path = (SERVERS, "", path[2])
+    wanted, call = _CALLS.get(path, ("", None))
+    if call is None or (len(path) == 3 and not server):
+        return _fault(404, "no such call")
+    if method != wanted and not (method == "HEAD" and wanted == "GET"):
+        return _fault(405, f"this call wants {wanted}", "GET, HEAD" if wanted == "GET" else wanted)
+    try:
+        return call(operations, server)
+    except CallError as error:
+        return _fault(500, str(error))
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -67,38 +67,111 @@
 @click.option("--listen", metavar="HOST:PORT", help="Where clients connect; goes before the file.")
 @click.option("--discovery", metavar="HOST:PORT", help="The registry; goes before the file.")
 @click.option("--name", help="This router's name; goes before the file.")
+@click.option("--admin", metavar="HOST:PORT", help="Where operators call; goes before the file.")
 @_WITH
 def run(
-    config: Path, listen: str | None, discovery: str | None, name: str | None, with_files: tuple[Path, ...]
+    config: Path,
+    listen: str | None,
+    discovery: str | None,
+    name: str | None,
+    admin: str | None,
+    with_files: tuple[Path, ...],
 ) -> None:
     """Run a router with this configuration file, until SIGTERM."""
-    told = {"LB_CONFIG": str(config), "LB_LISTEN": listen, "LB_DISCOVERY": discovery, "LB_NAME": name}
+    told = {
+        "LB_CONFIG": str(config),
+        "LB_LISTEN": listen,
+        "LB_DISCOVERY": discovery,
+        "LB_NAME": name,
+        "LB_ADMIN_ADDR": admin,
+    }
     environ = {**os.environ, **{variable: value for variable, value in told.items() if value is not None}}
     # A process of its own image: the router must not carry what the command line needed.
     more = [word for path in with_files for word in ("--with", str(path))]
     os.execve(sys.executable, [sys.executable, "-m", "saltport.router", *more], environ)
 
 
-@cli.command()
-@click.argument("socket", type=click.Path(path_type=Path))
-@_AS_JSON
-def status(socket: Path, as_json: bool) -> None:
-    """Show the state of the router whose admin socket this is."""
-    from saltport.router.admin import ask
+_ROUTER = click.argument("router", type=_ADDRESS, metavar="HOST:PORT")
+
+
+def _ask(router: Address, path: str) -> dict[str, Any]:
+    from saltport.admin.client import ask
 
     try:
-        told: dict[str, Any] = ask(socket, "state")
+        return ask(router, path)
     except (OSError, ValueError) as error:
-        _wrong(f"{socket}: {getattr(error, 'strerror', None) or error}", 1)
+        _wrong(f"{router[0]}:{router[1]}: {getattr(error, 'strerror', None) or error}", 1)
+
+
+def _order(router: Address, path: str) -> None:
+    from saltport.admin.client import call
+
+    try:
+        status, told = call(router, "PUT", path)
+    except (OSError, ValueError) as error:
+        _wrong(f"{router[0]}:{router[1]}: {getattr(error, 'strerror', None) or error}", 1)
+    if status != 200:
+        _wrong(f"{router[0]}:{router[1]}: {told.get('error') or status}", 1)
+    _dump(told)
+
+
+@cli.command()
+@_ROUTER
+def stats(router: Address) -> None:
+    """Show the figures of the router that operators call here, as JSON."""
+    _dump(_ask(router, "/stats"), indent=True)
+
+
+@cli.command()
+@_ROUTER
+@click.argument("server")
+def maint(router: Address, server: str) -> None:
+    """Send nothing more to a cache server, until `saltport ready`."""
+    from saltport.admin.client import server_path
+
+    _order(router, server_path(server, "maint"))
+
+
+@cli.command()
+@_ROUTER
+@click.argument("server")
+def ready(router: Address, server: str) -> None:
+    """Use a cache server again."""
+    from saltport.admin.client import server_path
+
+    _order(router, server_path(server, "ready"))
+
+
+@cli.command()
+@_ROUTER
+def drain(router: Address) -> None:
+    """Empty a router: clients are told to go elsewhere, and their connections close."""
+    _order(router, "/healthcheck/fail")
+
+
+@cli.command()
+@_ROUTER
+def resume(router: Address) -> None:
+    """Put a drained router back to work."""
+    _order(router, "/healthcheck/ok")
+
+
+@cli.command()
+@_ROUTER
+@_AS_JSON
+def status(router: Address, as_json: bool) -> None:
+    """Show the state of the router that operators call here."""
+    told = _ask(router, "/state")
     if as_json:
         _dump(told, indent=True)
         return
-    state = "ready" if told["ready"] else "not ready"
+    state = "drained" if told["draining"] else "ready" if told["ready"] else "not ready"
     click.echo(
         f"{told['name']} (pid {told['pid']}, {told['version']}): {state}, "
         f"{told['owed']} requests open, list generation {told['generation']}: "
         f"{told['caches']} caches, {told['origins']} origins"
     )
+    click.echo(f"out by hand: {', '.join(told['out']) or 'none'}")
     lag = told["lag"]
     click.echo(f"longest turn of the loop {lag['longest_ms']:.1f} ms, {lag['stalls']} over 5 ms")
     click.echo("given up: none" if not told["given_up"] else "given up, in 10 s, in 60 s, since the start:")
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol, cast
@@ -15,10 +16,13 @@
 LARGE = 64 << 10  # a command that needs more must be given room first
 MAX_PIPELINE = 256
 HIGH_WATER = 64 << 10
-COMMAND_S = 2.0  # in which a command must be whole; a client is owed an error or a close within 3 s
+# Good clients may take 2 s for a command's head, and strangers are owed an error or a close within 3 s.
+PROGRESS_S = 2.4  # in which a command must be whole, or have come on by
+PROGRESS = 16 << 10  # bytes
+PENDING = 64 << 10  # bytes of a command under way that may go to another process with their connection
 IDLE_S = 2.0  # after which a connection without an open request may be closed
 STALL_S = 10.0  # in which a client must take something of what waits for it
-SWEEP_S = 0.5
+SWEEP_S = 0.2
 REFUSERS = 32
 
 log = logging.getLogger("saltport")
@@ -35,6 +39,9 @@
     def request_arrived(self, request: Request, reply: Reply) -> None:
         """A request is whole."""
 
+    def request_refused(self, asked: Request) -> None:
+        """A request is refused, as there are too many clients."""
+
     def client_gone(self, reply: Reply) -> None:
         """The client that waits for this reply has left."""
 
@@ -155,8 +162,14 @@
 class ClientConnection(asyncio.Protocol):
     """One client's connection."""
 
-    def __init__(self, server: ClientServer, dialect: Callable[[], ClientDialect]) -> None:
+    def __init__(
+        self, server: ClientServer, dialect: Callable[[], ClientDialect], pending: bytes = b""
+    ) -> None:
+        """`pending`: what another process has read here already, and could not answer."""
         self.server = server
+        self._pending = pending
+        self.carried = False
+        """Whether a request ever came; the front asks on connections of its own how the router is."""
         self.transport: asyncio.Transport | None = None
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
@@ -165,8 +178,9 @@
         self._reading = True
         self._reserved = 0  # set aside for the command under way
         self._begun_at = 0.0
+        self._came = 0  # since then
         self._starved = False  # waits for the budget
-        self._last = False
+        self._last = self._refused = False
         self.refusing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -174,6 +188,9 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
         self.server.opened(self)
+        if self._pending:
+            pending, self._pending = self._pending, b""
+            self.data_received(pending)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection has ended."""
@@ -219,8 +236,11 @@
         if reader.broken:
             self._break()
         elif reader.need:
-            if fresh or commands:
-                self._begun_at = self.used_at
+            self._came = 0 if fresh or commands else self._came + len(data)
+            if not self._came or self._came >= PROGRESS:
+                # Danger: the whole command's time would end good clients that send long values slowly, and
+                # the last byte's would let bad ones hold a connection for good.
+                self._begun_at, self._came = self.used_at, 0
             if reader.need > LARGE and not self._reserved and not self._starved:
                 self.reserve()
         elif self._reserved:
@@ -248,13 +268,15 @@
     def _take(self, message: Message, reply: Reply) -> None:
         match message:
             case Request() if not self.refusing:
+                self.carried = True
                 self.server.host.request_arrived(message, reply)
                 return
             case Request():
-                self._last = True
+                self._last = self._refused = True
+                self.server.host.request_refused(message)
                 reply.refused()
             case Ping():
-                reply.send(reply.answers.pong(self.server.host.ready))
+                reply.send(reply.answers.pong(self.server.takes_clients))
             case Malformed():
                 reply.rejected(message.reason)
         reply.forgotten()
@@ -272,8 +294,9 @@
             self.used_at = self.server.loop.time()
             if replies:
                 replies[0].its_turn()
-        if not replies and self._last and self.transport is not None:
-            self.transport.close()
+        if not replies and self._leaves and self.transport is not None:
+            if not self._hand_over():
+                self.transport.close()
         elif not self._reading:
             self._set_reading()
 
@@ -308,15 +331,36 @@
         """Whether it stands between requests."""
         return not self.replies and not self._dialect.need
 
+    @property
+    def _leaves(self) -> bool:
+        """Whether it closes once nothing is owed here."""
+        return self._last or (self.server.emptying and self.carried)
+
     def finish(self, even_midway: bool) -> None:
-        """Close once nothing is owed here; `even_midway`: also within a command."""
-        if self.transport is None or self.closed:
+        """Go to the other process, or close, once nothing is owed; `even_midway`: also within a command."""
+        if self.transport is None or self.closed or (not self.replies and self._hand_over()):
             return
         if not self.replies and (even_midway or not self._dialect.need):
             self.transport.close()
         else:
             self._last = even_midway or not self._dialect.need or self._last
 
+    def _hand_over(self) -> bool:
+        """Give the connection to the process that takes this one's place; False: it can't be done now."""
+        successor, transport, held = self.server.successor, self.transport, self._dialect.held
+        if successor is None or transport is None or transport.is_closing() or self.closed:
+            return False
+        if held is None or len(held) > PENDING or self._reserved or self._starved or self._dialect.broken:
+            return False
+        if self._refused or transport.get_write_buffer_size():
+            return False
+        # Danger: nothing may be read from here on, or what was read in between would be lost with this copy.
+        if not successor(transport.get_extra_info("socket").fileno(), held):
+            return False
+        transport.abort()
+        self._leave()
+        return True
+
     def abort(self) -> None:
         """Close at once."""
         if self.transport is not None:
@@ -339,7 +383,7 @@
             self.finish(even_midway=False)
             return
         midway = self._dialect.need and not self._starved and not self.replies
-        if midway and now - self._begun_at > COMMAND_S:
+        if midway and now - self._begun_at > PROGRESS_S:
             log.warning("a client does not finish its command")
             self._break()
 
@@ -361,7 +405,13 @@
         self.budget = Budget(budget)
         self._connections: dict[ClientConnection, None] = {}
         self._listeners: list[asyncio.Server] = []
-        self._draining = False
+        self.emptying = False
+        """Whether connections that carried a request close after their last answer."""
+        self.draining = False
+        """Whether clients are told to go elsewhere."""
+        self.successor: Callable[[int, bytes], bool] | None = None
+        """Gives a connection's descriptor, and what was read on it, to the process that replaces this one."""
+        self._adopting: set[asyncio.Task[Any]] = set()
         self._timer = loop.call_later(SWEEP_S, self._sweep)
 
     async def listen(self, address: Address, dialect: Callable[[], ClientDialect] | None = None) -> None:
@@ -372,6 +422,38 @@
         )
         self._listeners.append(listener)
 
+    async def listen_at(self, listener: socket.socket) -> None:
+        """Accept clients at a socket that somebody else holds too, and that outlives this process."""
+        self._listeners.append(
+            await self.loop.create_server(
+                lambda: ClientConnection(self, self.dialect), sock=listener, backlog=BACKLOG
+            )
+        )
+
+    def adopt(self, connection: socket.socket, pending: bytes) -> None:
+        """Take over a client's connection from the process before this one."""
+        made = self.loop.connect_accepted_socket(
+            lambda: ClientConnection(self, self.dialect, pending), connection
+        )
+        task = self.loop.create_task(made)
+        self._adopting.add(task)
+        task.add_done_callback(self._adopted)
+
+    def _adopted(self, task: asyncio.Task[Any]) -> None:
+        self._adopting.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.warning("a connection could not be taken over: %s", task.exception())
+
+    @property
+    def accepting(self) -> bool:
+        """Whether clients can connect."""
+        return bool(self._listeners)
+
+    @property
+    def takes_clients(self) -> bool:
+        """Whether the router is ready and wants clients."""
+        return self.host.ready and not self.draining
+
     def opened(self, connection: ClientConnection) -> None:
         """Count a new connection in, making room for it where there is none."""
         if len(self._connections) >= self._limit:
@@ -399,15 +481,16 @@
         return len(self._connections)
 
     def stop_accepting(self) -> None:
-        """Close the listener, and the connections that stand between requests."""
+        """Close the listeners."""
         while self._listeners:
             self._listeners.pop().close()
-        self.finish(even_midway=False)
 
-    def finish(self, even_midway: bool) -> None:
-        """Have every connection close once nothing is owed on it."""
+    def finish(self, even_midway: bool, health: bool = True) -> None:
+        """Have all close once nothing is owed on them; `health`: also those that only ask how it is."""
+        now = self.loop.time()
         for connection in list(self._connections):
-            connection.finish(even_midway)
+            if health or connection.carried or now - connection.used_at >= IDLE_S:
+                connection.finish(even_midway)
 
     def _sweep(self) -> None:
         self._timer = self.loop.call_later(SWEEP_S, self._sweep)
--- a/saltport/downstream/memcached.py
+++ b/saltport/downstream/memcached.py
@@ -126,6 +126,11 @@
         """See ClientDialect."""
         return 0 if self._quit else self._reader.need
 
+    @property
+    def held(self) -> bytes | None:
+        """See ClientDialect; packets are counted across a stream's quiet commands."""
+        return None
+
     @property
     def broken(self) -> str:
         """See ClientDialect; a QUIT ends the stream, too."""
@@ -213,6 +218,11 @@
         """See ClientDialect."""
         return self._spoken.need if self._spoken is not None else 0
 
+    @property
+    def held(self) -> bytes | None:
+        """See ClientDialect."""
+        return self._spoken.held if self._spoken is not None else b""
+
     @property
     def broken(self) -> str:
         """See ClientDialect."""
--- a/saltport/downstream/resp.py
+++ b/saltport/downstream/resp.py
@@ -38,8 +38,8 @@
         return b"-ERR %b\r\n" % reason.encode()
 
     def pong(self, ready: bool) -> bytes:
-        """`+PONG` once there is a list of servers."""
-        return b"+PONG\r\n" if ready else b"-LOADING no list of servers yet\r\n"
+        """`+PONG` while clients are taken."""
+        return b"+PONG\r\n" if ready else b"-LOADING no clients are taken now\r\n"
 
 
 ANSWERS = RespAnswers()
@@ -58,6 +58,11 @@
         """See ClientDialect."""
         return self._reader.need
 
+    @property
+    def held(self) -> bytes | None:
+        """See ClientDialect."""
+        return self._reader.held
+
     @property
     def broken(self) -> str:
         """See ClientDialect."""
--- /dev/null
+++ b/saltport/lifecycle/service.py
@@ -0,0 +1,266 @@
+"""The router's process from start to end: its parts, operators' calls, signals, and its replacement."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import socket
+from collections.abc import Callable, Sequence
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from saltport import __version__
+from saltport.address import parse_address
+from saltport.admin.calls import CallError
+from saltport.decisions import ListKind
+from saltport.decisions.interface import NS_PER_S
+from saltport.downstream.clients import ClientServer
+from saltport.downstream.resp import RespDialect
+from saltport.lifecycle.bans import Bans, BanStore
+from saltport.lifecycle.drain import BY_CALL, Plan, at_the_end
+from saltport.lifecycle.reload import plan_reload
+from saltport.membership.listing import Clock, Listing, read_listing
+from saltport.membership.registry import Discovery
+from saltport.messages import ClientDialect
+from saltport.router.config import Config, ConfigError, reload_config
+from saltport.router.features import MemcachedFeatures
+from saltport.router.host import RouterHost
+from saltport.upstream.pool import Pool
+
+READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
+STEP_S = 0.01  # between two looks at what is left to drain
+FOLLOW_S = 0.1  # between two looks at what another process has put out or back
+OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
+ADMIN_DESCRIPTORS = 36  # the operators' listener, and the most callers
+CLIENT_SHARE = 0.6
+BUDGET_SHARE = 0.2  # of the memory, for clients' long commands
+BANS = "saltport.out"
+
+log = logging.getLogger("saltport")
+
+
+class Service:
+    """One router's process."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        config: Config,
+        environ: dict[str, str],
+        with_files: Sequence[Path],
+    ) -> None:
+        self._loop, self._config, self._environ, self._with_files = loop, config, environ, with_files
+        self._terminated = asyncio.Event()
+        self._draining: asyncio.Task[None] | None = None
+        self._clock = Clock()
+        own = OWN_DESCRIPTORS + (ADMIN_DESCRIPTORS if config.admin else 0)
+        descriptors = max(config.sockets - own, 8)
+        for_clients = int(descriptors * CLIENT_SHARE)
+        dial, idle = config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S
+        self._pool = Pool(loop, descriptors - for_clients, dial, idle)
+        self._host = RouterHost(loop, config.settings, config.seed, self._pool, config.max_open)
+        self._pool.touched = self._host.touched
+        self._memcached = _memcached(config.memcached) if config.memcached.on else None
+        budget = int(config.memory * BUDGET_SHARE)
+        self._clients = ClientServer(loop, self._host, self._dialect(), for_clients, budget)
+        self._discovery = Discovery(
+            config.discovery,
+            config.settings.must_subscribe,
+            self._clock,
+            self._take,
+            self._host.discovery_failed,
+            config.settings.ask_within / NS_PER_S,
+            random.Random(config.seed),
+        )
+        self._host.subscribe = self._discovery.subscribe
+        # What outlives the process has a place only where the platform gives one.
+        folder = environ.get("TMPDIR")
+        store = BanStore(Path(folder) / BANS) if folder and config.admin else None
+        self._bans = Bans(store, lambda: self._host.out, self._host.take_out, self._host.put_back)
+
+    def _dialect(self) -> Callable[[], ClientDialect]:
+        if self._memcached is None or not self._config.memcached.shared:
+            return RespDialect
+        from saltport.downstream.memcached import EitherDialect
+
+        return partial(EitherDialect, self._memcached, RespDialect)
+
+    async def run(self) -> None:
+        """Run until SIGTERM, and then until all that was taken is answered. Raises OSError."""
+        loop, config = self._loop, self._config
+        # Danger: a fault in one callback, printed each time it comes, would take the CPU of the others.
+        loop.set_exception_handler(
+            lambda _, context: log.error("%s", context["message"], exc_info=context.get("exception"))
+        )
+        loop.add_signal_handler(signal.SIGTERM, self._terminated.set)
+        # Danger: without a handler SIGHUP ends the process and all that it has taken.
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._bans.follow()
+        if config.known is not None:
+            known = read_listing(config.known, self._clock, ListKind.CACHED)
+            self._discovery.hold(config.known, known.generation)
+            self._host.servers_changed(known)
+        admin = None
+        if config.admin is not None:
+            from saltport.admin.listener import AdminListener  # only where operators call
+
+            admin = AdminListener(self)
+            await admin.listen(config.admin)
+        if config.listen_fd is None:
+            await self._clients.listen(config.listen)
+        if self._memcached is not None and config.memcached.listen:
+            address = parse_address("memcached.listen", config.memcached.listen)
+            await self._clients.listen(address, self._memcached)
+        if not config.settings.must_subscribe:
+            self._discovery.start()
+        if config.known is not None:
+            loop.call_later(READY_S, self._make_do)
+        if config.listen_fd is not None:
+            await self._stand_beside(config.listen_fd)
+        await self._terminated.wait()
+        await self._end()
+        if admin is not None:
+            admin.close()
+        self._clients.close()
+        self._discovery.close()
+        self._pool.close()
+        await asyncio.sleep(0)
+
+    async def _stand_beside(self, descriptor: int) -> None:
+        """Accept at the platform's socket, beside the process before this one, once it is of use."""
+        listener = _listening(descriptor)
+        self._follow_bans()
+        while not self._host.ready and not self._terminated.is_set():
+            await asyncio.sleep(STEP_S)
+        await self._clients.listen_at(listener)
+
+    def _follow_bans(self) -> None:
+        self._bans.follow()
+        self._loop.call_later(FOLLOW_S, self._follow_bans)
+
+    # The list of servers
+
+    def _take(self, listing: Listing) -> None:
+        self._host.servers_changed(listing)
+        self._host.ready = self._host.ready or not listing.more
+
+    def _make_do(self) -> None:
+        self._host.ready = True
+
+    # Operators' calls
+
+    def healthy(self) -> bool:
+        """See Operations."""
+        return self._clients.takes_clients and self._clients.accepting
+
+    def stats(self) -> dict[str, Any]:
+        """See Operations."""
+        return self._host.stats()
+
+    def state(self) -> dict[str, Any]:
+        """See Operations."""
+        about = {"name": self._config.name, "pid": os.getpid(), "version": __version__}
+        draining = {"draining": self._clients.draining, "connected": self._clients.connected}
+        return {**about, **draining, "generation": self._discovery.generation, **self._host.view()}
+
+    def take_out(self, server: str) -> bool:
+        """See Operations."""
+        return self._ban(server, self._bans.take_out)
+
+    def put_back(self, server: str) -> bool:
+        """See Operations."""
+        return self._ban(server, self._bans.put_back)
+
+    def _ban(self, server: str, do: Callable[[str], None]) -> bool:
+        if not self._host.knows(server):
+            return False
+        try:
+            do(server)
+        except OSError as error:
+            raise CallError(f"it can't be kept: {error.strerror or error}") from None
+        log.info("%s: by hand: %s", server, "out" if server in self._host.out else "back")
+        return True
+
+    def drain(self) -> None:
+        """See Operations."""
+        if self._draining is None and not self._terminated.is_set():
+            log.info("drained by hand")
+            self._clients.draining = True
+            self._draining = self._loop.create_task(self._empty(BY_CALL, health=False))
+
+    def resume(self) -> None:
+        """See Operations."""
+        if self._terminated.is_set():
+            raise CallError("the process is ending")
+        if self._draining is not None:
+            log.info("back to work by hand")
+            self._draining.cancel()
+            self._draining = None
+        self._clients.draining = self._clients.emptying = False
+
+    async def _empty(self, plan: Plan, health: bool) -> None:
+        """Bring clients' connections to their end; `health`: also those that only ask how the router is."""
+        begun = self._loop.time()
+        while not (step := plan.step(self._loop.time() - begun)).over:
+            self._clients.emptying = step.leaving
+            if step.idle:
+                self._clients.finish(step.midway, health)
+            if step.leaving and health:
+                self._clients.stop_accepting()
+                if not self._clients.connected:
+                    return
+            await asyncio.sleep(STEP_S)
+
+    async def _end(self) -> None:
+        """Answer what was taken, and pass on to the next process what it can go on with."""
+        if self._draining is not None:
+            self._draining.cancel()
+        longest = max(cls.deadline for cls in self._config.settings.classes) / NS_PER_S
+        shared = self._config.listen_fd is not None
+        await self._empty(at_the_end(longest, shared), health=True)
+
+    # A new configuration
+
+    def _reload(self) -> None:
+        figures = self._host.figures
+        try:
+            plan = plan_reload(self._config, reload_config(self._environ, self._with_files))
+        except (ConfigError, ValueError) as error:
+            figures.conf_invalid += 1
+            log.error("the new configuration can't be used, the old one stays: %s", error)
+            return
+        figures.conf_loaded += 1
+        self._config = plan.config
+        if plan.waits:
+            log.warning("of the new configuration this waits for a restart: %s", ", ".join(plan.waits))
+        if plan.retunes:
+            self._host.retune(plan.config.settings)
+            self._discovery.ask_within(plan.config.settings.ask_within / NS_PER_S)
+        if plan.moves:
+            self._discovery.move(plan.config.discovery)
+
+
+def _listening(descriptor: int) -> socket.socket:
+    """A copy of the platform's listening socket; raises OSError in plain words."""
+    try:
+        copy = socket.socket(fileno=os.dup(descriptor))
+    except OSError as error:
+        raise OSError(f"LB_SOCKET_FD: {descriptor}: {error.strerror or error}") from None
+    if copy.family != socket.AF_INET or not copy.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        copy.close()
+        raise OSError(f"LB_SOCKET_FD: {descriptor} is no socket that listens for TCP over IPv4")
+    copy.setblocking(False)
+    return copy
+
+
+def _memcached(told: MemcachedFeatures) -> Callable[[], ClientDialect]:
+    from saltport.downstream.memcached import MemcachedDialect, MemcachedRules  # only where it is on
+
+    rules = MemcachedRules(
+        told.read_class, told.write_class, told.delete_class, told.tenant or None, told.deadline_ms
+    )
+    return partial(MemcachedDialect, rules)
--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -97,13 +97,18 @@
     ) -> None:
         """`ask_within`: after so many seconds without a watch or a call the router counts as told."""
         self._address, self._asked = address, asked
-        self._longest_s, self._rng = max(ask_within - CALL_SLACK_S, ASKED_LEAST_S), rng
+        self._rng = rng
+        self.ask_within(ask_within)
         self._steps = ListSteps(clock)
         self._take, self._failed = take, failed
         self._call: _Call | None = None
         self._task: asyncio.Task[None] | None = None
         self.generation = 0
 
+    def ask_within(self, seconds: float) -> None:
+        """Take a new time after which the router counts as told; the watch under way keeps its own."""
+        self._longest_s = max(seconds - CALL_SLACK_S, ASKED_LEAST_S)
+
     def hold(self, known: Any, generation: int) -> None:
         """The router holds this list already, in discovery's form; it may be old."""
         self.generation = generation
--- a/saltport/messages.py
+++ b/saltport/messages.py
@@ -87,6 +87,10 @@
     def broken(self) -> str:
         """Why the stream can't be followed any further, once that is so."""
 
+    @property
+    def held(self) -> bytes | None:
+        """The bytes of the command under way, for another reader to go on; None: there is more to know."""
+
     def feed(self, data: bytes) -> list[tuple[Message, Answers]]:
         """The commands that are now whole, up to a broken one if `broken` is set by it."""
 
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
@@ -11,7 +11,7 @@
 
 from saltport.address import Address, parse_address
 from saltport.decisions import Settings
-from saltport.decisions.settings import WireError, read_settings, typed
+from saltport.decisions.settings import WireError, number, read_settings, typed
 from saltport.router.features import FeatureError, MemcachedFeatures, read_features
 
 DEFAULT_MAX_OPEN = 20_000
@@ -19,6 +19,7 @@
 DEFAULT_IDLE_CLOSE_NS = 10_000_000_000
 DEFAULT_MEMORY_MB = 192
 DEFAULT_SOCKETS = 1024
+OPTIONAL = {"known", "seed"}  # keys of the file that tell of a start, and may be missing from a later one
 
 
 class ConfigError(Exception):
@@ -45,8 +46,12 @@
     known: dict[str, Any] | None
     """The list of servers as last held, in discovery's form; it may be old."""
     memcached: MemcachedFeatures = field(default_factory=MemcachedFeatures)
-    admin_socket: str = ""
-    """Where the operator may ask for the state; empty: nowhere."""
+    admin: Address | None = None
+    """Where operators call; None: nowhere."""
+    listen_fd: int | None = None
+    """The descriptor of the clients' listening socket, where the platform holds it."""
+    keys: frozenset[str] = frozenset()
+    """The paths of the keys that the file has."""
 
 
 def load_config(environ: Mapping[str, str], with_files: Sequence[Path] = ()) -> Config:
@@ -57,12 +62,7 @@
     try:
         config = _config(typed("the file", orjson.loads(Path(path).read_bytes()), dict), environ)
         features = read_features(with_files)
-        return replace(
-            config,
-            settings=features.settings(config.settings),
-            memcached=features.memcached,
-            admin_socket=features.admin.socket.replace("{name}", config.name),
-        )
+        return replace(config, settings=features.settings(config.settings), memcached=features.memcached)
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
     except KeyError as error:
@@ -82,11 +82,22 @@
 
 
 def _positive(where: str, value: Any, default: int) -> int:
-    if value is None:
-        return default
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 1:
-        raise ValueError(f"{where}: expected a number of at least 1, got {value!r}")
-    return int(value)
+    return default if value is None else int(number(where, value, 1))
+
+
+def _descriptor(told: str | None) -> int | None:
+    if not told:
+        return None
+    if not told.isdecimal():
+        raise ConfigError(f"LB_SOCKET_FD: expected a descriptor's number, got {told!r}")
+    return int(told)
+
+
+def _paths(told: dict[str, Any], under: str = "") -> Iterator[str]:
+    for key, value in told.items():
+        yield under + key
+        if isinstance(value, dict) and key not in OPTIONAL:
+            yield from _paths(value, f"{under}{key}.")
 
 
 def _config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
@@ -94,6 +105,7 @@
     ceilings = facts.get("ceilings") or {}
     limits = typed("limits", told.get("limits") or {}, dict)
     known = told.get("known")
+    admin = environ.get("LB_ADMIN_ADDR") or told.get("admin_addr")
     return Config(
         name=environ.get("LB_NAME") or str(told.get("name") or "router"),
         listen=parse_address("listen", environ.get("LB_LISTEN") or told["listen"]),
@@ -108,4 +120,7 @@
         memory=_positive("limits.memory_mb", limits.get("memory_mb"), DEFAULT_MEMORY_MB) << 20,
         sockets=_positive("limits.sockets", limits.get("sockets"), DEFAULT_SOCKETS),
         known=typed("known", known, dict) if known is not None else None,
+        admin=parse_address("admin_addr", admin) if admin else None,
+        listen_fd=_descriptor(environ.get("LB_SOCKET_FD")),
+        keys=frozenset(_paths(told)) - OPTIONAL,
     )
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -31,13 +31,6 @@
     vectors: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class AdminFeatures:
-    """`[admin]`: the socket at which an operator asks for a router's state."""
-
-    socket: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class OverloadFeatures:
     """`[overload]`: shedding when the router's own CPU is the bottleneck; 0: never."""
@@ -94,7 +87,6 @@
     """All sections."""
 
     table: TableFeatures = TableFeatures()
-    admin: AdminFeatures = AdminFeatures()
     overload: OverloadFeatures = OverloadFeatures()
     memcached: MemcachedFeatures = MemcachedFeatures()
     hot_keys: HotKeyFeatures = HotKeyFeatures()
@@ -157,11 +149,6 @@
     return isinstance(value, bool)
 
 
-def _socket_path(value: Any) -> bool:
-    # 108 bytes are what the kernel takes, with one for the end.
-    return isinstance(value, str) and value.startswith("/") and len(value.encode()) < 108
-
-
 _KINDS: dict[str, dict[str, tuple[Callable[[Any], bool], str]]] = {
     "table": {"slots": (_int, "a whole number"), "vectors": (_bool, "true or false")},
     "overload": {"target_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000")},
@@ -184,11 +171,9 @@
         "capacity": (_int, "a whole number"),
         "fair_shares": (_number, "a number"),
     },
-    "admin": {"socket": (_socket_path, "the whole path of a socket, shorter than 108 bytes")},
 }
 _SECTIONS: dict[str, Callable[..., Any]] = {
     "table": TableFeatures,
-    "admin": AdminFeatures,
     "overload": OverloadFeatures,
     "memcached": MemcachedFeatures,
     "hot_keys": HotKeyFeatures,
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -5,9 +5,11 @@
 import asyncio
 import logging
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
+from saltport.address import Address
+from saltport.admin.figures import Figures
 from saltport.decisions import (
     Action,
     Answer,
@@ -28,10 +30,13 @@
     RequestArrived,
     Router,
     Send,
+    ServerBack,
+    ServerOut,
     ServersChanged,
     ServerState,
     SetTimer,
     Settings,
+    SettingsChanged,
     StreamStarted,
     Subscribe,
     TimerFired,
@@ -45,7 +50,7 @@
 from saltport.membership.listing import Listing
 from saltport.messages import Request, ValueSource
 from saltport.upstream.http import OriginConnection
-from saltport.upstream.pool import Exchange, Pool
+from saltport.upstream.pool import Connection, Exchange, Pool, Server
 from saltport.upstream.resp import CacheConnection
 from saltport.wire.resp import read_report
 
@@ -62,12 +67,20 @@
 class OpenRequest:
     """A request that is owed an answer, or has attempts out still."""
 
-    __slots__ = ("asked", "attempts", "closed", "deadline", "held", "id", "out", "reply", "streaming")
+    __slots__ = (
+        "asked", "attempts", "closed", "counted", "deadline", "held", "id", "most_attempts", "out", "reply",
+        "streaming",
+    )  # fmt: skip
 
-    def __init__(self, request_id: str, asked: Request, reply: Reply, deadline: int) -> None:
+    def __init__(
+        self, request_id: str, asked: Request, reply: Reply, deadline: int, most_attempts: int
+    ) -> None:
         self.id, self.asked, self.reply, self.deadline = request_id, asked, reply, deadline
         self.attempts = self.out = 0
+        self.most_attempts = most_attempts
         self.closed = self.streaming = False
+        self.counted = False
+        """Whether the figures know its end."""
         self.held: bytes | None = None
         """A write's receipt that the module has not let go yet."""
 
@@ -194,14 +207,17 @@
             self._source = None
             request.streaming = False
             if outcome is Outcome.OK:
+                self._host.count(request, self._host.figures.answered)
                 reply.finish()
             else:
+                self._host.count(request, self._host.figures.errored)
                 reply.cut_off()
         elif outcome is Outcome.OK and not request.closed and value is not None:
             if self._hold:
                 request.held = value
             else:
                 request.closed = True
+                self._host.count(request, self._host.figures.answered)
                 reply.served(value)
         latency, lag = self._latency if self._latency[0] else self._took()
         event = AttemptEnded(
@@ -271,8 +287,10 @@
         """Begins a watch where discovery is asked; whoever owns the watch sets it."""
         self._router = Router(settings, seed)
         self._pool, self._max_open = pool, max_open
-        self._classes = {cls.name for cls in settings.classes}
-        self._probe_timeout = min(cls.aim for cls in settings.classes)
+        self.figures = Figures(())
+        self._follow(settings)
+        self._places: dict[str, tuple[Address, Callable[[Server], Connection]]] = {}
+        """Where and how the servers that may be sent to by the list are reached, those out by hand too."""
         self._requests: dict[str, OpenRequest] = {}
         self._events: deque[tuple[Event, bytes | None]] = deque()
         self._passing: bytes | None = None  # the value that came with the event being handled
@@ -301,16 +319,42 @@
         if now - self.lag.reported_at >= REPORT_NS:
             self.tell(LoopReport(*self.lag.take_report(now)))
 
-    @property
-    def owed(self) -> int:
-        """Requests that have no final answer yet, or one that is still being passed on."""
-        return sum(1 for request in self._requests.values() if not request.closed or request.streaming)
-
     def view(self) -> dict[str, object]:
         """The state of decisions and loop, for people."""
         lag = {"longest_ms": self.lag.longest / NS_PER_MS, "stalls": self.lag.stalls}
-        told = views.whole(self._router, time.monotonic_ns())
-        return {"ready": self.ready, "owed": self.owed, "lag": lag, **told}
+        owed = self.figures.current
+        return {
+            "ready": self.ready,
+            "owed": owed,
+            "lag": lag,
+            **views.whole(self._router, time.monotonic_ns()),
+        }
+
+    def stats(self) -> dict[str, object]:
+        """The figures, as operators read them."""
+        return self.figures.view(self._pool.sends, views.cluster(self._router))
+
+    def count(self, request: OpenRequest, ends: Counter[str] | None) -> None:
+        """Count a request's end, the first one only; None: its client has left, and it is no end of ours."""
+        if request.counted:
+            return
+        request.counted = True
+        self.figures.current -= 1
+        if ends is not None:
+            ends[request.asked.request_class] += 1
+
+    # Settings
+
+    def _follow(self, settings: Settings) -> None:
+        self.settings = settings
+        self._classes = {cls.name for cls in settings.classes}
+        self._probe_timeout = min(cls.aim for cls in settings.classes)
+        self.figures.classes(sorted(self._classes))
+
+    def retune(self, settings: Settings) -> None:
+        """Take new settings, all at one moment; open requests keep what they came with."""
+        self._follow(settings)
+        self.tell(SettingsChanged(settings))
 
     def call_at(self, due: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
         """Call back once the clock shows `due`; never before, though the loop counts in milliseconds."""
@@ -331,12 +375,14 @@
             # Danger: two requests under one id would share attempts, and one would have the other's answer.
             reply.rejected("duplicate id")
         elif len(self._requests) >= self._max_open:
+            self.request_refused(asked)
             reply.refused()
         else:
             deadline = time.monotonic_ns() + asked.timeout_ms * NS_PER_MS
-            request = OpenRequest(request_id, asked, reply, deadline)
+            request = OpenRequest(request_id, asked, reply, deadline, self.settings.max_attempts)
             reply.request = request
             self._requests[request_id] = request
+            self.figures.current += 1
             self.tell(
                 RequestArrived(
                     request=request_id,
@@ -351,12 +397,18 @@
             return
         reply.forgotten()
 
+    def request_refused(self, asked: Request) -> None:
+        """A request is refused at the door."""
+        if asked.request_class in self._classes:
+            self.figures.deferred[asked.request_class] += 1
+
     def client_gone(self, reply: Reply) -> None:
         """The client that waits for this reply has left."""
         request = reply.request
         if not isinstance(request, OpenRequest):
             return
         request.closed = True
+        self.count(request, None)
         if isinstance(reply.source, Attempt):
             reply.source.client_left()
         self.settle(request)
@@ -374,6 +426,8 @@
         if request is None or request.closed:
             return
         request.closed = True
+        figures = self.figures
+        self.count(request, figures.errored if retry_after is None else figures.deferred)
         if retry_after is None:
             request.reply.failed()
         else:
@@ -394,18 +448,41 @@
 
     def _list_servers(self, listing: Listing) -> None:
         whole = listing.change.kind is not ListKind.DELTA
-        gone = set(self._pool.listed()) if whole else set()
+        gone = set(self._places) if whole else set()
         for server in listing.change.servers:
             if server.state is ServerState.READY:
                 gone.discard(server.id)
                 is_origin = server.kind == self.settings.origin_kind
-                connect = OriginConnection if is_origin else CacheConnection
-                self._pool.list_server(server.id, listing.addresses[server.id], connect)
+                place = listing.addresses[server.id], OriginConnection if is_origin else CacheConnection
+                self._places[server.id] = place
+                if server.id not in self._router.roster.out:
+                    self._pool.list_server(server.id, *place)
             else:
                 gone.add(server.id)
         for server_id in gone:
+            self._places.pop(server_id, None)
             self._pool.unlist_server(server_id)
 
+    def knows(self, server_id: str) -> bool:
+        """Whether a server is listed, was once, or is out by hand."""
+        return self._router.roster.knows(server_id)
+
+    @property
+    def out(self) -> frozenset[str]:
+        """The servers that are out by hand."""
+        return frozenset(self._router.roster.out)
+
+    def take_out(self, server_id: str) -> None:
+        """Send nothing more to a server, whatever the list says, until it is put back."""
+        self.tell(ServerOut(server_id))
+        self._pool.unlist_server(server_id)
+
+    def put_back(self, server_id: str) -> None:
+        """Use a server again, if it is listed as ready."""
+        if server_id in self._places:
+            self._pool.list_server(server_id, *self._places[server_id])
+        self.tell(ServerBack(server_id))
+
     def discovery_failed(self) -> None:
         """Tell the module that a watch has ended."""
         self.tell(ServersChanged(ListKind.FAILED))
@@ -474,7 +551,7 @@
             return
         now = time.monotonic_ns()
         attempt = Attempt(self, request, action.server, action.hold)
-        if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
+        if request.closed or now >= request.deadline or request.attempts > request.most_attempts:
             attempt.end(Outcome.MOOT)
             return
         due = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
@@ -487,6 +564,7 @@
         if request is None or request.closed or request.held is None:
             return
         request.closed = True
+        self.count(request, self.figures.answered)
         request.reply.served(request.held)
         self.settle(request)
 
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -7,7 +7,7 @@
 import select
 from abc import abstractmethod
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import cast
 
 from saltport.address import Address
@@ -82,6 +82,7 @@
         self.kept = False
         self.unsent = False
         self.retired = False
+        self._counts = 0  # 1: what is written is an attempt, and counts once the kernel has its last byte
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
@@ -92,10 +93,12 @@
     def pause_writing(self) -> None:
         """The kernel has not taken every byte yet."""
         self.unsent = True
+        self.server.pool.sends -= self._counts
 
     def resume_writing(self) -> None:
         """The kernel has every byte."""
         self.unsent = False
+        self.server.pool.sends += self._counts
 
     @property
     def usable(self) -> bool:
@@ -120,6 +123,8 @@
         """Write the exchange's request."""
         assert self.transport is not None
         self.exchange, exchange.connection, exchange.kept = exchange, self, self.kept
+        self._counts = int(exchange.request is not None)
+        self.server.pool.sends += self._counts
         self.transport.write(self.request_bytes(exchange))
         exchange.begun()
 
@@ -214,8 +219,11 @@
         self.touched: Callable[[], None] = lambda: None
         """Called at each event that the kernel had for a connection, before it is dealt with."""
         self._loop, self._limit, self._dial_timeout = loop, limit, dial_timeout
+        self._whole_limit = limit
         self._idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
+        self.sends = 0
+        """Attempts whose last byte the kernel has taken."""
         self._held = 0
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
 
@@ -255,10 +263,6 @@
         server = self._servers.get(server_id)
         return server is not None and bool(server.dials)
 
-    def listed(self) -> Iterator[str]:
-        """The servers that may be sent to."""
-        return (server.id for server in self._servers.values() if server.open)
-
     def submit(self, server_id: str, exchange: Exchange) -> None:
         """Start an exchange on an idle connection, or have it wait for one."""
         server = self._servers.get(server_id)
@@ -302,6 +306,10 @@
         self._dial_for(server)
         self._forget(server)
 
+    def share(self, shared: bool) -> None:
+        """Leave half of the descriptors to another process of this router, while there is one."""
+        self._limit = self._whole_limit // 2 if shared else self._whole_limit
+
     def close(self) -> None:
         """Close everything."""
         self._sweep_timer.cancel()
--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -31,6 +31,11 @@
         self.broken = ""
         """Why the stream can't be followed any further, once that is so."""
 
+    @property
+    def held(self) -> bytes:
+        """What has come of the command under way."""
+        return bytes(self._held)
+
     def feed(self, data: bytes) -> list[list[bytes]]:
         """Return the commands that are now whole, up to a broken one if `broken` is set by it."""
         if self.need:
--- /dev/null
+++ b/tests/admin/test_listener.py
@@ -0,0 +1,202 @@
+"""The operators' listener over loopback: odd callers, silent crowds, and its answers beside load."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from saltport.admin.client import ask, call, server_path
+from saltport.admin.listener import CALL_S, MAX_BODY, MAX_CALLERS, MAX_HEAD
+from tests.sockets import (
+    MISS,
+    PATIENCE_S,
+    Peer,
+    Routed,
+    eventually,
+    get,
+    hit,
+    http_answer,
+    put,
+    reset,
+    routed,
+)
+
+
+def raw(router: Routed, data: bytes, end: bool = False) -> bytes:
+    """What these bytes are answered with, until the router closes."""
+    with socket.create_connection(router.admin, timeout=PATIENCE_S) as caller:
+        caller.sendall(data)
+        if end:
+            caller.shutdown(socket.SHUT_WR)
+        told = b""
+        with suppress(ConnectionResetError):
+            while part := caller.recv(65536):
+                told += part
+        return told
+
+
+@pytest.fixture(scope="module")
+def router(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Routed]:
+    cache = Peer(lambda _, words: hit(words[2]))
+    with routed(tmp_path_factory.mktemp("admin"), {"s1": cache}) as running:
+        yield running
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+        (b"GET /healthcheck HTTP/1.0\r\n\r\n", 200),
+        (b"PUT /healthcheck/ok HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody", 200),
+        (
+            b"PUT /healthcheck/ok HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+            200,
+        ),
+        (
+            b"PUT /healthcheck/ok HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n",
+            200,
+        ),
+        (b"GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"POST /stats HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"*1\r\n$4\r\nPING\r\n", 400),
+        (b"GET /healthcheck\x00 HTTP/1.1\r\n\r\n", 400),
+        (b"\xff" * 100, 400),
+        (b"GET /stats HTTP/1.1\r\nHost: x\r\nX: " + b"y" * (MAX_HEAD + 1), 431),
+        (b"PUT /stats HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n" + b"y" * (MAX_BODY + 1), 413),
+    ],
+)
+def test_every_call_gets_its_status_and_a_close(router: Routed, data: bytes, status: int) -> None:
+    told = raw(router, data)
+    assert told.startswith(b"HTTP/1.1 %d " % status), told[:200]
+    head, _, body = told.partition(b"\r\n\r\n")
+    assert b"Connection: close" in head
+    assert int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0]) == len(body)
+
+
+def test_head_is_answered_without_a_body(router: Routed) -> None:
+    head, _, body = raw(router, b"HEAD /stats HTTP/1.1\r\nHost: x\r\n\r\n").partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 ")
+    assert body == b""
+
+
+def test_only_the_first_call_of_a_connection_counts(router: Routed) -> None:
+    told = raw(router, b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n" * 2)
+    assert told.count(b"HTTP/1.1 ") == 1
+
+
+def test_call_in_single_bytes_is_a_call(router: Routed) -> None:
+    with socket.create_connection(router.admin, timeout=PATIENCE_S) as caller:
+        for byte in b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n":
+            caller.sendall(bytes([byte]))
+            time.sleep(0.002)
+        assert caller.recv(100).startswith(b"HTTP/1.1 200 ")
+
+
+def test_silent_callers_keep_nobody_out_and_end_by_themselves(router: Routed) -> None:
+    begun = time.monotonic()
+    silent = [socket.create_connection(router.admin, timeout=PATIENCE_S) for _ in range(2 * MAX_CALLERS)]
+    for half in silent[::2]:
+        half.sendall(b"GET /sta")
+    held = router.descriptors()
+    assert ask(router.admin, "/stats")
+    assert held < 3 * MAX_CALLERS
+    for caller in silent:
+        with suppress(ConnectionResetError):
+            assert caller.recv(1) == b""
+        caller.close()
+    assert time.monotonic() - begun >= CALL_S - 0.5, "the last of them had their time"
+
+
+def test_unknown_server_is_a_no_and_a_listed_one_a_yes(router: Routed) -> None:
+    assert call(router.admin, "PUT", server_path("never", "maint"))[0] == 404
+    assert call(router.admin, "PUT", server_path("never", "ready"))[0] == 404
+    assert call(router.admin, "PUT", server_path("s1", "maint"))[0] == 200
+    assert ask(router.admin, "/stats")["cluster_unhealthy"] == 1
+    assert call(router.admin, "PUT", server_path("s1", "ready"))[0] == 200
+
+
+def test_many_callers_of_one_server_at_once_leave_it_as_the_last_one_said(router: Routed) -> None:
+    def change(state: str) -> None:
+        for _ in range(10):
+            assert call(router.admin, "PUT", server_path("s1", state))[0] == 200
+
+    callers = [threading.Thread(target=change, args=(state,)) for state in ("maint", "ready") * 4]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    assert call(router.admin, "PUT", server_path("s1", "ready"))[0] == 200
+    assert ask(router.admin, "/state")["out"] == []
+
+
+def test_figures_count_every_end_by_class(tmp_path: Path) -> None:
+    held = threading.Event()
+
+    def serve(connection: socket.socket, words: list[bytes]) -> bytes:
+        if words[1] == b"bad":
+            reset(connection)
+        if words[1] == b"held":
+            held.wait(PATIENCE_S)
+        return MISS if words[1] == b"miss" else hit(words[2])
+
+    cache = Peer(serve)
+    origin = Peer(lambda _, message: http_answer(500 if message[0] == b"PUT" else 200, b"x"), True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        client = router.client()
+        for i in range(20):
+            assert client.ask(get(f"g{i}")) == b"g%d" % i
+        assert client.ask(get("m1", "miss")) == b"x"
+        assert client.ask(put("w1", cls="once")) == b"-ERR failed"
+        assert client.ask(get("d1", "k", more="").replace(b"c=get", b"c=new")).startswith(b"-ERR")
+        told = ask(router.admin, "/stats")
+        assert told["answered"] == {"get": 21, "put": 0, "once": 0}
+        assert told["errored"] == {"get": 0, "put": 0, "once": 1}
+        assert told["sends"] == len(cache.seen) + len(origin.seen)
+        assert (told["current"], told["cluster_size"], told["cluster_unhealthy"]) == (0, 1, 0)
+        client.send(get("h1", "held"))
+        eventually(lambda: ask(router.admin, "/stats")["current"] == 1, "one is open")
+        assert ask(router.admin, "/stats")["sends"] == len(cache.seen) + len(origin.seen), "though unanswered"
+        held.set()
+        assert client.answer() == b"h1"
+        gone = router.client()
+        held.clear()
+        gone.send(get("h2", "held"))
+        eventually(lambda: ask(router.admin, "/stats")["current"] == 1, "one is open")
+        gone.close()
+        eventually(lambda: ask(router.admin, "/stats")["current"] == 0, "its client has left")
+        held.set()
+        assert ask(router.admin, "/stats")["answered"]["get"] == 22
+
+
+def test_calls_are_answered_beside_long_values_and_silent_callers(tmp_path: Path) -> None:
+    value = b"v" * (4 << 20)
+    cache = Peer(lambda _, words: hit(value))
+    with routed(tmp_path, {"s1": cache}) as router:
+        silent = [socket.create_connection(router.admin, timeout=PATIENCE_S) for _ in range(64)]
+        over = threading.Event()
+
+        def read(number: int) -> None:
+            client = router.client()
+            count = 0
+            while not over.is_set():
+                assert len(client.ask(get(f"v{number}x{count}", d=60_000))) == len(value)
+                count += 1
+
+        readers = [threading.Thread(target=read, args=(n,)) for n in range(4)]
+        for reader in readers:
+            reader.start()
+        told = [ask(router.admin, "/stats", timeout_s=PATIENCE_S) for _ in range(20)]
+        over.set()
+        for reader in readers:
+            reader.join()
+        for caller in silent:
+            caller.close()
+        assert all(json.dumps(figures) for figures in told)
+        eventually(lambda: ask(router.admin, "/stats")["current"] == 0, "all is passed on")
--- a/tests/router/test_lag.py
+++ b/tests/router/test_lag.py
@@ -45,6 +45,7 @@
     def __init__(self) -> None:
         self.ends: list[AttemptEnded] = []
         self.ended = asyncio.Event()
+        self.roster = Roster()
 
     def handle(self, event: Event, now: int) -> list[Action]:
         if isinstance(event, RequestArrived):
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -244,6 +244,8 @@
     ) -> None:
         self.process, self.port, self.discovery = process, port, discovery
         self.folder = folder
+        host, _, admin = self.told()["admin_addr"].rpartition(":")
+        self.admin = host, int(admin)
 
     def client(self) -> Client:
         return Client(self.port)
@@ -316,6 +318,7 @@
         "name": "n1",
         "listen": f"127.0.0.1:{port}",
         "discovery": f"127.0.0.1:{discovery.peer.port}",
+        "admin_addr": f"127.0.0.1:{free_port()}",
         "seed": "8c1f30d27a5be964",
         "limits": limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"generation": 0, "reset": True, "instances": known or []},
