A connection whose value ended while its client was full is read again

Cause: the last part of a value can fill its client's buffer; the source is paused in that very call, the value is whole in the next line, and finish() hands the paused connection to the next exchange, whose answer is never read. resume() later finds no source. Ruled out: the pool (the exchange had its connection) and the node (it had answered). finish() reads on; pausing is remembered by the connection. The test fails without it, over both wires.

--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -82,6 +82,7 @@
         self.kept = False
         self.unsent = False
         self.retired = False
+        self._paused = False
         self._counts = 0  # 1: what is written is an attempt, and counts once the kernel has its last byte
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -136,17 +137,21 @@
 
     def pause(self) -> None:
         """Read no more for now."""
-        if self.transport is not None and not self.transport.is_closing():
+        if not self._paused and self.transport is not None and not self.transport.is_closing():
+            self._paused = True
             self.transport.pause_reading()
 
     def resume(self) -> None:
         """Read again."""
-        if self.transport is not None and not self.transport.is_closing():
+        if self._paused and self.transport is not None and not self.transport.is_closing():
+            self._paused = False
             self.transport.resume_reading()
 
     def finish(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """End the exchange on this connection, which may take another."""
         exchange, self.exchange, self.kept = self.exchange, None, True
+        # Danger: the last part of a value may find its client full; the next exchange would never be read.
+        self.resume()
         self.server.pool.released(self)
         if exchange is not None:
             exchange.end(outcome, value, note)
--- a/tests/router/test_routing.py
+++ b/tests/router/test_routing.py
@@ -15,7 +15,8 @@
 import uvloop
 
 from saltport.decisions import CacheNote, Outcome
-from saltport.messages import Request
+from saltport.messages import Request, ValueSource
+from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import PER_SERVER, Exchange, Pool
 from saltport.upstream.resp import CacheConnection
 from tests.sockets import (
@@ -336,6 +337,45 @@
         self.came.set_result((outcome, value))
 
 
+class Full(Ask):
+    """A reader of a long value who can't take more at its last part, and takes again only later."""
+
+    def value_started(self, length: int, source: ValueSource) -> None:
+        self.source, self.left = source, length
+
+    def value_came(self, data: bytes) -> None:
+        self.left -= len(data)
+        if not self.left:
+            self.source.pause()
+
+
+@pytest.mark.parametrize("is_origin", [False, True])
+def test_value_whose_client_was_full_at_its_end_leaves_a_connection_that_is_read(is_origin: bool) -> None:
+    long = b"v" * 100_000
+
+    def answer(_: socket.socket, words: list[bytes]) -> bytes:
+        value = b"short" if answered else long
+        answered.append(words)
+        return http_answer(200, value) if is_origin else hit(value)
+
+    async def play() -> None:
+        pool = Pool(asyncio.get_running_loop(), 8, PATIENCE_S, PATIENCE_S)
+        connect = OriginConnection if is_origin else CacheConnection
+        pool.list_server("s1", ("127.0.0.1", peer.port), connect)
+        first, second = Full(), Ask()
+        pool.submit("s1", first)
+        assert await first.came == (Outcome.OK, None)
+        pool.submit("s1", second)
+        assert await second.came == (Outcome.OK, b"short")
+        assert second.kept
+        pool.close()
+
+    answered: list[list[bytes]] = []
+    peer = Peer(answer, is_http=is_origin)
+    uvloop.run(asyncio.wait_for(play(), PATIENCE_S))
+    peer.close()
+
+
 @pytest.mark.parametrize("then", ["closes", "sends more"])
 def test_connection_on_which_something_has_come_is_not_used_again(then: str) -> None:
     async def play() -> None:
