A replaced process hands its clients' connections to the next one

Need: each request that ends at the door of an upgrade costs. takeover.py links both processes over a Unix socket in TMPDIR; after SIGTERM a connection on which no answer is owed goes over with what was read of a command. Both leave half of the servers' descriptors to each other.

--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -23,6 +23,7 @@
 from saltport.lifecycle.bans import Bans, BanStore
 from saltport.lifecycle.drain import BY_CALL, Plan, at_the_end
 from saltport.lifecycle.reload import plan_reload
+from saltport.lifecycle.takeover import Takeover
 from saltport.membership.listing import Clock, Listing, read_listing
 from saltport.membership.registry import Discovery
 from saltport.messages import ClientDialect
@@ -81,6 +82,11 @@
         folder = environ.get("TMPDIR")
         store = BanStore(Path(folder) / BANS) if folder and config.admin else None
         self._bans = Bans(store, lambda: self._host.out, self._host.take_out, self._host.put_back)
+        self._takeover = (
+            Takeover(loop, Path(folder), self._clients.adopt, self._share)
+            if folder and config.listen_fd is not None
+            else None
+        )
 
     def _dialect(self) -> Callable[[], ClientDialect]:
         if self._memcached is None or not self._config.memcached.shared:
@@ -125,6 +131,8 @@
         await self._end()
         if admin is not None:
             admin.close()
+        if self._takeover is not None:
+            self._takeover.close()
         self._clients.close()
         self._discovery.close()
         self._pool.close()
@@ -133,6 +141,8 @@
     async def _stand_beside(self, descriptor: int) -> None:
         """Accept at the platform's socket, beside the process before this one, once it is of use."""
         listener = _listening(descriptor)
+        if self._takeover is not None:
+            self._takeover.open()
         self._follow_bans()
         while not self._host.ready and not self._terminated.is_set():
             await asyncio.sleep(STEP_S)
@@ -142,6 +152,12 @@
         self._bans.follow()
         self._loop.call_later(FOLLOW_S, self._follow_bans)
 
+    def _share(self) -> None:
+        """Another process of this router has come or gone."""
+        assert self._takeover is not None
+        log.info("another process of this router %s", "runs beside" if self._takeover.shared else "has ended")
+        self._pool.share(self._takeover.shared)
+
     # The list of servers
 
     def _take(self, listing: Listing) -> None:
@@ -221,6 +237,8 @@
             self._draining.cancel()
         longest = max(cls.deadline for cls in self._config.settings.classes) / NS_PER_S
         shared = self._config.listen_fd is not None
+        if self._takeover is not None and self._takeover.replaced:
+            self._clients.successor = self._takeover.give
         await self._empty(at_the_end(longest, shared), health=True)
 
     # A new configuration
