Tests: drains, bans, broken configurations and upgrades through real processes

The new process counts its half of the descriptors from the moment it joins, which it did only after the old one ended.

--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -180,8 +180,13 @@
     def state(self) -> dict[str, Any]:
         """See Operations."""
         about = {"name": self._config.name, "pid": os.getpid(), "version": __version__}
-        draining = {"draining": self._clients.draining, "connected": self._clients.connected}
-        return {**about, **draining, "generation": self._discovery.generation, **self._host.view()}
+        now = {
+            "draining": self._clients.draining,
+            "connected": self._clients.connected,
+            "shared": self._takeover is not None and self._takeover.shared,
+            "servers_may_hold": self._pool.limit,
+        }
+        return {**about, **now, "generation": self._discovery.generation, **self._host.view()}
 
     def take_out(self, server: str) -> bool:
         """See Operations."""
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -62,6 +62,7 @@
         else:
             self._before = link
             self._loop.add_reader(link.fileno(), self._receive)
+            self._changed()
         listener = _seqpacket()
         name = f"{self._path}.{os.getpid()}"
         try:
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -223,7 +223,7 @@
     ) -> None:
         self.touched: Callable[[], None] = lambda: None
         """Called at each event that the kernel had for a connection, before it is dealt with."""
-        self._loop, self._limit, self._dial_timeout = loop, limit, dial_timeout
+        self._loop, self.limit, self._dial_timeout = loop, limit, dial_timeout
         self._whole_limit = limit
         self._idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
@@ -313,7 +313,7 @@
 
     def share(self, shared: bool) -> None:
         """Leave half of the descriptors to another process of this router, while there is one."""
-        self._limit = self._whole_limit // 2 if shared else self._whole_limit
+        self.limit = self._whole_limit // 2 if shared else self._whole_limit
 
     def close(self) -> None:
         """Close everything."""
@@ -328,7 +328,7 @@
         while server.waiting and server.waiting[0].over:
             server.waiting.popleft()
         while len(server.waiting) > len(server.dials) and server.held < PER_SERVER:
-            if self._held >= self._limit and not self._evict():
+            if self._held >= self.limit and not self._evict():
                 return
             self._held += 1
             dial = self._loop.create_task(self._dial(server))
--- /dev/null
+++ b/tests/lifecycle/test_takeover.py
@@ -0,0 +1,231 @@
+"""A process that takes another one's place: at the door, within commands, when it dies, what it is told."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import threading
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from saltport.admin.client import ask, call, server_path
+from tests.lifecycle.upgrades import Load, Process, platform
+from tests.sockets import PATIENCE_S, Peer, bulk, entry, eventually, get, hit, put, start_router
+
+
+def serving() -> Peer:
+    return Peer(lambda _, words: hit(words[2]))
+
+
+def taken(process: Process) -> bool:
+    return bool(ask(process.admin, "/stats")["conf_loaded"] == 1)
+
+
+def told_of_one(process: Process) -> bool:
+    return bool(ask(process.admin, "/state")["caches"] == 1)
+
+
+def others_gone(old: Process) -> bool:
+    return old.process.poll() is not None
+
+
+def test_two_upgrades_in_a_row_under_load_close_no_door(tmp_path: Path) -> None:
+    with platform(tmp_path, {f"s{i}": serving() for i in range(3)}) as held:
+        first = held.start().ready()
+        load = Load(held, 8)
+        load.more(200)
+        second = held.upgrade(first)
+        load.more(200)
+        third = held.upgrade(second)
+        eventually(lambda: others_gone(first) and others_gone(second), "the old ones have ended")
+        load.more(200)
+        load.stop()
+        assert (load.doors, load.wrong) == (0, [])
+        assert first.process.returncode == second.process.returncode == 0
+        assert ask(third.admin, "/stats")["answered"]["get"] > 200
+
+
+def test_command_that_is_half_there_and_one_that_waits_survive(tmp_path: Path) -> None:
+    held_back = threading.Event()
+
+    def serve(_: socket.socket, words: list[bytes]) -> bytes:
+        if words[1] == b"slow":
+            held_back.wait(PATIENCE_S)
+        return hit(words[2])
+
+    with platform(tmp_path, {"s1": Peer(serve)}) as held:
+        old = held.start().ready()
+        idle, half, waiting, piped = (held.client() for _ in range(4))
+        assert idle.ask(get("a1")) == b"a1"
+        half.send(get("a2")[:30])
+        waiting.send(get("a3", "slow"))
+        piped.send(get("a4", "slow") + get("a5")[:25])
+        eventually(lambda: ask(old.admin, "/stats")["current"] == 2, "both are taken")
+        new = held.upgrade(old)
+        half.send(get("a2")[30:])
+        assert half.answer() == b"a2"
+        assert idle.ask(get("a6")) == b"a6"
+        assert idle.ask(bulk(b"PING")) == b"+PONG"
+        held_back.set()
+        assert waiting.answer() == b"a3"
+        assert piped.answer() == b"a4"
+        piped.send(get("a5")[25:])
+        assert piped.answer() == b"a5"
+        assert waiting.ask(get("a7")) == b"a7"
+        eventually(lambda: others_gone(old), "the old one has ended")
+        assert ask(new.admin, "/state")["connected"] == 4
+        assert held.client().ask(get("a8")) == b"a8"
+
+
+def test_long_write_that_is_half_there_is_answered_by_the_old_one(tmp_path: Path) -> None:
+    value = b"w" * (1 << 20)
+    with platform(tmp_path, {"s1": Peer(lambda _, words: hit(words[2]))}, facts={"familyInfo": {}}) as held:
+        old = held.start().ready()
+        client = held.client()
+        whole = put("w1", value)
+        client.send(whole[: 600 << 10])
+        eventually(lambda: ask(old.admin, "/state")["connected"] == 1, "it is there")
+        held.upgrade(old)
+        client.send(whole[600 << 10 :])
+        assert client.answer() == b"w1"
+
+
+def test_new_process_that_dies_before_its_yes_leaves_the_old_one_untouched(tmp_path: Path) -> None:
+    with platform(tmp_path, {"s1": serving()}) as held:
+        old = held.start().ready()
+        client = held.client()
+        assert client.ask(get("a1")) == b"a1"
+        held.discovery.peer.close()  # nothing to be ready with
+        dead = held.start()
+        eventually(lambda: ask(old.admin, "/state")["shared"], "they are linked")
+        os.kill(dead.process.pid, signal.SIGKILL)
+        dead.process.communicate(timeout=PATIENCE_S)
+        assert client.ask(get("a2")) == b"a2"
+        assert held.client().ask(get("a3")) == b"a3"
+        assert old.healthy()
+        eventually(lambda: not ask(old.admin, "/state")["shared"], "the link is gone")
+
+
+def test_ban_of_either_process_holds_in_both_while_they_overlap(tmp_path: Path) -> None:
+    caches = {f"s{i}": serving() for i in range(3)}
+    with platform(tmp_path, caches) as held:
+        old = held.start().ready()
+        assert call(old.admin, "PUT", server_path("s0", "maint"))[0] == 200
+        new = held.start().ready()
+        assert ask(new.admin, "/state")["out"] == ["s0"], "before its first send"
+        assert call(new.admin, "PUT", server_path("s1", "maint"))[0] == 200
+        eventually(lambda: ask(old.admin, "/state")["out"] == ["s0", "s1"], "the old one follows")
+        load = Load(held, 4)
+        seen = [len(caches[name].seen) for name in ("s0", "s1")]
+        old.terminate()
+        load.more(100)
+        assert call(new.admin, "PUT", server_path("s0", "ready"))[0] == 200
+        eventually(lambda: len(caches["s0"].seen) > seen[0], "it is used again")
+        load.stop()
+        assert len(caches["s1"].seen) == seen[1]
+        assert load.doors == 0
+
+
+def test_reload_and_drain_during_the_overlap(tmp_path: Path) -> None:
+    with platform(tmp_path, {"s1": serving()}) as held:
+        old = held.start().ready()
+        new = held.start().ready()
+        for process in (old, new):
+            process.process.send_signal(signal.SIGHUP)
+            eventually(partial(taken, process), "it is taken")
+        assert call(old.admin, "PUT", "/healthcheck/fail")[0] == 200
+        assert not old.healthy()
+        assert new.healthy(), "a drain belongs to its process"
+        old.terminate()
+        eventually(lambda: others_gone(old), "it has ended")
+        assert held.client().ask(get("a1")) == b"a1"
+
+
+def test_clients_in_the_backlog_are_the_next_process_s(tmp_path: Path) -> None:
+    with platform(tmp_path, {"s1": serving()}) as held:
+        old = held.start().ready()
+        os.kill(old.process.pid, signal.SIGSTOP)
+        waiting = [held.client() for _ in range(20)]
+        for i, client in enumerate(waiting):
+            client.send(get(f"b{i}"))
+        new = held.start().ready()
+        os.kill(old.process.pid, signal.SIGCONT)
+        old.terminate()
+        assert [client.answer() for client in waiting] == [b"b%d" % i for i in range(20)]
+        eventually(lambda: others_gone(old), "the old one has ended")
+        assert new.healthy()
+
+
+def test_without_a_link_connections_close_and_the_next_process_serves(tmp_path: Path) -> None:
+    deep = tmp_path / ("d" * 100)
+    deep.mkdir()
+    with platform(tmp_path, {"s1": serving()}) as held:
+        old = held.start(TMPDIR=str(deep)).ready()
+        client = held.client()
+        assert client.ask(get("a1")) == b"a1"
+        held.start(TMPDIR=str(deep)).ready()
+        old.terminate()
+        assert client.at_end()
+        assert held.client().ask(get("a2")) == b"a2"
+
+
+@pytest.mark.parametrize("what", ["absent", "no socket", "no listener", "no number"])
+def test_descriptor_that_is_no_listening_socket_is_a_plain_error(tmp_path: Path, what: str) -> None:
+    with platform(tmp_path, {"s1": serving()}) as held:
+        with socket.socket() as plain, open(os.devnull) as file:
+            told = {"absent": "97", "no socket": str(file.fileno()), "no listener": str(plain.fileno())}
+            process = start_router(
+                tmp_path,
+                held.told,
+                environ={"LB_SOCKET_FD": told.get(what, "four")},
+                inherits=[file.fileno(), plain.fileno()],
+            )
+            _, log = process.communicate(timeout=PATIENCE_S)
+        assert process.returncode in (1, 2)
+        assert log.splitlines()[-1].startswith("saltport: LB_SOCKET_FD"), log
+        assert "Traceback" not in log
+
+
+def test_second_address_that_is_taken_is_a_plain_error_and_the_old_one_serves_on(tmp_path: Path) -> None:
+    with platform(tmp_path, {"s1": serving()}) as held:
+        old = held.start().ready()
+        second = held.start(LB_ADMIN_ADDR="{}:{}".format(*old.admin))
+        log = second.end()
+        assert second.process.returncode == 1
+        assert log.splitlines()[-1].startswith("saltport: ")
+        assert held.client().ask(get("a1")) == b"a1"
+
+
+def test_both_processes_together_stay_within_the_descriptors_and_the_memory(tmp_path: Path) -> None:
+    with platform(tmp_path, {f"s{i}": serving() for i in range(4)}) as held:
+        old = held.start().ready()
+        load = Load(held, 16)
+        load.more(100)
+        new = held.start().ready()
+        load.more(100)
+        pids = [old.process.pid, new.process.pid]
+        held_now = sum(len(os.listdir(f"/proc/{pid}/fd")) for pid in pids)
+        status = [Path(f"/proc/{pid}/status").read_text() for pid in pids]
+        memory = sum(int(text.split("VmRSS:")[1].split()[0]) for text in status)
+        assert held_now < held.told["limits"]["sockets"]
+        assert memory < 120_000
+        assert ask(old.admin, "/state")["servers_may_hold"] == ask(new.admin, "/state")["servers_may_hold"]
+        shared = ask(new.admin, "/state")["servers_may_hold"]
+        old.terminate()
+        eventually(lambda: others_gone(old), "the old one has ended")
+        eventually(lambda: ask(new.admin, "/state")["servers_may_hold"] >= 2 * shared, "all are its own")
+        load.stop()
+        assert load.doors == 0
+
+
+def test_list_is_told_to_both_and_a_drain_holds_in_both(tmp_path: Path) -> None:
+    caches = {f"s{i}": serving() for i in range(2)}
+    with platform(tmp_path, caches) as held:
+        old = held.start().ready()
+        new = held.start().ready()
+        held.discovery.change(entry(caches["s0"], "s0", lifecycle="draining"), entry(caches["s1"], "s1"))
+        for process in (old, new):
+            eventually(partial(told_of_one, process), "it is told")
--- /dev/null
+++ b/tests/lifecycle/upgrades.py
@@ -0,0 +1,164 @@
+"""A platform that holds the clients' listening socket, and starts one process of a router after another."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from saltport.address import Address
+from saltport.admin.client import call
+from tests.sockets import (
+    FACTS,
+    PATIENCE_S,
+    Client,
+    DiscoveryPeer,
+    Peer,
+    entry,
+    eventually,
+    free_port,
+    get,
+    start_router,
+)
+
+
+class Process:
+    """One process of the router."""
+
+    def __init__(self, process: subprocess.Popen[str], admin: Address) -> None:
+        self.process, self.admin = process, admin
+        self.log = ""
+
+    def healthy(self) -> bool:
+        try:
+            return call(self.admin, "GET", "/healthcheck")[0] == 200
+        except (OSError, ValueError):
+            return False
+
+    def ready(self) -> Process:
+        eventually(lambda: self.healthy() or self.process.poll() is not None, "it takes clients")
+        assert self.process.poll() is None, self.end()
+        return self
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def end(self) -> str:
+        """Wait until it has ended; returns its log."""
+        _, log = self.process.communicate(timeout=PATIENCE_S)
+        assert "Traceback" not in log, log
+        self.log = log
+        return log
+
+
+class Platform:
+    """Holds the socket, the shared folder, discovery, and every process it started."""
+
+    def __init__(self, folder: Path, caches: dict[str, Peer], facts: dict[str, Any] | None = None) -> None:
+        self.folder = folder
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.port = int(self.listener.getsockname()[1])
+        self.discovery = DiscoveryPeer([entry(peer, name) for name, peer in caches.items()])
+        self.processes: list[Process] = []
+        self.told: dict[str, Any] = {
+            "name": "n1",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{self.discovery.peer.port}",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 384},
+            "settings": {**FACTS, **(facts or {})},
+        }
+
+    def start(self, **environ: str) -> Process:
+        admin = ("127.0.0.1", free_port())
+        descriptor = self.listener.fileno()
+        process = start_router(
+            self.folder,
+            self.told,
+            environ={
+                "LB_SOCKET_FD": str(descriptor),
+                "LB_ADMIN_ADDR": "{}:{}".format(*admin),
+                **environ,
+            },
+            inherits=[descriptor],
+        )
+        self.processes.append(Process(process, admin))
+        return self.processes[-1]
+
+    def upgrade(self, old: Process) -> Process:
+        """Start the next process, and end the old one when it says yes."""
+        new = self.start().ready()
+        old.terminate()
+        return new
+
+    def client(self) -> Client:
+        return Client(self.port)
+
+
+@contextmanager
+def platform(folder: Path, caches: dict[str, Peer], **more: Any) -> Iterator[Platform]:
+    """Every process is ended, and its log looked at; whoever wants another end ends it first."""
+    held = Platform(folder, caches, **more)
+    try:
+        yield held
+    finally:
+        for process in held.processes:
+            if process.process.poll() is None:
+                process.terminate()
+        for process in held.processes:
+            if not process.process.stderr or not process.process.stderr.closed:
+                process.end()
+        held.listener.close()
+        for peer in [*caches.values(), held.discovery.peer]:
+            peer.close()
+
+
+class Load:
+    """Clients that ask without a pause, each on a connection that it keeps; endings at the door count."""
+
+    def __init__(self, platform: Platform, count: int, keys: int = 40) -> None:
+        self.answered = self.doors = 0
+        self.wrong: list[bytes] = []
+        self._platform, self._keys = platform, keys
+        self._over = threading.Event()
+        self._lock = threading.Lock()
+        self._clients = [threading.Thread(target=self._run, args=(n,)) for n in range(count)]
+        for client in self._clients:
+            client.start()
+
+    def _run(self, number: int) -> None:
+        prefix = f"{os.urandom(4).hex()}{number}"
+        client, count = self._platform.client(), 0
+        while not self._over.is_set():
+            name = f"{prefix}x{count}"
+            count += 1
+            try:
+                answer = client.ask(get(name, f"k{count % self._keys}", d=15_000))
+            except OSError:
+                answer = b""
+            with self._lock:
+                if answer == name.encode():
+                    self.answered += 1
+                elif not answer:
+                    self.doors += 1
+                    client.close()
+                    client = self._platform.client()
+                else:
+                    self.wrong.append(answer)
+        client.close()
+
+    def more(self, count: int) -> None:
+        """Wait until so many more are answered."""
+        done = self.answered
+        eventually(lambda: self.answered >= done + count, f"{count} more answers")
+
+    def stop(self) -> None:
+        self._over.set()
+        for client in self._clients:
+            client.join()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -271,15 +271,28 @@
         return int(status.split("VmRSS:")[1].split()[0])
 
 
-def start_router(folder: Path, told: dict[str, Any], more: Sequence[str] = ()) -> subprocess.Popen[str]:
+def start_router(
+    folder: Path,
+    told: dict[str, Any],
+    more: Sequence[str] = (),
+    environ: dict[str, str] | None = None,
+    inherits: Sequence[int] = (),
+) -> subprocess.Popen[str]:
     config = folder / "config.json"
     config.write_text(json.dumps(told))
     return subprocess.Popen(
         [sys.executable, "-m", "saltport.router", *more],
         cwd=ROOT,
-        env={**os.environ, "LB_CONFIG": str(config), "LB_DISCOVERY": told["discovery"]},
+        env={
+            **os.environ,
+            "LB_CONFIG": str(config),
+            "LB_DISCOVERY": told["discovery"],
+            "TMPDIR": str(folder),
+            **(environ or {}),
+        },
         stderr=subprocess.PIPE,
         text=True,
+        pass_fds=inherits,
     )
 
 
