A long value that only streams leaves its node's room to other reads

Ruled out: the nodes (answers took 20 to 100 ms of an aim several times that), the origin (a tenth of its allowance used). Cause: node.load counts an attempt until its last byte, and limits are learnt from the time to the first. StreamStarted was ignored. At the start of a stream the place is freed, but for classes that stream by themselves.

--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -132,6 +132,8 @@
     node: Node | None = None
     ran: tuple[Node, int] | None = None
     """The first attempt that may have run: where, when sent."""
+    holds = False
+    """Whether its attempt counts as out at its server."""
     fetching = refetching = out = leads = waiting = done = False
 
     def __init__(
@@ -225,6 +227,8 @@
                 self._update([entry] if entry else [], [])
             case api.TimerFired():
                 self._timer(event.token)
+            case api.StreamStarted() if event.request in self.requests:
+                self._stream_started(self.requests[event.request])
             case api.LoopReport():
                 news = self.overload.report(event)
                 if news is not None:
@@ -295,7 +299,7 @@
 
     def _send(self, request: Request, node: Node, patience: int | None = None) -> None:
         request.sends += 1
-        request.node, request.sent_at, request.out = node, self._now, True
+        request.node, request.sent_at, request.out, request.holds = node, self._now, True, True
         node.load += 1
         usual = self._patience(request, node)
         held = request.write and request.fetching and self.spreading.holds(request)
@@ -407,13 +411,23 @@
         request.fetching = True
         self._send(request, origins[0])
 
+    def _stream_started(self, request: Request) -> None:
+        """The server's work is done, and the rest is up to the client, but where the class streams its answers.
+
+        Danger: counted until its end, slow readers' long values would fill the limits of idle servers.
+        """
+        if request.node is not None and request.holds and not request.cls.streamed:
+            request.holds = False
+            request.node.load -= 1
+
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
         if request is None or request.node is None:
             return
         node, fetched, outcome = request.node, request.fetching, event.outcome
         request.out = request.fetching = False
-        node.load -= 1
+        node.load -= request.holds
+        request.holds = False
         # Danger: with the router's own lag in it, every server is late whenever this router is.
         took = max(event.latency - max(event.lag, self.overload.lag), 0)
         late = took > request.cls.aim
--- a/tests/decisions/test_limits.py
+++ b/tests/decisions/test_limits.py
@@ -9,7 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from saltport.decisions import Outcome, RequestClass, Send, StreamStarted
 from saltport.decisions.limits import LEAST, LEAST_PAUSE, MOST_PAUSE, Limit
+from tests.decisions.helpers import S, ended, fleet, only_send, request, sends, settings, started
 
 MS = 1_000_000
 AIM = 300 * MS
@@ -148,3 +150,33 @@
     row = play(0.5, 8, pause=True)
     assert row["in_time"] >= 0.9
     assert row["refused"] <= 0.1
+
+
+def test_long_value_that_a_client_takes_slowly_leaves_its_server_s_room_to_others() -> None:
+    """Its work is done at the first byte; counted until the last, slow readers would shut idle servers."""
+    router = started(settings(), fleet(1), origin=False)
+    router.caches.nodes[fleet(1)[0].id].limit.limit = 2.0
+    for i in range(2):
+        assert sends(router.handle(request(f"slow{i}", S), S))
+    assert not sends(router.handle(request("full", S), S))
+    for i in range(2):
+        router.handle(StreamStarted(f"slow{i}", 0), S)
+        router.handle(StreamStarted(f"slow{i}", 0), S)  # told twice, it frees one place
+    again = [only_send(router.handle(request(f"quick{i}", S), S)) for i in range(2)]
+    assert not sends(router.handle(request("full again", S), S))
+    for i in range(2):
+        router.handle(ended(Send(f"slow{i}", again[0].server), Outcome.OK), 2 * S)
+    node = router.caches.nodes[fleet(1)[0].id]
+    assert node.load == 2
+    for send in again:
+        router.handle(ended(send, Outcome.OK), 2 * S)
+    assert node.load == 0
+    assert not router.requests
+
+
+def test_class_that_streams_its_answers_holds_its_place_to_the_end() -> None:
+    streams = RequestClass("read", aim=300 * MS, deadline=S, streamed=True)
+    router = started(settings(classes=(streams,)), fleet(1), origin=False)
+    assert sends(router.handle(request("r", S), S))
+    router.handle(StreamStarted("r", 0), S)
+    assert router.caches.nodes[fleet(1)[0].id].load == 1
