--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -412,7 +412,7 @@
         self._send(request, origins[0])
 
     def _stream_started(self, request: Request) -> None:
-        """The server's work is done, and the rest is up to the client, but where the class streams its answers.
+        """The server's work is done, and the rest is up to the client; but not where the class streams.
 
         Danger: counted until its end, slow readers' long values would fill the limits of idle servers.
         """
