An upgrade inherits tenants' windows, nodes' limits and ejections over the link

One message over the link when the new process joins, read whole before it counts, taken before it accepts. Tests: windows fall as in the old process, ejections end with a trial, thirteen broken messages change nothing, through processes too.

--- /dev/null
+++ b/saltport/decisions/inheritance.py
@@ -0,0 +1,107 @@
+"""What a process has learnt, told to the one that takes its place: no decisions, and no I/O.
+
+Times go as ages, as clocks may differ. A message is read whole before anything of it counts, and what it
+tells of servers and tenants that this process does not know is passed over.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+from saltport.decisions.health import Node
+from saltport.decisions.outliers import Record
+from saltport.structures.tally import Tally
+
+if TYPE_CHECKING:
+    from saltport.decisions.logic import Router, Suppressor
+
+FORM = 1  # another one is not read
+STEP = 100_000_000  # nanoseconds: calls of one step are told as one count
+MOST = 10**15
+
+
+def told(router: Router, now: int) -> dict[str, Any]:
+    """What this router has learnt, as JSON can hold it."""
+    return {
+        "form": FORM,
+        "tenants": {name: _guard(guard, now) for name, guard in router.guards.items()},
+        "servers": {name: _node(node) for name, node in router.caches.nodes.items() if node.limit.took},
+        "ejected": {
+            name: [max(record.until - now, 0), record.ejections, record.reason]
+            for name, record in router.outliers.records.items()
+            if name in router.outliers.ejected
+        },
+    }
+
+
+def _guard(guard: Suppressor, now: int) -> dict[str, Any]:
+    guard.accepted(now)  # drops what the window has passed
+    steps: dict[int, list[int]] = {}
+    for at, declined in guard.calls:
+        steps.setdefault((now - at) // STEP, [0, 0])[declined] += 1
+    return {"limit": guard.limit, "calls": [[age, *counts] for age, counts in steps.items()]}
+
+
+def _node(node: Node) -> list[float]:
+    limit = -1.0 if math.isinf(node.limit.limit) else node.limit.limit
+    pace = node.pace
+    return [limit, node.limit.took, node.limit.work, pace.usual, pace.spread, node.portion]
+
+
+def _number(value: Any, least: float = 0.0) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= MOST:
+        raise ValueError(f"expected a number of at least {least:g}, got {value!r}")
+    return value
+
+
+def take(router: Router, message: Any, now: int) -> None:
+    """Go on from what another process has learnt; raises ValueError, and then nothing of it counts."""
+    try:
+        if message["form"] != FORM:
+            raise ValueError(f"form {message['form']!r} is unknown")
+        guards = {name: _read_guard(entry) for name, entry in message["tenants"].items()}
+        nodes = {name: _read_node(entry) for name, entry in message["servers"].items()}
+        ejected = {name: _read_ejection(entry) for name, entry in message["ejected"].items()}
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"{type(error).__name__}: {error}") from None
+    for name, (limit, steps) in guards.items():
+        guard = router.guards.get(name)
+        if guard is not None:
+            guard.limit = min(max(limit, guard.floor), guard.cap)
+            for age, accepted, declined in sorted(steps, reverse=True):
+                for is_declined in [False] * accepted + [True] * declined:
+                    guard.count(now - age * STEP, is_declined)
+    for name, figures in nodes.items():
+        node = router.caches.nodes.get(name)
+        if node is not None:
+            limit, node.limit.took, node.limit.work, node.pace.usual, node.pace.spread, node.portion = figures
+            node.limit.limit = math.inf if limit < 0 else max(limit, 1.0)
+            node.limit.heard(now)
+    for name, (left, ejections, reason) in ejected.items():
+        node = router.caches.nodes.get(name)
+        if node is not None:
+            router.outliers.inherit(
+                name, Record(node.entry.started, Tally(INTERVAL, now)), left, ejections, reason, now
+            )
+
+
+def _read_guard(entry: Any) -> tuple[float, list[tuple[int, int, int]]]:
+    steps = [(int(_number(a)), int(_number(b)), int(_number(c))) for a, b, c in entry["calls"]]
+    if sum(accepted + declined for _, accepted, declined in steps) > 1_000_000:
+        raise ValueError("more calls than any window holds")
+    return _number(entry["limit"]), steps
+
+
+def _read_node(entry: Any) -> tuple[float, float, float, float, float, float]:
+    limit, took, work, usual, spread, portion = entry
+    if not _number(portion, 1e-6) <= 1.0:
+        raise ValueError("a portion is at most 1")
+    return _number(limit, -1.0), _number(took), _number(work), _number(usual), _number(spread), portion
+
+
+def _read_ejection(entry: Any) -> tuple[int, int, str]:
+    left, ejections, reason = entry
+    if not isinstance(reason, str):
+        raise ValueError("a reason is text")
+    return int(_number(left)), int(_number(ejections, 1)), reason
--- a/saltport/decisions/limits.py
+++ b/saltport/decisions/limits.py
@@ -34,6 +34,10 @@
         """The part of it that is work: the least time seen lately."""
         self._cut_at = self._heard_at = self._pause = self._until = 0
 
+    def heard(self, now: int) -> None:
+        """What is held of its answers counts from now on, where it was not learnt here."""
+        self._heard_at = now
+
     def learn(self, took: int, out: int, sent_at: int, now: int, aim: int) -> None:
         """Take one answer's time, with so many out when it came."""
         if not self.took or now - self._heard_at > FORGETS:
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -49,7 +49,7 @@
     def __init__(self, tenant: api.Tenant, routers: int, rng: random.Random) -> None:
         self.limit = math.inf
         self.retune(tenant, routers)
-        self._calls: deque[tuple[int, bool]] = deque()
+        self.calls: deque[tuple[int, bool]] = deque()
         self.declined = 0
         self._rng = rng
         self._chance, self._chance_until = 1.0, 0
@@ -65,21 +65,21 @@
 
     def count(self, now: int, declined: bool = False) -> None:
         """Count one call to the origin."""
-        self._calls.append((now, declined))
+        self.calls.append((now, declined))
         self.declined += declined
 
     def accepted(self, now: int) -> int:
         """Calls of the window that went to the origin."""
-        while self._calls and self._calls[0][0] <= now - self.window_s * NS_PER_S:
-            self.declined -= self._calls.popleft()[1]
-        return len(self._calls) - self.declined
+        while self.calls and self.calls[0][0] <= now - self.window_s * NS_PER_S:
+            self.declined -= self.calls.popleft()[1]
+        return len(self.calls) - self.declined
 
     def admit(self, now: int) -> bool:
         """Decide on one fetch, and count it."""
         accepted, soft = self.accepted(now), self.window_s * self.limit
-        over = len(self._calls) >= soft * HARD_LIMIT_FACTOR
+        over = len(self.calls) >= soft * HARD_LIMIT_FACTOR
         allowed = not (over and accepted >= soft)
-        if allowed and self._calls and (over or accepted >= soft):
+        if allowed and self.calls and (over or accepted >= soft):
             # Departure: refusals alone that hold total at the hard limit would pin a tenant there, as
             # every retry counts anew; while accepted is under the soft limit the chance holds instead.
             allowed = self._rng.random() < self.chance(now)
@@ -90,8 +90,8 @@
         """The chance of a fetch between the limits: rate limit / perceived rate, cached, at most 1."""
         if now >= self._chance_until:
             self._chance_until = now + CHANCE_CACHED
-            last = sum(1 for _ in takewhile(lambda call: call[0] > now - NS_PER_S, reversed(self._calls)))
-            self._chance = min(1.0, self.limit / max(len(self._calls) / self.window_s, last))
+            last = sum(1 for _ in takewhile(lambda call: call[0] > now - NS_PER_S, reversed(self.calls)))
+            self._chance = min(1.0, self.limit / max(len(self.calls) / self.window_s, last))
         return self._chance
 
     def rise(self, now: int) -> None:
--- a/saltport/decisions/outliers.py
+++ b/saltport/decisions/outliers.py
@@ -189,6 +189,15 @@
             return News(f"{server}: answers again", is_back=True)
         return None
 
+    def inherit(self, server: str, record: Record, left: int, ejections: int, reason: str, now: int) -> None:
+        """Take over an ejection that another process made, within the ceiling; it ends with a trial."""
+        if server in self.records or len(self.ejected) >= max(1, int(self.listed * MAX_EJECTED)):
+            return
+        record.ejected_at, record.until = now, now + min(left, 2 * MAX_EJECTION)
+        record.ejections, record.reason = ejections, reason
+        self.records[server] = record
+        self.ejected.add(server)
+
     def _count(self, record: Record, outcome: Outcome, sent_at: int, now: int) -> None:
         record.tally.count(outcome in FAILED, now)
         if outcome not in SILENT:
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from typing import Any
 
+import orjson
+
 from saltport import __version__
 from saltport.address import parse_address
 from saltport.admin.calls import CallError
@@ -83,7 +85,7 @@
         store = BanStore(Path(folder) / BANS) if folder and config.admin else None
         self._bans = Bans(store, lambda: self._host.out, self._host.take_out, self._host.put_back)
         self._takeover = (
-            Takeover(loop, Path(folder), self._clients.adopt, self._share)
+            Takeover(loop, Path(folder), self._clients.adopt, self._share, self._learnt)
             if folder and config.listen_fd is not None
             else None
         )
@@ -146,8 +148,16 @@
         self._follow_bans()
         while not self._host.ready and not self._terminated.is_set():
             await asyncio.sleep(STEP_S)
+        if self._takeover is not None and self._takeover.inherited:
+            try:
+                self._host.inherit(orjson.loads(self._takeover.inherited))
+            except ValueError as error:
+                log.warning("what the process before has learnt can't be read: %s", error)
         await self._clients.listen_at(listener)
 
+    def _learnt(self) -> bytes:
+        return orjson.dumps(self._host.learnt())
+
     def _follow_bans(self) -> None:
         self._bans.follow()
         self._loop.call_later(FOLLOW_S, self._follow_bans)
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -18,7 +18,7 @@
 NAME = "saltport.takeover"
 MAX_PATH = 107  # bytes that the kernel takes
 MAX_MESSAGE = 96 << 10
-CONNECTION = b"C"
+CONNECTION, LEARNT = b"C", b"L"
 
 log = logging.getLogger("saltport")
 
@@ -32,9 +32,16 @@
         folder: Path,
         adopt: Callable[[socket.socket, bytes], None],
         changed: Callable[[], None],
+        learnt: Callable[[], bytes],
     ) -> None:
-        """`adopt` takes a connection that comes; `changed` is called when a link begins or ends."""
+        """`adopt` takes a connection that comes; `changed` is called when a link begins or ends.
+
+        `learnt` words what the next process should know.
+        """
         self._loop, self._path, self._adopt, self._changed = loop, folder / NAME, adopt, changed
+        self._learnt = learnt
+        self.inherited = b""
+        """What the process before this one had learnt, once that is told."""
         self._before: socket.socket | None = None
         self._after: socket.socket | None = None
         self._listener: socket.socket | None = None
@@ -92,6 +99,10 @@
             self._end_after()
         self._after = link
         self._loop.add_reader(link.fileno(), self._look_after)
+        message = LEARNT + self._learnt()
+        if len(message) <= MAX_MESSAGE:
+            with suppress(OSError):  # it may have gone already, and can do without
+                link.send(message)
         self._changed()
 
     def _look_after(self) -> None:
@@ -138,6 +149,8 @@
             self._before = None
             self._changed()
             return
+        if message[:1] == LEARNT:
+            self.inherited = message[1:]
         for descriptor in descriptors:
             connection = socket.socket(fileno=descriptor)
             connection.setblocking(False)
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -42,6 +42,7 @@
     TimerFired,
     Void,
     VoidEnded,
+    inheritance,
     views,
 )
 from saltport.decisions.interface import NS_PER_S
@@ -330,6 +331,14 @@
             **views.whole(self._router, time.monotonic_ns()),
         }
 
+    def learnt(self) -> dict[str, object]:
+        """What this process has learnt, for the one that takes its place."""
+        return inheritance.told(self._router, time.monotonic_ns())
+
+    def inherit(self, message: object) -> None:
+        """Go on from what another process has learnt; raises ValueError, and then nothing of it counts."""
+        inheritance.take(self._router, message, time.monotonic_ns())
+
     def stats(self) -> dict[str, object]:
         """The figures, as operators read them."""
         return self.figures.view(self._pool.sends, views.cluster(self._router))
--- /dev/null
+++ b/tests/decisions/test_inheritance.py
@@ -0,0 +1,118 @@
+"""What one process has learnt, taken up by the next, and messages that are no good."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+import pytest
+
+from saltport.decisions import Outcome, Router, Tenant, inheritance
+from tests.decisions.helpers import MS, S, ended, fleet, only_send, request, settings, started
+
+
+def experienced(now: int) -> Router:
+    """A router with calls in its window, a limit that was cut, and a server that it ejected."""
+    router = started(settings(), fleet(4), now=now - 5 * S)
+    for i in range(30):
+        at = now - S + i * 10 * MS
+        send = only_send(router.handle(request(f"r{i}", at, key=f"k{i}"), at))
+        router.handle(ended(send, Outcome.MISS, latency=40 * MS), at)
+    guard = router.guards["a"]
+    guard.limit = 12.5
+    guard.count(now - 200 * MS, declined=True)
+    node = router.caches.nodes[fleet(4)[0].id]
+    for i in range(3):
+        router.outliers.judge(
+            node, f"x{i}", Outcome.CONNECT_FAILED, now - 50 * MS + i * MS, now - 49 * MS + i * MS
+        )
+    return router
+
+
+def test_next_process_goes_on_where_the_old_one_stood() -> None:
+    old, begun = experienced(100 * S), 7 * S  # on a clock of its own
+    message = json.loads(json.dumps(inheritance.told(old, 100 * S)))
+    new = started(settings(), fleet(4), now=begun)
+    inheritance.take(new, message, begun)
+    was, guard = old.guards["a"], new.guards["a"]
+    assert guard.limit == 12.5
+    assert guard.accepted(begun) == was.accepted(100 * S) > 0
+    assert guard.declined == was.declined == 1
+    later = 3 * S + 950 * MS + was.window_s * S - 4 * S
+    assert guard.accepted(int(begun + later)) == pytest.approx(was.accepted(int(100 * S + later)), abs=11)
+    assert guard.accepted(int(begun + was.window_s * S)) == 0
+    bad = fleet(4)[0].id
+    assert new.outliers.ejected == old.outliers.ejected == {bad}
+    left = old.outliers.records[bad].until - 100 * S
+    assert new.outliers.records[bad].until == begun + left
+    for server in fleet(4):
+        held, told = new.caches.nodes[server.id], old.caches.nodes[server.id]
+        assert (held.limit.limit, held.limit.took) == (told.limit.limit, told.limit.took)
+        assert (held.pace.usual, held.portion) == (told.pace.usual, told.portion)
+
+
+def test_ejection_that_was_inherited_ends_with_a_trial() -> None:
+    old, begun = experienced(100 * S), 7 * S
+    new = started(settings(), fleet(4), now=begun)
+    inheritance.take(new, inheritance.told(old, 100 * S), begun)
+    bad = fleet(4)[0].id
+    now = begun + 2 * S
+    for i in range(100):
+        send = only_send(new.handle(request(f"t{i}", now, key=f"t{i}"), now))
+        new.handle(ended(send, Outcome.OK), now)
+        if send.server == bad:
+            break
+    assert bad not in new.outliers.ejected
+
+
+def test_strangers_are_passed_over_and_bounds_are_this_process_s() -> None:
+    old, begun = experienced(100 * S), 7 * S
+    message = inheritance.told(old, 100 * S)
+    message["tenants"]["nobody"] = message["tenants"]["a"]
+    message["tenants"]["a"]["limit"] = 10**9
+    message["servers"]["gone"] = [-1.0, 1.0, 1.0, 1.0, 1.0, 1.0]
+    message["ejected"] = {server.id: [10**14, 3, "x"] for server in fleet(4)}
+    new = started(settings(tenants=(Tenant("a", 1.0, 20.0),)), fleet(4), now=begun)
+    inheritance.take(new, message, begun)
+    assert new.guards["a"].limit == 20.0
+    assert set(new.guards) == {"a", ""}
+    assert len(new.outliers.ejected) == 2, "half of the servers at the most"
+    assert all(record.until <= begun + 60 * S for record in new.outliers.records.values())
+
+
+GOOD = inheritance.told(experienced(100 * S), 100 * S)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"form": 2},
+        {"tenants": []},
+        {"tenants": {"a": {"limit": "1", "calls": []}}},
+        {"tenants": {"a": {"limit": -1, "calls": []}}},
+        {"tenants": {"a": {"limit": 1, "calls": [[0, 10**9, 0]]}}},
+        {"tenants": {"a": {"limit": 1, "calls": [[0, 1]]}}},
+        {"servers": {"s": [1, 2, 3]}},
+        {"servers": {"s": [1, 2, 3, 4, 5, 0]}},
+        {"servers": {"s": [1, 2, 3, 4, 5, True]}},
+        {"servers": {"s": [1, math.nan, 3, 4, 5, 1]}},
+        {"ejected": {"s": [1, 0, "x"]}},
+        {"ejected": {"s": [1, 1, 5]}},
+        {"ejected": None},
+    ],
+)
+def test_message_that_is_no_good_changes_nothing(change: dict[str, Any]) -> None:
+    new = started(settings(), fleet(4), now=S)
+    limit = new.guards["a"].limit
+    with pytest.raises(ValueError):  # noqa: PT011
+        inheritance.take(new, {**GOOD, **change}, S)
+    assert new.guards["a"].limit == limit
+    assert new.guards["a"].accepted(S) == 0
+    assert not new.outliers.ejected
+
+
+@pytest.mark.parametrize("message", [None, 3, [], "x", {}])
+def test_what_is_no_message_is_told(message: Any) -> None:
+    with pytest.raises(ValueError, match=r".+"):
+        inheritance.take(started(settings(), fleet(1)), message, S)
--- a/tests/decisions/test_suppressor.py
+++ b/tests/decisions/test_suppressor.py
@@ -40,7 +40,7 @@
 def test_first_call_goes_and_below_the_soft_limit_all_go() -> None:
     guard = suppressor(limit=1.0, window_s=10.0, draw=0.999)
     assert [guard.admit(i * 100 * MS) for i in range(10)] == [True] * 10
-    assert len(guard._calls) == 10
+    assert len(guard.calls) == 10
     assert guard.declined == 0
 
 
@@ -50,7 +50,7 @@
     fill(guard, 0, 688, per_s=12.0)
     now = 59 * S
     fill(guard, now, 12, per_s=100.0)
-    assert len(guard._calls) == 700
+    assert len(guard.calls) == 700
     assert guard.chance(now + 500 * MS) == pytest.approx(10 / 12)
 
 
@@ -65,7 +65,7 @@
     guard = suppressor(draw=draw)
     now = fill(guard, 0, 840, per_s=15.0)
     assert guard.admit(now + 2 * S) is allowed
-    assert len(guard._calls) == 841
+    assert len(guard.calls) == 841
     assert guard.declined == (not allowed)
 
 
@@ -90,7 +90,7 @@
     fill(guard, 0, 50, per_s=100.0)
     assert guard.accepted(9 * S) == 50
     assert guard.accepted(11 * S) == 0
-    assert len(guard._calls) == 0
+    assert len(guard.calls) == 0
 
 
 def test_refusals_alone_do_not_pin_a_tenant_at_the_hard_limit() -> None:
--- a/tests/lifecycle/test_takeover.py
+++ b/tests/lifecycle/test_takeover.py
@@ -13,7 +13,19 @@
 
 from saltport.admin.client import ask, call, server_path
 from tests.lifecycle.upgrades import Load, Process, platform
-from tests.sockets import PATIENCE_S, Peer, bulk, entry, eventually, get, hit, put, start_router
+from tests.sockets import (
+    MISS,
+    PATIENCE_S,
+    Peer,
+    bulk,
+    entry,
+    eventually,
+    get,
+    hit,
+    http_answer,
+    put,
+    start_router,
+)
 
 
 def serving() -> Peer:
@@ -229,3 +241,19 @@
         held.discovery.change(entry(caches["s0"], "s0", lifecycle="draining"), entry(caches["s1"], "s1"))
         for process in (old, new):
             eventually(partial(told_of_one, process), "it is told")
+
+
+def test_next_process_inherits_the_windows_of_the_tenants(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: MISS)
+    origin = Peer(lambda _, message: http_answer(200, b"x"), is_http=True)
+    with platform(tmp_path, {"s1": cache}) as held:
+        held.discovery.change(entry(cache, "s1"), entry(origin, "origin", "origin"))
+        old = held.start().ready()
+        client = held.client()
+        for i in range(50):
+            assert client.ask(get(f"m{i}", f"k{i}")) == b"x"
+        rate = ask(old.admin, "/state")["tenants"]["acme"]["fetches_per_s"]
+        new = held.start().ready()
+        told = ask(new.admin, "/state")["tenants"]["acme"]["fetches_per_s"]
+        assert 0 < told <= rate
+        origin.close()
