--- a/saltport/decisions/inheritance.py
+++ b/saltport/decisions/inheritance.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from saltport.decisions.health import Node
-from saltport.decisions.outliers import Record
+from saltport.decisions.outliers import INTERVAL, Record
 from saltport.structures.tally import Tally
 
 if TYPE_CHECKING:
