A time-out with its request's end leaves the connection to the late answer

Cause: Attempt._timed_out gave up by closing, though nobody sends another attempt then. Now the connection waits for the answer, for the longest deadline more, and makes room when another attempt wants its place. Tests: reuse, a silent node, an answer that never comes.

--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -195,6 +195,7 @@
             "connected": self._clients.connected,
             "shared": self._takeover is not None and self._takeover.shared,
             "servers_may_hold": self._pool.limit,
+            "late": self._pool.late,
         }
         return {**about, **now, "generation": self._discovery.generation, **self._host.view()}
 
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -135,7 +135,10 @@
                 return
         # One that waits for a free connection never ran, and tells nothing of its server.
         queued = not self._begun_at and not host.dialing(self._server)
-        self.give_up(Outcome.MOOT if queued else Outcome.TIMEOUT)
+        if not queued and self._begun_at and now >= self._request.deadline:
+            self.leave(Outcome.TIMEOUT, host.late_s)
+        else:
+            self.give_up(Outcome.MOOT if queued else Outcome.TIMEOUT)
 
     def begun(self) -> None:
         """Its request is written."""
@@ -358,6 +361,8 @@
         self.settings = settings
         self._classes = {cls.name for cls in settings.classes}
         self._probe_timeout = min(cls.aim for cls in settings.classes)
+        self.late_s = max(cls.deadline for cls in settings.classes) / NS_PER_S
+        """For so long a connection waits for an answer that comes too late."""
         self.figures.classes(sorted(self._classes))
 
     def retune(self, settings: Settings) -> None:
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -69,6 +69,28 @@
             connection.close()
         self.end(outcome)
 
+    def leave(self, outcome: Outcome, wait_s: float) -> None:
+        """Stop waiting, and leave the connection to the late answer for so many seconds.
+
+        Danger: only for a request that is over; another attempt would be a second copy while this one is out.
+        """
+        connection = self.connection
+        if connection is None or connection.unsent or not connection.usable:
+            self.give_up(outcome)
+            return
+        connection.leave(LateAnswer(self), wait_s)
+        self.end(outcome)
+
+
+class LateAnswer(Exchange):
+    """Takes the answer to an attempt whose request is over: it is nobody's, but its connection is good."""
+
+    def __init__(self, late: Exchange) -> None:
+        self.request, self.plain, self.kept = late.request, late.plain, late.kept
+
+    def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
+        """Nobody waits for it."""
+
 
 class Connection(asyncio.Protocol):
     """One connection, with at most one exchange on it: an answer never waits behind another's."""
@@ -83,6 +105,7 @@
         self.unsent = False
         self.retired = False
         self._paused = False
+        self._late_timer: asyncio.TimerHandle | None = None
         self._counts = 0  # 1: what is written is an attempt, and counts once the kernel has its last byte
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -129,9 +152,16 @@
         self.transport.write(self.request_bytes(exchange))
         exchange.begun()
 
+    def leave(self, late: LateAnswer, wait_s: float) -> None:
+        """Wait for an answer that nobody wants any more, to carry others after it."""
+        self.exchange, late.connection = late, self
+        self.server.late[self] = None
+        self._late_timer = self.server.pool.loop.call_later(wait_s, self.close)
+
     def close(self) -> None:
         """Close at once; what is unsent is dropped."""
         self.retired = True
+        self._no_longer_late()
         if self.transport is not None:
             self.transport.abort()
 
@@ -147,9 +177,14 @@
             self._paused = False
             self.transport.resume_reading()
 
+    def _no_longer_late(self) -> None:
+        if self.server.late.pop(self, self) is None and self._late_timer is not None:
+            self._late_timer.cancel()
+
     def finish(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """End the exchange on this connection, which may take another."""
         exchange, self.exchange, self.kept = self.exchange, None, True
+        self._no_longer_late()
         # Danger: the last part of a value may find its client full; the next exchange would never be read.
         self.resume()
         self.server.pool.released(self)
@@ -188,6 +223,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange: it never ran if a byte of it was still unsent."""
         self.retired = True
+        self._no_longer_late()
         exchange, self.exchange = self.exchange, None
         self.server.pool.lost(self)
         if exchange is not None:
@@ -203,6 +239,8 @@
         self.idle: list[Connection] = []
         self.connections: set[Connection] = set()
         self.dials: set[asyncio.Task[None]] = set()
+        self.late: dict[Connection, None] = {}
+        """Those that wait for an answer that nobody wants, the oldest first."""
         self.waiting: deque[Exchange] = deque()
 
     @property
@@ -223,7 +261,7 @@
     ) -> None:
         self.touched: Callable[[], None] = lambda: None
         """Called at each event that the kernel had for a connection, before it is dealt with."""
-        self._loop, self.limit, self._dial_timeout = loop, limit, dial_timeout
+        self.loop, self.limit, self._dial_timeout = loop, limit, dial_timeout
         self._whole_limit = limit
         self._idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
@@ -274,7 +312,7 @@
         if server is None or not server.open:
             exchange.end(Outcome.CONNECT_FAILED)
             return
-        oldest = self._loop.time() - self._idle_limit
+        oldest = self.loop.time() - self._idle_limit
         while server.idle:
             connection = server.idle.pop()
             if connection.reusable and connection.idle_since >= oldest:
@@ -296,7 +334,7 @@
                 connection.start(exchange)
                 return
         # Danger: without the time every connection counts as too old, and each request dials anew.
-        connection.idle_since = self._loop.time()
+        connection.idle_since = self.loop.time()
         server.idle.append(connection)
 
     def lost(self, connection: Connection) -> None:
@@ -311,6 +349,11 @@
         self._dial_for(server)
         self._forget(server)
 
+    @property
+    def late(self) -> int:
+        """Connections that wait for an answer that nobody wants any more."""
+        return sum(len(server.late) for server in self._servers.values())
+
     def share(self, shared: bool) -> None:
         """Leave half of the descriptors to another process of this router, while there is one."""
         self.limit = self._whole_limit // 2 if shared else self._whole_limit
@@ -327,14 +370,28 @@
     def _dial_for(self, server: Server) -> None:
         while server.waiting and server.waiting[0].over:
             server.waiting.popleft()
-        while len(server.waiting) > len(server.dials) and server.held < PER_SERVER:
+        while len(server.waiting) > len(server.dials):
+            # Danger: a silent server's late answers must not keep the next attempts from finding out.
+            if server.held >= PER_SERVER and not self._drop_late(server):
+                return
             if self._held >= self.limit and not self._evict():
                 return
             self._held += 1
-            dial = self._loop.create_task(self._dial(server))
+            dial = self.loop.create_task(self._dial(server))
             server.dials.add(dial)
 
+    def _drop_late(self, server: Server) -> bool:
+        if not server.late:
+            return False
+        oldest = next(iter(server.late))
+        server.connections.discard(oldest)
+        self._held -= 1
+        oldest.close()
+        return True
+
     def _evict(self) -> bool:
+        if any(map(self._drop_late, self._servers.values())):
+            return True
         idle = [server.idle[0] for server in self._servers.values() if server.idle]
         if not idle:
             return False
@@ -350,14 +407,14 @@
         connection: Connection | None = None
         own_lag = False
         address = server.address
-        attempt = self._loop.create_connection(lambda: server.connect(server), *address)
-        connecting = self._loop.create_task(attempt)
+        attempt = self.loop.create_connection(lambda: server.connect(server), *address)
+        connecting = self.loop.create_task(attempt)
         task = asyncio.current_task()
         assert task is not None
         try:
-            due = self._loop.time() + self._dial_timeout
+            due = self.loop.time() + self._dial_timeout
             await asyncio.wait((connecting,), timeout=self._dial_timeout)
-            own_lag = self._loop.time() - due > LATE_NOTICE_S
+            own_lag = self.loop.time() - due > LATE_NOTICE_S
             if not connecting.done() and own_lag:
                 await asyncio.wait((connecting,), timeout=LATE_NOTICE_S)
             if connecting.done():
@@ -395,8 +452,8 @@
             self._servers.pop(server.id, None)
 
     def _sweep(self) -> None:
-        self._sweep_timer = self._loop.call_later(SWEEP_S, self._sweep)
-        oldest = self._loop.time() - self._idle_limit
+        self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
+        oldest = self.loop.time() - self._idle_limit
         for server in self._servers.values():
             while server.idle and server.idle[0].idle_since < oldest:
                 server.idle.pop(0).close()
--- a/tests/router/test_routing.py
+++ b/tests/router/test_routing.py
@@ -14,6 +14,7 @@
 import pytest
 import uvloop
 
+from saltport.admin.client import ask
 from saltport.decisions import CacheNote, Outcome
 from saltport.messages import Request, ValueSource
 from saltport.upstream.http import OriginConnection
@@ -626,3 +627,74 @@
             return any(words[1] in its for words in [*good.seen, *noisy.seen])
 
         eventually(given, "keys at the next server")
+
+
+def test_time_out_with_the_request_s_end_leaves_its_connection_to_the_late_answer(tmp_path: Path) -> None:
+    late = threading.Event()
+
+    def serve(_: socket.socket, words: list[bytes]) -> bytes:
+        if words[1] == b"slow":
+            late.wait(PATIENCE_S)
+        return hit(words[2])
+
+    cache = Peer(serve)
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        assert client.ask(get("a1")) == b"a1"
+        assert client.ask(get("a2", "slow", 60)).startswith(b"-BUSY"), "final at once, though it still runs"
+        late.set()
+        eventually(lambda: ask(router.admin, "/state")["late"] == 0, "the late answer has come")
+        assert client.ask(get("a3")) == b"a3"
+        assert cache.accepted == 1
+        assert ask(router.admin, "/stats")["answered"]["get"] == 2
+
+
+def test_late_answers_keep_nobody_from_a_silent_server() -> None:
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        pool = Pool(loop, 64, PATIENCE_S, PATIENCE_S)
+        pool.list_server("s1", ("127.0.0.1", peer.port), CacheConnection)
+        for _ in range(2 * PER_SERVER):
+            exchange = Ask()
+            pool.submit("s1", exchange)
+            while exchange.connection is None:
+                await asyncio.sleep(0.001)
+            exchange.leave(Outcome.TIMEOUT, PATIENCE_S)
+            assert await exchange.came == (Outcome.TIMEOUT, None)
+            server = pool._servers["s1"]
+            assert server.held <= PER_SERVER
+            assert len(server.late) <= PER_SERVER
+        pool.unlist_server("s1")
+        assert all(connection.retired for connection in server.connections)
+        pool.close()
+        await asyncio.sleep(0.05)
+        assert not server.late
+        assert pool._held == 0
+
+    never = threading.Event()
+    peer = Peer(lambda *_: (never.wait(PATIENCE_S) and b"") or b"")
+    uvloop.run(asyncio.wait_for(play(), PATIENCE_S))
+    never.set()
+    peer.close()
+
+
+def test_late_answer_that_never_comes_ends_with_its_connection() -> None:
+    async def play() -> None:
+        pool = Pool(asyncio.get_running_loop(), 64, PATIENCE_S, PATIENCE_S)
+        pool.list_server("s1", ("127.0.0.1", peer.port), CacheConnection)
+        exchange = Ask()
+        pool.submit("s1", exchange)
+        while exchange.connection is None:
+            await asyncio.sleep(0.001)
+        exchange.leave(Outcome.TIMEOUT, 0.05)
+        server = pool._servers["s1"]
+        while server.connections:
+            await asyncio.sleep(0.01)
+        assert not server.late
+        pool.close()
+
+    never = threading.Event()
+    peer = Peer(lambda *_: (never.wait(PATIENCE_S) and b"") or b"")
+    uvloop.run(asyncio.wait_for(play(), PATIENCE_S))
+    never.set()
+    peer.close()
