Tests reserve the ports that routers are to listen at

A socket that is bound and does not listen keeps the port for whoever names it; a router that ends at its start fails its test at once.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -41,9 +41,20 @@
 }
 
 
+_reserved: list[socket.socket] = []
+
+
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return int(listener.getsockname()[1])
+    """A port for a process that is started next; nobody else on this machine is given it meanwhile.
+
+    Danger: one that is only looked up may be another test's by the time the router listens there. Bound and
+    not listening, a socket keeps it from all who ask for any port, and lets one who names it listen.
+    """
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", 0))
+    _reserved.append(held)
+    return int(held.getsockname()[1])
 
 
 def eventually(check: Callable[[], Any], what: str) -> Any:
@@ -340,6 +351,7 @@
     process = start_router(folder, told, more)
     try:
         eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
+        assert process.poll() is None, "the router ended at its start"
         yield Routed(process, port, discovery, folder)
     finally:
         if process.poll() is None:
