One piece each for closing links, dropping connections, listening and asking routers

Read over: what the change wrote twice. Pool._drop for late answers and evictions, Takeover._drop for the link's ends, ClientServer._listen for addresses and sockets, the admin client's ask for GET and PUT (the command line had both), the settings' number check in what is inherited; tenants' guards are retuned once.

--- a/saltport/admin/client.py
+++ b/saltport/admin/client.py
@@ -27,9 +27,9 @@
     return response.status, told
 
 
-def ask(address: Address, path: str, timeout_s: float = 5.0) -> dict[str, Any]:
-    """What a router tells of itself; raises OSError when it can't be reached, ValueError for a no."""
-    status, told = call(address, "GET", path, timeout_s)
+def ask(address: Address, path: str, timeout_s: float = 5.0, method: str = "GET") -> dict[str, Any]:
+    """What a router answers with a yes; raises OSError when it can't be reached, ValueError for a no."""
+    status, told = call(address, method, path, timeout_s)
     if status != 200:
         raise ValueError(str(told.get("error") or status))
     return told
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -94,27 +94,15 @@
 _ROUTER = click.argument("router", type=_ADDRESS, metavar="HOST:PORT")
 
 
-def _ask(router: Address, path: str) -> dict[str, Any]:
+def _ask(router: Address, path: str, method: str = "GET") -> dict[str, Any]:
     from saltport.admin.client import ask
 
     try:
-        return ask(router, path)
+        return ask(router, path, method=method)
     except (OSError, ValueError) as error:
         _wrong(f"{router[0]}:{router[1]}: {getattr(error, 'strerror', None) or error}", 1)
 
 
-def _order(router: Address, path: str) -> None:
-    from saltport.admin.client import call
-
-    try:
-        status, told = call(router, "PUT", path)
-    except (OSError, ValueError) as error:
-        _wrong(f"{router[0]}:{router[1]}: {getattr(error, 'strerror', None) or error}", 1)
-    if status != 200:
-        _wrong(f"{router[0]}:{router[1]}: {told.get('error') or status}", 1)
-    _dump(told)
-
-
 @cli.command()
 @_ROUTER
 def stats(router: Address) -> None:
@@ -129,7 +117,7 @@
     """Send nothing more to a cache server, until `saltport ready`."""
     from saltport.admin.client import server_path
 
-    _order(router, server_path(server, "maint"))
+    _dump(_ask(router, server_path(server, "maint"), "PUT"))
 
 
 @cli.command()
@@ -139,21 +127,21 @@
     """Use a cache server again."""
     from saltport.admin.client import server_path
 
-    _order(router, server_path(server, "ready"))
+    _dump(_ask(router, server_path(server, "ready"), "PUT"))
 
 
 @cli.command()
 @_ROUTER
 def drain(router: Address) -> None:
     """Empty a router: clients are told to go elsewhere, and their connections close."""
-    _order(router, "/healthcheck/fail")
+    _dump(_ask(router, "/healthcheck/fail", "PUT"))
 
 
 @cli.command()
 @_ROUTER
 def resume(router: Address) -> None:
     """Put a drained router back to work."""
-    _order(router, "/healthcheck/ok")
+    _dump(_ask(router, "/healthcheck/ok", "PUT"))
 
 
 @cli.command()
--- a/saltport/decisions/inheritance.py
+++ b/saltport/decisions/inheritance.py
@@ -11,6 +11,7 @@
 
 from saltport.decisions.health import Node
 from saltport.decisions.outliers import INTERVAL, Record
+from saltport.decisions.settings import WireError, number
 from saltport.structures.tally import Tally
 
 if TYPE_CHECKING:
@@ -18,7 +19,6 @@
 
 FORM = 1  # another one is not read
 STEP = 100_000_000  # nanoseconds: calls of one step are told as one count
-MOST = 10**15
 
 
 def told(router: Router, now: int) -> dict[str, Any]:
@@ -49,10 +49,8 @@
     return [limit, node.limit.took, node.limit.work, pace.usual, pace.spread, node.portion]
 
 
-def _number(value: Any, least: float = 0.0) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= MOST:
-        raise ValueError(f"expected a number of at least {least:g}, got {value!r}")
-    return value
+def _number(value: Any, least: float = 0.0) -> Any:
+    return number("what was learnt", value, least)
 
 
 def take(router: Router, message: Any, now: int) -> None:
@@ -63,7 +61,7 @@
         guards = {name: _read_guard(entry) for name, entry in message["tenants"].items()}
         nodes = {name: _read_node(entry) for name, entry in message["servers"].items()}
         ejected = {name: _read_ejection(entry) for name, entry in message["ejected"].items()}
-    except (KeyError, TypeError, AttributeError) as error:
+    except (KeyError, TypeError, AttributeError, WireError) as error:
         raise ValueError(f"{type(error).__name__}: {error}") from None
     for name, (limit, steps) in guards.items():
         guard = router.guards.get(name)
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -198,12 +198,11 @@
         self.settings, held = settings, self.guards
         self._classes = {cls.name: cls for cls in settings.classes}
         tenants = (*settings.tenants, api.Tenant("", 1.0))
-        self.guards = {
-            tenant.name: held.get(tenant.name) or Suppressor(tenant, settings.routers, self._rng)
-            for tenant in tenants
-        }
+        self.guards = {}
         for tenant in tenants:
-            self.guards[tenant.name].retune(tenant, settings.routers)
+            if guard := held.get(tenant.name):
+                guard.retune(tenant, settings.routers)
+            self.guards[tenant.name] = guard or Suppressor(tenant, settings.routers, self._rng)
 
     def handle(self, event: api.Event, now: int) -> list[api.Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -417,18 +417,14 @@
     async def listen(self, address: Address, dialect: Callable[[], ClientDialect] | None = None) -> None:
         """Accept clients at this address, of the server's dialect or another; they share all limits."""
         speaks = dialect or self.dialect
-        listener = await self.loop.create_server(
-            lambda: ClientConnection(self, speaks), *address, backlog=BACKLOG
-        )
-        self._listeners.append(listener)
+        await self._listen(lambda: ClientConnection(self, speaks), host=address[0], port=address[1])
 
     async def listen_at(self, listener: socket.socket) -> None:
         """Accept clients at a socket that somebody else holds too, and that outlives this process."""
-        self._listeners.append(
-            await self.loop.create_server(
-                lambda: ClientConnection(self, self.dialect), sock=listener, backlog=BACKLOG
-            )
-        )
+        await self._listen(lambda: ClientConnection(self, self.dialect), sock=listener)
+
+    async def _listen(self, made: Callable[[], ClientConnection], **where: Any) -> None:
+        self._listeners.append(await self.loop.create_server(made, backlog=BACKLOG, **where))
 
     def adopt(self, connection: socket.socket, pending: bytes) -> None:
         """Take over a client's connection from the process before this one."""
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -108,23 +108,25 @@
     def _look_after(self) -> None:
         """The process after this one says nothing: its end is all there is to hear."""
         assert self._after is not None
-        with suppress(BlockingIOError):
-            try:
-                gone = not self._after.recv(1)
-            except BlockingIOError:
-                raise
-            except OSError:
-                gone = True
-            if gone:
-                self._end_after()
-                self._changed()
+        try:
+            gone = not self._after.recv(1)
+        except BlockingIOError:
+            return
+        except OSError:
+            gone = True
+        if gone:
+            self._end_after()
+            self._changed()
 
     def _end_after(self) -> None:
         assert self._after is not None
-        self._loop.remove_reader(self._after.fileno())
-        self._after.close()
+        self._drop(self._after)
         self._after = None
 
+    def _drop(self, end: socket.socket) -> None:
+        self._loop.remove_reader(end.fileno())
+        end.close()
+
     def give(self, descriptor: int, pending: bytes) -> bool:
         """Give a connection away; False: not now, or to nobody. The caller has to close its own copy."""
         if self._after is None:
@@ -144,8 +146,7 @@
         except OSError:
             message, descriptors = b"", []
         if not message:
-            self._loop.remove_reader(self._before.fileno())
-            self._before.close()
+            self._drop(self._before)
             self._before = None
             self._changed()
             return
@@ -160,8 +161,7 @@
         """Leave; the place in the folder stays with whoever holds it now."""
         for end in (self._before, self._after, self._listener):
             if end is not None:
-                self._loop.remove_reader(end.fileno())
-                end.close()
+                self._drop(end)
         self._before = self._after = self._listener = None
 
 
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -135,7 +135,7 @@
                 return
         # One that waits for a free connection never ran, and tells nothing of its server.
         queued = not self._begun_at and not host.dialing(self._server)
-        if not queued and self._begun_at and now >= self._request.deadline:
+        if self._begun_at and now >= self._request.deadline:
             self.leave(Outcome.TIMEOUT, host.late_s)
         else:
             self.give_up(Outcome.MOOT if queued else Outcome.TIMEOUT)
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -86,7 +86,7 @@
     """Takes the answer to an attempt whose request is over: it is nobody's, but its connection is good."""
 
     def __init__(self, late: Exchange) -> None:
-        self.request, self.plain, self.kept = late.request, late.plain, late.kept
+        self.request = late.request
 
     def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """Nobody waits for it."""
@@ -383,12 +383,15 @@
     def _drop_late(self, server: Server) -> bool:
         if not server.late:
             return False
-        oldest = next(iter(server.late))
-        server.connections.discard(oldest)
-        self._held -= 1
-        oldest.close()
+        self._drop(next(iter(server.late)))
         return True
 
+    def _drop(self, connection: Connection) -> None:
+        """Close a connection that makes room at once."""
+        connection.server.connections.discard(connection)
+        self._held -= 1
+        connection.close()
+
     def _evict(self) -> bool:
         if any(map(self._drop_late, self._servers.values())):
             return True
@@ -396,11 +399,8 @@
         if not idle:
             return False
         oldest = min(idle, key=lambda connection: connection.idle_since)
-        server = oldest.server
-        server.idle.remove(oldest)
-        server.connections.discard(oldest)
-        self._held -= 1
-        oldest.close()
+        oldest.server.idle.remove(oldest)
+        self._drop(oldest)
         return True
 
     async def _dial(self, server: Server) -> None:
