Tests share one operated process, one configuration and two stand-in caches

Read over: routed() and the upgrades' platform each wrote a configuration, the benchmark and a test each measured a process, and four tests each had a cache that holds one key back. Operated, configuration, serving and slow_until stand once in tests/sockets.py; the platform that the upgrade benchmark and the tests share stands beside the benchmark, as the virtual world does.

--- a/tests/lifecycle/upgrades.py
+++ b/benchmarks/platform.py
@@ -3,23 +3,21 @@
 from __future__ import annotations
 
 import os
-import signal
 import socket
-import subprocess
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
-from saltport.address import Address
 from saltport.admin.client import call
 from tests.sockets import (
-    FACTS,
     PATIENCE_S,
     Client,
     DiscoveryPeer,
+    Operated,
     Peer,
+    configuration,
     entry,
     eventually,
     free_port,
@@ -28,34 +26,33 @@
 )
 
 
-class Process:
+class Process(Operated):
     """One process of the router."""
 
-    def __init__(self, process: subprocess.Popen[str], admin: Address) -> None:
-        self.process, self.admin = process, admin
-        self.log = ""
-
     def healthy(self) -> bool:
+        """Whether it takes clients."""
         try:
             return call(self.admin, "GET", "/healthcheck")[0] == 200
         except (OSError, ValueError):
             return False
 
     def ready(self) -> Process:
+        """Wait until it does."""
         eventually(lambda: self.healthy() or self.process.poll() is not None, "it takes clients")
         assert self.process.poll() is None, self.end()
         return self
 
-    def terminate(self) -> None:
-        self.process.send_signal(signal.SIGTERM)
-
     def end(self) -> str:
         """Wait until it has ended; returns its log."""
         _, log = self.process.communicate(timeout=PATIENCE_S)
         assert "Traceback" not in log, log
-        self.log = log
         return log
 
+    @property
+    def gone(self) -> bool:
+        """Whether it has ended."""
+        return self.process.poll() is not None
+
 
 class Platform:
     """Holds the socket, the shared folder, discovery, and every process it started."""
@@ -66,16 +63,10 @@
         self.port = int(self.listener.getsockname()[1])
         self.discovery = DiscoveryPeer([entry(peer, name) for name, peer in caches.items()])
         self.processes: list[Process] = []
-        self.told: dict[str, Any] = {
-            "name": "n1",
-            "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{self.discovery.peer.port}",
-            "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 384},
-            "settings": {**FACTS, **(facts or {})},
-        }
+        self.told = configuration(self.port, self.discovery, sockets=384, facts=facts)
 
     def start(self, **environ: str) -> Process:
+        """Start one more process, beside those that run."""
         admin = ("127.0.0.1", free_port())
         descriptor = self.listener.fileno()
         process = start_router(
@@ -98,6 +89,7 @@
         return new
 
     def client(self) -> Client:
+        """A new connection."""
         return Client(self.port)
 
 
@@ -159,6 +151,7 @@
         eventually(lambda: self.answered >= done + count, f"{count} more answers")
 
     def stop(self) -> None:
+        """Ask no more."""
         self._over.set()
         for client in self._clients:
             client.join()
--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import argparse
-import os
 import sys
 import tempfile
 import time
@@ -18,24 +17,15 @@
 
 import orjson
 
-from tests.lifecycle.upgrades import Load, Process, platform
-from tests.sockets import Peer, eventually, hit
-
-
-def _memory_kb(process: Process) -> int:
-    status = Path(f"/proc/{process.process.pid}/status").read_text()
-    return int(status.split("VmRSS:")[1].split()[0])
-
-
-def _descriptors(process: Process) -> int:
-    return len(os.listdir(f"/proc/{process.process.pid}/fd"))
+from benchmarks.platform import Load, platform
+from tests.sockets import eventually, serving
 
 
 def measure(count: int, clients: int, nodes: int) -> dict[str, object]:
     """Play the upgrades; times are seconds, memory kilobytes."""
     rows: list[dict[str, float]] = []
     with tempfile.TemporaryDirectory(prefix="saltport-upgrades-") as folder:
-        caches = {f"s{i}": Peer(lambda _, words: hit(words[2])) for i in range(nodes)}
+        caches = {f"s{i}": serving() for i in range(nodes)}
         with platform(Path(folder), caches) as held:
             running = held.start().ready()
             load = Load(held, clients)
@@ -44,11 +34,11 @@
                 begun = time.monotonic()
                 following = held.start().ready()
                 ready = time.monotonic() - begun
-                memory = _memory_kb(running) + _memory_kb(following)
-                descriptors = _descriptors(running) + _descriptors(following)
+                memory = running.memory_kb() + following.memory_kb()
+                descriptors = running.descriptors() + following.descriptors()
                 answered = load.answered
                 running.terminate()
-                eventually(lambda old=running: old.process.poll() is not None, "the old one ends")  # type: ignore[misc]
+                eventually(lambda old=running: old.gone, "the old one ends")  # type: ignore[misc]
                 ended = time.monotonic() - begun - ready
                 load.more(20 * clients)
                 row = {
--- a/tests/admin/test_listener.py
+++ b/tests/admin/test_listener.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from saltport.admin.client import ask, call, server_path
+from saltport.admin.client import ask
 from saltport.admin.listener import CALL_S, MAX_BODY, MAX_CALLERS, MAX_HEAD
 from tests.sockets import (
     MISS,
@@ -26,6 +26,7 @@
     put,
     reset,
     routed,
+    serving,
 )
 
 
@@ -44,8 +45,7 @@
 
 @pytest.fixture(scope="module")
 def router(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Routed]:
-    cache = Peer(lambda _, words: hit(words[2]))
-    with routed(tmp_path_factory.mktemp("admin"), {"s1": cache}) as running:
+    with routed(tmp_path_factory.mktemp("admin"), {"s1": serving()}) as running:
         yield running
 
 
@@ -115,24 +115,24 @@
 
 
 def test_unknown_server_is_a_no_and_a_listed_one_a_yes(router: Routed) -> None:
-    assert call(router.admin, "PUT", server_path("never", "maint"))[0] == 404
-    assert call(router.admin, "PUT", server_path("never", "ready"))[0] == 404
-    assert call(router.admin, "PUT", server_path("s1", "maint"))[0] == 200
+    assert router.ban("never") == 404
+    assert router.ban("never", "ready") == 404
+    assert router.ban("s1") == 200
     assert ask(router.admin, "/stats")["cluster_unhealthy"] == 1
-    assert call(router.admin, "PUT", server_path("s1", "ready"))[0] == 200
+    assert router.ban("s1", "ready") == 200
 
 
 def test_many_callers_of_one_server_at_once_leave_it_as_the_last_one_said(router: Routed) -> None:
     def change(state: str) -> None:
         for _ in range(10):
-            assert call(router.admin, "PUT", server_path("s1", state))[0] == 200
+            assert router.ban("s1", state) == 200
 
     callers = [threading.Thread(target=change, args=(state,)) for state in ("maint", "ready") * 4]
     for caller in callers:
         caller.start()
     for caller in callers:
         caller.join()
-    assert call(router.admin, "PUT", server_path("s1", "ready"))[0] == 200
+    assert router.ban("s1", "ready") == 200
     assert ask(router.admin, "/state")["out"] == []
 
 
--- a/tests/lifecycle/test_bans.py
+++ b/tests/lifecycle/test_bans.py
@@ -8,17 +8,13 @@
 
 import pytest
 
-from saltport.admin.client import ask, call, server_path
+from saltport.admin.client import ask
 from saltport.lifecycle.bans import Bans, BanStore
-from tests.sockets import Peer, Routed, entry, eventually, get, hit, routed
+from tests.sockets import Peer, entry, eventually, get, hit, routed, serving
 
 IDS = ["s-1", "ü/ ä", "..", ".", "a%2Eb", "x" * 80, "a\nb"]
 
 
-def ban(router: Routed, server: str, state: str = "maint") -> int:
-    return call(router.admin, "PUT", server_path(server, state))[0]
-
-
 def test_store_gives_back_what_it_was_given(tmp_path: Path) -> None:
     store = BanStore(tmp_path / "out")
     assert store.read() == set()
@@ -75,7 +71,7 @@
 
 
 def test_no_send_follows_the_yes_over_list_changes_and_a_restart(tmp_path: Path) -> None:
-    caches = {f"s{i}": Peer(lambda _, words: hit(words[2])) for i in range(3)}
+    caches = {f"s{i}": serving() for i in range(3)}
     with routed(tmp_path, caches) as router:
         over = threading.Event()
         answered: list[bytes] = []
@@ -94,7 +90,7 @@
         for client in clients:
             client.start()
         eventually(lambda: caches["s0"].seen, "it is in use")
-        assert ban(router, "s0") == 200
+        assert router.ban("s0") == 200
         time.sleep(0.2)  # what was sent before the yes arrives
         before = len(caches["s0"].seen)
         entries = [entry(peer, name) for name, peer in caches.items()]
@@ -102,7 +98,7 @@
         router.discovery.change(*entries)
         restarted = {**entries[0], "startedAtMs": int(time.time() * 1000)}
         router.discovery.change(restarted, *entries[1:])
-        moved = Peer(lambda _, words: hit(words[2]))
+        moved = serving()
         router.discovery.change({**restarted, "hostPort": f"127.0.0.1:{moved.port}"}, *entries[1:])
         done = len(answered)
         eventually(lambda: len(answered) > done + 400, "the others serve")
@@ -110,8 +106,8 @@
         assert not moved.seen
         told = ask(router.admin, "/stats")
         assert (told["cluster_size"], told["cluster_unhealthy"]) == (3, 1)
-        assert ban(router, "s0") == 200
-        assert ban(router, "s0", "ready") == 200
+        assert router.ban("s0") == 200
+        assert router.ban("s0", "ready") == 200
         eventually(lambda: moved.seen, "it is used again, where it is now")
         over.set()
         for client in clients:
@@ -126,19 +122,19 @@
         held.wait(5)
         return hit(words[2])
 
-    first, second = Peer(slow), Peer(lambda _, words: hit(words[2]))
+    first, second = Peer(slow), serving()
     with routed(tmp_path, {"s1": first, "s2": second}) as router:
         clients = [router.client() for _ in range(24)]
         for i, client in enumerate(clients):
             client.send(get(f"w{i}", f"k{i}", d=15_000))
         eventually(lambda: first.seen, "some wait at it")
-        assert ban(router, "s1") == 200
+        assert router.ban("s1") == 200
         held.set()
         assert [client.answer() for client in clients] == [b"w%d" % i for i in range(24)]
 
 
 def test_bans_of_a_process_that_was_killed_hold_in_the_next(tmp_path: Path) -> None:
-    first, second = Peer(lambda _, words: hit(words[2])), Peer(lambda _, words: hit(words[2]))
+    first, second = serving(), serving()
     store = BanStore(tmp_path / "saltport.out")
     store.add("s1")
     with routed(tmp_path, {"s1": first, "s2": second}, known=[entry(first, "s1")]) as router:
@@ -146,5 +142,5 @@
         for i in range(40):
             assert client.ask(get(f"r{i}", f"k{i}")) == b"r%d" % i
         assert not first.seen
-        assert ban(router, "s1", "ready") == 200
+        assert router.ban("s1", "ready") == 200
         assert store.read() == set()
--- a/tests/lifecycle/test_drain.py
+++ b/tests/lifecycle/test_drain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import threading
 import time
 from pathlib import Path
@@ -13,17 +12,9 @@
 from saltport.lifecycle.drain import BY_CALL, Plan, at_the_end
 from saltport.wire.memcached import Opcode, Packet
 from tests.router.test_memcached import Binary, Store, front
-from tests.sockets import PATIENCE_S, Peer, Routed, bulk, eventually, get, hit, routed
+from tests.sockets import PATIENCE_S, Peer, bulk, eventually, get, hit, routed, serving, slow_until
 
-PING = bulk(b"PING")
-
-
-def drain(router: Routed) -> None:
-    assert call(router.admin, "PUT", "/healthcheck/fail")[0] == 200
-
-
-def resume(router: Routed) -> None:
-    assert call(router.admin, "PUT", "/healthcheck/ok")[0] == 200
+PING, DRAIN, RESUME = bulk(b"PING"), "/healthcheck/fail", "/healthcheck/ok"
 
 
 @pytest.mark.parametrize(
@@ -56,16 +47,9 @@
 
 def test_every_kind_of_connection_comes_to_its_end_and_nothing_taken_is_lost(tmp_path: Path) -> None:
     held = threading.Event()
-
-    def serve(_: socket.socket, words: list[bytes]) -> bytes:
-        if words[1] == b"slow":
-            held.wait(PATIENCE_S)
-        return hit(words[2])
-
-    cache = Peer(serve)
     # Nothing that waits here is given up meanwhile.
     patient = {"name": "get", "aimNs": 30 * 10**9, "giveUpNs": 60 * 10**9, "semantics": "retryable"}
-    with routed(tmp_path, {"s1": cache}, facts={"classes": [patient]}) as router:
+    with routed(tmp_path, {"s1": slow_until(held)}, facts={"classes": [patient]}) as router:
         idle, busy, half, asking, pipelined = (router.client() for _ in range(5))
         assert idle.ask(get("a1")) == b"a1"
         assert half.ask(get("a2")) == b"a2"
@@ -74,8 +58,8 @@
         half.send(get("a7")[:20])
         assert asking.ask(PING) == b"+PONG"
         eventually(lambda: ask(router.admin, "/stats")["current"] == 2, "the slow ones are taken")
-        drain(router)
-        drain(router)  # a second call changes nothing
+        assert router.put(DRAIN) == 200
+        assert router.put(DRAIN) == 200  # a second call changes nothing
         assert call(router.admin, "GET", "/healthcheck")[0] == 503
         assert asking.ask(PING).startswith(b"-"), "told on the connection that is open"
         late = router.client()
@@ -92,7 +76,7 @@
         for _ in range(3):
             assert asking.ask(PING).startswith(b"-"), "who only asks is not hung up on"
         eventually(lambda: ask(router.admin, "/state")["connected"] <= 1, "all others have gone")
-        resume(router)
+        assert router.put(RESUME) == 200
         assert router.client().ask(PING) == b"+PONG"
         assert call(router.admin, "GET", "/healthcheck")[0] == 200
         again = router.client()
@@ -101,24 +85,22 @@
 
 
 def test_half_a_command_that_comes_whole_during_the_drain_is_answered(tmp_path: Path) -> None:
-    cache = Peer(lambda _, words: hit(words[2]))
-    with routed(tmp_path, {"s1": cache}) as router:
+    with routed(tmp_path, {"s1": serving()}) as router:
         half = router.client()
         half.send(get("a1")[:20])
         eventually(lambda: ask(router.admin, "/state")["connected"] == 1, "it is there")
-        drain(router)
+        assert router.put(DRAIN) == 200
         half.send(get("a1")[20:])
         assert half.answer() == b"a1"
 
 
 def test_drained_and_back_at_once_keeps_its_connections(tmp_path: Path) -> None:
-    cache = Peer(lambda _, words: hit(words[2]))
-    with routed(tmp_path, {"s1": cache}) as router:
+    with routed(tmp_path, {"s1": serving()}) as router:
         client = router.client()
         assert client.ask(get("a1")) == b"a1"
         for _ in range(5):
-            drain(router)
-            resume(router)
+            assert router.put(DRAIN) == 200
+            assert router.put(RESUME) == 200
         assert client.ask(get("a2")) == b"a2"
         assert client.ask(PING) == b"+PONG"
 
@@ -130,7 +112,7 @@
         client = router.client()
         client.send(get("a1"))
         assert client.stream.readline() == b"$%d\r\n" % len(value)
-        drain(router)
+        assert router.put(DRAIN) == 200
         came = 0
         while came < len(value) + 2:
             came += len(client.stream.read(min(512 << 10, len(value) + 2 - came)))
@@ -140,23 +122,14 @@
 
 def test_sigterm_ends_a_drained_router_and_back_to_work_is_a_no_then(tmp_path: Path) -> None:
     held = threading.Event()
-
-    def serve(_: socket.socket, words: list[bytes]) -> bytes:
-        held.wait(PATIENCE_S)
-        return hit(words[2])
-
-    cache = Peer(serve)
-    with routed(tmp_path, {"s1": cache}) as router:
+    with routed(tmp_path, {"s1": slow_until(held)}) as router:
         client = router.client()
-        client.send(get("a1"))
+        client.send(get("a1", "slow"))
         eventually(lambda: ask(router.admin, "/stats")["current"] == 1, "it is taken")
-        drain(router)
+        assert router.put(DRAIN) == 200
         router.terminate()
 
-        def ending() -> bool:
-            return call(router.admin, "PUT", "/healthcheck/ok")[0] == 500
-
-        eventually(ending, "back to work is refused")
+        eventually(lambda: router.put(RESUME) == 500, "back to work is refused")
         held.set()
         assert client.answer() == b"a1"
         assert router.process.wait(PATIENCE_S) == 0
@@ -167,7 +140,7 @@
     with front(tmp_path, store) as (router, _):
         client = Binary(router.port)
         assert (b"ready", b"yes") in [(p.key, p.value) for p in stat(client)]
-        drain(router)
+        assert router.put(DRAIN) == 200
         assert (b"ready", b"no") in [(p.key, p.value) for p in stat(client)]
 
 
--- a/tests/lifecycle/test_reload.py
+++ b/tests/lifecycle/test_reload.py
@@ -8,7 +8,7 @@
 import signal
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import fields
 from pathlib import Path
 from typing import Any
@@ -69,7 +69,7 @@
 
 
 def test_every_setting_is_taken_live_or_named(tmp_path: Path) -> None:
-    """One that is added later must be put on one of the two lists on purpose."""
+    """What waits for a start is named as it is in the settings."""
     assert set(SETTINGS_AT_START) <= {field.name for field in fields(Settings)}
 
 
@@ -156,16 +156,10 @@
         eventually(lambda: ask(router.admin, "/stats")["current"] == 1, "it is open")
         told = router.told()
 
-        def counted(loaded: int, invalid: int) -> Callable[[], bool]:
-            def check() -> bool:
-                now = ask(router.admin, "/stats")
-                return (now["conf_loaded"], now["conf_invalid"]) == (loaded, invalid)
-
-            return check
-
         for invalid, text in enumerate(("", json.dumps(told)[:-40], "{}"), 1):
             router.reload(text)
-            eventually(counted(0, invalid), "it is turned down")
+            router.until("conf_invalid", invalid)
+            assert router.shows("conf_loaded") == 0
             assert client.ask(get(f"b{invalid}")) == b"b%d" % invalid
         changed = copy.deepcopy(told)
         classes = changed["settings"]["classes"]
@@ -174,7 +168,8 @@
         del classes[1]
         assert client.ask(get("c0").replace(b"c=get", b"c=put")) == b"c0"
         router.reload(json.dumps(changed))
-        eventually(counted(1, 3), "it is taken")
+        router.until("conf_loaded", 1)
+        assert router.shows("conf_invalid") == 3
         assert client.ask(bulk(b"KV.GET", b"k", b"d1", b"c=fresh,t=acme,d=5000")) == b"d1"
         assert client.ask(get("d2").replace(b"c=get", b"c=put")).startswith(b"-ERR"), "a dropped class"
         assert client.ask(get("d3", "breaks")) == b"-ERR failed", "an unsafe one is not sent again"
--- a/tests/lifecycle/test_takeover.py
+++ b/tests/lifecycle/test_takeover.py
@@ -6,13 +6,12 @@
 import signal
 import socket
 import threading
-from functools import partial
 from pathlib import Path
 
 import pytest
 
-from saltport.admin.client import ask, call, server_path
-from tests.lifecycle.upgrades import Load, Process, platform
+from benchmarks.platform import Load, platform
+from saltport.admin.client import ask
 from tests.sockets import (
     MISS,
     PATIENCE_S,
@@ -21,29 +20,14 @@
     entry,
     eventually,
     get,
-    hit,
     http_answer,
     put,
+    serving,
+    slow_until,
     start_router,
 )
 
 
-def serving() -> Peer:
-    return Peer(lambda _, words: hit(words[2]))
-
-
-def taken(process: Process) -> bool:
-    return bool(ask(process.admin, "/stats")["conf_loaded"] == 1)
-
-
-def told_of_one(process: Process) -> bool:
-    return bool(ask(process.admin, "/state")["caches"] == 1)
-
-
-def others_gone(old: Process) -> bool:
-    return old.process.poll() is not None
-
-
 def test_two_upgrades_in_a_row_under_load_close_no_door(tmp_path: Path) -> None:
     with platform(tmp_path, {f"s{i}": serving() for i in range(3)}) as held:
         first = held.start().ready()
@@ -52,7 +36,7 @@
         second = held.upgrade(first)
         load.more(200)
         third = held.upgrade(second)
-        eventually(lambda: others_gone(first) and others_gone(second), "the old ones have ended")
+        eventually(lambda: first.gone and second.gone, "the old ones have ended")
         load.more(200)
         load.stop()
         assert (load.doors, load.wrong) == (0, [])
@@ -62,13 +46,7 @@
 
 def test_command_that_is_half_there_and_one_that_waits_survive(tmp_path: Path) -> None:
     held_back = threading.Event()
-
-    def serve(_: socket.socket, words: list[bytes]) -> bytes:
-        if words[1] == b"slow":
-            held_back.wait(PATIENCE_S)
-        return hit(words[2])
-
-    with platform(tmp_path, {"s1": Peer(serve)}) as held:
+    with platform(tmp_path, {"s1": slow_until(held_back)}) as held:
         old = held.start().ready()
         idle, half, waiting, piped = (held.client() for _ in range(4))
         assert idle.ask(get("a1")) == b"a1"
@@ -87,14 +65,14 @@
         piped.send(get("a5")[25:])
         assert piped.answer() == b"a5"
         assert waiting.ask(get("a7")) == b"a7"
-        eventually(lambda: others_gone(old), "the old one has ended")
+        eventually(lambda: old.gone, "the old one has ended")
         assert ask(new.admin, "/state")["connected"] == 4
         assert held.client().ask(get("a8")) == b"a8"
 
 
 def test_long_write_that_is_half_there_is_answered_by_the_old_one(tmp_path: Path) -> None:
     value = b"w" * (1 << 20)
-    with platform(tmp_path, {"s1": Peer(lambda _, words: hit(words[2]))}, facts={"familyInfo": {}}) as held:
+    with platform(tmp_path, {"s1": serving()}, facts={"familyInfo": {}}) as held:
         old = held.start().ready()
         client = held.client()
         whole = put("w1", value)
@@ -125,16 +103,16 @@
     caches = {f"s{i}": serving() for i in range(3)}
     with platform(tmp_path, caches) as held:
         old = held.start().ready()
-        assert call(old.admin, "PUT", server_path("s0", "maint"))[0] == 200
+        assert old.ban("s0") == 200
         new = held.start().ready()
         assert ask(new.admin, "/state")["out"] == ["s0"], "before its first send"
-        assert call(new.admin, "PUT", server_path("s1", "maint"))[0] == 200
+        assert new.ban("s1") == 200
         eventually(lambda: ask(old.admin, "/state")["out"] == ["s0", "s1"], "the old one follows")
         load = Load(held, 4)
         seen = [len(caches[name].seen) for name in ("s0", "s1")]
         old.terminate()
         load.more(100)
-        assert call(new.admin, "PUT", server_path("s0", "ready"))[0] == 200
+        assert new.ban("s0", "ready") == 200
         eventually(lambda: len(caches["s0"].seen) > seen[0], "it is used again")
         load.stop()
         assert len(caches["s1"].seen) == seen[1]
@@ -147,12 +125,12 @@
         new = held.start().ready()
         for process in (old, new):
             process.process.send_signal(signal.SIGHUP)
-            eventually(partial(taken, process), "it is taken")
-        assert call(old.admin, "PUT", "/healthcheck/fail")[0] == 200
+            process.until("conf_loaded", 1)
+        assert old.put("/healthcheck/fail") == 200
         assert not old.healthy()
         assert new.healthy(), "a drain belongs to its process"
         old.terminate()
-        eventually(lambda: others_gone(old), "it has ended")
+        eventually(lambda: old.gone, "it has ended")
         assert held.client().ask(get("a1")) == b"a1"
 
 
@@ -167,7 +145,7 @@
         os.kill(old.process.pid, signal.SIGCONT)
         old.terminate()
         assert [client.answer() for client in waiting] == [b"b%d" % i for i in range(20)]
-        eventually(lambda: others_gone(old), "the old one has ended")
+        eventually(lambda: old.gone, "the old one has ended")
         assert new.healthy()
 
 
@@ -218,16 +196,12 @@
         load.more(100)
         new = held.start().ready()
         load.more(100)
-        pids = [old.process.pid, new.process.pid]
-        held_now = sum(len(os.listdir(f"/proc/{pid}/fd")) for pid in pids)
-        status = [Path(f"/proc/{pid}/status").read_text() for pid in pids]
-        memory = sum(int(text.split("VmRSS:")[1].split()[0]) for text in status)
-        assert held_now < held.told["limits"]["sockets"]
-        assert memory < 120_000
+        assert old.descriptors() + new.descriptors() < held.told["limits"]["sockets"]
+        assert old.memory_kb() + new.memory_kb() < 120_000
         assert ask(old.admin, "/state")["servers_may_hold"] == ask(new.admin, "/state")["servers_may_hold"]
         shared = ask(new.admin, "/state")["servers_may_hold"]
         old.terminate()
-        eventually(lambda: others_gone(old), "the old one has ended")
+        eventually(lambda: old.gone, "the old one has ended")
         eventually(lambda: ask(new.admin, "/state")["servers_may_hold"] >= 2 * shared, "all are its own")
         load.stop()
         assert load.doors == 0
@@ -240,7 +214,7 @@
         new = held.start().ready()
         held.discovery.change(entry(caches["s0"], "s0", lifecycle="draining"), entry(caches["s1"], "s1"))
         for process in (old, new):
-            eventually(partial(told_of_one, process), "it is told")
+            process.until("caches", 1)
 
 
 def test_next_process_inherits_the_windows_of_the_tenants(tmp_path: Path) -> None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -15,6 +15,9 @@
 from pathlib import Path
 from typing import Any
 
+from saltport.address import Address, parse_address
+from saltport.admin.client import ask, call, server_path
+
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 20.0  # a busy machine's; nothing is expected to take long
 
@@ -83,6 +86,22 @@
     return b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$22\r\nlatency_ms=1.5,queue=2\r\n" % (len(value), value)
 
 
+def serving() -> Peer:
+    """A cache that answers each read with its id."""
+    return Peer(lambda _, words: hit(words[2]))
+
+
+def slow_until(let_go: threading.Event) -> Peer:
+    """The same, but reads of the key `slow` wait until they are let go."""
+
+    def serve(_: socket.socket, words: list[bytes]) -> bytes:
+        if words[1] == b"slow":
+            let_go.wait(PATIENCE_S)
+        return hit(words[2])
+
+    return Peer(serve)
+
+
 MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
 
 
@@ -247,23 +266,49 @@
         self.socket.close()
 
 
-class Routed:
+class Operated:
+    """A running process of a router, as its operators see it."""
+
+    def __init__(self, process: subprocess.Popen[str], admin: Address) -> None:
+        self.process, self.admin = process, admin
+
+    def put(self, path: str) -> int:
+        """The status of a call."""
+        return call(self.admin, "PUT", path)[0]
+
+    def ban(self, server: str, state: str = "maint") -> int:
+        return self.put(server_path(server, state))
+
+    def shows(self, name: str) -> Any:
+        """One of the figures, or a part of the state."""
+        return {**ask(self.admin, "/state"), **ask(self.admin, "/stats")}[name]
+
+    def until(self, name: str, value: Any) -> None:
+        eventually(lambda: self.shows(name) == value, f"{name} is {value}")
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def descriptors(self) -> int:
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def memory_kb(self) -> int:
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.split("VmRSS:")[1].split()[0])
+
+
+class Routed(Operated):
     """A running router and its peers."""
 
     def __init__(
         self, process: subprocess.Popen[str], port: int, discovery: DiscoveryPeer, folder: Path
     ) -> None:
-        self.process, self.port, self.discovery = process, port, discovery
-        self.folder = folder
-        host, _, admin = self.told()["admin_addr"].rpartition(":")
-        self.admin = host, int(admin)
+        self.port, self.discovery, self.folder = port, discovery, folder
+        super().__init__(process, parse_address("admin_addr", self.told()["admin_addr"]))
 
     def client(self) -> Client:
         return Client(self.port)
 
-    def terminate(self) -> None:
-        self.process.send_signal(signal.SIGTERM)
-
     def reload(self, text: str) -> None:
         """Replace the file of the configuration and tell the router."""
         (self.folder / "new.json").write_text(text)
@@ -274,12 +319,18 @@
         told: dict[str, Any] = json.loads((self.folder / "config.json").read_text())
         return told
 
-    def descriptors(self) -> int:
-        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
-    def memory_kb(self) -> int:
-        status = Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(status.split("VmRSS:")[1].split()[0])
+def configuration(
+    port: int, discovery: DiscoveryPeer, sockets: int = 1024, facts: dict[str, Any] | None = None
+) -> dict[str, Any]:
+    return {
+        "name": "n1",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{discovery.peer.port}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "settings": {**FACTS, **(facts or {})},
+    }
 
 
 def start_router(
@@ -338,16 +389,12 @@
     discovery = DiscoveryPeer(entries)
     discovery.junk = discovery_says
     port = free_port()
-    told = {
-        "name": "n1",
-        "listen": f"127.0.0.1:{port}",
-        "discovery": f"127.0.0.1:{discovery.peer.port}",
+    told = configuration(port, discovery, facts=facts) | {
         "admin_addr": f"127.0.0.1:{free_port()}",
-        "seed": "8c1f30d27a5be964",
-        "limits": limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"generation": 0, "reset": True, "instances": known or []},
-        "settings": {**FACTS, **(facts or {})},
     }
+    if limits:
+        told["limits"] = limits
     process = start_router(folder, told, more)
     try:
         eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
