--- a/benchmarks/bulk.py
+++ b/benchmarks/bulk.py
@@ -32,7 +32,7 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-class _Readers:
+class Readers:
     """Clients of long values, and how much they got."""
 
     def __init__(self, router: Routed, count: int, slow: bool) -> None:
@@ -71,6 +71,7 @@
                     time.sleep(SLOW_PAUSE_S)
 
     def stop(self) -> None:
+        """Begin no more values."""
         self._over.set()
         for client in self._clients:
             client.join()
@@ -86,7 +87,7 @@
         short = router.client()
         assert short.ask(get("first")) == b"first"
         rest, cpu = router.memory_kb(), _cpu_s(router)
-        fast, slowly = _Readers(router, clients, False), _Readers(router, slow, True)
+        fast, slowly = Readers(router, clients, False), Readers(router, slow, True)
         took: list[float] = []
         most, end = rest, time.monotonic() + seconds
         while time.monotonic() < end:
--- a/saltport/admin/listener.py
+++ b/saltport/admin/listener.py
@@ -1,13 +1,14 @@
 """The operators' listener: HTTP/1.1, one call a connection, on the router's own loop.
 
 Strangers may connect and say nothing, or half a call: what they hold is bounded in number, bytes and time,
-and the oldest of them makes room for the next caller.
+and the oldest of them makes room for the next caller, once it has had the time that a good one needs.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import socket
 from typing import cast
 
 import httptools
@@ -19,6 +20,7 @@
 MAX_CALLERS = 32
 MAX_HEAD = 8 << 10
 MAX_BODY = 64 << 10  # no call has one, but some callers send one
+GRACE_S = 0.1  # for which a caller keeps its place, however many come: good ones say what they want at once
 CALL_S = 5.0  # in which a call must be whole, and its answer be read
 _REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
@@ -38,12 +40,15 @@
         self._head = self._body = 0
         self._headers_done = self._expects = self._done = False
         self.transport: asyncio.Transport | None = None
+        self.came_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Be counted in; a call that does not come ends by itself."""
         self.transport = cast(asyncio.Transport, transport)
         self._listener.opened(self)
-        self._timer = asyncio.get_running_loop().call_later(CALL_S, self.abort)
+        loop = asyncio.get_running_loop()
+        self.came_at = loop.time()
+        self._timer = loop.call_later(CALL_S, self.abort)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Be counted out."""
@@ -121,24 +126,68 @@
 
 
 class AdminListener:
-    """Accepts callers, a bounded number at a time."""
+    """Accepts callers, a bounded number at a time; the others wait in the kernel."""
 
     def __init__(self, operations: Operations) -> None:
         self.operations = operations
         self._callers: dict[Caller, None] = {}
-        self._server: asyncio.Server | None = None
+        self._coming: set[asyncio.Task[None]] = set()
+        self._socket: socket.socket | None = None
+        self._again: asyncio.TimerHandle | None = None
 
     async def listen(self, address: Address) -> None:
         """Accept callers here; raises OSError."""
+        self._socket = socket.create_server(address, backlog=2 * MAX_CALLERS)
+        self._socket.setblocking(False)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        self._again = None
+        if self._socket is not None:
+            asyncio.get_running_loop().add_reader(self._socket.fileno(), self._accept)
+
+    def _accept(self) -> None:
+        """Take one caller in, or come back when there is a place to be had.
+
+        Danger: were the oldest sent away at once, a crowd that comes again each time would send good callers
+        away before their call is read, and keep this loop busy with nothing else.
+        """
+        assert self._socket is not None
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Caller(self), *address, backlog=2 * MAX_CALLERS)
+        if (wait := self._until_room(loop.time())) > 0:
+            loop.remove_reader(self._socket.fileno())
+            self._again = loop.call_later(wait, self._go_on)
+            return
+        try:
+            connection, _ = self._socket.accept()
+        except OSError:
+            return
+        task = loop.create_task(self._take(connection))
+        self._coming.add(task)
+        task.add_done_callback(self._coming.discard)
 
-    def opened(self, caller: Caller) -> None:
-        """Count a caller in; where there are too many, the oldest makes room."""
-        if len(self._callers) >= MAX_CALLERS:
-            oldest = next(iter(self._callers))
+    async def _take(self, connection: socket.socket) -> None:
+        connection.setblocking(False)
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(lambda: Caller(self), connection)
+        except OSError:  # it has gone again
+            connection.close()
+
+    def _until_room(self, now: float) -> float:
+        """Seconds until a caller can be taken in; 0: now, the oldest having made room if need be."""
+        if len(self._callers) + len(self._coming) < MAX_CALLERS:
+            return 0.0
+        oldest = next(iter(self._callers), None)
+        if oldest is None:
+            return GRACE_S
+        if (wait := oldest.came_at + GRACE_S - now) <= 0:
             self.closed(oldest)
             oldest.abort()
+        return max(wait, 0.0)
+
+    def opened(self, caller: Caller) -> None:
+        """Count a caller in."""
         self._callers[caller] = None
 
     def closed(self, caller: Caller) -> None:
@@ -147,7 +196,11 @@
 
     def close(self) -> None:
         """Take no more calls, and end those that are not whole."""
-        if self._server is not None:
-            self._server.close()
+        if self._again is not None:
+            self._again.cancel()
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket.fileno())
+            self._socket.close()
+            self._socket = None
         for caller in list(self._callers):
             caller.abort()
--- a/tests/admin/test_listener.py
+++ b/tests/admin/test_listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import socket
 import threading
@@ -9,17 +10,21 @@
 from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
+from typing import cast
 
 import pytest
+import uvloop
 
+from saltport.admin.calls import Operations
 from saltport.admin.client import ask
-from saltport.admin.listener import CALL_S, MAX_BODY, MAX_CALLERS, MAX_HEAD
+from saltport.admin.listener import CALL_S, MAX_BODY, MAX_CALLERS, MAX_HEAD, AdminListener
 from tests.sockets import (
     MISS,
     PATIENCE_S,
     Peer,
     Routed,
     eventually,
+    free_port,
     get,
     hit,
     http_answer,
@@ -114,6 +119,31 @@
     assert time.monotonic() - begun >= CALL_S - 0.5, "the last of them had their time"
 
 
+@pytest.mark.parametrize(("grace_s", "answered"), [(1000.0, True), (0.0, False)])
+def test_crowd_sends_nobody_away_before_its_call_can_be_read(
+    monkeypatch: pytest.MonkeyPatch, grace_s: float, answered: bool
+) -> None:
+    monkeypatch.setattr("saltport.admin.listener.GRACE_S", grace_s)
+
+    async def play() -> bytes:
+        listener = AdminListener(cast(Operations, None))
+        address = ("127.0.0.1", free_port())
+        await listener.listen(address)
+        reader, writer = await asyncio.open_connection(*address)
+        crowd = [await asyncio.open_connection(*address) for _ in range(2 * MAX_CALLERS)]
+        writer.write(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
+        try:
+            told = await asyncio.wait_for(reader.read(), PATIENCE_S)
+        except ConnectionResetError:
+            told = b""
+        for _, other in [(reader, writer), *crowd]:
+            other.close()
+        listener.close()
+        return told
+
+    assert uvloop.run(play()).startswith(b"HTTP/1.1 404") == answered
+
+
 def test_unknown_server_is_a_no_and_a_listed_one_a_yes(router: Routed) -> None:
     assert router.ban("never") == 404
     assert router.ban("never", "ready") == 404
