A client whose last answer still lies in the kernel is slow, not idle

Its connection was closed 2 s after the answer had been written, though nothing of it had been taken. The kernel's own count (TIOCOUTQ) tells; one that takes nothing for 10 s is ended as before.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
 import os
 import socket
+import sys
+import termios
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol, cast
@@ -227,7 +230,7 @@
         if self._moves:
             self.depart()
         elif not replies and self._leaves and self.transport is not None:
-            if not self._hand_over():
+            if self.server.successor is None or not self._hand_over():
                 self.transport.close()
         elif not self._reading:
             self._set_reading()
@@ -280,18 +283,21 @@
 
     def finish(self, even_midway: bool) -> None:
         """Go to the other process, or close, once nothing is owed; `even_midway`: also within a command."""
-        if self.transport is None or self.closed:
+        if self.transport is None or self.closed or (self.server.successor is not None and self._goes()):
             return
-        self._set_reading()
-        if self._moves:
-            self.depart()
-        elif not self.replies and self._hand_over():
-            return
-        elif not self.replies and (even_midway or not self._dialect.need):
+        if not self.replies and (even_midway or not self._dialect.need):
             self.transport.close()
         else:
             self._last = even_midway or not self._dialect.need or self._last
 
+    def _goes(self) -> bool:
+        """Whether another process takes it, now or when what is owed allows it."""
+        self._set_reading()
+        if self._moves:
+            self.depart()
+            return True
+        return not self.replies and self._hand_over()
+
     def depart(self) -> None:
         """Go to the process that takes this one's place, if what is owed allows it by now."""
         self._set_reading()
@@ -352,6 +358,8 @@
                 self.abort()
             return
         if self.idle and now - self.used_at >= IDLE_S:
+            if self._takes(now):
+                return
             # Danger: those that only connect, or ask once and stay, would hold descriptors for good.
             self.finish(even_midway=False)
             return
@@ -360,9 +368,26 @@
             log.warning("a client does not finish its command")
             self._break()
 
+    def _takes(self, now: float) -> bool:
+        """Whether its client is still taking what the kernel holds for it: it is slow, and not idle."""
+        assert self.transport is not None
+        size = self.transport.get_write_buffer_size()
+        size += kept_by_kernel(self.transport.get_extra_info("socket").fileno())
+        if size != self._stuck:
+            self._stuck, self.used_at = size, now
+        return bool(size) and now - self.used_at < STALL_S
+
     _stuck = 0  # bytes that waited for the client at the last look
 
 
+def kept_by_kernel(descriptor: int) -> int:
+    """Bytes written to a connection that its other side has not acknowledged; 0 where nobody can tell."""
+    try:
+        return int.from_bytes(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+    except OSError:
+        return 0
+
+
 class ClientServer:
     """The listener and all clients' connections, within their share of descriptors."""
 
--- a/tests/router/test_routing.py
+++ b/tests/router/test_routing.py
@@ -16,6 +16,7 @@
 
 from saltport.admin.client import ask
 from saltport.decisions import CacheNote, Outcome
+from saltport.downstream.clients import IDLE_S, SWEEP_S
 from saltport.messages import Request, ValueSource
 from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import PER_SERVER, Exchange, Pool
@@ -216,6 +217,18 @@
         assert cache.accepted >= 2
 
 
+def test_client_that_takes_its_answers_late_is_not_idle(tmp_path: Path) -> None:
+    value = b"v" * (60 << 10)
+    with routed(tmp_path, {"s1": Peer(lambda _, words: hit(value))}) as router:
+        client = router.client()
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.send(b"".join(get(f"a{i}") for i in range(4)))
+        router.until("current", 0)
+        time.sleep(IDLE_S + 2 * SWEEP_S)
+        assert [client.answer() for _ in range(4)] == [value] * 4
+        assert client.ask(get("a5")) == value
+
+
 def test_connection_is_used_again_and_closed_once_it_has_been_idle(tmp_path: Path) -> None:
     ended = threading.Event()
 
