--- a/saltport/downstream/memcached.py
+++ b/saltport/downstream/memcached.py
@@ -57,8 +57,10 @@
 class MemcachedAnswers:
     """Words one command's reply: its opcode and opaque go back as they came."""
 
-    def __init__(self, asked: Packet, status: Status = Status.INVALID_ARGUMENTS) -> None:
-        self._asked, self._rejection = asked, status
+    def __init__(
+        self, asked: Packet, status: Status = Status.INVALID_ARGUMENTS, ends_batch: bool = False
+    ) -> None:
+        self._asked, self._rejection, self._ends_batch = asked, status, ends_batch
 
     def _packet(self, status: int = 0, extras: bytes = b"", key: bytes = b"", value: bytes = b"") -> bytes:
         asked = self._asked
@@ -107,6 +109,9 @@
             told = {"pid": str(os.getpid()), "version": __version__, "ready": "yes" if ready else "no"}
             pairs = [self._packet(key=name.encode(), value=value.encode()) for name, value in told.items()]
             return b"".join([*pairs, self._packet()])
+        if not ready and not self._ends_batch:
+            # Alone it asks whether the server is well; behind quiet commands it only marks their end.
+            return self._error(Status.BUSY, b"; no clients are taken now")
         return self._packet()
 
 
@@ -121,6 +126,8 @@
         self._rules = rules
         self._reader = PacketReader(REQUEST_MAGIC)
         self._quit: Packet | None = None
+        self._in_batch = False
+        """Whether quiet commands came since the last one that was not."""
 
     @property
     def need(self) -> int:
@@ -156,9 +163,12 @@
 
     def _message(self, packet: Packet) -> tuple[Message, Answers]:
         opcode = packet.opcode
+        ends_batch, self._in_batch = self._in_batch and not packet.quiet, packet.quiet
         if packet.fault:
             return Malformed(packet.fault), MemcachedAnswers(packet)
-        if opcode in (Opcode.NOOP, Opcode.VERSION) or (opcode == Opcode.STAT and not packet.key):
+        if opcode == Opcode.NOOP:
+            return Ping(), MemcachedAnswers(packet, ends_batch=ends_batch)
+        if opcode == Opcode.VERSION or (opcode == Opcode.STAT and not packet.key):
             return Ping(), MemcachedAnswers(packet)
         if opcode not in Opcode.__members__.values() or opcode in _STRANGE:
             return Malformed(""), MemcachedAnswers(packet, Status.UNKNOWN_COMMAND)
