--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+import hashlib
 import os
 import socket
 import threading
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -22,6 +24,7 @@
     eventually,
     free_port,
     get,
+    hit,
     start_router,
 )
 
@@ -57,13 +60,19 @@
 class Platform:
     """Holds the socket, the shared folder, discovery, and every process it started."""
 
-    def __init__(self, folder: Path, caches: dict[str, Peer], facts: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        caches: dict[str, Peer],
+        facts: dict[str, Any] | None = None,
+        sockets: int = 384,
+    ) -> None:
         self.folder = folder
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.port = int(self.listener.getsockname()[1])
         self.discovery = DiscoveryPeer([entry(peer, name) for name, peer in caches.items()])
         self.processes: list[Process] = []
-        self.told = configuration(self.port, self.discovery, sockets=384, facts=facts)
+        self.told = configuration(self.port, self.discovery, sockets=sockets, facts=facts)
 
     def start(self, **environ: str) -> Process:
         """Start one more process, beside those that run."""
@@ -155,3 +164,74 @@
         self._over.set()
         for client in self._clients:
             client.join()
+
+
+class LongReaders:
+    """Clients that read long values at mixed speeds without a pause, and compare what came by digest.
+
+    All run in one loop of a thread of their own. A value that is not whole is cut, one that differs is wrong,
+    and a connection that ends between values ends at the door.
+    """
+
+    STEP = 64 << 10
+
+    def __init__(self, platform: Platform, paces: Sequence[float], values: dict[bytes, bytes]) -> None:
+        """`paces`: bytes a second of each client; `values`: by key, as the nodes serve them."""
+        self.whole = self.cut = self.wrong = self.doors = self.bytes = 0
+        self._port, self._paces = platform.port, paces
+        self._digests = {key: (len(value), hashlib.sha256(value).digest()) for key, value in values.items()}
+        self._over = threading.Event()
+        self._thread = threading.Thread(target=lambda: asyncio.run(self._run()))
+        self._thread.start()
+
+    async def _run(self) -> None:
+        await asyncio.gather(*(self._client(n, pace) for n, pace in enumerate(self._paces)))
+
+    async def _client(self, number: int, pace: float) -> None:
+        keys, count = sorted(self._digests), 0
+        name = f"{os.urandom(4).hex()}{number}x"
+        while not self._over.is_set():
+            reader, writer = await asyncio.open_connection("127.0.0.1", self._port, limit=self.STEP)
+            try:
+                while not self._over.is_set():
+                    key = keys[(number + count) % len(keys)]
+                    count += 1
+                    writer.write(get(f"{name}{count}", key.decode(), d=60_000))
+                    await self._value(reader, key, pace)
+            except (OSError, asyncio.IncompleteReadError):
+                self.doors += 1
+            finally:
+                writer.close()
+
+    async def _value(self, reader: asyncio.StreamReader, key: bytes, pace: float) -> None:
+        length, digest = self._digests[key]
+        head = await reader.readuntil(b"\n")
+        if head != b"$%d\r\n" % length:
+            self.wrong += not head.startswith(b"-BUSY")  # refused: the node's limit, as for any read
+            await asyncio.sleep(0.05)
+            return
+        left, seen = length, hashlib.sha256()
+        while left:
+            part = await reader.read(min(self.STEP, left))
+            if not part:
+                self.cut += 1
+                raise OSError
+            left -= len(part)
+            self.bytes += len(part)
+            seen.update(part)
+            await asyncio.sleep(len(part) / pace)
+        if await reader.readexactly(2) != b"\r\n" or seen.digest() != digest:
+            self.wrong += 1
+        else:
+            self.whole += 1
+
+    def stop(self) -> None:
+        """Begin no more values, and read those that have begun to their end."""
+        self._over.set()
+        self._thread.join()
+
+
+def long_nodes(count: int, values: dict[bytes, bytes]) -> dict[str, Peer]:
+    """Caches that serve these values, and answer other reads with their ids."""
+    serve = lambda _, words: hit(values.get(words[1], words[2]))  # noqa: E731
+    return {f"s{i}": Peer(serve) for i in range(count)}
--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -1,15 +1,16 @@
-"""Upgrades in a row under load: requests that end at the door, and what both processes hold together.
+"""Upgrades in a row under load: what ends at the door or is cut, and what both processes hold together.
 
-    python -m benchmarks.upgrades --count 20 --clients 16
+    python -m benchmarks.upgrades --count 20 --clients 16 --long 200
 
 Real processes on loopback, as the tests' platform starts them; each client keeps its connection and asks
-without a pause. Prints a line an upgrade and JSON at the end; status 1 if a request ended at the door or got
-a wrong answer.
+without a pause, and those of long values read 4 MiB at 0.5 to 8 MiB a second. Prints a line an upgrade and
+JSON at the end; status 1 if a request ended at the door, or a value was cut or not what its node sent.
 """
 
 from __future__ import annotations
 
 import argparse
+import random
 import sys
 import tempfile
 import time
@@ -17,27 +18,44 @@
 
 import orjson
 
-from benchmarks.platform import Load, platform
-from tests.sockets import eventually, serving
+from benchmarks.platform import Load, LongReaders, long_nodes, platform
+from saltport.admin.client import ask
+from tests.sockets import PATIENCE_S, eventually
 
+VALUE = 4 << 20
+SLOWEST, FASTEST = 0.5 * (1 << 20), 8.0 * (1 << 20)
+VALUES = 8
 
-def measure(count: int, clients: int, nodes: int) -> dict[str, object]:
+
+def measure(count: int, clients: int, nodes: int, long: int, seed: int) -> dict[str, object]:
     """Play the upgrades; times are seconds, memory kilobytes."""
     rows: list[dict[str, float]] = []
+    rng = random.Random(seed)
+    values = {b"long%d" % i: rng.randbytes(VALUE) for i in range(VALUES)}
+    paces = [SLOWEST * (FASTEST / SLOWEST) ** rng.random() for _ in range(long)]
     with tempfile.TemporaryDirectory(prefix="saltport-upgrades-") as folder:
-        caches = {f"s{i}": serving() for i in range(nodes)}
-        with platform(Path(folder), caches) as held:
+        caches = long_nodes(nodes, values)
+        sockets = 1024 if long else 384
+        with platform(Path(folder), caches, sockets=sockets) as held:
             running = held.start().ready()
             load = Load(held, clients)
             load.more(20 * clients)
+            readers = LongReaders(held, paces, values)
+            eventually(lambda: ask(running.admin, "/stats")["current"] >= long * 0.8, "values are under way")
             for number in range(count):
                 begun = time.monotonic()
                 following = held.start().ready()
                 ready = time.monotonic() - begun
-                memory = running.memory_kb() + following.memory_kb()
-                descriptors = running.descriptors() + following.descriptors()
                 answered = load.answered
                 running.terminate()
+                memory = descriptors = 0
+                while not running.gone and time.monotonic() - begun < PATIENCE_S:
+                    try:
+                        memory = max(memory, running.memory_kb() + following.memory_kb())
+                        descriptors = max(descriptors, running.descriptors() + following.descriptors())
+                    except (OSError, IndexError):
+                        break  # it ended under our eyes
+                    time.sleep(0.002)
                 eventually(lambda old=running: old.gone, "the old one ends")  # type: ignore[misc]
                 ended = time.monotonic() - begun - ready
                 load.more(20 * clients)
@@ -48,17 +66,25 @@
                     "descriptors": descriptors,
                     "answered_meanwhile": load.answered - answered,
                     "doors": load.doors,
+                    "moved": ask(following.admin, "/state")["taken_over"],
+                    "whole": readers.whole,
+                    "cut": readers.cut,
                 }
                 rows.append(row)
                 print(f"{number + 1}: {row}", file=sys.stderr)
                 running = following
             load.stop()
+            readers.stop()
     return {
         "upgrades": count,
         "clients": clients,
         "answered": load.answered,
-        "doors": load.doors,
-        "wrong": len(load.wrong),
+        "doors": load.doors + readers.doors,
+        "wrong": len(load.wrong) + readers.wrong,
+        "long": long,
+        "whole": readers.whole,
+        "cut": readers.cut,
+        "moved": sum(row["moved"] for row in rows),
         "longest_ready_s": max(row["ready_s"] for row in rows),
         "longest_end_s": max(row["ended_s"] for row in rows),
         "most_memory_kb": max(row["memory_kb"] for row in rows),
@@ -71,10 +97,12 @@
     parser = argparse.ArgumentParser(description="Upgrades in a row under load.")
     parser.add_argument("--count", type=int, default=20)
     parser.add_argument("--clients", type=int, default=16)
-    parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--nodes", type=int, default=16)
+    parser.add_argument("--long", type=int, default=0)
+    parser.add_argument("--seed", type=int, default=1)
     told = measure(**vars(parser.parse_args()))
     print(orjson.dumps(told).decode())
-    return int(bool(told["doors"] or told["wrong"]))
+    return int(any(told[name] for name in ("doors", "wrong", "cut")))
 
 
 if __name__ == "__main__":
