--- a/tests/handover/test_processes.py
+++ b/tests/handover/test_processes.py
@@ -15,6 +15,7 @@
 import pytest
 
 from benchmarks.platform import Platform, Process, platform
+from benchmarks.upgrades import measure
 from saltport.admin.client import ask
 from tests.sockets import MISS, PATIENCE_S, Client, Peer, bulk, entry, eventually, get, hit, http_answer, put
 
@@ -324,3 +325,10 @@
         moved(held, old)
         gate.goes.set()
         assert client.answer() == LONG
+
+
+def test_values_at_mixed_speeds_survive_upgrades_in_a_row() -> None:
+    """`benchmarks.upgrades`, short."""
+    told = measure(count=2, clients=4, nodes=4, long=24, seed=3)
+    assert (told["cut"], told["wrong"], told["doors"]) == (0, 0, 0)
+    assert told["whole"] == 24
