Commands of one connection for one key take effect in their order, on both wires

Need: two SETs of a key and a GET in one batch could reach the origin in any order. decisions/ordering.py (no I/O) says which command of a connection begins: a write when all ahead of it for its key has ended, a read when the writes have; a long read has ended when its value begins. Deadlines count from arrival; one whose time is up while it waits is refused. Behind a write that may have run, the waiting writes are refused as not begun, and reads go on. A client that leaves takes its waiting writes with it. Turned down: holding commands in the connection before the host knows them (deadlines, figures and duplicate ids would have two owners), and an order over all keys (one stuck key would hold all).

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -14,6 +14,7 @@
 from typing import Any, Protocol, cast
 
 from saltport.address import Address
+from saltport.decisions.ordering import KeyOrder
 from saltport.downstream.budget import Budget
 from saltport.downstream.departure import Arrival, Departure, Successor, may_go
 from saltport.downstream.replies import LongAnswer, Reply
@@ -46,8 +47,8 @@
     def touched(self) -> None:
         """The kernel had something for a client's connection."""
 
-    def request_arrived(self, request: Request, reply: Reply) -> None:
-        """A request is whole."""
+    def request_arrived(self, request: Request, reply: Reply, order: KeyOrder[Any]) -> None:
+        """A request is whole; `order` is that of its connection's commands."""
 
     def request_refused(self, asked: Request) -> None:
         """A request is refused, as there are too many clients."""
@@ -71,6 +72,7 @@
         self._departure: Departure | None = None
         self._stays = arrival is not None and arrival.stays
         self._unsent = Unsent()
+        self._order: KeyOrder[Any] = KeyOrder()
         self.carried = False
         """Whether a request ever came; the front asks on connections of its own how the router is."""
         self.transport: asyncio.Transport | None = None
@@ -137,7 +139,8 @@
         if self._reserved:
             self.server.budget.give_back(self._reserved)
         replies, self.replies = self.replies, deque()
-        for reply in replies:
+        # Danger: from the first on, what waits for its turn behind another would begin for nobody.
+        for reply in reversed(replies):
             if not reply.done:
                 self.server.host.client_gone(reply)
 
@@ -197,7 +200,7 @@
         match message:
             case Request() if not self.refusing:
                 self.carried = True
-                self.server.host.request_arrived(message, reply)
+                self.server.host.request_arrived(message, reply, self._order)
                 return
             case Request():
                 self._last = True
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -42,13 +42,14 @@
     views,
 )
 from saltport.decisions.interface import NS_PER_S
+from saltport.decisions.ordering import KeyOrder
 from saltport.downstream.replies import Reply
 from saltport.handover.record import Value
 from saltport.lag import HEARTBEAT_NS, LagMeter
 from saltport.membership.listing import Listing
 from saltport.messages import Request
 from saltport.router.errands import PlainExchange, ProbeExchange
-from saltport.router.requests import NS_PER_MS, Attempt, MovedValue, OpenRequest
+from saltport.router.requests import NS_PER_MS, Attempt, MovedValue, OpenRequest, Order
 from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import Connection, Pool, Server
 from saltport.upstream.resp import CacheConnection
@@ -132,6 +133,9 @@
             return
         request.counted = True
         self.figures.ended(request.asked.request_class, ends)
+        # A refusal only promises that trying again is harmless: repeats of a keyed write are dropped.
+        unknown = ends is not self.figures.answered and (request.ran or request.out > 0)
+        request.took_effect(may_have_run=unknown)
 
     # Settings
 
@@ -158,8 +162,8 @@
 
     # Clients
 
-    def request_arrived(self, asked: Request, reply: Reply) -> None:
-        """Take a request: from here on it is owed one final answer."""
+    def request_arrived(self, asked: Request, reply: Reply, order: Order | None = None) -> None:
+        """Take a request: from here on it is owed one final answer. `order`: that of its connection."""
         request_id = asked.id.decode("ascii")
         if asked.request_class not in self._classes:
             reply.rejected("unknown class")
@@ -170,20 +174,11 @@
             self.request_refused(asked)
             reply.refused()
         else:
-            reply.request = request = OpenRequest(self, request_id, asked, reply)
+            among = KeyOrder() if order is None else order
+            reply.request = request = OpenRequest(self, request_id, asked, reply, among)
             self._requests[request_id] = request
             self.figures.current += 1
-            self.tell(
-                RequestArrived(
-                    request=request_id,
-                    request_class=asked.request_class,
-                    deadline=request.deadline,
-                    tenant=asked.tenant,
-                    key=asked.key.decode(),
-                    write=asked.value is not None,
-                    retry=asked.retry,
-                )
-            )
+            request.arrived()
             return
         reply.forgotten()
 
@@ -224,6 +219,10 @@
             request.reply.refused(-(-retry_after // NS_PER_MS))
         self.settle(request)
 
+    def refuse(self, request: OpenRequest) -> None:
+        """Refuse a request that the module was never told of."""
+        self._final(request.id, 0)
+
     # The list of servers
 
     def servers_changed(self, listing: Listing) -> None:
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from enum import Enum
+from typing import TYPE_CHECKING, TypeAlias
 
-from saltport.decisions import AttemptEnded, CacheNote, ClientGone, Outcome, StreamStarted
+from saltport.decisions import AttemptEnded, CacheNote, ClientGone, Outcome, RequestArrived, StreamStarted
+from saltport.decisions.ordering import NOTHING, KeyOrder
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import Progress
 from saltport.handover.record import Value
@@ -17,32 +19,114 @@
 if TYPE_CHECKING:
     from saltport.router.host import RouterHost
 
+Order: TypeAlias = "KeyOrder[OpenRequest]"
+
 NS_PER_MS = 1_000_000
 LOOK_S = 0.001  # in which the loop looks at the kernel once
 HELD_UP_NS = 5 * NS_PER_MS  # a timer that comes so late tells that the loop was held up
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
 
 
+class Stage(Enum):
+    """Where a request stands among its connection's commands for its key."""
+
+    WAITING = "waiting"
+    BEGUN = "begun"
+    OVER = "over"
+
+
 class OpenRequest:
     """A request that is owed an answer, or has attempts out still."""
 
     __slots__ = (
-        "_host", "asked", "attempts", "closed", "counted", "deadline", "held", "id", "most_attempts", "out",
-        "reply",
+        "_host", "_order", "_stage", "_timer", "asked", "attempts", "closed", "counted", "deadline", "held",
+        "id", "most_attempts", "out", "ran", "reply",
     )  # fmt: skip
 
-    def __init__(self, host: RouterHost, request_id: str, asked: Request, reply: Reply) -> None:
-        self._host = host
+    def __init__(self, host: RouterHost, request_id: str, asked: Request, reply: Reply, order: Order) -> None:
+        self._host, self._order = host, order
+        self._stage = Stage.WAITING
+        self._timer: asyncio.TimerHandle | None = None
         self.id, self.asked, self.reply = request_id, asked, reply
         self.deadline = time.monotonic_ns() + asked.timeout_ms * NS_PER_MS
         self.attempts = self.out = 0
         self.most_attempts = host.settings.max_attempts
         self.closed = False
+        self.ran = False
+        """Whether an attempt ended so that nobody knows if it has run, or may run yet."""
         self.counted = False
         """Whether the figures know its end."""
         self.held: bytes | None = None
         """A write's receipt that the module has not let go yet."""
 
+    def arrived(self) -> None:
+        """Begin, or wait for the commands ahead of its connection that touch its key."""
+        asked = self.asked
+        if self._order.arrives(self, asked.key, asked.value is not None):
+            self._stage = Stage.BEGUN
+            self._begin()
+        else:
+            self._timer = self._host.call_at(self.deadline, self._turn_down)
+
+    def _released(self) -> None:
+        """Its turn has come.
+
+        Danger: begun within the end of the one ahead, it would reach the module before that end does.
+        """
+        self._stage = Stage.BEGUN
+        self._stop_waiting()
+        self._host.loop.call_soon(self._begin)
+
+    def _stop_waiting(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _begin(self) -> None:
+        """From here on the module decides."""
+        asked = self.asked
+        if self.closed:
+            return
+        self._host.tell(
+            RequestArrived(
+                request=self.id,
+                request_class=asked.request_class,
+                deadline=self.deadline,
+                tenant=asked.tenant,
+                key=asked.key.decode(),
+                write=asked.value is not None,
+                retry=asked.retry,
+            )
+        )
+
+    def _turn_down(self) -> None:
+        """It waited for its turn, and gets none: nothing of it was done."""
+        self.took_effect()
+        self._host.refuse(self)
+
+    def took_effect(self, may_have_run: bool = False) -> None:
+        """What waits behind it for its key may go on; told again, it changes nothing."""
+        stage, self._stage = self._stage, Stage.OVER
+        key = self.asked.key
+        if stage is Stage.OVER:
+            return
+        if stage is Stage.WAITING:
+            released = self._order.left(self, key)
+            self._stop_waiting()
+        else:
+            released = self._order.ended(key, self.asked.value is not None, may_have_run)
+            if released is NOTHING:
+                return
+        for request in released.turn_down:
+            request._dismissed()
+        for request in released.begin:
+            request._released()
+
+    def _dismissed(self) -> None:
+        """The order has forgotten it already: a write ahead of it may or may not have run."""
+        self._stage = Stage.OVER
+        self._stop_waiting()
+        self._host.refuse(self)
+
     def client_gone(self) -> None:
         """Its client has left."""
         host, source = self._host, self.reply.source
@@ -207,6 +291,7 @@
             self._timer.cancel()
         request.closed = True
         self._relay(length, source)
+        request.took_effect()
         request.reply.start(length, self)
         self._host.tell(StreamStarted(request.id, self._number))
 
@@ -219,6 +304,7 @@
             self._timer.cancel()
         request, reply = self._request, self._reply
         request.out -= 1
+        request.ran = request.ran or not (outcome is Outcome.OK or outcome.never_ran)
         if self._source is not None:
             self._source = None
             if outcome is Outcome.OK:
