--- a/tests/handover/test_processes.py
+++ b/tests/handover/test_processes.py
@@ -8,7 +8,8 @@
 import socket
 import struct
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -54,6 +55,17 @@
     return new
 
 
+@contextmanager
+def midway(folder: Path) -> Iterator[tuple[Gate, Platform, Process, Client]]:
+    """A process within a long value: its node, its platform, and the client that waits."""
+    gate = Gate()
+    with platform(folder, {"s1": gate.peer}) as held:
+        old, client = held.start().ready(), held.client()
+        client.send(get("c1", "long"))
+        under_way(old)
+        yield gate, held, old, client
+
+
 def test_value_goes_on_with_all_that_stands_behind_it(tmp_path: Path) -> None:
     gate = Gate()
     with platform(tmp_path, {"s1": gate.peer}) as held:
@@ -151,12 +163,7 @@
 
 @pytest.mark.parametrize("who", ["server", "client"])
 def test_death_of_either_side_after_the_move(tmp_path: Path, who: str) -> None:
-    gate = Gate()
-    with platform(tmp_path, {"s1": gate.peer}) as held:
-        old = held.start().ready()
-        client = held.client()
-        client.send(get("c1", "long"))
-        under_way(old)
+    with midway(tmp_path) as (gate, held, old, client):
         new = moved(held, old)
         if who == "client":
             client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -187,12 +194,7 @@
 
 
 def test_successor_that_dies_gives_back_what_it_was_not_given(tmp_path: Path) -> None:
-    gate = Gate()
-    with platform(tmp_path, {"s1": gate.peer}) as held:
-        old = held.start().ready()
-        client = held.client()
-        client.send(get("c1", "long"))
-        under_way(old)
+    with midway(tmp_path) as (gate, held, old, client):
         new = held.start().ready()
         os.kill(new.process.pid, signal.SIGKILL)
         new.process.communicate(timeout=PATIENCE_S)
@@ -232,12 +234,7 @@
 
 
 def test_record_that_is_turned_down_goes_on_in_the_old_process(tmp_path: Path) -> None:
-    gate = Gate()
-    with platform(tmp_path, {"s1": gate.peer}) as held:
-        old = held.start().ready()
-        client = held.client()
-        client.send(get("c1", "long"))
-        under_way(old)
+    with midway(tmp_path) as (gate, _held, old, client):
         with joined(tmp_path, b"H1") as link:
             assert link.recv(1 << 20)[:1] == b"L"
             old.terminate()
@@ -313,12 +310,7 @@
 
 def test_folder_that_others_can_write_is_not_trusted(tmp_path: Path) -> None:
     tmp_path.chmod(0o777)
-    gate = Gate()
-    with platform(tmp_path, {"s1": gate.peer}) as held:
-        old = held.start().ready()
-        client: Client = held.client()
-        client.send(get("c1", "long"))
-        under_way(old)
+    with midway(tmp_path) as (gate, held, old, client):
         assert not (tmp_path / "saltport.takeover").exists()
         inner = tmp_path / f"saltport-{os.getuid()}"
         assert inner.stat().st_mode & 0o777 == 0o700
