Tenants of memcached clients by the longest prefix of the key

The wire has no field for a tenant; until now all keys of a listener were one tenant's. decisions/tenancy.py (no I/O) looks once for each length that occurs; the file's table is checked for unknown tenants and prefixes that no key has. Turned down: a trie here (a look-up for each length costs less at some tens of prefixes; cells will bring one if it measures better), and stripping the prefix (nodes and origin would see other keys on the two wires).

--- a/saltport/downstream/memcached.py
+++ b/saltport/downstream/memcached.py
@@ -14,6 +14,7 @@
 from itertools import count
 
 from saltport import __version__
+from saltport.decisions.tenancy import Prefixes
 from saltport.downstream.words import check_key
 from saltport.messages import Answers, ClientDialect, Malformed, Message, Ping, Request
 from saltport.wire.memcached import (
@@ -50,7 +51,7 @@
     read_class: str
     write_class: str
     delete_class: str
-    tenant: str | None
+    tenants: Prefixes
     deadline_ms: int
 
 
@@ -191,12 +192,13 @@
             value = packet.value
             # The wire has no idempotency key: this one covers the router's own repeats, not the client's.
             info += f",k={name}"
-        info = f"c={request_class}," + (f"t={rules.tenant}," if rules.tenant else "") + info
+        tenant = rules.tenants.tenant(packet.key)
+        info = f"c={request_class}," + (f"t={tenant}," if tenant else "") + info
         return Request(
             name.encode(),
             packet.key,
             request_class,
-            rules.tenant,
+            tenant,
             rules.deadline_ms,
             value,
             False,
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -306,6 +306,6 @@
     from saltport.downstream.memcached import MemcachedDialect, MemcachedRules  # only where it is on
 
     rules = MemcachedRules(
-        told.read_class, told.write_class, told.delete_class, told.tenant or None, told.deadline_ms
+        told.read_class, told.write_class, told.delete_class, told.tenants(), told.deadline_ms
     )
     return partial(MemcachedDialect, rules)
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -8,13 +8,14 @@
 import importlib.util
 import tomllib
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
 from saltport.address import parse_address
 from saltport.decisions import Effect, Fill, HotKeySettings, Settings
 from saltport.decisions.interface import DEFAULT_SLOTS
+from saltport.decisions.tenancy import Prefixes
 
 _HOT = HotKeySettings()
 
@@ -73,9 +74,15 @@
     write_class: str = ""
     delete_class: str = ""
     tenant: str = ""
-    """Of all of them; empty: of none."""
+    """Of all keys without a prefix of their own; empty: of none."""
+    tenant_prefixes: dict[str, str] = field(default_factory=dict)
+    """By prefix of the key, the longest that fits."""
     deadline_ms: int = 0
 
+    def tenants(self) -> Prefixes:
+        """Whose keys are; raises ValueError."""
+        return Prefixes(self.tenant_prefixes, self.tenant or None)
+
     @property
     def on(self) -> bool:
         """Whether any listener takes them."""
@@ -114,8 +121,16 @@
             raise FeatureError(f"memcached.{name}: {getattr(told, name)!r} is none of {', '.join(classes)}")
     if classes[told.read_class].effect is not Effect.SAFE:
         raise FeatureError(f"memcached.read_class: repeats of {told.read_class!r} do harm; reads' do not")
-    if told.tenant and told.tenant not in {tenant.name for tenant in settings.tenants}:
+    known = {tenant.name for tenant in settings.tenants}
+    if told.tenant and told.tenant not in known:
         raise FeatureError(f"memcached.tenant: {told.tenant!r} is unknown")
+    for prefix, tenant in told.tenant_prefixes.items():
+        if tenant not in known:
+            raise FeatureError(f"memcached.tenant_prefixes: {prefix!r}: {tenant!r} is unknown")
+    try:
+        told.tenants()
+    except ValueError as error:
+        raise FeatureError(f"memcached.tenant_prefixes: {error}") from None
     if not told.deadline_ms:
         raise FeatureError("memcached.deadline_ms: must be above 0, as the wire tells no deadlines")
     if told.listen:
@@ -145,6 +160,10 @@
     return isinstance(value, str)
 
 
+def _names(value: Any) -> bool:
+    return isinstance(value, dict) and all(map(_text, value.values()))
+
+
 def _bool(value: Any) -> bool:
     return isinstance(value, bool)
 
@@ -159,6 +178,7 @@
         "write_class": (_text, "the name of a class"),
         "delete_class": (_text, "the name of a class"),
         "tenant": (_text, "the name of a tenant, or nothing"),
+        "tenant_prefixes": (_names, "a table of prefixes and names of tenants"),
         "deadline_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000"),
     },
     "hot_keys": {
--- a/tests/downstream/test_memcached.py
+++ b/tests/downstream/test_memcached.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
+from saltport.decisions.tenancy import Prefixes
 from saltport.downstream.memcached import EitherDialect, MemcachedDialect, MemcachedRules
 from saltport.downstream.resp import RespDialect
 from saltport.messages import Answers, Malformed, Message, Ping, Request
@@ -17,7 +20,9 @@
     encode,
 )
 
-RULES = MemcachedRules("get", "put", "drop", "acme", 800)
+RULES = MemcachedRules(
+    "get", "put", "drop", Prefixes({"a": "acme", "ab": "other", "abc/": "acme"}, "acme"), 800
+)
 NO_META = bytes(8)
 READS = [Opcode.GET, Opcode.GETQ, Opcode.GETK, Opcode.GETKQ]
 NOT_KEPT = [
@@ -110,6 +115,39 @@
     assert told(answers.rejected(message.reason))[0].status == Status.INVALID_ARGUMENTS
 
 
+@pytest.mark.parametrize(
+    ("key", "tenant"),
+    [
+        (b"k", "acme"),
+        (b"a", "acme"),
+        (b"ab", "other"),
+        (b"abc", "other"),
+        (b"abc/x", "acme"),
+        (b"b/abc", "acme"),
+    ],
+)
+def test_a_key_is_the_tenant_s_with_the_longest_prefix(key: bytes, tenant: str) -> None:
+    message, _ = read(Packet(Opcode.GET, key))
+    assert isinstance(message, Request)
+    assert (message.tenant, b"t=%b," % tenant.encode() in message.info) == (tenant, True)
+
+
+@pytest.mark.parametrize("prefix", ["", "a b", "x" * 251])
+def test_prefixes_that_no_key_has_are_refused(prefix: str) -> None:
+    with pytest.raises(ValueError, match="no prefix"):
+        Prefixes({prefix: "acme"}, None)
+
+
+def test_ten_thousand_keys_agree_with_a_look_at_every_prefix() -> None:
+    rng = random.Random(5)
+    told = {"".join(rng.choices("ab/", k=rng.randrange(1, 7))): f"t{n}" for n in range(300)}
+    prefixes = Prefixes(told, None)
+    for _ in range(10_000):
+        key = "".join(rng.choices("ab/", k=rng.randrange(9)))
+        fitting = [prefix for prefix in told if key.startswith(prefix)]
+        assert prefixes.tenant(key.encode()) == (told[max(fitting, key=len)] if fitting else None)
+
+
 def test_noop_version_and_stat() -> None:
     message, answers = read(Packet(Opcode.NOOP, opaque=4))
     assert isinstance(message, Ping)
--- a/tests/router/test_memcached.py
+++ b/tests/router/test_memcached.py
@@ -214,6 +214,9 @@
         ("deadline_ms = 0", "memcached.deadline_ms: must be above 0"),
         ('listen = "nowhere"', "memcached.listen"),
         ("shared = 1", "memcached.shared: expected true or false"),
+        ('tenant_prefixes = {"x/" = "nobody"}', "memcached.tenant_prefixes: 'x/': 'nobody' is unknown"),
+        ('tenant_prefixes = {"" = "acme"}', "memcached.tenant_prefixes: '' is no prefix"),
+        ('tenant_prefixes = "x"', "memcached.tenant_prefixes: expected a table"),
     ],
 )
 def test_slips_are_told_with_their_place(tmp_path: Path, line: str, words: str) -> None:
