A full client's server is never given up as silent

A traced copy showed moved values that got up to 1.2 MB at once, nothing for just 2.0 s, and were cut with RESET. Ruled out: the old process (it had ended), the client (it stood), the link. Cause: Relay.value_came took back what pause had said. A part that was on its way when the client became full (an adopted connection reads before it can be paused; a value that waits behind another answer has its first part) started the count of silence on a connection that nobody reads. Also no connection is frozen within a read of its own: what of that is not passed on yet would be nobody's.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -70,6 +70,8 @@
         self.server = server
         self._arrival = arrival
         self._departure: Departure | None = None
+        self._within = False
+        """Whether commands are being taken just now."""
         self._stays = arrival is not None and arrival.stays
         self._unsent = Unsent()
         self._order: KeyOrder[Any] = KeyOrder()
@@ -101,6 +103,7 @@
         """Owe what another process owed, and read on where it stopped."""
         record = arrival.record
         self.carried = record.carried
+        self._within = True
         for segment in record.segments:
             reply = Reply(self)
             reply.go_on(segment)
@@ -112,6 +115,7 @@
         if self.replies:
             self.replies[0].its_turn()
             self.flush()
+        self._within = False
         if record.command:
             self.data_received(record.command)
 
@@ -147,11 +151,14 @@
     def data_received(self, data: bytes) -> None:
         """Read what has come; a fault in doing so ends only this connection."""
         self.server.host.touched()
+        self._within = True
         try:
             self._read(data)
         except Exception:
             log.exception("reading a command failed")
             self.abort()
+        finally:
+            self._within = False
 
     def _read(self, data: bytes) -> None:
         reader = self._dialect
@@ -305,7 +312,10 @@
         """Go to the process that takes this one's place, if what is owed allows it by now."""
         self._set_reading()
         transport, successor = self.transport, self.server.successor
-        if self._departure is not None or self.closed or transport is None or transport.is_closing():
+        # Danger: within a batch, the commands that are not taken yet would be in nobody's hands.
+        if self._within or self._departure is not None or self.closed:
+            return
+        if transport is None or transport.is_closing():
             return
         if successor is None or self.server.departing >= successor.room:
             return  # looked at again in a moment: meanwhile its values go on
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -160,7 +160,9 @@
     def value_came(self, data: bytes) -> None:
         """Pass a part of a long value on."""
         if self._source is not None:
-            self._came_at = self._host.loop.time()
+            # Danger: what was on its way when the client was full says nothing of what follows; counted, a
+            # server that is not read would be given up as silent.
+            self._came_at = max(self._came_at, self._host.loop.time())
             self._given += len(data)
             self._reply.part(data)
 
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -108,6 +108,8 @@
         self.unsent = False
         self.retired = False
         self._paused = False
+        self._within = False
+        """Whether a part of an answer is being read just now."""
         self._late_timer: asyncio.TimerHandle | None = None
         self._counts = 0  # 1: what is written is an attempt, and counts once the kernel has its last byte
 
@@ -172,7 +174,8 @@
     @property
     def movable(self) -> bool:
         """Whether another process could read on here."""
-        alive = self.transport is not None and not self.transport.is_closing()
+        # Danger: within a read, the part of it that is not passed on yet would be in nobody's hands.
+        alive = self.transport is not None and not self.transport.is_closing() and not self._within
         return alive and not self.unsent and self.exchange is not None and self.flow() is not None
 
     def suspend(self) -> tuple[Flow, int]:
@@ -243,11 +246,14 @@
             if self.usable:
                 self.spoil("sent an answer that nobody asked for")
             return
+        self._within = True
         try:
             self.answer_came(data)
         except Exception:
             log.exception("%s: reading an answer failed", self.server.id)
             self.spoil("reading an answer failed")
+        finally:
+            self._within = False
 
     @abstractmethod
     def request_bytes(self, exchange: Exchange) -> bytes:
