--- /dev/null
+++ b/tests/binary.py
@@ -0,0 +1,83 @@
+"""A scripted memcached client, and an origin that keeps what it is given, behind the real router."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from saltport.wire.memcached import REQUEST_MAGIC, RESPONSE_MAGIC, Packet, PacketReader, encode
+from tests.sockets import MISS, PATIENCE_S, Peer, Routed, free_port, hit, http_answer, routed
+
+FRONT = """
+[memcached]
+shared = true
+listen = "127.0.0.1:{port}"
+read_class = "get"
+write_class = "put"
+delete_class = "put"
+tenant = "acme"
+deadline_ms = 5000
+"""
+
+
+class Store:
+    """An origin that keeps what it is given, and caches that miss until it has been asked."""
+
+    def __init__(self) -> None:
+        self.values: dict[bytes, bytes] = {}
+        self.writes: list[tuple[bytes, bytes, bytes]] = []
+        self.cache = Peer(self._cached)
+        self.origin = Peer(self._origin, is_http=True)
+
+    def _cached(self, _: socket.socket, words: list[bytes]) -> bytes:
+        return MISS if words[1].startswith(b"cold") else self._hit(words[1])
+
+    def _hit(self, key: bytes) -> bytes:
+        return hit(self.values[key]) if key in self.values else MISS
+
+    def _origin(self, _: socket.socket, message: list[bytes]) -> bytes:
+        method, target, head, body = message
+        key = target[1:]
+        if method == b"PUT":
+            self.writes.append((key, body, head))
+            self.values[key] = body
+            return http_answer(200, b"receipt")
+        if key == b"broken":
+            return http_answer(500)
+        return http_answer(200, self.values.get(key, b"fresh " + key))
+
+
+@contextmanager
+def front(folder: Path, store: Store) -> Iterator[tuple[Routed, int]]:
+    port = free_port()
+    features = folder / "memcached.toml"
+    features.write_text(FRONT.format(port=port))
+    with routed(folder, {"s1": store.cache}, store.origin, more=["--with", str(features)]) as router:
+        yield router, port
+
+
+class Binary:
+    """A scripted client."""
+
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
+        self._reader, self._read = PacketReader(RESPONSE_MAGIC), list[Packet]()
+
+    def send(self, *packets: Packet) -> None:
+        self.socket.sendall(b"".join(encode(packet, REQUEST_MAGIC) for packet in packets))
+
+    def answers(self, count: int) -> list[Packet]:
+        while len(self._read) < count:
+            data = self.socket.recv(65536)
+            assert data, "closed"
+            self._read += self._reader.feed(data)
+        told, self._read = self._read[:count], self._read[count:]
+        return told
+
+    def at_end(self) -> bool:
+        try:
+            return self.socket.recv(1) == b""
+        except ConnectionResetError:
+            return True
--- a/tests/lifecycle/test_drain.py
+++ b/tests/lifecycle/test_drain.py
@@ -11,7 +11,7 @@
 from saltport.admin.client import ask, call
 from saltport.lifecycle.drain import BY_CALL, Plan, at_the_end
 from saltport.wire.memcached import Opcode, Packet
-from tests.router.test_memcached import Binary, Store, front
+from tests.binary import Binary, Store, front
 from tests.sockets import PATIENCE_S, Peer, bulk, eventually, get, hit, routed, serving, slow_until
 
 PING, DRAIN, RESUME = bulk(b"PING"), "/healthcheck/fail", "/healthcheck/ok"
