--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -68,7 +68,10 @@
         caches: dict[str, Peer],
         facts: dict[str, Any] | None = None,
         sockets: int = 384,
+        more: Sequence[str] = (),
     ) -> None:
+        """`more`: further words for each process's command line."""
+        self._more = more
         self.folder = folder
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.port = int(self.listener.getsockname()[1])
@@ -83,6 +86,7 @@
         process = start_router(
             self.folder,
             self.told,
+            self._more,
             environ={
                 "LB_SOCKET_FD": str(descriptor),
                 "LB_ADMIN_ADDR": "{}:{}".format(*admin),
--- a/tests/handover/test_processes.py
+++ b/tests/handover/test_processes.py
@@ -20,7 +20,22 @@
 from benchmarks.upgrades import measure
 from saltport.admin.client import ask
 from saltport.router.requests import STALL_S
-from tests.sockets import MISS, PATIENCE_S, Client, Peer, bulk, entry, eventually, get, hit, http_answer, put
+from saltport.wire.memcached import REQUEST_MAGIC, Opcode, Packet, encode
+from tests.binary import FRONT, Binary
+from tests.sockets import (
+    MISS,
+    PATIENCE_S,
+    Client,
+    Peer,
+    bulk,
+    entry,
+    eventually,
+    free_port,
+    get,
+    hit,
+    http_answer,
+    put,
+)
 
 LONG = random.Random(7).randbytes(1 << 20)
 NOTE = b"\r\n$3\r\nhit\r\n$-1\r\n"
@@ -133,6 +148,25 @@
         origin.close()
 
 
+def test_value_on_the_memcached_wire_and_a_packet_half_read(tmp_path: Path) -> None:
+    gate, file = Gate(), tmp_path / "memcached.toml"
+    file.write_text(FRONT.format(port=free_port()).replace("listen", "# listen"))
+    with platform(tmp_path, {"s1": gate.peer}, more=["--with", str(file)]) as held:
+        old = held.start().ready()
+        client = Binary(held.port)
+        last = encode(Packet(Opcode.GETK, b"k3", opaque=3), REQUEST_MAGIC)
+        client.send(Packet(Opcode.GET, b"long", opaque=1), Packet(Opcode.GETQ, b"k2", opaque=2))
+        client.socket.sendall(last[:20])
+        eventually(lambda: len(gate.peer.seen) == 2, "both are asked")
+        under_way(old)
+        moved(held, old)
+        gate.goes.set()
+        client.socket.sendall(last[20:])
+        first, second, third = client.answers(3)
+        assert (first.opaque, first.value) == (1, LONG)
+        assert (second.opaque, third.opaque, third.key) == (2, 3, b"k3")
+
+
 def test_several_values_on_one_connection_and_two_upgrades(tmp_path: Path) -> None:
     gate = Gate()
     with platform(tmp_path, {"s1": gate.peer}) as held:
