One look at what waits for a slow client, and one way to refuse a command whose time is up

Read over: the refusal told the order twice (counting the end does), the check of what a client takes stood twice, and a docstring named a call that is not there. Behaviour is meant to be the same; the tests of order, routing, handover and the operators' door pass.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -367,9 +367,7 @@
             self._unsent.trim(self.transport.get_write_buffer_size())
         if self.blocked:
             assert self.transport is not None
-            size = self.transport.get_write_buffer_size()
-            if size != self._stuck:
-                self._stuck, self.used_at = size, now
+            self._look_at(self.transport.get_write_buffer_size(), now)
             if now - self.used_at > STALL_S:
                 log.warning("a client takes nothing of its answer")
                 self.abort()
@@ -390,9 +388,13 @@
         assert self.transport is not None
         size = self.transport.get_write_buffer_size()
         size += kept_by_kernel(self.transport.get_extra_info("socket").fileno())
+        self._look_at(size, now)
+        return bool(size) and now - self.used_at < STALL_S
+
+    def _look_at(self, size: int, now: float) -> None:
+        """So many bytes wait for the client; it takes some as long as their number changes."""
         if size != self._stuck:
             self._stuck, self.used_at = size, now
-        return bool(size) and now - self.used_at < STALL_S
 
     _stuck = 0  # bytes that waited for the client at the last look
 
--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -101,7 +101,7 @@
         return b"".join(self._held or ())
 
     def go_on(self, segment: Segment) -> None:
-        """Begin with what another process held here; a value behind it gets its source by `start_again`."""
+        """Begin with what another process held here; a value behind it gets its source from the host."""
         self._held = [segment.data] if segment.data else None
         self.done = segment.value is None
         self.tail = segment.value.tail if segment.value is not None else b""
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -66,7 +66,7 @@
             self._stage = Stage.BEGUN
             self._begin()
         else:
-            self._timer = self._host.call_at(self.deadline, self._turn_down)
+            self._timer = self._host.call_at(self.deadline, self._too_late)
 
     def _released(self) -> None:
         """Its turn has come.
@@ -98,9 +98,8 @@
             )
         )
 
-    def _turn_down(self) -> None:
-        """It waited for its turn, and gets none: nothing of it was done."""
-        self.took_effect()
+    def _too_late(self) -> None:
+        """Its time is up while it waits: nothing of it was done."""
         self._host.refuse(self)
 
     def took_effect(self, may_have_run: bool = False) -> None:
