--- /dev/null
+++ b/benchmarks/peers_world.py
@@ -0,0 +1,159 @@
+"""Membership in virtual time: N agents, links that lose and cut, pauses, deaths and restarts, by seed."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from saltport.peers.agent import Agent, Told
+from saltport.peers.messages import Packet
+from saltport.peers.outbox import Identity
+from saltport.peers.settings import NS_PER_MS, NS_PER_S, PeerSettings
+
+DELAY = (NS_PER_MS, 6 * NS_PER_MS)
+ZONES = ("a", "b", "c")
+
+Cut = Callable[[int, int, int], bool]
+"""Whether nothing gets from one place to another at this time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What a router believed of another, and when."""
+
+    at: int
+    by: str
+    told: Told
+
+
+def name_of(place: int) -> str:
+    """Of the router at this place."""
+    return f"r{place}"
+
+
+class World:
+    """All routers and the links between them."""
+
+    def __init__(
+        self, count: int, seed: int, settings: PeerSettings | None = None, agent: type[Agent] = Agent
+    ) -> None:
+        self.settings, self.rng, self.now = settings or PeerSettings(), random.Random(seed), NS_PER_S
+        self._agent = agent
+        self.loss = 0.0
+        self.cuts: list[Cut] = []
+        self.agents: dict[int, Agent] = {}
+        self.paused: dict[int, int] = {}
+        self.seen: list[Seen] = []
+        self.places = list(range(count))
+        self._events: list[tuple[int, int, int, int, Packet | None, int]] = []
+        self._count = 0
+        self._starts: dict[int, int] = {}
+
+    # Acts
+
+    def start(self, place: int, clock: int = 1_000, name: str | None = None) -> Agent:
+        """A process comes up at this place; `clock` gives its start number."""
+        self._starts[place] = self._starts.get(place, 0) + 1
+        agent = self._agent(
+            Identity(name or name_of(place), clock, place, ZONES[place % len(ZONES)]), self.places,
+            self.settings, random.Random(self.rng.getrandbits(32)), self.now,
+        )  # fmt: skip
+        self.agents[place] = agent
+        self.paused.pop(place, None)
+        self._turn_at(place, self.now + self.rng.randrange(100 * NS_PER_MS))
+        return agent
+
+    def start_all(self, within: int = 300 * NS_PER_MS) -> None:
+        """All of them, spread over so long."""
+        begun = self.now
+        for place in sorted(self.places, key=lambda _: self.rng.random()):
+            self.run(until=begun + self.rng.randrange(within) // len(self.places))
+            self.start(place)
+
+    def kill(self, place: int) -> None:
+        """A process ends without a word."""
+        del self.agents[place]
+
+    def leave(self, place: int) -> None:
+        """A process says that it goes, and ends."""
+        agent = self.agents[place]
+        for _ in range(2):
+            agent.leave(self.now)
+            self._carry(place)
+        del self.agents[place]
+
+    def pause(self, place: int, length: int) -> None:
+        """A process stands still; what comes meanwhile waits for it."""
+        self.paused[place] = self.now + length
+
+    # Time
+
+    def _turn_at(self, place: int, at: int) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (at, self._count, place, -1, None, self._starts[place]))
+
+    def _carry(self, place: int) -> None:
+        agent, rng, now = self.agents[place], self.rng, self.now
+        for to, packet in agent.take():
+            if not isinstance(to, int) or rng.random() < self.loss:
+                continue
+            if any(cut(place, to, now) for cut in self.cuts):
+                continue
+            self._count += 1
+            at = now + rng.randrange(*DELAY)
+            heapq.heappush(self._events, (at, self._count, to, place, packet, 0))
+        for told in agent.take_told():
+            self.seen.append(Seen(now, agent.name, told))
+
+    def run(self, seconds: float = 0.0, until: int | None = None) -> None:
+        """Let time pass."""
+        end = self.now + int(seconds * NS_PER_S) if until is None else until
+        events = self._events
+        while events and events[0][0] <= end:
+            at, _, place, source, packet, life = heapq.heappop(events)
+            self.now = max(at, self.now)
+            agent = self.agents.get(place)
+            if agent is None or (packet is None and life != self._starts[place]):
+                continue
+            wakes = self.paused.get(place, 0)
+            if wakes > self.now:
+                self._count += 1
+                heapq.heappush(events, (wakes, self._count, place, source, packet, life))
+                continue
+            if packet is None:
+                agent.turn(self.now)
+                self._turn_at(place, agent.due)
+            else:
+                agent.receive(packet, source, self.now)
+            self._carry(place)
+        self.now = max(end, self.now)
+
+    # What was seen
+
+    def told(self, what: str, since: int = 0) -> list[Seen]:
+        """All that was told of this kind."""
+        return [seen for seen in self.seen if seen.told.what == what and seen.at >= since]
+
+    def agree(self) -> bool:
+        """Whether all that run hold the same view: just those that run."""
+        live = {agent.name for agent in self.agents.values()}
+        return all({record.name for record in agent.members.live()} == live for agent in self.agents.values())
+
+    def until_agreed(self, seconds: float, step: float = 0.05) -> float:
+        """Seconds until all agree; infinite if they don't in time."""
+        begun = self.now
+        while not self.agree():
+            if self.now - begun >= seconds * NS_PER_S:
+                return math.inf
+            self.run(step)
+        return (self.now - begun) / NS_PER_S
+
+    def bytes_per_s(self, seconds: float) -> float:
+        """Bytes that a router sends, the mean over all while so long passes."""
+        before = sum(agent.outbox.bytes for agent in self.agents.values())
+        self.run(seconds)
+        after = sum(agent.outbox.bytes for agent in self.agents.values())
+        return (after - before) / seconds / max(len(self.agents), 1)
--- a/saltport/admin/calls.py
+++ b/saltport/admin/calls.py
@@ -26,6 +26,12 @@
     def state(self) -> dict[str, Any]:
         """The state of decisions and loop, for people."""
 
+    def peers(self) -> dict[str, Any]:
+        """What this router believes of the others."""
+
+    def settle_peers(self) -> bool:
+        """Take the present view as the yardstick of majorities; False: it knows no others."""
+
     def take_out(self, server: str) -> bool:
         """Send nothing more to a cache server; False: it was never listed. Raises CallError."""
 
@@ -64,6 +70,12 @@
     return Answer(200, {"server": server, "state": state}) if known else _fault(404, "no such cache server")
 
 
+def _settle(operations: Operations, _: str) -> Answer:
+    if not operations.settle_peers():
+        return _fault(404, "peers are off")
+    return Answer(200, {"settled": True})
+
+
 def _drain(operations: Operations, _: str) -> Answer:
     operations.drain()
     return Answer(200, {"draining": True})
@@ -83,6 +95,8 @@
     ("healthcheck",): ("GET", _health),
     ("stats",): ("GET", lambda operations, _: Answer(200, operations.stats())),
     ("state",): ("GET", lambda operations, _: Answer(200, operations.state())),
+    ("peers",): ("GET", lambda operations, _: Answer(200, operations.peers())),
+    ("peers", "settle"): ("PUT", _settle),
     ("healthcheck", "fail"): ("PUT", _drain),
     ("healthcheck", "ok"): ("PUT", _resume),
     (SERVERS, "", "maint"): ("PUT", _out),
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -191,6 +191,13 @@
             f"keeps {server['portion']:.0%}, work {server['work_ms']:.1f} ms, "
             f"waiting {server['waiting_ms']:.1f} ms"
         )
+    known = told["peers"]
+    if known["on"]:
+        standing, view = known["standing"], known["view"]
+        click.echo(
+            f"peers: {standing['state']} for {standing['for_s']:.0f} s, {view['members']} routers in view "
+            f"{view['number']} ({view['digest']}); see saltport peers"
+        )
     _hot_keys(told["hot_keys"])
     outliers = told["outliers"]
     panic = "; PANIC: nobody is believed bad" if outliers["panic"] else ""
@@ -204,6 +211,25 @@
         )
 
 
+@cli.command()
+@_ROUTER
+@click.option("--settle", is_flag=True, help="First take the present view as the yardstick of majorities.")
+@_AS_JSON
+def peers(router: Address, settle: bool, as_json: bool) -> None:
+    """Show what a router believes of the other routers: who is alive, who is heard, where it stands."""
+    if settle:
+        _ask(router, "/peers/settle", "PUT")
+    told = _ask(router, "/peers")
+    if as_json:
+        _dump(told, indent=True)
+    elif not told["on"]:
+        click.echo("peers: off")
+    else:
+        from saltport.peers.words import lines
+
+        click.echo("\n".join(lines(told)))
+
+
 def _hot_keys(told: dict[str, Any]) -> None:
     if not told["on"]:
         click.echo("hot keys: not told apart")
--- a/saltport/harness.py
+++ b/saltport/harness.py
@@ -79,6 +79,8 @@
     seed: int = 1
     features: str = ""
     """Sections for a file that routers are started `--with`; `{folder}` stands for this run's folder."""
+    dress: Callable[[str, dict[str, Any]], dict[str, str]] | None = None
+    """Given a router's name and configuration, which it may change; returns more words for its features."""
     ledger: Ledger = field(init=False)
     control: ControlClient = field(init=False)
     """Set once the fleet runs."""
@@ -92,8 +94,6 @@
         """Start the fleet and the routers; raises HarnessError, with nothing left running."""
         self.ledger = Ledger("harness", self.folder / "harness.jsonl")
         names = [f"r{number + 1}" for number in range(self.routers)]
-        if self.features:
-            (self.folder / "features.toml").write_text(self.features.replace("{folder}", str(self.folder)))
         try:
             await self._start_fleet(names)
             await asyncio.gather(*(self._first_start(name) for name in names))
@@ -138,6 +138,8 @@
                 self.seed,
             )
             told["admin_addr"] = "{}:{}".format(*router.admin)
+            words = self.dress(name, told) if self.dress is not None else {}
+            (folder / "features.toml").write_text(self._features({"folder": str(self.folder), **words}))
             (folder / "config.json").write_bytes(orjson.dumps(told, option=orjson.OPT_INDENT_2))
             if await self.start_router(router):
                 self.held.append(router)
@@ -149,7 +151,7 @@
         environ = {**environment(), "LB_CONFIG": str(router.folder / "config.json")}
         with (router.folder / "log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "saltport.router", *self._with_features(),
+                sys.executable, "-m", "saltport.router", *self._with_features(router),
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=environ, start_new_session=True,
             )  # fmt: skip
         router.process = process
@@ -161,8 +163,14 @@
             task.add_done_callback(self._watchers.discard)
         return ready
 
-    def _with_features(self) -> list[str]:
-        return ["--with", str(self.folder / "features.toml")] if self.features else []
+    def _features(self, words: dict[str, str]) -> str:
+        text = self.features
+        for name, word in words.items():
+            text = text.replace(f"{{{name}}}", word)
+        return text
+
+    def _with_features(self, router: RouterProcess) -> list[str]:
+        return ["--with", str(router.folder / "features.toml")] if self.features else []
 
     async def _watch(self, router: RouterProcess, process: asyncio.subprocess.Process) -> None:
         status = await process.wait()
--- a/saltport/lag.py
+++ b/saltport/lag.py
@@ -73,6 +73,10 @@
         """For how long, at the most, what is read now may have lain in the kernel."""
         return now - self._unread_since if self._begun else 0
 
+    def longest_since(self, then: int) -> int:
+        """The longest turn that ended since this time, of those over 5 ms; 0: none."""
+        return max((ended - begun for begun, ended in self._long if ended >= then), default=0)
+
     def left(self, written: int) -> int:
         """When bytes that were written at this time have left: at their turn's end, if that took long."""
         for begun, ended in reversed(self._long):
--- a/saltport/lifecycle/reload.py
+++ b/saltport/lifecycle/reload.py
@@ -7,7 +7,7 @@
 from saltport.decisions import Settings
 from saltport.router.config import Config, ConfigError
 
-LIVE = ("settings", "discovery")
+LIVE = ("settings", "discovery", "peers")
 AT_START = ("known", "seed", "keys")  # what tells of a start only, or of the file
 SETTINGS_AT_START = (
     "origin_kind", "weighted", "must_subscribe", "load_fields", "slots", "vectors", "hot_keys",
@@ -23,6 +23,8 @@
     """Whether discovery is at another address."""
     retunes: bool
     """Whether settings differ."""
+    rekeys: bool
+    """Whether the keys between routers differ."""
     waits: tuple[str, ...]
     """What differs and has to wait for a restart."""
 
@@ -44,9 +46,14 @@
         for name in SETTINGS_AT_START
         if getattr(held.settings, name) != getattr(told.settings, name)
     ]
+    rekeys = held.peers is not None and told.peers is not None and held.peers.keys != told.peers.keys
+    peers = replace(held.peers, keys=told.peers.keys) if held.peers and told.peers else held.peers
+    if peers != told.peers:
+        waits.append("peers")
     settings = _live(held.settings, told.settings)
-    config = replace(held, settings=settings, discovery=told.discovery, keys=told.keys)
-    return ReloadPlan(config, told.discovery != held.discovery, settings != held.settings, tuple(waits))
+    config = replace(held, settings=settings, discovery=told.discovery, keys=told.keys, peers=peers)
+    moves, retunes = told.discovery != held.discovery, settings != held.settings
+    return ReloadPlan(config, moves, retunes, rekeys, tuple(waits))
 
 
 def _live(held: Settings, told: Settings) -> Settings:
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -8,10 +8,11 @@
 import random
 import signal
 import socket
+import time
 from collections.abc import Callable, Sequence
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -34,6 +35,10 @@
 from saltport.router.host import RouterHost
 from saltport.upstream.pool import Pool
 
+if TYPE_CHECKING:
+    from saltport.peers.agent import Told
+    from saltport.peers.link import PeerLink
+
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
 STEP_S = 0.01  # between two looks at what is left to drain
 FOLLOW_S = 0.1  # between two looks at what another process has put out or back
@@ -42,6 +47,7 @@
 CLIENT_SHARE = 0.6
 BUDGET_SHARE = 0.2  # of the memory, for clients' long commands
 BANS = "saltport.out"
+LAG_WINDOW_NS = 500_000_000  # for so long a slow turn of the loop counts in its peers' favour
 
 log = logging.getLogger("saltport")
 
@@ -87,6 +93,7 @@
         folder = environ.get("TMPDIR")
         store = BanStore(Path(folder) / BANS) if folder and config.admin else None
         self._bans = Bans(store, lambda: self._host.out, self._host.take_out, self._host.put_back)
+        self._peers = _peer_link(loop, config, self._host) if config.peers is not None else None
         self._takeover = (
             Takeover(loop, Path(folder), self._clients.adopt, self._share, self._learnt)
             if folder and config.listen_fd is not None
@@ -130,9 +137,14 @@
             self._discovery.start()
         if config.known is not None:
             loop.call_later(READY_S, self._make_do)
+        opening = loop.create_task(self._peers.open()) if self._peers is not None else None
         if config.listen_fd is not None:
             await self._stand_beside(config.listen_fd)
         await self._terminated.wait()
+        if self._peers is not None and opening is not None:
+            # Danger: the next process of this router waits for the address, and is unknown until it has it.
+            opening.cancel()
+            await self._peers.close(self._takeover is not None and self._takeover.replaced)
         await self._end()
         if admin is not None:
             admin.close()
@@ -201,7 +213,19 @@
             "servers_may_hold": self._pool.limit,
             "late": self._pool.late,
         }
-        return {**about, **now, "generation": self._discovery.generation, **self._host.view()}
+        known = {"generation": self._discovery.generation, "peers": self.peers()}
+        return {**about, **now, **known, **self._host.view()}
+
+    def peers(self) -> dict[str, Any]:
+        """See Operations."""
+        return {"on": True, **self._peers.view()} if self._peers is not None else {"on": False}
+
+    def settle_peers(self) -> bool:
+        """See Operations."""
+        if self._peers is not None:
+            log.info("peers: the present view is the yardstick, by hand")
+            self._peers.settle()
+        return self._peers is not None
 
     def take_out(self, server: str) -> bool:
         """See Operations."""
@@ -285,10 +309,26 @@
         if plan.retunes:
             self._host.retune(plan.config.settings)
             self._discovery.ask_within(plan.config.settings.ask_within / NS_PER_S)
+        if plan.rekeys and self._peers is not None and plan.config.peers is not None:
+            self._peers.use_keys(plan.config.peers.keys)
         if plan.moves:
             self._discovery.move(plan.config.discovery)
 
 
+def _peer_link(loop: asyncio.AbstractEventLoop, config: Config, host: RouterHost) -> PeerLink:
+    from saltport.peers.link import PeerLink  # only where it is on
+
+    def lag() -> int:
+        return host.lag.longest_since(time.monotonic_ns() - LAG_WINDOW_NS)
+
+    def told(news: Told) -> None:
+        level = logging.WARNING if news.what in ("paused", "displaced", "standing") else logging.INFO
+        log.log(level, "peers: %s %s%s", news.name, news.what, f": {news.detail}" if news.detail else "")
+
+    assert config.peers is not None
+    return PeerLink(loop, config.name, config.peers, config.seed, lag, told)
+
+
 def _listening(descriptor: int) -> socket.socket:
     """A copy of the platform's listening socket; raises OSError in plain words."""
     try:
--- /dev/null
+++ b/saltport/nemesis/history.py
@@ -0,0 +1,202 @@
+"""What a run of many routers showed, and what must hold of it. It knows nothing of the program.
+
+Checks of safety take each sample as it is. Times are seconds on one clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from itertools import pairwise
+from statistics import quantiles
+
+RULES = ("no_false_death", "records_only_rise", "one_majority", "agreed_at_last")
+EXCUSE_S = 12.0  # after a fault of its own, or on its links, somebody may still be held dead
+SETTLED_S = 8.0  # within a partition, after which two sides must not both be majorities
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One router as another one holds it."""
+
+    state: str
+    start: int
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """What one router believed at one time."""
+
+    at: float
+    by: str
+    life: int
+    """How often its process had been started."""
+    digest: str
+    standing: str
+    members: Mapping[str, Member]
+
+    @property
+    def live(self) -> frozenset[str]:
+        """Whom it counts as members."""
+        return frozenset(name for name, held in self.members.items() if held.state in ("alive", "suspect"))
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """Something that was done to a router, from and until."""
+
+    kind: str
+    """`down`, `stopped`, `cut` or `strained` (all links at once)."""
+    who: str
+    begun: float
+    ended: float
+    group: frozenset[str] = frozenset()
+    """Of a partition: its side."""
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One rule broken."""
+
+    rule: str
+    at: float
+    what: str
+
+
+@dataclass(slots=True)
+class History:
+    """A run."""
+
+    routers: list[str]
+    samples: list[Sample] = field(default_factory=list)
+    spans: list[Span] = field(default_factory=list)
+    ended: float = 0.0
+    """Links and routers have been well since `calm`."""
+
+    def check(self) -> list[Violation]:
+        """All rules; an empty list: they hold."""
+        found = [*self._false_deaths(), *self._records(), *self._majorities(), *self._agreement()]
+        return sorted(found, key=lambda violation: violation.at)
+
+    def checked(self) -> dict[str, int]:
+        """How many cases each rule was tried on: a rule with 0 was not shown."""
+        deaths = sum(held.state == "dead" for sample in self.samples for held in sample.members.values())
+        cut = sum(1 for span in self.spans if span.group)
+        return {
+            "samples": len(self.samples),
+            "no_false_death": deaths,
+            "records_only_rise": sum(1 for _ in self._successions()),
+            "one_majority": cut,
+            "agreed_at_last": len(self.last()),
+        }
+
+    def _excused(self, name: str, at: float) -> bool:
+        return any(span.who == name and span.begun <= at <= span.ended + EXCUSE_S for span in self.spans)
+
+    def _false_deaths(self) -> Iterator[Violation]:
+        """Nobody is held dead who ran, was not stopped, and whose links were whole."""
+        for sample in self.samples:
+            if self._excused(sample.by, sample.at):
+                continue
+            for name, held in sample.members.items():
+                if held.state == "dead" and not self._excused(name, sample.at):
+                    yield Violation(
+                        "no_false_death", sample.at, f"{sample.by} holds {name} dead, which is well"
+                    )
+
+    def _successions(self) -> Iterator[tuple[Sample, Sample]]:
+        by: dict[tuple[str, int], list[Sample]] = {}
+        for sample in self.samples:
+            by.setdefault((sample.by, sample.life), []).append(sample)
+        for held in by.values():
+            yield from pairwise(held)
+
+    def _records(self) -> Iterator[Violation]:
+        """What one process holds of a router goes on by start, then by incarnation, and never back."""
+        for before, after in self._successions():
+            for name, held in after.members.items():
+                earlier = before.members.get(name)
+                if earlier is None:
+                    continue
+                was, now = (earlier.start, earlier.incarnation), (held.start, held.incarnation)
+                if now < was:
+                    yield Violation(
+                        "records_only_rise", after.at, f"{after.by}: {name} went from {was} to {now}"
+                    )
+                elif now == was and earlier.state == "dead" and held.state in ("alive", "suspect"):
+                    yield Violation(
+                        "records_only_rise", after.at, f"{after.by}: {name} came back from death unrefuted"
+                    )
+
+    def _majorities(self) -> Iterator[Violation]:
+        """Of the sides of a partition, one at the most says that it is the majority."""
+        for span in self.spans:
+            if not span.group:
+                continue
+            claims: dict[bool, Sample] = {}
+            for sample in self.samples:
+                inside = span.begun + SETTLED_S <= sample.at <= span.ended
+                if inside and sample.standing == "majority" and not self._stopped(sample.by, sample.at):
+                    claims[sample.by in span.group] = sample
+            if len(claims) == 2:
+                one, other = claims.values()
+                yield Violation(
+                    "one_majority", max(one.at, other.at), f"{one.by} and {other.by}, on two sides"
+                )
+
+    def _stopped(self, name: str, at: float) -> bool:
+        return any(
+            span.kind == "stopped" and span.who == name and span.begun <= at <= span.ended + 1
+            for span in self.spans
+        )
+
+    def last(self) -> dict[str, Sample]:
+        """The last sample of each router."""
+        return {sample.by: sample for sample in self.samples}
+
+    def _agreement(self) -> Iterator[Violation]:
+        """At the end all routers hold the same view: just those that run."""
+        last = self.last()
+        for name in self.routers:
+            if name not in last:
+                yield Violation("agreed_at_last", self.ended, f"{name} was never asked")
+        for sample in last.values():
+            if sample.live != frozenset(self.routers):
+                odd = ", ".join(sorted(sample.live ^ set(self.routers)))
+                yield Violation("agreed_at_last", sample.at, f"{sample.by} holds another view: {odd}")
+        if len({sample.digest for sample in last.values()}) > 1:
+            yield Violation("agreed_at_last", self.ended, "views have several digests")
+
+    # Measured
+
+    def detections(self) -> list[float]:
+        """Seconds from each death until all that were well held it dead; who came back before is left out."""
+        found = []
+        for span in self.spans:
+            if span.kind != "down":
+                continue
+            seen: dict[str, float] = {}
+            others = [
+                name for name in self.routers if name != span.who and not self._excused(name, span.begun)
+            ]
+            for sample in self.samples:
+                held = sample.members.get(span.who)
+                if span.begun <= sample.at <= span.ended and held is not None and held.state == "dead":
+                    seen.setdefault(sample.by, sample.at - span.begun)
+            if others and all(name in seen for name in others):
+                found.append(max(seen[name] for name in others))
+        return sorted(found)
+
+    def report(self) -> dict[str, object]:
+        """For people and programs."""
+        violations, times = self.check(), self.detections()
+        cut = quantiles(times, n=100, method="inclusive") if len(times) > 1 else times * 99
+        return {
+            "clean": not violations,
+            "checked": self.checked(),
+            "violations": [f"{held.at:.1f} s: {held.rule}: {held.what}" for held in violations[:20]],
+            "broken": {rule: sum(held.rule == rule for held in violations) for rule in RULES},
+            "deaths_timed": len(times),
+            "known_to_all_s": {"p50": round(cut[49], 2), "p99": round(cut[98], 2)} if times else {},
+        }
--- /dev/null
+++ b/saltport/nemesis/runner.py
@@ -0,0 +1,313 @@
+"""Starts routers that know one another through faulty links, strikes them, and keeps their history."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import secrets
+import signal
+import socket
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from saltport.address import Address
+from saltport.harness import Harness, RouterProcess
+from saltport.nemesis.history import History, Member, Sample, Span
+from saltport.nemesis.schedule import Act
+from saltport.standins.links import DatagramRelay, Fault, Links
+from saltport.standins.profile import Profile, quick
+
+FEATURES = '[peers]\non = true\nkey_file = "{folder}/peers.keys"\nzone = "{zone}"\n'
+ZONES = ("a", "b", "c")
+ASK_S = 2.0  # in which a router that runs answers how it sees the others
+
+
+class NemesisError(Exception):
+    """A state that was waited for did not come; the text is one plain line."""
+
+
+@dataclass(slots=True)
+class Nemesis:
+    """Routers, their links and their history; use it as an asynchronous context."""
+
+    folder: Path
+    routers: int
+    seed: int
+    nodes: int = 2
+    sample_s: float = 0.2
+    links: Links = field(init=False)
+    history: History = field(init=False)
+    harness: Harness = field(init=False)
+    _relay: DatagramRelay = field(init=False)
+    _began: float = field(init=False, default=0.0)
+    _lives: dict[str, int] = field(init=False, default_factory=dict)
+    _open: dict[tuple[str, str], float] = field(init=False, default_factory=dict)
+    _sampler: asyncio.Task[None] | None = field(init=False, default=None)
+
+    async def __aenter__(self) -> Nemesis:
+        names = [f"r{number + 1}" for number in range(self.routers)]
+        self.links, self.history = Links(self.seed), History(names)
+        self._relay = DatagramRelay(self.links, {name: _own_address(n) for n, name in enumerate(names)})
+        await self._relay.open()
+        (self.folder / "peers.keys").write_text(secrets.token_hex(32))
+        self.harness = Harness(
+            self.folder, quick(Profile(), 20), self.nodes, self.routers, self.seed, FEATURES, self._dress
+        )
+        try:
+            await self.harness.start()
+        except BaseException:
+            self._relay.close()
+            raise
+        self._began = time.monotonic()
+        self._lives = dict.fromkeys(names, 1)
+        self._sampler = asyncio.get_running_loop().create_task(self._sample_for_ever())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._sampler is not None:
+            self._sampler.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._sampler
+        for router in self.harness.held:
+            self._signal(router, signal.SIGCONT)  # a stopped process can't end in good order
+        await self.harness.stop()
+        self._relay.close()
+
+    def _dress(self, name: str, told: dict[str, Any]) -> dict[str, str]:
+        """Add what a router needs to know the others by; returns words for its features."""
+        told["settings"]["ceilings"]["peers"] = True
+        told["peer_listen"] = "{}:{}".format(*self._relay.ends[name])
+        told["peers"] = ["{}:{}".format(*self._relay.seen(other, name)) for other in self._relay.ends]
+        return {"zone": ZONES[list(self._relay.ends).index(name) % len(ZONES)]}
+
+    # Watching
+
+    def now(self) -> float:
+        """Seconds since the beginning."""
+        return time.monotonic() - self._began
+
+    async def _sample_for_ever(self) -> None:
+        while True:
+            begun = time.monotonic()
+            await self.sample()
+            await asyncio.sleep(max(self.sample_s - (time.monotonic() - begun), 0.01))
+
+    async def sample(self) -> None:
+        """Ask all routers that run and are not stopped."""
+        stopped = {who for kind, who in self._open if kind == "stopped"}
+        wanted = [held for held in self.harness.held if held.alive and held.name not in stopped]
+        await asyncio.gather(*(self._ask(router) for router in wanted))
+
+    async def _ask(self, router: RouterProcess) -> None:
+        life = self._lives[router.name]
+        try:
+            async with asyncio.timeout(ASK_S):
+                told = await _get(router.admin, "/peers")
+        except (OSError, TimeoutError, orjson.JSONDecodeError):
+            return
+        if life != self._lives[router.name]:
+            return
+        members = {
+            name: Member(held["state"], held["start"], held["incarnation"])
+            for name, held in told["members"].items()
+        }
+        standing = told["standing"]["state"] if told["mood"] == "member" else told["mood"]
+        self.history.samples.append(
+            Sample(self.now(), router.name, life, told["view"]["digest"], standing, members)
+        )
+
+    async def until(
+        self, what: str, holds: Callable[[dict[str, Sample]], bool], seconds: float = 30.0
+    ) -> None:
+        """Wait until the latest samples of all routers are so; raises NemesisError."""
+        begun = self.now()
+        while self.now() < begun + seconds:
+            fresh = {name: held for name, held in self.history.last().items() if held.at >= begun}
+            if fresh and holds(fresh):
+                return
+            await asyncio.sleep(0.05)
+        raise NemesisError(f"{what}: not within {seconds:g} s")
+
+    async def until_agreed(self, seconds: float = 30.0) -> None:
+        """Wait until all that run hold the same view, just those that run."""
+        running = frozenset(held.name for held in self.harness.held if held.alive)
+
+        def agreed(last: dict[str, Sample]) -> bool:
+            held = [last[name] for name in running if name in last]
+            return (
+                len(held) == len(running)
+                and all(sample.live == running for sample in held)
+                and len({sample.digest for sample in held}) == 1
+            )
+
+        await self.until(f"all agree on {len(running)} routers", agreed, seconds)
+
+    # Striking
+
+    def router(self, name: str) -> RouterProcess:
+        """By name."""
+        return next(held for held in self.harness.held if held.name == name)
+
+    def _begin(self, kind: str, names: Sequence[str]) -> None:
+        for name in names:
+            self._open[kind, name] = self.now()
+
+    def _end(self, kind: str, names: Sequence[str], group: frozenset[str] = frozenset()) -> None:
+        for name in names:
+            begun = self._open.pop((kind, name), None)
+            if begun is not None:
+                self.history.spans.append(Span(kind, name, begun, self.now(), group))
+
+    @staticmethod
+    def _signal(router: RouterProcess, number: signal.Signals) -> None:
+        if router.alive:
+            assert router.process is not None
+            os.kill(router.process.pid, number)
+
+    async def stop_for(self, name: str, seconds: float) -> None:
+        """SIGSTOP, and SIGCONT after so long."""
+        router = self.router(name)
+        self._begin("stopped", [name])
+        self._signal(router, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self._signal(router, signal.SIGCONT)
+            self._end("stopped", [name])
+
+    async def kill(self, name: str) -> None:
+        """SIGKILL."""
+        self._begin("down", [name])
+        await self.harness.kill_router(self.router(name))
+
+    async def end(self, name: str) -> None:
+        """SIGTERM, and its end in good order."""
+        self._begin("down", [name])
+        await self.harness.end_router(self.router(name))
+
+    async def start(self, name: str) -> None:
+        """Start a router again, under its name and addresses."""
+        self._lives[name] += 1
+        if not await self.harness.start_router(self.router(name)):
+            raise NemesisError(f"{name} did not start again")
+        self._end("down", [name])
+
+    @contextlib.contextmanager
+    def cut(self, who: Sequence[str], whom: Sequence[str], both: bool = False) -> Any:
+        """Nothing gets from these to those (`both`: nor back) while the context lasts."""
+        touched = sorted({*who, *whom})
+        group = frozenset(who) if both and {*who, *whom} == set(self._relay.ends) else frozenset()
+        self._begin("cut", touched)
+        numbers = [self.links.fault(who, whom, Fault(cut=True))]
+        if both:
+            numbers.append(self.links.fault(whom, who, Fault(cut=True)))
+        try:
+            yield
+        finally:
+            for number in numbers:
+                self.links.mend(number)
+            self._end("cut", touched, group)
+
+    def others(self, who: Sequence[str]) -> list[str]:
+        """All but these."""
+        return [name for name in self._relay.ends if name not in who]
+
+    async def _strain(self, fault: Fault, seconds: float) -> None:
+        everyone = list(self._relay.ends)
+        number = self.links.fault(everyone, everyone, fault)
+        self._begin("strained", everyone)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self.links.mend(number)
+            self._end("strained", everyone)
+
+    async def strike(self, act: Act) -> None:
+        """Carry one act out, whole; whoever is down or stopped already is left alone."""
+        taken = {who for kind, who in self._open if kind in ("down", "stopped")}
+        who = [name for name in act.who if name not in taken]
+        match act.kind:
+            case "kill" | "restart":
+                await asyncio.gather(*(self._bounce(name, act) for name in who))
+            case "stop":
+                await asyncio.gather(*(self.stop_for(name, act.seconds) for name in who))
+            case "cut":
+                with self.cut(act.who, act.whom or self.others(act.who)):
+                    await asyncio.sleep(act.seconds)
+            case "partition":
+                with self.cut(act.who, self.others(act.who), both=True):
+                    await asyncio.sleep(act.seconds)
+            case "loss":
+                await self._strain(Fault(loss=act.share), act.seconds)
+            case "double":
+                await self._strain(Fault(doubles=act.share), act.seconds)
+            case "delay":
+                await self._strain(Fault(delay_s=(0.0, act.share)), act.seconds)
+
+    async def _bounce(self, name: str, act: Act) -> None:
+        await (self.kill(name) if act.kind == "kill" else self.end(name))
+        await asyncio.sleep(act.seconds)
+        await self.start(name)
+
+    async def play(self, acts: Sequence[Act], say: Callable[[str], None]) -> None:
+        """Play a schedule to its end, faults side by side as they come, and wait until all agree."""
+        running: set[asyncio.Task[None]] = set()
+        try:
+            for act in acts:
+                await asyncio.sleep(max(act.at - self.now(), 0))
+                say(f"{self.now():6.1f} s  {act}")
+                running.add(asyncio.get_running_loop().create_task(self.strike(act)))
+            if running:
+                await asyncio.gather(*running)
+        finally:
+            for task in running:
+                task.cancel()
+        await self.until_agreed(60.0)
+        self.history.ended = self.now()
+
+
+def _own_address(number: int) -> Address:
+    """An address that only this run has, at a port that is free."""
+    host = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}.{number + 1}"
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as bound:
+        bound.bind((host, 0))
+        return host, int(bound.getsockname()[1])
+
+
+async def _get(address: Address, path: str) -> dict[str, Any]:
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: nemesis\r\n\r\n".encode())
+        answer = await reader.read()
+    finally:
+        writer.close()
+    told = orjson.loads(answer.partition(b"\r\n\r\n")[2])
+    if not isinstance(told, dict) or not told.get("on"):
+        raise OSError("peers are off")
+    return told
+
+
+async def run_nemesis(
+    nemesis: Nemesis,
+    acts: Sequence[Act],
+    say: Callable[[str], None],
+    beside: Callable[[Nemesis], Coroutine[Any, Any, None]] | None = None,
+) -> dict[str, Any]:
+    """Play a schedule on a fleet of its own; returns the report. `beside`: what runs meanwhile, as a load."""
+    async with nemesis:
+        await nemesis.until_agreed(60.0)
+        nemesis._began = time.monotonic()
+        nemesis.history.samples.clear()
+        work = asyncio.get_running_loop().create_task(beside(nemesis)) if beside is not None else None
+        with contextlib.suppress(NemesisError):
+            await nemesis.play(acts, say)
+        if work is not None:
+            await work
+        await nemesis.sample()
+    return nemesis.history.report()
--- /dev/null
+++ b/saltport/nemesis/schedule.py
@@ -0,0 +1,123 @@
+"""What strikes when: read from a file or drawn by seed. No I/O beyond reading the file."""
+
+from __future__ import annotations
+
+import random
+import tomllib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+KINDS = {
+    "kill": "SIGKILL, and a new start after `seconds`",
+    "restart": "SIGTERM, and a new start after `seconds`",
+    "stop": "SIGSTOP for `seconds`",
+    "cut": "nothing gets from `who` to `whom` for `seconds`",
+    "partition": "`who` and all others do not hear each other for `seconds`",
+    "loss": "this `share` of all datagrams is lost for `seconds`",
+    "delay": "datagrams take up to `share` seconds longer, and overtake each other, for `seconds`",
+    "double": "this `share` of all datagrams comes twice for `seconds`",
+}
+LONGEST_S = 3_600.0
+
+
+class ScheduleError(ValueError):
+    """A schedule can't be used; the text is one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Act:
+    """One fault, `at` so many seconds from the beginning."""
+
+    at: float
+    kind: str
+    seconds: float
+    who: tuple[str, ...] = ()
+    whom: tuple[str, ...] = ()
+    share: float = 0.0
+
+    def __str__(self) -> str:
+        whom = f" to {','.join(self.whom)}" if self.whom else ""
+        share = f" {self.share:g}" if self.share else ""
+        return f"{self.kind}{share} {','.join(self.who) or 'all'}{whom} for {self.seconds:g} s"
+
+
+def _names(where: str, told: Any, known: Sequence[str]) -> tuple[str, ...]:
+    names = [told] if isinstance(told, str) else told
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise ScheduleError(f"{where}: expected a name or a list of names")
+    for name in names:
+        if name not in known:
+            raise ScheduleError(f"{where}: {name!r} is no router; there are {known[0]} to {known[-1]}")
+    return tuple(names)
+
+
+def _number(where: str, told: Any, most: float) -> float:
+    if isinstance(told, bool) or not isinstance(told, int | float) or not 0 <= told <= most:
+        raise ScheduleError(f"{where}: expected a number from 0 to {most:g}")
+    return float(told)
+
+
+def read_schedule(path: Path, routers: Sequence[str]) -> list[Act]:
+    """The acts of a TOML file with `[[act]]` entries, in order of time; raises ScheduleError."""
+    try:
+        told = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise ScheduleError(f"{path}: can't be read: {error.strerror or error}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ScheduleError(f"{path}: no TOML: {error}") from None
+    entries = told.pop("act", None)
+    if told or not isinstance(entries, list):
+        raise ScheduleError(f"{path}: expected [[act]] entries and nothing else")
+    acts = []
+    for number, entry in enumerate(entries):
+        where = f"{path}: act[{number}]"
+        known = set(Act.__dataclass_fields__)
+        if (
+            not isinstance(entry, dict)
+            or entry.keys() - known
+            or not {"at", "kind", "seconds"} <= entry.keys()
+        ):
+            raise ScheduleError(f"{where}: expected at, kind, seconds, and perhaps who, whom, share")
+        if entry["kind"] not in KINDS:
+            raise ScheduleError(f"{where}: unknown kind {entry['kind']!r}; there are {', '.join(KINDS)}")
+        act = Act(
+            _number(f"{where}.at", entry["at"], LONGEST_S),
+            entry["kind"],
+            _number(f"{where}.seconds", entry["seconds"], LONGEST_S),
+            _names(f"{where}.who", entry.get("who", []), routers),
+            _names(f"{where}.whom", entry.get("whom", []), routers),
+            _number(f"{where}.share", entry.get("share", 0), 10),
+        )
+        if act.kind in ("kill", "restart", "stop", "cut", "partition") and not act.who:
+            raise ScheduleError(f"{where}.who: must be named")
+        acts.append(act)
+    return sorted(acts, key=lambda act: act.at)
+
+
+def draw_schedule(seed: int, routers: Sequence[str], seconds: float, every_s: float = 4.0) -> list[Act]:
+    """Every kind in turn, in an order and on routers drawn by seed; the last quarter is calm."""
+    rng = random.Random(seed)
+    acts: list[Act] = []
+    at = 2.0
+    bag: list[str] = []
+    while at < seconds * 0.75 - 2:
+        if not bag:
+            bag = rng.sample(sorted(KINDS), len(KINDS))
+        kind = bag.pop()
+        some = tuple(rng.sample(list(routers), rng.randint(1, max(len(routers) // 6, 1))))
+        length = round(min(rng.uniform(1.0, 12.0), seconds * 0.8 - at), 1)
+        match kind:
+            case "cut":
+                whom = tuple(rng.sample(list(routers), rng.randint(1, len(routers))))
+                acts.append(Act(round(at, 1), kind, length, some[:1], whom))
+            case "partition":
+                half = tuple(rng.sample(list(routers), rng.randint(1, len(routers) // 2)))
+                acts.append(Act(round(at, 1), kind, length, half))
+            case "loss" | "double" | "delay":
+                acts.append(Act(round(at, 1), kind, length, share=round(rng.uniform(0.05, 0.3), 2)))
+            case _:
+                acts.append(Act(round(at, 1), kind, length, some))
+        at += rng.expovariate(1 / every_s)
+    return acts
--- /dev/null
+++ b/saltport/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Routers that know one another: membership, failure detection, reach, views (docs/design/peers.md)."""
--- /dev/null
+++ b/saltport/peers/rumours.py
@@ -0,0 +1,101 @@
+"""What is to be told further, the least told first; each some log(N) times (SWIM, section 4.1). No I/O."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Hashable, Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from saltport.peers.messages import Dead, Row, Suspect, Update, encode
+from saltport.peers.settings import NS_PER_MS
+
+TELLINGS = 4  # times log10 of the members
+MOST = 4_096  # rumours held: as many as updates of a full table
+
+
+@dataclass(slots=True)
+class _Rumour:
+    update: Update
+    size: int
+    made: int
+    told: int = 0
+
+
+def aged(update: Update, by: int) -> Update:
+    """An update as it reads so many nanoseconds later."""
+    if isinstance(update, Suspect):
+        return msgspec.structs.replace(update, silent_ms=update.silent_ms + by // NS_PER_MS)
+    return update
+
+
+class Rumours:
+    """Updates by what they are about: a newer one of a router takes the place of the older."""
+
+    def __init__(self) -> None:
+        self._levels: list[dict[Hashable, _Rumour]] = [{}]
+        """By how often they were told."""
+        self._level_of: dict[Hashable, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._level_of)
+
+    @property
+    def fresh(self) -> int:
+        """How many were never told."""
+        return len(self._levels[0])
+
+    def tell(self, update: Update, now: int) -> None:
+        """Spread an update from now on."""
+        key: Hashable = ("state", update.name)
+        if isinstance(update, Suspect):
+            key = ("suspect", update.name, update.accuser)
+        elif isinstance(update, Row):
+            key = ("row", update.name)
+        else:
+            self.drop_accusations(update.name)
+        self._remove(key)
+        if len(self._level_of) < MOST:
+            size = len(encode(update)) + (2 if isinstance(update, Suspect) else 0)
+            self._levels[0][key] = _Rumour(update, size, now)
+            self._level_of[key] = 0
+
+    def _remove(self, key: Hashable) -> None:
+        level = self._level_of.pop(key, None)
+        if level is not None:
+            del self._levels[level][key]
+
+    def drop_accusations(self, name: str) -> None:
+        """Whatever is said against a router is out of date."""
+        for key in [key for key in self._level_of if isinstance(key, tuple) and key[:2] == ("suspect", name)]:
+            self._remove(key)
+
+    def drop_judgements(self) -> None:
+        """Spread no accusation and no death any more: they are old news."""
+        for level in self._levels:
+            for key in [key for key, held in level.items() if isinstance(held.update, Suspect | Dead)]:
+                self._remove(key)
+
+    def pick(self, room: int, members: int, now: int) -> Iterator[Update]:
+        """As much as fits in so many bytes; each counts as told once more."""
+        most = TELLINGS * math.ceil(math.log10(members + 2))
+        taken: list[tuple[Hashable, _Rumour]] = []
+        for number, level in enumerate(self._levels):
+            for key, held in level.items():
+                if held.size <= room:
+                    room -= held.size
+                    taken.append((key, held))
+                if room < 12:
+                    break
+            if room < 12 or number >= most:
+                break
+        for key, held in taken:
+            self._remove(key)
+            held.told += 1
+            if held.told < most:
+                while len(self._levels) <= held.told:
+                    self._levels.append({})
+                self._levels[held.told][key] = held
+                self._level_of[key] = held.told
+            yield aged(held.update, now - held.made)
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -5,14 +5,17 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from saltport.address import Address, parse_address
 from saltport.decisions import Settings
 from saltport.decisions.settings import WireError, number, read_settings, typed
-from saltport.router.features import FeatureError, MemcachedFeatures, read_features
+from saltport.router.features import FeatureError, MemcachedFeatures, PeerFeatures, read_features
+
+if TYPE_CHECKING:
+    from saltport.peers.link import PeerPlan
 
 DEFAULT_MAX_OPEN = 20_000
 DEFAULT_DIAL_TIMEOUT_NS = 250_000_000
@@ -45,6 +48,8 @@
     sockets: int
     known: dict[str, Any] | None
     """The list of servers as last held, in discovery's form; it may be old."""
+    peers: PeerPlan | None = None
+    """Where this router is among those it knows; None: it knows none."""
     memcached: MemcachedFeatures = field(default_factory=MemcachedFeatures)
     admin: Address | None = None
     """Where operators call; None: nowhere."""
@@ -60,9 +65,15 @@
     if not path:
         raise ConfigError("LB_CONFIG is not set")
     try:
-        config = _config(typed("the file", orjson.loads(Path(path).read_bytes()), dict), environ)
+        told = typed("the file", orjson.loads(Path(path).read_bytes()), dict)
+        config = _config(told, environ)
         features = read_features(with_files)
-        return replace(config, settings=features.settings(config.settings), memcached=features.memcached)
+        return replace(
+            config,
+            settings=features.settings(config.settings),
+            memcached=features.memcached,
+            peers=_peers(features.peers, told, config.name) if features.peers.on else None,
+        )
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
     except KeyError as error:
@@ -100,6 +111,37 @@
             yield from _paths(value, f"{under}{key}.")
 
 
+def _peers(features: PeerFeatures, told: dict[str, Any], name: str) -> PeerPlan:
+    """Where this router is among its peers; raises FeatureError."""
+    # Danger: where it is off, not even its library is imported: memory counts.
+    from saltport.peers.envelope import KeyFileError, read_keys
+    from saltport.peers.link import PeerPlan, packed
+    from saltport.peers.messages import MOST_NAME
+
+    if not (told["settings"].get("ceilings") or {}).get("peers"):
+        raise FeatureError("peers.on: the settings do not allow routers to talk (settings.ceilings.peers)")
+    if not features.key_file:
+        raise FeatureError("peers.key_file: must be set")
+    if len(name) > MOST_NAME or len(features.zone) > MOST_NAME:
+        raise FeatureError(f"peers: names of routers and zones have at most {MOST_NAME} characters")
+    listen = features.listen or told.get("peer_listen")
+    if not listen:
+        raise FeatureError("peers.listen: must be set, as the configuration has no peer_listen")
+    try:
+        keys = read_keys(Path(features.key_file))
+        addresses = [parse_address("peers.listen", listen)]
+        addresses += [
+            parse_address("peers.peers", peer) for peer in features.peers or told.get("peers") or ()
+        ]
+        for address in addresses:
+            packed(address)
+    except KeyFileError as error:
+        raise FeatureError(f"peers.key_file: {error}") from None
+    except (OSError, ValueError) as error:
+        raise FeatureError(str(error) if isinstance(error, ValueError) else "peers: IPv4 only") from None
+    return PeerPlan(addresses[0], tuple(addresses[1:]), features.zone, keys)
+
+
 def _config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
     facts = typed("settings", told["settings"], dict)
     ceilings = facts.get("ceilings") or {}
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -89,6 +89,21 @@
         return self.shared or bool(self.listen)
 
 
+@dataclass(frozen=True, slots=True)
+class PeerFeatures:
+    """`[peers]`: routers that know one another; needs a key, and settings that allow it."""
+
+    on: bool = False
+    key_file: str = ""
+    """One key or two in hexadecimal, a line each; the first one signs."""
+    zone: str = ""
+    """Of this router; zones are told apart in what is heard of others."""
+    listen: str = ""
+    """HOST:PORT; empty: `peer_listen` of the configuration."""
+    peers: tuple[str, ...] = ()
+    """By number; empty: `peers` of the configuration."""
+
+
 @dataclass(frozen=True, slots=True)
 class Features:
     """All sections."""
@@ -97,6 +112,7 @@
     overload: OverloadFeatures = OverloadFeatures()
     memcached: MemcachedFeatures = MemcachedFeatures()
     hot_keys: HotKeyFeatures = HotKeyFeatures()
+    peers: PeerFeatures = PeerFeatures()
 
     def settings(self, settings: Settings) -> Settings:
         """The module's settings with what these files say; raises ValueError."""
@@ -164,6 +180,10 @@
     return isinstance(value, dict) and all(map(_text, value.values()))
 
 
+def _addresses(value: Any) -> bool:
+    return isinstance(value, list) and all(map(_text, value))
+
+
 def _bool(value: Any) -> bool:
     return isinstance(value, bool)
 
@@ -181,6 +201,13 @@
         "tenant_prefixes": (_names, "a table of prefixes and names of tenants"),
         "deadline_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000"),
     },
+    "peers": {
+        "on": (_bool, "true or false"),
+        "key_file": (_text, "a file's path"),
+        "zone": (_text, "the name of a zone, or nothing"),
+        "listen": (_text, "host:port, or nothing"),
+        "peers": (_addresses, "a list of host:port"),
+    },
     "hot_keys": {
         "fill": (_fill, '"reads", "writes" or nothing'),
         "max_keys": (_int, "a whole number"),
@@ -197,6 +224,7 @@
     "overload": OverloadFeatures,
     "memcached": MemcachedFeatures,
     "hot_keys": HotKeyFeatures,
+    "peers": lambda peers=(), **told: PeerFeatures(peers=tuple(peers), **told),
 }
 
 
--- a/tests/admin/test_calls.py
+++ b/tests/admin/test_calls.py
@@ -36,6 +36,13 @@
         self.done.append(f"back {server}")
         return server == "s-1"
 
+    def peers(self) -> dict[str, Any]:
+        return {"on": False}
+
+    def settle_peers(self) -> bool:
+        self.done.append("settle")
+        return self.well
+
     def drain(self) -> None:
         self.done.append("drain")
 
@@ -54,6 +61,8 @@
         ("PUT", "/cache-servers/s-1/ready?by=me", 200, ["back s-1"]),
         ("PUT", "/cache-servers/%73-1/maint", 200, ["out s-1"]),
         ("PUT", "/cache-servers/%C3%BC%2F%20%C3%A4/maint", 200, ["out ü/ ä"]),
+        ("GET", "/peers", 200, []),
+        ("PUT", "/peers/settle", 200, ["settle"]),
         ("PUT", "/healthcheck/fail", 200, ["drain"]),
         ("PUT", "/healthcheck/ok", 200, ["resume"]),
         ("PUT", "/cache-servers/other/maint", 404, ["out other"]),
--- /dev/null
+++ b/tests/peers/test_world.py
@@ -0,0 +1,284 @@
+"""Membership in virtual time: deaths, pauses, losses, cuts of every shape, names and places that move."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from benchmarks.peers_world import World, name_of
+from saltport.peers.agent import Mood
+from saltport.peers.messages import Alive, Gossip, Packet, Suspect
+from saltport.peers.settings import NS_PER_MS, NS_PER_S, PeerSettings
+from saltport.peers.views import Standing
+
+
+def running(count: int, seed: int = 1, settings: PeerSettings | None = None) -> World:
+    world = World(count, seed, settings)
+    world.start_all()
+    assert world.until_agreed(10) < 3
+    world.run(12)  # the first view settles
+    return world
+
+
+def standings(world: World) -> Counter[str]:
+    return Counter(str(agent.views.standing) for agent in world.agents.values())
+
+
+def died(world: World, since: int) -> list[tuple[str, str]]:
+    return [(seen.by, seen.told.name) for seen in world.told("died", since)]
+
+
+@pytest.mark.parametrize(("count", "bound"), [(2, None), (3, 4.0), (12, 3.2), (40, 3.6)])
+def test_a_death_is_known_to_all_in_time(count: int, bound: float | None) -> None:
+    world = running(count)
+    world.kill(1)
+    if bound is None:
+        # Who hears nobody can't tell whose fault that is.
+        world.run(20)
+        assert world.agents[0].views.standing is Standing.ISOLATED
+        assert world.agents[0].members.is_live("r1")
+        return
+    assert world.until_agreed(10) <= bound
+    world.start(1, clock=2_000)
+    assert world.until_agreed(10) < 2
+    assert {seen.told.name for seen in world.told("restarted")} == {"r1"}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_false_death_under_loss_pauses_and_one_sided_cuts(seed: int) -> None:
+    world = running(12, seed)
+    since, rng = world.now, random.Random(seed)
+    world.loss = 0.3
+    cuts = {(rng.randrange(12), rng.randrange(12)) for _ in range(4)}
+    world.cuts.append(lambda here, there, _: (here, there) in cuts)
+    for _ in range(6):
+        world.pause(rng.randrange(12), 2 * NS_PER_S)
+        world.run(12)
+    assert died(world, since) == []
+    assert sum(agent.false_alarms for agent in world.agents.values()) > 0  # there was something to refute
+
+
+def test_without_witnesses_and_refutation_the_same_faults_kill() -> None:
+    """So that the test above can fail."""
+    world = running(12, settings=PeerSettings(refutes=False))
+    since, world.loss = world.now, 0.3
+    for place in range(6):
+        world.pause(place, 3 * NS_PER_S)
+        world.run(12)
+    assert died(world, since)
+
+
+def test_halves_are_minorities_and_heal_in_one_view() -> None:
+    world = running(12)
+    world.cuts.append(lambda here, there, _: here % 2 != there % 2)
+    world.run(20)
+    assert standings(world) == {"minority": 12}
+    assert {len(agent.members) for agent in world.agents.values()} == {6}
+    world.cuts.clear()
+    assert world.until_agreed(10) < 5
+    world.run(2)
+    assert standings(world) == {"majority": 12}
+    assert len({(agent.views.view.number, agent.views.view.digest) for agent in world.agents.values()}) == 1
+
+
+def test_a_third_that_is_cut_off_knows_it_and_vanishes_in_few_views() -> None:
+    world = running(12)
+    since = world.now
+    world.cuts.append(lambda here, there, _: (here < 4) != (there < 4))
+    world.run(30)  # longer than a view needs to settle: the smaller side must not become its own yardstick
+    assert {place: str(agent.views.standing) for place, agent in world.agents.items()} == {
+        place: "minority" if place < 4 else "majority" for place in range(12)
+    }
+    views = Counter(seen.by for seen in world.told("view", since))
+    assert max(views[name_of(place)] for place in range(4, 12)) <= 3
+    world.cuts.clear()
+    assert world.until_agreed(10) < 5
+
+
+def test_three_parts_and_a_cut_that_swings() -> None:
+    world = running(12)
+    world.cuts.append(lambda here, there, _: here % 3 != there % 3)
+    world.run(15)
+    assert standings(world) == {"minority": 12}
+    world.cuts.clear()
+    assert world.until_agreed(10) < 5
+    world.run(12)
+    since = world.now
+    world.cuts.append(lambda here, there, now: here % 2 != there % 2 and now // (2 * NS_PER_S) % 2 == 0)
+    world.run(40)
+    assert died(world, since) == []
+
+
+def test_half_of_the_fleet_stopped_together_for_three_seconds_stays() -> None:
+    world = running(12)
+    since = world.now
+    for place in range(6):
+        world.pause(place, 3 * NS_PER_S)
+    world.run(10)
+    assert died(world, since) == []
+    assert standings(world) == {"majority": 12}
+
+
+def test_a_router_stopped_in_the_midst_of_accusing_asks_before_it_accuses() -> None:
+    world = running(6)
+    world.kill(2)
+    world.run(1.4)  # it is accused, and not dead yet
+    accuser = next(a for a in world.agents.values() if a.name in a.accusations.held["r2"].accusers)
+    place = accuser.me.place
+    assert isinstance(place, int)
+    since = world.now
+    world.pause(place, 10 * NS_PER_S)
+    world.run(20)
+    assert [seen.told.detail for seen in world.told("paused", since)] == ["10.0 s"]
+    mine = [name for by, name in died(world, since) if by == accuser.name]
+    assert set(mine) <= {"r2"}  # nobody else, whatever it had not heard of meanwhile
+    assert world.until_agreed(10) < 1
+
+
+@pytest.mark.parametrize("heard_by", [(), (3,)])
+def test_a_router_that_nobody_or_one_alone_hears(heard_by: tuple[int, ...]) -> None:
+    world = running(8)
+    since = world.now
+    world.cuts.append(lambda here, there, _: here == 1 and there not in heard_by)
+    world.run(30)
+    mute = world.agents[1]
+    assert {name for _, name in died(world, since)} == (set() if heard_by else {"r1"})
+    assert mute.views.standing is (Standing.MAJORITY if heard_by else Standing.ISOLATED)
+    assert len(mute.members) == 8  # who is cut off itself declares nobody dead
+    world.cuts.clear()
+    healed = world.now
+    assert world.until_agreed(10) < 5
+    world.run(5)
+    assert died(world, healed) == []
+
+
+def test_who_hears_each_other_only_by_a_third_stays_and_reach_says_so() -> None:
+    world = running(6)
+    since = world.now
+    world.cuts.append(lambda here, there, _: {here, there} == {0, 1})
+    world.run(30)
+    assert died(world, since) == []
+    record = world.agents[0].members.records["r1"]
+    assert world.agents[0].reach.kind(record, world.now) == "relayed"
+    assert world.agents[2].reach.kind(record, world.now) == "direct"
+
+
+def test_a_zone_that_is_no_longer_heard_is_told_by_those_that_hear_it() -> None:
+    """Zones a and b are cut from each other; both reach c."""
+    world = running(9)
+    world.cuts.append(lambda here, there, _: {here % 3, there % 3} == {0, 1})
+    world.run(30)
+    witness = world.agents[2]
+    cut_by = witness.reach.cut_by(witness.members.live())
+    assert set(cut_by["b"]) == {"r0", "r3", "r6"}
+    assert set(cut_by["a"]) == {"r1", "r4", "r7"}
+    assert len(witness.members) == 9
+
+
+def test_of_two_routers_with_one_name_the_later_one_stays() -> None:
+    world = running(5)
+    world.kill(4)
+    world.until_agreed(10)
+    twin = world.start(4, clock=500, name="r1")  # its clock is far behind: it still counts as the later one
+    world.run(8)
+    assert world.agents[1].mood is Mood.DISPLACED
+    assert world.told("displaced")
+    assert twin.me.start > 1_000
+    assert {agent.members.records["r1"].place for place, agent in world.agents.items() if place != 1} == {4}
+
+
+def test_a_restart_with_a_clock_set_back_counts_as_a_restart() -> None:
+    world = running(5)
+    world.kill(2)
+    world.run(1)
+    agent = world.start(2, clock=3)
+    assert world.until_agreed(10) < 3
+    world.run(5)
+    assert agent.me.start == 1_001
+    assert agent.mood is Mood.MEMBER
+    assert died(world, 0) == []
+
+
+def test_a_router_comes_back_at_another_place_and_another_at_its_old_one() -> None:
+    world = running(6)
+    world.places.append(6)
+    world.kill(2)
+    world.run(0.5)
+    world.start(6, clock=2_000, name="r2")
+    world.start(2, clock=2_000, name="new")
+    assert world.until_agreed(20) < 10
+    records = world.agents[0].members.records
+    assert (records["r2"].place, records["new"].place) == (6, 2)
+
+
+def test_a_leave_that_crosses_a_suspicion_is_a_leave() -> None:
+    world = running(6)
+    since = world.now
+    world.pause(3, 1_500 * NS_PER_MS)
+    world.run(1.45)
+    assert any("r3" in agent.accusations.held for agent in world.agents.values())
+    world.leave(3)
+    assert world.until_agreed(10) < 2
+    world.run(10)
+    assert died(world, since) == []
+    assert standings(world) == {"majority": 5}
+    assert all("r3" not in agent.views.yardstick for agent in world.agents.values())
+
+
+def test_all_start_within_a_second_and_are_restarted_one_by_one() -> None:
+    world = World(60, 3)
+    world.start_all(NS_PER_S)
+    assert world.until_agreed(10) < 2
+    sent = max(agent.outbox.bytes for agent in world.agents.values())
+    assert sent < world.settings.bytes_per_s * 2
+    world.run(12)
+    since = world.now
+    for place in range(0, 60, 3):
+        world.leave(place)
+        world.run(0.3)
+        world.start(place, clock=2_000)
+        world.run(0.2)
+    assert world.until_agreed(10) < 2
+    assert died(world, since) == []
+
+
+def test_bytes_do_not_grow_with_the_fleet() -> None:
+    small, large = running(12).bytes_per_s(10), running(60).bytes_per_s(10)
+    assert large < 1.15 * small < 1_000
+
+
+def test_a_view_is_the_same_number_everywhere_and_majorities_can_be_settled_by_hand() -> None:
+    world = running(9)
+    for place in range(5):
+        world.kill(place)
+    world.run(12)
+    assert standings(world) == {"minority": 4}
+    world.agents[5].views.settle(world.now)
+    world.run(1)
+    assert world.agents[5].views.standing is Standing.MAJORITY
+    assert len({agent.views.view.number for agent in world.agents.values()}) == 1
+
+
+def test_an_accusation_of_an_earlier_incarnation_is_answered_with_what_came_after() -> None:
+    world = running(4)
+    agent = world.agents[0]
+    agent.me.incarnation = 5
+    agent._announce(world.now)
+    world.run(2)
+    other = world.agents[1]
+    old = Suspect("r0", 1_000, 4, "r2", 2_000)
+    other.receive(Packet("r2", 1_000, 1 << 40, 0, other.members.digest, Gossip(), (old,)), 2, world.now)
+    told = [update for _, packet in other.take() for update in packet.said]
+    assert Alive("r0", 1_000, 5, 0, "a") in told
+    assert "r0" not in other.accusations.held
+
+
+def test_a_full_table_turns_others_away_and_counts_them() -> None:
+    world = running(3, settings=PeerSettings(most_members=3))
+    world.places.append(3)
+    world.start(3)
+    world.run(5)
+    assert {len(agent.members) for agent in world.agents.values()} == {3}
+    assert world.agents[0].members.turned_away > 0
