--- a/saltport/audit.py
+++ b/saltport/audit.py
@@ -137,9 +137,12 @@
             for writer in {record["writer"] for record in records}
         }
         self.ends: dict[str, list[int]] = defaultdict(list)
+        self.stops: dict[str, list[tuple[int, int]]] = defaultdict(list)
         for record in by_kind["router"]:
             if record["state"] in ("killed", "exited", "crashed"):
                 self.ends[record["name"]].append(record["t"])
+            elif record["state"] == "stopped":
+                self.stops[record["name"]].append((record["t"] - record["ns"], record["t"]))
 
     def broken(self, rule: str, record: Record, what: str) -> None:
         self.verdict.violations.append(Violation(rule, record["t"], what))
@@ -163,6 +166,8 @@
             self._one_answer(record)
             if record["sent"]:
                 due = record["sent"] + record["wait_ms"] * MS
+                if self.stood_still(record, due):
+                    continue  # what lay unread meanwhile looks new to it
                 final = min(record["t"], due) if record["answer"] in FINAL else due
                 for attempt in self.attempts[record["id"]]:
                     slack = limits.send_slack_ms * MS + self.stall(attempt, attempt["t"])
@@ -184,11 +189,13 @@
             late = record["t"] - due - self.limits.answer_slack_ms * MS - self.stall(record, record["t"])
             if late > 0 and self.begun_in_time(record, due):
                 self.note("begun_in_time_and_finished_late")
-            elif late > 0 and not self.died(record, due):
+            elif late > 0 and not self.died(record, due) and not self.stood_still(record, due):
                 self.broken("answers", record, f"{name}: {answer} {(record['t'] - due) / MS:.0f} ms too late")
             return
         if self.died(record, due):
             self.note("lost_with_a_router")
+        elif self.stood_still(record, due):
+            self.note("held_by_a_stopped_router")
         elif answer == "none" and self.begun_in_time(record, due):
             self.note("begun_in_time_and_not_finished")
         elif answer == "gone" and not self.attempts[record["id"]]:
@@ -204,6 +211,12 @@
         """Whether the router ended while it held this try."""
         return any(record["sent"] - 100 * MS <= end <= due for end in self.ends[record["router"]])
 
+    def stood_still(self, record: Record, due: int) -> bool:
+        """Whether the router was stopped from outside while it held this try: then it did not run."""
+        return any(
+            begun <= due and record["sent"] - 100 * MS <= end for begun, end in self.stops[record["router"]]
+        )
+
     def note(self, name: str) -> None:
         self.verdict.notes[name] = self.verdict.notes.get(name, 0) + 1
 
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -494,6 +494,45 @@
     _call(control, "state")
 
 
+@cli.command()
+@click.option("--routers", default=6, show_default=True, type=click.IntRange(2, 60))
+@click.option("--seed", default=1, show_default=True, help="Of the links, and of a drawn schedule.")
+@click.option("--schedule", type=_FILE, help="Acts in TOML; else they are drawn by the seed.")
+@click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(10), help="Of a drawn one.")
+@click.option("--rate", default=0.0, show_default=True, help="Requests a second beside it, audited.")
+@_AS_JSON
+def nemesis(
+    routers: int, seed: int, schedule: Path | None, seconds: float, rate: float, as_json: bool
+) -> None:
+    """Start routers that know one another, break the links between them, stop and kill them, and judge."""
+    import tempfile
+
+    import uvloop
+
+    from saltport.harness import HarnessError
+    from saltport.nemesis.runner import Nemesis, NemesisError, run_nemesis
+    from saltport.nemesis.schedule import ScheduleError, draw_schedule, read_schedule
+
+    names = [f"r{number + 1}" for number in range(routers)]
+    try:
+        acts = read_schedule(schedule, names) if schedule else draw_schedule(seed, names, seconds)
+    except ScheduleError as error:
+        _wrong(str(error), 2)
+    try:
+        with tempfile.TemporaryDirectory(prefix="saltport-nemesis-") as folder:
+            run = Nemesis(Path(folder), routers, seed)
+            report = uvloop.run(run_nemesis(run, acts, lambda line: click.echo(line, err=True), rate))
+    except (HarnessError, NemesisError, OSError) as error:
+        _wrong(str(error), 1)
+    except KeyboardInterrupt:
+        _wrong("ended before its time", 1)
+    which = f"--schedule {schedule}" if schedule else f"--seconds {seconds:g}"
+    report["repeat"] = f"saltport nemesis --routers {routers} --seed {seed} {which} --rate {rate:g}"
+    _dump(report, indent=not as_json)
+    click.echo(f"{'clean' if report['clean'] else 'BROKEN'}; again: {report['repeat']}", err=True)
+    sys.exit(not report["clean"])
+
+
 @cli.command()
 @click.argument("ledgers", type=_THERE, nargs=-1, required=True)
 @click.option("--slack-ms", default=50, show_default=True, type=click.IntRange(0))
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -316,14 +316,17 @@
 
 
 def _peer_link(loop: asyncio.AbstractEventLoop, config: Config, host: RouterHost) -> PeerLink:
-    from saltport.peers.link import PeerLink  # only where it is on
+    from saltport.peers.chronicle import Chronicle  # only where it is on
+    from saltport.peers.link import PeerLink
 
     def lag() -> int:
         return host.lag.longest_since(time.monotonic_ns() - LAG_WINDOW_NS)
 
+    chronicle = Chronicle()
+
     def told(news: Told) -> None:
-        level = logging.WARNING if news.what in ("paused", "displaced", "standing") else logging.INFO
-        log.log(level, "peers: %s %s%s", news.name, news.what, f": {news.detail}" if news.detail else "")
+        for grave, line in chronicle.take(news):
+            log.log(logging.WARNING if grave else logging.INFO, "peers: %s", line)
 
     assert config.peers is not None
     return PeerLink(loop, config.name, config.peers, config.seed, lag, told)
--- a/saltport/nemesis/history.py
+++ b/saltport/nemesis/history.py
@@ -12,7 +12,7 @@
 
 RULES = ("no_false_death", "records_only_rise", "one_majority", "agreed_at_last")
 EXCUSE_S = 12.0  # after a fault of its own, or on its links, somebody may still be held dead
-SETTLED_S = 8.0  # within a partition, after which two sides must not both be majorities
+SETTLED_S = 5.0  # within a partition, after which two sides must not both be majorities
 
 
 @dataclass(frozen=True, slots=True)
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -17,7 +17,9 @@
 import orjson
 
 from saltport.address import Address
-from saltport.harness import Harness, RouterProcess
+from saltport.audit import Limits
+from saltport.harness import Harness, RouterProcess, run_load
+from saltport.load.plan import LoadPlan, Step
 from saltport.nemesis.history import History, Member, Sample, Span
 from saltport.nemesis.schedule import Act
 from saltport.standins.links import DatagramRelay, Fault, Links
@@ -25,6 +27,8 @@
 
 FEATURES = '[peers]\non = true\nkey_file = "{folder}/peers.keys"\nzone = "{zone}"\n'
 ZONES = ("a", "b", "c")
+SLACK_MS = 1_000  # of the audit: many processes share few cores
+FOR_GOOD_S = 86_400.0
 ASK_S = 2.0  # in which a router that runs answers how it sees the others
 
 
@@ -88,6 +92,11 @@
 
     # Watching
 
+    def restart_clock(self) -> None:
+        """The history begins now."""
+        self._began = time.monotonic()
+        self.history.samples.clear()
+
     def now(self) -> float:
         """Seconds since the beginning."""
         return time.monotonic() - self._began
@@ -179,6 +188,8 @@
             await asyncio.sleep(seconds)
         finally:
             self._signal(router, signal.SIGCONT)
+            lasted = int((self.now() - self._open["stopped", name]) * 1e9)
+            self.harness.ledger.write("router", name=name, state="stopped", ns=lasted)
             self._end("stopped", [name])
 
     async def kill(self, name: str) -> None:
@@ -294,20 +305,30 @@
 
 
 async def run_nemesis(
-    nemesis: Nemesis,
-    acts: Sequence[Act],
-    say: Callable[[str], None],
-    beside: Callable[[Nemesis], Coroutine[Any, Any, None]] | None = None,
+    nemesis: Nemesis, acts: Sequence[Act], say: Callable[[str], None], rate: float = 0.0
 ) -> dict[str, Any]:
-    """Play a schedule on a fleet of its own; returns the report. `beside`: what runs meanwhile, as a load."""
+    """Play a schedule on a fleet of its own, beside a load; returns the report and the audit."""
+    stop = asyncio.Event()
     async with nemesis:
         await nemesis.until_agreed(60.0)
-        nemesis._began = time.monotonic()
-        nemesis.history.samples.clear()
-        work = asyncio.get_running_loop().create_task(beside(nemesis)) if beside is not None else None
-        with contextlib.suppress(NemesisError):
-            await nemesis.play(acts, say)
-        if work is not None:
-            await work
+        nemesis.restart_clock()
+        plan = LoadPlan((Step(0.0, rate),), FOR_GOOD_S, seed=nemesis.seed, keys=500) if rate else None
+        load = (
+            asyncio.get_running_loop().create_task(run_load(nemesis.harness, plan, stop=stop))
+            if plan is not None
+            else None
+        )
+        try:
+            with contextlib.suppress(NemesisError):  # the history tells as much
+                await nemesis.play(acts, say)
+        finally:
+            stop.set()
+        told = await load if load is not None else None
         await nemesis.sample()
-    return nemesis.history.report()
+    report = nemesis.history.report()
+    if told is not None:
+        summary, ledger = told
+        verdict = nemesis.harness.audit([ledger], Limits(SLACK_MS, SLACK_MS, SLACK_MS, SLACK_MS))
+        report["served"], report["audit"] = summary["served"], verdict.as_json()
+        report["clean"] = report["clean"] and verdict.clean
+    return report
--- a/saltport/peers/agent.py
+++ b/saltport/peers/agent.py
@@ -482,7 +482,7 @@
         if self.views.look(digest, live, self.accusations.unsettled, now):
             view = self.views.view
             self._tell("view", self.name, f"{view.number}: {len(view.members)} routers")
-        if self.views.stand(self._deaf(now), now):
+        if self.views.stand(self._deaf(now), self.accusations.held.keys(), now):
             views = self.views
             among = f"{len(views.yardstick & views.view.members)} of {len(views.yardstick)}"
             self._tell("standing", self.name, f"{views.standing} ({among})")
--- a/saltport/peers/link.py
+++ b/saltport/peers/link.py
@@ -21,6 +21,10 @@
 
 BIND_EVERY_S = 0.1
 LEAVE_GAP_S = 0.05  # between the two times that a router says it goes
+STARTS_FROM = 1_700_000_000  # Unix time: start numbers have four bytes until 2032, and more from then on
+# Danger: of a process that starts again within one step, all datagrams would count as replays.
+STARTS_A_SECOND = 16
+LEAST_TURN_NS = 10_000_000
 LAG_DECAY = 0.9  # a turn
 
 log = logging.getLogger("saltport")
@@ -67,11 +71,16 @@
         self._timer: asyncio.TimerHandle | None = None
         self._closed = False
         self._unsent = 0
+        self._name, self._seed, self._settings = name, seed, settings or PeerSettings()
+        self.agent = self._begin()
+
+    def _begin(self) -> Agent:
         # The clock only gives the first guess: whoever knows a later start of this name says so.
-        me = Identity(name, int(time.time()), plan.place, plan.zone)
-        seeds: Sequence[Place] = range(len(plan.peers))
-        rng = random.Random(seed ^ time.monotonic_ns())
-        self.agent = Agent(me, seeds, settings or PeerSettings(), rng, time.monotonic_ns())
+        start = max(int((time.time() - STARTS_FROM) * STARTS_A_SECOND), 1)
+        me = Identity(self._name, start, self._plan.place, self._plan.zone)
+        seeds: Sequence[Place] = range(len(self._plan.peers))
+        now = time.monotonic_ns()
+        return Agent(me, seeds, self._settings, random.Random(self._seed ^ now), now)
 
     async def open(self) -> None:
         """Bind, and begin; while a process before this one holds the address, wait for its end."""
@@ -85,6 +94,8 @@
                 waited = True
                 await asyncio.sleep(BIND_EVERY_S)
             else:
+                # Danger: begun before the earlier process has ended, both might have one start number.
+                self.agent = self._begin()
                 self._turn()
                 return
 
@@ -123,10 +134,13 @@
         late = max(now - self.agent.due, 0) if self._timer is not None else 0
         most = self.agent.settings.gap // 2  # longer is a pause, which the agent notices by itself
         patience.lag = min(max(late, self._lag(), int(patience.lag * LAG_DECAY)), most)
-        self.agent.turn(now)
-        self._carry()
-        wait = max(self.agent.due - time.monotonic_ns(), 0) / NS_PER_S
-        self._timer = self._loop.call_later(wait, self._turn)
+        try:
+            self.agent.turn(now)
+            self._carry()
+        finally:
+            # Danger: a fault in one turn must not be the last one.
+            wait = max(self.agent.due - time.monotonic_ns(), LEAST_TURN_NS) / NS_PER_S
+            self._timer = self._loop.call_later(wait, self._turn)
 
     def _carry(self) -> None:
         transport, peers = self._transport, self._plan.peers
--- a/saltport/peers/settings.py
+++ b/saltport/peers/settings.py
@@ -61,5 +61,7 @@
         wanted = max(min(self.confirmations, members - 2), 0)
         if accusers > wanted:
             return int(least)
-        share = math.log(max(accusers, 1)) / math.log(wanted + 1)
+        if accusers <= 1:
+            return int(most)
+        share = math.log(accusers) / math.log(wanted + 1)
         return int(most - (most - least) * share)
--- a/saltport/peers/views.py
+++ b/saltport/peers/views.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -76,18 +77,23 @@
     def settle(self, now: int) -> None:
         """Make the present view the yardstick, whatever it was: an operator's word."""
         self._measure()
-        self.stand(False, now)
+        self.stand(False, frozenset(), now)
 
     def _measure(self) -> None:
         self.yardstick, self.yardstick_number = self.view.members, self.view.number
         self._expected = 0
 
-    def stand(self, deaf: bool, now: int) -> bool:
-        """Judge the standing; `deaf`: nobody is heard. Returns whether it changed."""
+    def stand(self, deaf: bool, doubted: Set[str], now: int) -> bool:
+        """Judge the standing; `deaf`: nobody is heard. Returns whether it changed.
+
+        Danger: were the doubted counted as present, a side that is cut off would call itself the majority for
+        as long as deaths take, which is longest where few are left to accuse.
+        """
         view, held = self.view, self.yardstick
-        present, wanted = len(held & view.members), len(held)
+        sure = view.members - doubted
+        present, wanted = len(held & sure), len(held)
         if self._expected:
-            present, wanted = len(view.members), self._expected
+            present, wanted = len(sure), self._expected
         if deaf and len(view.members | held) > 1:
             standing = Standing.ISOLATED
         elif len(view.members | held) == 1:
--- /dev/null
+++ b/tests/nemesis/test_processes.py
@@ -0,0 +1,94 @@
+"""Six real routers behind faulty links. Faults begin at states that were seen; each sample is checked."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from saltport.nemesis.history import Sample
+from saltport.nemesis.runner import Nemesis, NemesisError
+from saltport.standins.links import Fault
+
+PATIENCE_S = 120.0
+
+
+def play(folder: Path, routers: int, scene: Callable[[Nemesis], Awaitable[None]]) -> Nemesis:
+    async def run() -> Nemesis:
+        nemesis = Nemesis(folder, routers, seed=4)
+        async with asyncio.timeout(PATIENCE_S), nemesis:
+            await nemesis.until_agreed(60)
+            nemesis.restart_clock()
+            await scene(nemesis)
+            nemesis.history.ended = nemesis.now()
+        return nemesis
+
+    return uvloop.run(run())
+
+
+def holds(name: str, state: str, by: list[str]) -> Callable[[dict[str, Sample]], bool]:
+    return lambda last: all(other in last and last[other].members[name].state == state for other in by)
+
+
+def stand(standing: str, who: list[str]) -> Callable[[dict[str, Sample]], bool]:
+    return lambda last: all(name in last and last[name].standing == standing for name in who)
+
+
+def test_a_kill_a_stop_a_one_sided_cut_and_a_partition_that_heals(tmp_path: Path) -> None:
+    async def scene(nemesis: Nemesis) -> None:
+        with nemesis.cut(["r1"], ["r2"]):
+            await asyncio.sleep(4.0)  # longer than a death takes; there are paths through others
+        assert not any(
+            sample.members[name].state == "dead"
+            for sample in nemesis.history.samples
+            for name in ("r1", "r2")
+        )
+        stopped = asyncio.get_running_loop().create_task(nemesis.stop_for("r3", 6.0))
+        await nemesis.until("r3 is held dead", holds("r3", "dead", nemesis.others(["r3"])))
+        await stopped
+        await nemesis.until_agreed()
+        await nemesis.kill("r4")
+        await nemesis.until("r4 is held dead", holds("r4", "dead", nemesis.others(["r4"])))
+        await nemesis.start("r4")
+        await nemesis.until_agreed()
+        small, large = ["r5", "r6"], nemesis.others(["r5", "r6"])
+        with nemesis.cut(small, large, both=True):
+            await nemesis.until("the two know that they are few", stand("minority", small))
+            await nemesis.until("the four know that they are many", stand("majority", large))
+        await nemesis.until_agreed()
+        await nemesis.until("all are in a majority", stand("majority", nemesis.others([])))
+
+    nemesis = play(tmp_path, 6, scene)
+    assert nemesis.history.check() == []
+    checked = nemesis.history.checked()
+    assert min(checked.values()) > 0, checked
+    samples = nemesis.history.samples
+    starts = [
+        sample.members["r4"].start for sample in samples if sample.by == "r1" and "r4" in sample.members
+    ]
+    assert starts[-1] > starts[0]  # a restart, told from a return
+    returned = [sample.members["r3"] for sample in samples if sample.by == "r1"]
+    assert returned[-1].start == returned[0].start
+    assert returned[-1].incarnation > returned[0].incarnation
+    log = (tmp_path / "r3" / "log").read_text()
+    assert "peers: paused: " in log
+    assert "died r4" in log
+
+
+def test_a_router_with_another_key_is_nobody_and_the_run_says_so(tmp_path: Path) -> None:
+    async def scene(nemesis: Nemesis) -> None:
+        nemesis.links.fault(["r1"], ["r2"], Fault(loss=0.1, doubles=0.5, delay_s=(0.0, 0.05)))
+        (tmp_path / "peers.keys").write_text("ab" * 32)
+        await nemesis.end("r3")
+        await nemesis.start("r3")
+        with pytest.raises(NemesisError, match="all agree"):
+            await nemesis.until_agreed(4.0)
+        await nemesis.sample()
+
+    nemesis = play(tmp_path, 3, scene)
+    assert {violation.rule for violation in nemesis.history.check()} == {"agreed_at_last"}
+    assert nemesis.history.last()["r3"].live == {"r3"}
+    assert nemesis.history.last()["r1"].live == {"r1", "r2"}
--- /dev/null
+++ b/tests/peers/test_link.py
@@ -0,0 +1,207 @@
+"""Peers on real sockets: configuration, what is off, the process's replacement, keys, noise, calls."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from saltport.address import Address
+from saltport.admin.client import call
+from saltport.peers.agent import Told
+from saltport.peers.link import PeerLink, PeerPlan
+from saltport.peers.words import lines
+from saltport.router.check import check_file
+from saltport.router.config import ConfigError, load_config
+from saltport.standins.profile import Profile
+from tests.sockets import ROOT, Peer, hit, routed
+
+KEY = b"k" * 32
+PATIENCE_S = 30.0
+
+
+def udp_address() -> Address:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as bound:
+        bound.bind(("127.0.0.1", 0))
+        address: Address = bound.getsockname()
+        return address
+
+
+class Trio:
+    """Three links on one loop."""
+
+    def __init__(self) -> None:
+        self.addresses = tuple(udp_address() for _ in range(3))
+        self.told: dict[str, list[Told]] = {}
+        self.links: dict[str, PeerLink] = {}
+
+    def link(self, number: int, keys: tuple[bytes, ...] = (KEY,)) -> PeerLink:
+        plan = PeerPlan(self.addresses[number], self.addresses, "z", keys)
+        name = f"r{number}"
+        told = self.told.setdefault(name, [])
+        link = PeerLink(asyncio.get_running_loop(), name, plan, number, lambda: 0, told.append)
+        self.links[name] = link
+        return link
+
+    async def agreed(self, count: int = 3) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while len({link.agent.members.digest for link in self.links.values()}) > 1 or any(
+                len(link.agent.members) != count for link in self.links.values()
+            ):
+                await asyncio.sleep(0.02)
+
+
+def play(scene: Callable[[Trio], Awaitable[None]]) -> None:
+    async def run() -> None:
+        trio = Trio()
+        for number in range(3):
+            await trio.link(number).open()
+        try:
+            await trio.agreed()
+            await scene(trio)
+        finally:
+            for link in trio.links.values():
+                await link.close(replaced=True)
+
+    uvloop.run(run())
+
+
+def test_the_next_process_waits_for_the_address_and_takes_the_name() -> None:
+    async def scene(trio: Trio) -> None:
+        old = trio.links["r2"]
+        new = trio.link(2)
+        opening = asyncio.get_running_loop().create_task(new.open())
+        await asyncio.sleep(0.3)
+        assert not opening.done()  # two processes of one router run side by side, and one is a peer
+        await old.close(replaced=True)
+        await opening
+        async with asyncio.timeout(PATIENCE_S):
+            while not any(told.what == "restarted" for told in trio.told["r0"]):
+                await asyncio.sleep(0.02)
+        await trio.agreed()
+        assert {told.what for told in trio.told["r0"] if told.name == "r2"} == {"joined", "restarted"}
+        assert new.agent.me.start > old.agent.me.start
+
+    play(scene)
+
+
+def test_a_drained_router_leaves_and_is_no_death() -> None:
+    async def scene(trio: Trio) -> None:
+        await trio.links.pop("r1").close(replaced=False)
+        await trio.agreed(2)
+        assert [told.what for told in trio.told["r0"] if told.name == "r1"] == ["joined", "left"]
+
+    play(scene)
+
+
+def test_noise_by_the_thousand_changes_nothing_and_is_counted() -> None:
+    async def scene(trio: Trio) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            for number in range(3_000):
+                stranger.sendto(bytes([1, number % 256]) + bytes(number % 400), trio.addresses[0])
+                if not number % 100:
+                    await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        told = trio.links["r0"].view()
+        assert sum(told["dropped"].values()) > 1_000
+        assert told["view"]["members"] == 3
+        assert told["datagrams"]["sent"] < 1_000  # no answer to any of it
+
+    play(scene)
+
+
+def test_keys_roll_while_all_hear_each_other() -> None:
+    async def scene(trio: Trio) -> None:
+        new = b"n" * 32
+        for keys in ((KEY, new), (new, KEY), (new,)):
+            for link in trio.links.values():
+                link.use_keys(keys)
+                await asyncio.sleep(0.2)
+        await trio.agreed()
+        assert not any(told.what == "died" for held in trio.told.values() for told in held)
+
+    play(scene)
+
+
+def config(folder: Path, **more: Any) -> Path:
+    told = Profile().config("r1", "127.0.0.1:1", "127.0.0.1:2", 3)
+    told["settings"]["ceilings"]["peers"] = True
+    told |= {"peer_listen": "127.0.0.1:7946", "peers": ["127.0.0.1:7946", "127.0.0.1:7947"]} | more
+    path = folder / "config.json"
+    path.write_text(json.dumps(told))
+    return path
+
+
+def features(folder: Path, text: str = "") -> Path:
+    (folder / "keys").write_text(KEY.hex())
+    path = folder / "peers.toml"
+    path.write_text(text or f'[peers]\non = true\nzone = "z"\nkey_file = "{folder}/keys"\n')
+    return path
+
+
+def test_the_plan_comes_from_the_configuration(tmp_path: Path) -> None:
+    path, file = config(tmp_path), features(tmp_path)
+    plan = load_config({"LB_CONFIG": str(path)}, [file]).peers
+    assert plan == PeerPlan(("127.0.0.1", 7946), (("127.0.0.1", 7946), ("127.0.0.1", 7947)), "z", (KEY,))
+    assert plan.place == 0
+    assert check_file(path, [file]) == []
+    assert load_config({"LB_CONFIG": str(path)}).peers is None
+
+
+@pytest.mark.parametrize(
+    ("text", "more", "words"),
+    [
+        ("", {"settings": {**Profile().settings(3)}}, "the settings do not allow routers to talk"),
+        ("[peers]\non = true\n", {}, "peers.key_file: must be set"),
+        ("[peers]\non = true\nkey_file = '/nowhere/keys'\n", {}, "can't be read"),
+        ("", {"peer_listen": None}, "peers.listen: must be set"),
+        ("", {"peer_listen": "here"}, "expected HOST:PORT"),
+        ("", {"peers": ["nowhere:1"]}, "IPv4 only"),
+        ("", {"name": "x" * 33}, "at most 32 characters"),
+        ("[peers]\non = 1\n", {}, "expected true or false"),
+        ("[peers]\npeers = [1]\n", {}, "expected a list of host:port"),
+    ],
+)
+def test_what_can_not_be_is_told_in_a_line(
+    tmp_path: Path, text: str, more: dict[str, Any], words: str
+) -> None:
+    path, file = config(tmp_path, **more), features(tmp_path, text)
+    with pytest.raises(ConfigError, match=words) as told:
+        load_config({"LB_CONFIG": str(path)}, [file])
+    assert "\n" not in str(told.value)
+    assert any(words in fault.reason for fault in check_file(path, [file]))
+
+
+def test_where_it_is_off_nothing_of_it_is_imported() -> None:
+    program = (
+        "import sys, saltport.router.__main__, saltport.simulator.adapter\n"
+        "sys.exit(any(name.startswith(('msgspec', 'saltport.peers')) for name in sys.modules))"
+    )
+    assert subprocess.run([sys.executable, "-c", program], cwd=ROOT, check=False).returncode == 0
+
+
+def test_a_router_without_peers_says_so(tmp_path: Path) -> None:
+    with routed(tmp_path, {"s1": Peer(lambda _, words: hit(words[1]))}) as router:
+        assert call(router.admin, "GET", "/peers") == (200, {"on": False})
+        assert call(router.admin, "PUT", "/peers/settle")[0] == 404
+
+
+def test_the_report_reads_in_lines() -> None:
+    async def scene(trio: Trio) -> None:
+        await trio.links.pop("r1").close(replaced=False)
+        await trio.agreed(2)
+        text = "\n".join(lines({"on": True, **trio.links["r0"].view()}))
+        assert "r0 (" in text
+        assert "r1: left for" in text
+        assert "r2: alive for" in text
+        assert "zone z: " in text
+
+    play(scene)
--- a/tests/peers/test_rules.py
+++ b/tests/peers/test_rules.py
@@ -9,6 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from saltport.peers.agent import Told
+from saltport.peers.chronicle import Chronicle
 from saltport.peers.members import Members
 from saltport.peers.messages import (
     Ack,
@@ -135,31 +137,39 @@
     assert SETTINGS.silence(count, 9) == pytest.approx(least * NS_PER_S, rel=0.01)
 
 
+def test_there_is_a_silence_for_any_number_of_members_and_accusers() -> None:
+    """Two members and no accuser once divided by zero: the router did nothing more among its peers."""
+    for count in range(6):
+        told = [SETTINGS.silence(count, accusers) for accusers in range(6)]
+        assert told == sorted(told, reverse=True)
+        assert told[0] > 0
+
+
 def test_the_yardstick_does_not_follow_a_partition_death_by_death() -> None:
     names = [f"r{number}" for number in range(10)]
     views = Views(SETTINGS, "r0", 10, 0)
     views.look(99, frozenset(names), False, NS_PER_S)
     for second in range(1, 13):
-        views.stand(False, second * NS_PER_S)
+        views.stand(False, set(), second * NS_PER_S)
     assert (views.standing, len(views.yardstick)) == (Standing.MAJORITY, 10)
     now = 20 * NS_PER_S
     for gone in range(1, 7):
         now += NS_PER_S
         views.look(99 - gone, frozenset(names[:-gone]), False, now)
-        views.stand(False, now)
+        views.stand(False, set(), now)
     assert views.standing is Standing.MINORITY
     for _ in range(60):
         now += NS_PER_S
-        views.stand(False, now)
+        views.stand(False, set(), now)
     assert (views.standing, len(views.yardstick)) == (Standing.MINORITY, 10)
 
 
 def test_a_fresh_router_is_in_a_majority_only_of_as_many_as_it_was_told_of() -> None:
     views = Views(SETTINGS, "r0", 10, 0)
     views.look(7, frozenset(["r0", "r1", "r2"]), False, 1)
-    views.stand(False, 60 * NS_PER_S)
+    views.stand(False, set(), 60 * NS_PER_S)
     assert views.standing is Standing.MINORITY
-    assert views.stand(True, 60 * NS_PER_S)
+    assert views.stand(True, set(), 60 * NS_PER_S)
     assert str(views.standing) == "isolated"
 
 
@@ -256,5 +266,20 @@
     assert decode(msgspec.msgpack.encode(["r1", 1, 7, 3, 4, [1, 5]])).body == Ack(5)
 
 
+def test_what_comes_together_is_one_line() -> None:
+    chronicle = Chronicle()
+    lines: list[tuple[bool, str]] = []
+    for number in range(8):
+        lines += chronicle.take(Told("died", f"r{number}", "incarnation 0"))
+    lines += chronicle.take(Told("standing", "me", "minority (4 of 12)"))
+    lines += chronicle.take(Told("view", "me", "7: 4 routers"))
+    lines += chronicle.take(Told("view", "me", "8: 4 routers"))
+    assert lines == [
+        (True, "standing: minority (4 of 12)"),
+        (False, "view 7: 4 routers; died r0, r1, r2, r3, r4 and 3 more"),
+        (False, "view 8: 4 routers"),
+    ]
+
+
 def test_states_are_in_their_order() -> None:
     assert State.ALIVE < State.SUSPECT < State.DEAD < State.LEFT
