--- /dev/null
+++ b/benchmarks/peers.py
@@ -0,0 +1,235 @@
+"""Membership in virtual time, beside plain forms: `python -m benchmarks.peers deaths|storm|cuts [options]`.
+
+deaths  seconds until all know of a death, and bytes a member a second
+storm   false deaths under loss, pauses of 2 s of a twentieth of the members each minute, and one-sided cuts
+cuts    partitions, a swinging cut, mass deaths and pauses: what is believed, and how long healing takes
+
+Forms: ours; swim (random targets, one suspicion time, no witnesses, no patience); heartbeats and phi (each to
+all, a fixed time of silence or phi accrual at 8), by a model of their own without any rumours.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import statistics
+from collections import Counter, deque
+from collections.abc import Iterator
+from dataclasses import replace
+
+import click
+
+from benchmarks.peers_world import World
+from saltport.peers.agent import Agent
+from saltport.peers.settings import NS_PER_S, PeerSettings
+
+BEAT_S = 0.5
+BEAT_BYTES = 60  # a head and an envelope
+PHI = 8.0
+LOSS = 0.3
+PAUSE_S = 2.0
+FORMS = ["ours", "swim", "heartbeats", "phi"]
+
+
+class Swim(Agent):
+    """SWIM as its paper has it, at the same number of questions."""
+
+    def _watch(self, now: int) -> None:
+        self.patience.score = self.patience.lag = 0
+        if now >= self._next_watch:
+            self._next_watch = now + self.settings.period // self.settings.rings
+            for name in self.members.some(1, self._rng, (self.name,)):
+                self.questions.ask(name, now)
+
+
+PLAIN = replace(PeerSettings(), refutes=False, gap=1 << 62, crowd_share=2.0)
+
+
+def _world(form: str, members: int, seed: int) -> World:
+    world = World(members, seed, PLAIN, Swim) if form == "swim" else World(members, seed)
+    world.start_all()
+    world.until_agreed(60)
+    world.run(12)
+    return world
+
+
+class Strain:
+    """Cuts and pauses of one minute after another, the same for each form."""
+
+    def __init__(self, members: int, seed: int) -> None:
+        self._members, self._rng = members, random.Random(seed + 99)
+
+    def minutes(self, count: int) -> Iterator[tuple[set[tuple[int, int]], list[tuple[float, int]]]]:
+        """The cuts of each minute, and the pauses: when in it, and who."""
+        owed = 0.0
+        for _ in range(count):
+            rng, members = self._rng, self._members
+            cuts = {(a, b) for a, b in (rng.sample(range(members), 2) for _ in range(max(members // 6, 1)))}
+            owed += members / 20
+            pauses = [(rng.uniform(0, 60), rng.randrange(members)) for _ in range(int(owed))]
+            owed -= int(owed)
+            yield cuts, sorted(pauses)
+
+
+def storm(form: str, members: int, minutes: int, seed: int) -> dict[str, float]:
+    """False deaths, each observer's belief counted once, and the bytes of a member a second."""
+    if form in ("heartbeats", "phi"):
+        return _beats(form, members, minutes, seed)
+    world = _world(form, members, seed)
+    since, world.loss = world.now, LOSS
+    cut: set[tuple[int, int]] = set()
+    world.cuts.append(lambda here, there, _: (here, there) in cut)
+    before = sum(agent.outbox.bytes for agent in world.agents.values())
+    for number, (cuts, pauses) in enumerate(Strain(members, seed).minutes(minutes)):
+        cut.clear()
+        cut |= cuts
+        begun = since + number * 60 * NS_PER_S
+        for at, who in pauses:
+            world.run(until=max(begun + int(at * NS_PER_S), world.now))
+            world.pause(who, int(PAUSE_S * NS_PER_S))
+        world.run(until=begun + 60 * NS_PER_S)
+    died = world.told("died", since)
+    sent = sum(agent.outbox.bytes for agent in world.agents.values()) - before
+    return {
+        "beliefs": len(died),
+        "subjects": len({(seen.told.name, seen.told.detail) for seen in died}),
+        "bytes_per_s": sent / members / minutes / 60,
+    }
+
+
+def _beats(form: str, members: int, minutes: int, seed: int) -> dict[str, float]:
+    """Heartbeats from each to all: pairs are independent but for the pauses."""
+    rng, beliefs, subjects = random.Random(seed), 0, set()
+    plan = list(Strain(members, seed).minutes(minutes))
+    paused: dict[int, list[float]] = {}
+    for minute, (_, pauses) in enumerate(plan):
+        for at, who in pauses:
+            paused.setdefault(who, []).append(minute * 60 + at)
+    for sender in range(members):
+        stops = paused.get(sender, [])
+        for hearer in range(members):
+            if hearer == sender:
+                continue
+            heard, gaps, at = 0.0, deque([BEAT_S], maxlen=100), 0.0
+            while (at := at + BEAT_S) < minutes * 60:
+                still = any(stop <= at < stop + PAUSE_S for stop in stops)
+                if still or (sender, hearer) in plan[int(at // 60)][0] or rng.random() < LOSS:
+                    continue
+                silent = at - heard
+                if silent > (_phi_limit(gaps) if form == "phi" else 2.6):
+                    beliefs += 1
+                    subjects.add((sender, int(at // 10)))
+                gaps.append(silent)
+                heard = at
+    return {
+        "beliefs": beliefs,
+        "subjects": len(subjects),
+        "bytes_per_s": (members - 1) * BEAT_BYTES / BEAT_S,
+    }
+
+
+def _phi_limit(gaps: deque[float]) -> float:
+    """The silence at which phi reaches its bound, by the mean and the deviation of the last gaps."""
+    mean = sum(gaps) / len(gaps)
+    deviation = max(math.sqrt(sum((gap - mean) ** 2 for gap in gaps) / len(gaps)), 0.1)
+    return mean + statistics.NormalDist().inv_cdf(1 - 10**-PHI) * deviation
+
+
+def deaths(form: str, members: int, count: int, seed: int) -> tuple[list[float], float]:
+    """Seconds until all know of each death, and the bytes of a member a second in calm."""
+    world, times = _world(form, members, seed), []
+    calm = world.bytes_per_s(10)
+    for number in range(count):
+        place = world.rng.choice(sorted(world.agents))
+        world.run(world.rng.random())
+        world.kill(place)
+        times.append(world.until_agreed(60))
+        world.run(1)
+        world.start(place, 2_000 + number)
+        world.until_agreed(60)
+        world.run(3)
+    return sorted(times), calm
+
+
+def cuts(members: int, seed: int) -> Iterator[str]:
+    """Lines on partitions and mass troubles."""
+    world = _world("ours", members, seed)
+
+    def stand() -> str:
+        return ", ".join(
+            f"{count} {name}"
+            for name, count in Counter(str(agent.views.standing) for agent in world.agents.values()).items()
+        )
+
+    def views(since: int) -> float:
+        return len(world.told("view", since)) / max(len(world.agents), 1)
+
+    for parts in (2, 3):
+        since = world.now
+        world.cuts.append(lambda here, there, _, parts=parts: here % parts != there % parts)  # type: ignore[misc]
+        world.run(20)
+        believed, changed = stand(), views(since)
+        world.cuts.clear()
+        sent = sum(agent.outbox.bytes for agent in world.agents.values())
+        healed = world.until_agreed(60)
+        sent = (sum(agent.outbox.bytes for agent in world.agents.values()) - sent) // members
+        yield f"cut in {parts}: {believed}; {changed:.1f} views each; healed {healed:.2f} s, {sent} bytes each"
+        world.run(12)
+    since = world.now
+    world.cuts.append(lambda here, there, now: here % 2 != there % 2 and now // (2 * NS_PER_S) % 2 == 0)
+    world.run(40)
+    world.cuts.clear()
+    yield f"a cut that swings every 2 s: {len(world.told('died', since))} deaths believed"
+    world.run(12)
+    since = world.now
+    gone = range(0, members, 3)
+    for place in gone:
+        world.kill(place)
+    known = world.until_agreed(60)
+    world.run(3)
+    yield f"a third killed at once: known in {known:.2f} s, {views(since):.1f} views each, {stand()}"
+    for place in gone:
+        world.start(place, 3_000)
+    yield f"and started again: agreed in {world.until_agreed(60):.2f} s"
+    world.run(12)
+    since = world.now
+    for place in range(0, members, 2):
+        world.pause(place, 3 * NS_PER_S)
+    world.run(10)
+    yield f"half stopped for 3 s together: {len(world.told('died', since))} deaths believed, {stand()}"
+    fresh = World(members, seed)
+    fresh.start_all(NS_PER_S)
+    begun = fresh.now
+    agreed = fresh.until_agreed(60)
+    most = max(agent.outbox.bytes for agent in fresh.agents.values())
+    took = begun / NS_PER_S - 1 + agreed
+    yield f"all started within a second: agreed {took:.2f} s after the first, {most} bytes at most"
+
+
+@click.command()
+@click.argument("what", type=click.Choice(["deaths", "storm", "cuts"]))
+@click.option("--form", type=click.Choice(FORMS), default="ours", show_default=True)
+@click.option("--members", default=30, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--minutes", default=60, show_default=True, help="Of a storm.")
+@click.option("--count", default=20, show_default=True, help="Of deaths.")
+def main(what: str, form: str, members: int, seed: int, minutes: int, count: int) -> None:
+    """Measure."""
+    if what == "storm":
+        told = storm(form, members, minutes, seed)
+        figures = ", ".join(f"{name} {figure:.0f}" for name, figure in told.items())
+        click.echo(f"{form} {members} seed {seed}, {minutes} min: {figures}")
+    elif what == "deaths":
+        times, calm = deaths(form, members, count, seed)
+        p99 = times[min(len(times) * 99 // 100, len(times) - 1)]
+        click.echo(
+            f"{form} {members} seed {seed}, {count} deaths: p50 {times[len(times) // 2]:.2f} s, "
+            f"p99 {p99:.2f} s, {calm:.0f} bytes/s"
+        )
+    else:
+        for line in cuts(members, seed):
+            click.echo(line)
+
+
+if __name__ == "__main__":
+    main()
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -500,9 +500,10 @@
 @click.option("--schedule", type=_FILE, help="Acts in TOML; else they are drawn by the seed.")
 @click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(10), help="Of a drawn one.")
 @click.option("--rate", default=0.0, show_default=True, help="Requests a second beside it, audited.")
+@click.option("--plot", is_flag=True, help="Draw how long deaths took to be known.")
 @_AS_JSON
 def nemesis(
-    routers: int, seed: int, schedule: Path | None, seconds: float, rate: float, as_json: bool
+    routers: int, seed: int, schedule: Path | None, seconds: float, rate: float, plot: bool, as_json: bool
 ) -> None:
     """Start routers that know one another, break the links between them, stop and kill them, and judge."""
     import tempfile
@@ -527,6 +528,10 @@
     except KeyboardInterrupt:
         _wrong("ended before its time", 1)
     which = f"--schedule {schedule}" if schedule else f"--seconds {seconds:g}"
+    if plot and report["detections_s"]:
+        from saltport.load.report import histogram
+
+        click.echo(histogram(report["detections_s"], "seconds until all knew of a death"), err=as_json)
     report["repeat"] = f"saltport nemesis --routers {routers} --seed {seed} {which} --rate {rate:g}"
     _dump(report, indent=not as_json)
     click.echo(f"{'clean' if report['clean'] else 'BROKEN'}; again: {report['repeat']}", err=True)
--- a/saltport/load/report.py
+++ b/saltport/load/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
+from collections.abc import Sequence
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
@@ -156,3 +157,15 @@
         pictures.append(plotext.build())
     marks = [f"  {mark['second']:8.2f} s  {mark['what']}" for mark in summary["marks"]]
     return "\n".join([*pictures, *(["faults:", *marks] if marks else [])])
+
+
+def histogram(figures: Sequence[float], title: str, width: int = 80, height: int = 14) -> str:
+    """A picture of how figures are spread; there must be at least one."""
+    import plotext
+
+    plotext.clear_figure()
+    plotext.theme("clear")
+    plotext.plotsize(width, height)
+    plotext.title(title)
+    plotext.hist(list(figures), bins=min(20, len(figures)))
+    return str(plotext.build())
--- a/saltport/nemesis/history.py
+++ b/saltport/nemesis/history.py
@@ -198,5 +198,6 @@
             "violations": [f"{held.at:.1f} s: {held.rule}: {held.what}" for held in violations[:20]],
             "broken": {rule: sum(held.rule == rule for held in violations) for rule in RULES},
             "deaths_timed": len(times),
+            "detections_s": [round(time, 2) for time in times],
             "known_to_all_s": {"p50": round(cut[49], 2), "p99": round(cut[98], 2)} if times else {},
         }
