--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -173,7 +173,7 @@
         sent = sum(agent.outbox.bytes for agent in world.agents.values())
         healed = world.until_agreed(60)
         sent = (sum(agent.outbox.bytes for agent in world.agents.values()) - sent) // members
-        yield f"cut in {parts}: {believed}; {changed:.1f} views each; healed {healed:.2f} s, {sent} bytes each"
+        yield f"cut in {parts}: {believed}; {changed:.1f} views each; healed {healed:.2f} s, {sent} bytes"
         world.run(12)
     since = world.now
     world.cuts.append(lambda here, there, now: here % 2 != there % 2 and now // (2 * NS_PER_S) % 2 == 0)
