--- a/saltport/owners/raft.py
+++ b/saltport/owners/raft.py
@@ -262,10 +262,10 @@
     def change(self, voting: Voting, now: int) -> int | None:
         """Change who votes, by one voter at the most; returns the entry's index. Raises ValueError."""
         index, held = self.log.voting()
-        if len(set(held.voters) ^ set(voting.voters)) > 1:
-            raise ValueError("one voter at a time")
         if not voting.voters:
             raise ValueError("somebody has to vote")
+        if len(set(held.voters) ^ set(voting.voters)) > 1:
+            raise ValueError("one voter at a time")
         if index > self.commit or self.commit < self._term_start:
             raise ValueError("the change before is not committed yet")
         for name in set(voting.voters) - set(held.voters):
