A voter's disk; in a cut, doubt travels with records and jurors ask too

Cause: a router that started anew on the smaller side was told the other side's records without the doubt against them, while deaths took up to 16 s as one watcher was left there. Ruled out: the yardstick (it had not settled yet). Change: doubt is told with records; who just came or stood still claims no majority; five jurors drawn by hash ask too. Also: 863 records whose incarnation seemed to go back were routers that had left (shown as 0); it is kept now. Also a voter's storage: checksums, fsync, torn ends, foreign, damaged, full and older disks; not wired yet.

--- a/saltport/owners/member.py
+++ b/saltport/owners/member.py
@@ -42,6 +42,7 @@
         rng: random.Random,
         now: int,
         kept: tuple[Log, Vote, bool] | None = None,
+        boots: int = 0,
     ) -> None:
         """`kept`: what a voter's storage has, and whether it forgot what it promised; None: no voter."""
         self.name, self.settings, self._rng = name, settings, rng
@@ -58,7 +59,7 @@
         if kept is not None:
             log, vote, forgot = kept
             self.record = Record.load(log.snapshot.data)
-            self.raft = Raft(name, log, vote, settings.raft, rng, now, forgot)
+            self.raft = Raft(name, log, vote, settings.raft, rng, now, forgot, boots)
 
     @property
     def steward(self) -> Steward | None:
--- a/saltport/owners/raft.py
+++ b/saltport/owners/raft.py
@@ -122,16 +122,18 @@
 
 
 class AskTerm(Struct, frozen=True, array_like=True, tag=7):
-    """A voter that forgot all asks what the others know; `nonce` is of this start."""
+    """A voter that started asks what the others know; `nonce` and `boots` are of this start."""
 
     nonce: int
+    boots: int = 0
 
 
 class TellTerm(Struct, frozen=True, array_like=True, tag=8):
-    """The answer of a voter that remembers."""
+    """The answer of a voter that remembers; `boots`: the latest start of the asker that it knew of before."""
 
     term: int
     nonce: int
+    boots: int = 0
 
 
 Message = AskVote | GiveVote | Append | Appended | Part | GotPart | Campaign | AskTerm | TellTerm
@@ -178,8 +180,13 @@
         rng: random.Random,
         now: int,
         forgot: bool = False,
+        boots: int = 0,
     ) -> None:
-        """`forgot`: this voter once promised things that its storage does not have."""
+        """`forgot`: this voter once promised things that its storage does not have.
+
+        `boots`: the how manyeth start this is by its storage, which must not lie behind what others know; 0:
+        nobody counts.
+        """
         self.name, self.log, self.vote, self.settings, self._rng = name, log, vote, settings, rng
         self.leader = ""
         self.commit = log.snapshot.index
@@ -193,10 +200,19 @@
         self._handing_to = ""
         self._handed_until = 0
         self._nonce = rng.getrandbits(48)
+        self.stale_disk = False
+        """Whether another voter knew of a later start than this one's disk does."""
         self._terms: dict[str, int] = {}
         self._recovered_term = -1
         self._term_start = 0  # index of the leader's first entry
         self.role = Role.RECOVERING if forgot else Role.FOLLOWER
+        self._boots = boots
+        self.boots_of: dict[str, int] = {}
+        """The latest start of each other voter that this one heard of."""
+        if boots:
+            for voter in self.voting.voters:
+                if voter != name:
+                    self._send(voter, AskTerm(self._nonce, boots))
         self._beat_at = now
         self._due = now
         self._wait(now)
@@ -612,10 +628,18 @@
         self._due = now + self.settings.heartbeat
         for name in self.voting.voters:
             if name != self.name:
-                self._send(name, AskTerm(self._nonce))
+                self._send(name, AskTerm(self._nonce, self._boots))
 
     def _term_told(self, sender: str, told: TellTerm, now: int) -> None:
-        if self.role is not Role.RECOVERING or told.nonce != self._nonce or sender not in self.voting.voters:
+        if told.nonce != self._nonce or sender not in self.voting.voters:
+            return
+        if self._boots and told.boots >= self._boots and self.role is not Role.RECOVERING:
+            # Danger: an older copy of the disk was put back: what was promised since is not on it.
+            self.stale_disk = True
+            self._become(Role.FOLLOWER, self.vote.term, now)
+            self.role = Role.RECOVERING
+            self._due = now
+        if self.role is not Role.RECOVERING:
             return
         self._terms[sender] = told.term
         if len(self._terms) >= self.voting.quorum:
@@ -656,8 +680,10 @@
             case Campaign(term):
                 if term == self.vote.term and self.role is Role.FOLLOWER and sender == self.leader:
                     self._campaign(now, pre=False, handed=True)
-            case AskTerm(nonce):
+            case AskTerm(nonce, boots):
+                before = self.boots_of.get(sender, 0)
+                self.boots_of[sender] = max(before, boots)
                 if self.role is not Role.RECOVERING:
-                    self._send(sender, TellTerm(self.vote.term, nonce))
+                    self._send(sender, TellTerm(self.vote.term, nonce, before))
             case TellTerm():
                 self._term_told(sender, message, now)
--- a/saltport/peers/accusations.py
+++ b/saltport/peers/accusations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 from saltport.peers.members import Members, Record
 from saltport.peers.messages import Dead, Gossip, Heard, State, Suspect
 from saltport.peers.outbox import Outbox, in_ms
@@ -10,6 +12,7 @@
 from saltport.peers.suspicion import Suspicion
 
 WITNESS_EVERY = 250 * NS_PER_MS
+JURORS = 5
 LEAST_CROWD = 3  # suspects at a time that may be one matter
 
 
@@ -82,6 +85,29 @@
         if new and len(suspicion.accusers) <= self._settings.confirmations + 1:
             self._outbox.rumours.tell(update, now)
 
+    def told_of(self, name: str, now: int) -> list[Suspect]:
+        """What is held against a router, for whoever is told of it; empty: nothing."""
+        held = self.held.get(name)
+        if held is None or not held.accusers:
+            return []
+        silent = in_ms(now - held.heard)
+        return [Suspect(name, held.start, held.incarnation, next(iter(held.accusers)), silent)]
+
+    def is_juror(self, name: str) -> bool:
+        """Whether this router is one of the few that ask too, once somebody is accused.
+
+        They are drawn by hash from those in no doubt, so that each side of a cut has some: a side with
+        one watcher would otherwise wait for as long as a lone accuser must.
+        """
+        mine = zlib.crc32(f"{name}/{self._me}".encode())
+        before = 0
+        for record in self._members.live():
+            if record.state is State.ALIVE and record.name not in (name, self._me):
+                before += zlib.crc32(f"{name}/{record.name}".encode()) > mine
+                if before >= JURORS:
+                    return False
+        return True
+
     def heard(self, record: Record, now: int) -> None:
         """A datagram of this router came: its accusers are told, now and then."""
         held = self.held.get(record.name)
--- a/saltport/peers/agent.py
+++ b/saltport/peers/agent.py
@@ -435,6 +435,10 @@
             self._corrections.append(record.update(self.name))
         else:
             self.accusations.take(update, record, now)
+            held = self.accusations.held.get(update.name)
+            few = held is not None and len(held.accusers) <= self.settings.confirmations
+            if few and self.settings.refutes and self.accusations.is_juror(update.name):
+                self.questions.ask(update.name, now)
 
     def _changed(self, change: Change) -> None:
         record, name = change.record, change.record.name
@@ -463,9 +467,12 @@
             self._sync_second, self._sync_replies = now // NS_PER_S, 0
         parts = [part for part in range(PARTS) if digests[part] != self.members.parts[part]]
         self._rng.shuffle(parts)
-        updates: list[Update] = [
-            record.update(self.name) for part in parts for record in self.members.part(part)
-        ]
+        updates: list[Update] = []
+        for part in parts:
+            for record in self.members.part(part):
+                updates.append(record.update(self.name))
+                # Danger: told without the doubt, those on the other side of a cut look well to who just came.
+                updates += self.accusations.told_of(record.name, now)
         for _ in range(SYNC_PACKETS):
             if not updates or self._sync_replies >= SYNC_REPLIES:
                 break
@@ -482,7 +489,9 @@
         if self.views.look(digest, live, self.accusations.unsettled, now):
             view = self.views.view
             self._tell("view", self.name, f"{view.number}: {len(view.members)} routers")
-        if self.views.stand(self._deaf(now), self.accusations.held.keys(), now):
+        # Danger: who just came, or stood still, has asked nobody yet, and knows the others from hearsay only.
+        fresh = now - self.patience.awake_since < self.settings.least_silence
+        if self.views.stand(self._deaf(now), fresh, self.accusations.held.keys(), now):
             views = self.views
             among = f"{len(views.yardstick & views.view.members)} of {len(views.yardstick)}"
             self._tell("standing", self.name, f"{views.standing} ({among})")
--- a/saltport/peers/members.py
+++ b/saltport/peers/members.py
@@ -135,7 +135,10 @@
             self._count(record, -1)
             record.restarts += restarted
         record.start, record.state = update.start, State(order[2])
-        record.incarnation = 0 if isinstance(update, Left) else update.incarnation
+        if not isinstance(update, Left):
+            record.incarnation = update.incarnation
+        elif restarted:
+            record.incarnation = 0
         if isinstance(update, Alive):
             record.place, record.zone = update.place, update.zone
         if before is not record.state or restarted:
--- a/saltport/peers/views.py
+++ b/saltport/peers/views.py
@@ -77,14 +77,14 @@
     def settle(self, now: int) -> None:
         """Make the present view the yardstick, whatever it was: an operator's word."""
         self._measure()
-        self.stand(False, frozenset(), now)
+        self.stand(False, False, frozenset(), now)
 
     def _measure(self) -> None:
         self.yardstick, self.yardstick_number = self.view.members, self.view.number
         self._expected = 0
 
-    def stand(self, deaf: bool, doubted: Set[str], now: int) -> bool:
-        """Judge the standing; `deaf`: nobody is heard. Returns whether it changed.
+    def stand(self, deaf: bool, fresh: bool, doubted: Set[str], now: int) -> bool:
+        """Judge the standing; `deaf`: nobody is heard; `fresh`: it just came. Returns whether it changed.
 
         Danger: were the doubted counted as present, a side that is cut off would call itself the majority for
         as long as deaths take, which is longest where few are left to accuse.
@@ -99,7 +99,7 @@
         elif len(view.members | held) == 1:
             standing = Standing.ALONE
         else:
-            standing = Standing.MAJORITY if 2 * present > wanted else Standing.MINORITY
+            standing = Standing.MAJORITY if 2 * present > wanted and not fresh else Standing.MINORITY
         changed = standing is not self.standing
         if changed:
             self.standing, self.standing_since = standing, now
--- /dev/null
+++ b/tests/owners/test_storage.py
@@ -0,0 +1,125 @@
+"""A voter's disk: what was kept is there again; what is damaged, another's or old is refused."""
+
+from __future__ import annotations
+
+import errno
+import os
+import random
+from pathlib import Path
+
+import pytest
+
+from saltport.owners.log import Entry, Kind, Snapshot, Vote, Voting
+from saltport.owners.raft import AskTerm, Role, TellTerm
+from saltport.owners.storage import Storage, StorageError
+from tests.owners.world import Cluster
+
+VOTERS = ("a", "b", "c")
+
+
+def entries(first: int, last: int, term: int = 1) -> list[Entry]:
+    return [Entry(index, term, Kind.COMMAND, b"%d" % index) for index in range(first, last + 1)]
+
+
+def begun(path: Path) -> Storage:
+    storage = Storage(path, "a", VOTERS)
+    storage.keep(Vote(1, "a"), None, entries(1, 3))
+    storage.keep(None, None, entries(3, 4, term=2))
+    storage.keep(Vote(2, "b"), None, [])
+    return storage
+
+
+def test_what_was_kept_is_there_again_and_each_start_is_counted(tmp_path: Path) -> None:
+    path = tmp_path / "voter"
+    first = begun(path)
+    assert (first.is_new, first.boots) == (True, 1)
+    first.close()
+    again = Storage(path, "a", VOTERS)
+    assert (again.is_new, again.boots, again.identity) == (False, 2, first.identity)
+    assert again.vote == Vote(2, "b")
+    assert [(entry.index, entry.term) for entry in again.log.entries] == [(1, 1), (2, 1), (3, 2), (4, 2)]
+    again.keep(None, Snapshot(3, 2, Voting(VOTERS), b"state"), entries(4, 4, term=2))
+    again.close()
+    last = Storage(path, "a", VOTERS)
+    assert (last.log.snapshot.data, last.log.last, last.vote) == (b"state", 4, Vote(2, "b"))
+
+
+@pytest.mark.parametrize("torn", [1, 4, 9, 20])
+def test_a_torn_last_record_is_cut_off_and_the_rest_holds(tmp_path: Path, torn: int) -> None:
+    path = tmp_path / "voter"
+    storage = begun(path)
+    whole = path.stat().st_size
+    storage.keep(Vote(3, "c"), None, entries(5, 6, term=3))
+    storage.close()
+    os.truncate(path, whole + torn)
+    again = Storage(path, "a", VOTERS)
+    assert again.cut_off == torn
+    assert (again.vote, again.log.last) == (Vote(2, "b"), 4)
+
+
+def test_damage_in_the_middle_is_refused_wherever_it_is(tmp_path: Path) -> None:
+    path = tmp_path / "voter"
+    begun(path).close()
+    good, rng = path.read_bytes(), random.Random(1)
+    refused = 0
+    for _ in range(200):
+        place = rng.randrange(len(good))
+        path.write_bytes(good[:place] + bytes([good[place] ^ 1 << rng.randrange(8)]) + good[place + 1 :])
+        try:
+            held = Storage(path, "a", VOTERS)
+        except StorageError:
+            refused += 1
+        else:
+            # The last record, or a length that reaches beyond the end: taken for torn.
+            assert held.cut_off > 0
+            held.close()
+    assert refused > 100
+
+
+def test_a_file_of_another_voter_and_one_that_says_nothing_are_refused(tmp_path: Path) -> None:
+    path = tmp_path / "voter"
+    begun(path).close()
+    with pytest.raises(StorageError, match="it is a's, and this is b"):
+        Storage(path, "b", VOTERS)
+    path.write_bytes(b"")
+    with pytest.raises(StorageError, match="whose it is"):
+        Storage(path, "a", VOTERS)
+    with pytest.raises(StorageError, match="No such file"):
+        Storage(tmp_path / "none" / "voter", "a", VOTERS)
+
+
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EROFS])
+def test_a_disk_that_takes_nothing_ends_all_promises(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error: int
+) -> None:
+    storage = begun(tmp_path / "voter")
+
+    def fails(file: int, data: bytes) -> int:
+        raise OSError(error, os.strerror(error))
+
+    monkeypatch.setattr(os, "write", fails)
+    with pytest.raises(StorageError, match=os.strerror(error)):
+        storage.keep(Vote(9), None, [])
+    monkeypatch.undo()
+    with pytest.raises(StorageError, match="closed"):
+        storage.keep(Vote(9), None, [])
+
+
+def test_an_old_copy_of_a_disk_is_noticed_by_whoever_saw_a_later_start() -> None:
+    cluster = Cluster()
+    cluster.run(6)
+    for name in VOTERS:
+        cluster.nodes[name].boots_of = {"a": 7}
+    cluster.crash("a")
+    cluster.boot("a")
+    node = cluster.nodes["a"]
+    node._boots = 5  # what the copy says
+    node.receive("b", TellTerm(node.term, node._nonce, 7), cluster.clock("a"))
+    assert (node.stale_disk, str(node.role)) == (True, "recovering")
+    cluster.drive("a")
+    cluster.run(8)
+    assert str(node.role) in ("follower", "leader")  # it was told what it had forgotten
+    other = cluster.nodes["b"]
+    other.receive("a", AskTerm(1, 8), cluster.clock("b"))
+    assert other.boots_of["a"] == 8
+    assert other.role is not Role.RECOVERING
--- a/tests/peers/test_rules.py
+++ b/tests/peers/test_rules.py
@@ -150,26 +150,38 @@
     views = Views(SETTINGS, "r0", 10, 0)
     views.look(99, frozenset(names), False, NS_PER_S)
     for second in range(1, 13):
-        views.stand(False, set(), second * NS_PER_S)
+        views.stand(False, False, set(), second * NS_PER_S)
     assert (views.standing, len(views.yardstick)) == (Standing.MAJORITY, 10)
     now = 20 * NS_PER_S
     for gone in range(1, 7):
         now += NS_PER_S
         views.look(99 - gone, frozenset(names[:-gone]), False, now)
-        views.stand(False, set(), now)
+        views.stand(False, False, set(), now)
     assert views.standing is Standing.MINORITY
     for _ in range(60):
         now += NS_PER_S
-        views.stand(False, set(), now)
+        views.stand(False, False, set(), now)
     assert (views.standing, len(views.yardstick)) == (Standing.MINORITY, 10)
 
 
+def test_who_just_came_claims_no_majority_and_the_doubted_are_not_present() -> None:
+    """Six real routers once had two majorities for as long as the deaths across a cut took."""
+    views, names = Views(SETTINGS, "r0", 4, 0), frozenset(["r0", "r1", "r2", "r3"])
+    views.look(7, names, False, 1)
+    views.stand(False, True, set(), 2)
+    assert str(views.standing) == "minority"
+    views.stand(False, False, set(), 3)
+    assert str(views.standing) == "majority"
+    views.stand(False, False, {"r2", "r3"}, 4)
+    assert str(views.standing) == "minority"
+
+
 def test_a_fresh_router_is_in_a_majority_only_of_as_many_as_it_was_told_of() -> None:
     views = Views(SETTINGS, "r0", 10, 0)
     views.look(7, frozenset(["r0", "r1", "r2"]), False, 1)
-    views.stand(False, set(), 60 * NS_PER_S)
+    views.stand(False, False, set(), 60 * NS_PER_S)
     assert views.standing is Standing.MINORITY
-    assert views.stand(True, set(), 60 * NS_PER_S)
+    assert views.stand(True, False, set(), 60 * NS_PER_S)
     assert str(views.standing) == "isolated"
 
 
