--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -506,6 +506,7 @@
     routers: int, seed: int, schedule: Path | None, seconds: float, rate: float, plot: bool, as_json: bool
 ) -> None:
     """Start routers that know one another, break the links between them, stop and kill them, and judge."""
+    import signal
     import tempfile
 
     import uvloop
@@ -520,6 +521,8 @@
     except ScheduleError as error:
         _wrong(str(error), 2)
     try:
+        # Danger: ended by SIGTERM as it is, this process would leave its routers running.
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
         with tempfile.TemporaryDirectory(prefix="saltport-nemesis-") as folder:
             run = Nemesis(Path(folder), routers, seed)
             report = uvloop.run(run_nemesis(run, acts, lambda line: click.echo(line, err=True), rate))
