Owners on the loop: a voter's disk, leases by the boot clock, trials of servers by one owner

Need: the record, its leases and fences must work between processes, and do something. Change: owners' messages travel in the peers' datagrams; a voter keeps its state under a lock, so that a process which replaces another waits for its end; [owners], saltport owners, calls, the operators' page; ejected servers are tried by one router each, whose word, with its epoch, only starts the others' own trials (decisions/trials.py moves when a trial is due, nothing else). No policy file changed.

--- a/saltport/admin/calls.py
+++ b/saltport/admin/calls.py
@@ -8,6 +8,7 @@
 from urllib.parse import unquote
 
 SERVERS = "cache-servers"
+VOTERS = "voters"
 
 
 class CallError(Exception):
@@ -29,6 +30,12 @@
     def peers(self) -> dict[str, Any]:
         """What this router believes of the others."""
 
+    def owners(self) -> dict[str, Any]:
+        """What this router holds of the fleet's work, and what the record says where it is a voter."""
+
+    def step_down(self, to: str) -> None:
+        """Hand the lead over to this voter; empty: to any. Raises CallError."""
+
     def settle_peers(self) -> bool:
         """Take the present view as the yardstick of majorities; False: it knows no others."""
 
@@ -76,6 +83,11 @@
     return Answer(200, {"settled": True})
 
 
+def _step_down(operations: Operations, voter: str) -> Answer:
+    operations.step_down(voter)
+    return Answer(200, {"lead": voter or "handed over"})
+
+
 def _drain(operations: Operations, _: str) -> Answer:
     operations.drain()
     return Answer(200, {"draining": True})
@@ -97,6 +109,9 @@
     ("state",): ("GET", lambda operations, _: Answer(200, operations.state())),
     ("peers",): ("GET", lambda operations, _: Answer(200, operations.peers())),
     ("peers", "settle"): ("PUT", _settle),
+    ("owners",): ("GET", lambda operations, _: Answer(200, operations.owners())),
+    ("owners", "step-down"): ("PUT", _step_down),
+    (VOTERS, "", "lead"): ("PUT", _step_down),
     ("healthcheck", "fail"): ("PUT", _drain),
     ("healthcheck", "ok"): ("PUT", _resume),
     (SERVERS, "", "maint"): ("PUT", _out),
@@ -111,12 +126,12 @@
     if parts[0] or len(parts) < 2:
         return _fault(400, "the target must be a path")
     path, server = tuple(parts[1:]), ""
-    if len(path) == 3 and path[0] == SERVERS:
+    if len(path) == 3 and path[0] in (SERVERS, VOTERS):
         try:
             server = unquote(path[1], errors="strict")
         except UnicodeDecodeError:
             return _fault(400, "the id is no UTF-8")
-        path = (SERVERS, "", path[2])
+        path = (path[0], "", path[2])
     wanted, call = _CALLS.get(path, ("", None))
     if call is None or (len(path) == 3 and not server):
         return _fault(404, "no such call")
--- a/saltport/admin/client.py
+++ b/saltport/admin/client.py
@@ -35,6 +35,11 @@
     return told
 
 
+def voter_path(voter: str) -> str:
+    """The path of the call that hands the lead to a voter."""
+    return f"/voters/{quote(voter, safe='')}/lead"
+
+
 def server_path(server: str, state: str) -> str:
     """The path of the call that takes a server out (`maint`) or back (`ready`)."""
     return f"/cache-servers/{quote(server, safe='')}/{state}"
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -230,6 +230,35 @@
         click.echo("\n".join(lines(told)))
 
 
+@cli.command()
+@_ROUTER
+@click.option("--step-down", is_flag=True, help="Hand the lead to the voter that is most up to date.")
+@click.option("--transfer", metavar="VOTER", help="Hand the lead to this voter.")
+@click.option("--may", metavar="PIECE", help="Status 0 and the epoch if this router may work on it, else 1.")
+@_AS_JSON
+def owners(router: Address, step_down: bool, transfer: str | None, may: str | None, as_json: bool) -> None:
+    """Show who owns which of the fleet's work, with epochs and leases."""
+    from saltport.admin.client import voter_path
+
+    if step_down:
+        _ask(router, "/owners/step-down", "PUT")
+    if transfer is not None:
+        _ask(router, voter_path(transfer), "PUT")
+    told = _ask(router, "/owners")
+    if may is not None:
+        epoch = told.get("holds", {}).get(may)
+        click.echo("no" if epoch is None else epoch)
+        sys.exit(epoch is None)
+    if as_json:
+        _dump(told, indent=True)
+    elif not told["on"]:
+        click.echo("owners: off")
+    else:
+        from saltport.owners.words import lines
+
+        click.echo("\n".join(lines(told)))
+
+
 def _hot_keys(told: dict[str, Any]) -> None:
     if not told["on"]:
         click.echo("hot keys: not told apart")
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -36,6 +36,7 @@
 from saltport.upstream.pool import Pool
 
 if TYPE_CHECKING:
+    from saltport.owners.link import OwnersLink, OwnersPlan
     from saltport.peers.agent import Told
     from saltport.peers.link import PeerLink
 
@@ -94,6 +95,11 @@
         store = BanStore(Path(folder) / BANS) if folder and config.admin else None
         self._bans = Bans(store, lambda: self._host.out, self._host.take_out, self._host.put_back)
         self._peers = _peer_link(loop, config, self._host) if config.peers is not None else None
+        self._owners = (
+            _owners_link(loop, config.owners, self._peers, self._host, config.seed)
+            if config.owners is not None and self._peers is not None
+            else None
+        )
         self._takeover = (
             Takeover(loop, Path(folder), self._clients.adopt, self._share, self._learnt)
             if folder and config.listen_fd is not None
@@ -144,6 +150,8 @@
         if self._peers is not None and opening is not None:
             # Danger: the next process of this router waits for the address, and is unknown until it has it.
             opening.cancel()
+            if self._owners is not None:
+                await self._owners.close()  # what it holds is given back before it goes
             await self._peers.close(self._takeover is not None and self._takeover.replaced)
         await self._end()
         if admin is not None:
@@ -213,13 +221,24 @@
             "servers_may_hold": self._pool.limit,
             "late": self._pool.late,
         }
-        known = {"generation": self._discovery.generation, "peers": self.peers()}
+        known = {"generation": self._discovery.generation, "peers": self.peers(), "owners": self.owners()}
         return {**about, **now, **known, **self._host.view()}
 
     def peers(self) -> dict[str, Any]:
         """See Operations."""
         return {"on": True, **self._peers.view()} if self._peers is not None else {"on": False}
 
+    def owners(self) -> dict[str, Any]:
+        """See Operations."""
+        return {"on": True, **self._owners.view()} if self._owners is not None else {"on": False}
+
+    def step_down(self, to: str) -> None:
+        """See Operations."""
+        reason = self._owners.step_down(to) if self._owners is not None else "owners are off"
+        if reason:
+            raise CallError(reason)
+        log.info("owners: leadership is handed over, by hand")
+
     def settle_peers(self) -> bool:
         """See Operations."""
         if self._peers is not None:
@@ -315,6 +334,14 @@
             self._discovery.move(plan.config.discovery)
 
 
+def _owners_link(
+    loop: asyncio.AbstractEventLoop, plan: OwnersPlan, peers: PeerLink, host: RouterHost, seed: int
+) -> OwnersLink:
+    from saltport.owners.link import OwnersLink  # only where it is on
+
+    return OwnersLink(loop, plan, peers, host, seed)
+
+
 def _peer_link(loop: asyncio.AbstractEventLoop, config: Config, host: RouterHost) -> PeerLink:
     from saltport.peers.chronicle import Chronicle  # only where it is on
     from saltport.peers.link import PeerLink
--- a/saltport/nemesis/history.py
+++ b/saltport/nemesis/history.py
@@ -10,7 +10,7 @@
 from itertools import pairwise
 from statistics import quantiles
 
-RULES = ("no_false_death", "records_only_rise", "one_majority", "agreed_at_last")
+RULES = ("no_false_death", "records_only_rise", "one_majority", "agreed_at_last", "one_owner")
 EXCUSE_S = 12.0  # after a fault of its own, or on its links, somebody may still be held dead
 SETTLED_S = 5.0  # within a partition, after which two sides must not both be majorities
 
@@ -55,6 +55,17 @@
     """Of a partition: its side."""
 
 
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """A router said that it might work on a piece just then."""
+
+    at: int
+    """Nanoseconds by its own clock, which all routers of one machine share."""
+    by: str
+    piece: str
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class Violation:
     """One rule broken."""
@@ -71,12 +82,14 @@
     routers: list[str]
     samples: list[Sample] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
+    holds: list[Hold] = field(default_factory=list)
     ended: float = 0.0
     """Links and routers have been well since `calm`."""
 
     def check(self) -> list[Violation]:
         """All rules; an empty list: they hold."""
         found = [*self._false_deaths(), *self._records(), *self._majorities(), *self._agreement()]
+        found += self._owners()
         return sorted(found, key=lambda violation: violation.at)
 
     def checked(self) -> dict[str, int]:
@@ -89,6 +102,7 @@
             "records_only_rise": sum(1 for _ in self._successions()),
             "one_majority": cut,
             "agreed_at_last": len(self.last()),
+            "one_owner": len(self.holds),
         }
 
     def _excused(self, name: str, at: float) -> bool:
@@ -155,6 +169,19 @@
         """The last sample of each router."""
         return {sample.by: sample for sample in self.samples}
 
+    def _owners(self) -> Iterator[Violation]:
+        """Nobody holds a piece once another did by a later epoch, and no epoch is two routers'."""
+        highest: dict[str, int] = {}
+        of: dict[tuple[str, int], str] = {}
+        for held in sorted(self.holds, key=lambda hold: hold.at):
+            at = held.at / 1e9
+            if held.epoch < highest.get(held.piece, 0):
+                what = f"{held.by} holds {held.piece} by epoch {held.epoch}, after {highest[held.piece]}"
+                yield Violation("one_owner", at, what)
+            highest[held.piece] = max(held.epoch, highest.get(held.piece, 0))
+            if of.setdefault((held.piece, held.epoch), held.by) != held.by:
+                yield Violation("one_owner", at, f"epoch {held.epoch} of {held.piece} is two routers'")
+
     def _agreement(self) -> Iterator[Violation]:
         """At the end all routers hold the same view: just those that run."""
         last = self.last()
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -20,7 +20,7 @@
 from saltport.audit import Limits
 from saltport.harness import Harness, RouterProcess, run_load
 from saltport.load.plan import LoadPlan, Step
-from saltport.nemesis.history import History, Member, Sample, Span
+from saltport.nemesis.history import History, Hold, Member, Sample, Span
 from saltport.nemesis.schedule import Act
 from saltport.standins.links import DatagramRelay, Fault, Links
 from saltport.standins.profile import Profile, quick
@@ -44,10 +44,15 @@
     routers: int
     seed: int
     nodes: int = 2
+    voters: int = 0
+    """So many routers vote on who owns which work; 0: nobody does."""
+    pieces: tuple[str, ...] = ("rollout", "report")
     sample_s: float = 0.2
     links: Links = field(init=False)
     history: History = field(init=False)
     harness: Harness = field(init=False)
+    told: dict[str, dict[str, Any]] = field(init=False, default_factory=dict)
+    """What each router said last of the fleet's work."""
     _relay: DatagramRelay = field(init=False)
     _began: float = field(init=False, default=0.0)
     _lives: dict[str, int] = field(init=False, default_factory=dict)
@@ -61,7 +66,13 @@
         await self._relay.open()
         (self.folder / "peers.keys").write_text(secrets.token_hex(32))
         self.harness = Harness(
-            self.folder, quick(Profile(), 20), self.nodes, self.routers, self.seed, FEATURES, self._dress
+            self.folder,
+            quick(Profile(), 20),
+            self.nodes,
+            self.routers,
+            self.seed,
+            self._features(),
+            self._dress,
         )
         try:
             await self.harness.start()
@@ -83,6 +94,14 @@
         await self.harness.stop()
         self._relay.close()
 
+    def _features(self) -> str:
+        if not self.voters:
+            return FEATURES
+        told = {"on": True, "begin": True, "folder": "{folder}", "trials": True}
+        lists = {"voters": self.history.routers[: self.voters], "pieces": list(self.pieces)}
+        rows = [f"{name} = {orjson.dumps(value).decode()}" for name, value in (told | lists).items()]
+        return "\n".join([FEATURES, "[owners]", *rows, ""])
+
     def _dress(self, name: str, told: dict[str, Any]) -> dict[str, str]:
         """Add what a router needs to know the others by; returns words for its features."""
         told["settings"]["ceilings"]["peers"] = True
@@ -130,6 +149,18 @@
         self.history.samples.append(
             Sample(self.now(), router.name, life, told["view"]["digest"], standing, members)
         )
+        if self.voters:
+            await self._ask_owners(router)
+
+    async def _ask_owners(self, router: RouterProcess) -> None:
+        try:
+            async with asyncio.timeout(ASK_S):
+                told = await _get(router.admin, "/owners")
+        except (OSError, TimeoutError, orjson.JSONDecodeError):
+            return
+        for piece, epoch in told.get("holds", {}).items():
+            self.history.holds.append(Hold(told["now_ns"], router.name, piece, epoch))
+        self.told[router.name] = told
 
     async def until(
         self, what: str, holds: Callable[[dict[str, Sample]], bool], seconds: float = 30.0
--- a/saltport/owners/storage.py
+++ b/saltport/owners/storage.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import secrets
 import zlib
@@ -24,6 +25,10 @@
     """The state can't be read or kept; the text is one plain line."""
 
 
+class StorageBusyError(StorageError):
+    """Another process has it open, as the one that this one replaces: try again."""
+
+
 class Begun(Struct, frozen=True, array_like=True, tag=0):
     """Whose file it is, and the how manyeth start wrote this."""
 
@@ -69,13 +74,28 @@
         """Bytes of a torn last record."""
         self.writes = 0
         self._file: int | None = None
+        self._lock: int | None = None
         try:
+            self._take_lock()
             if not self.is_new:
                 self._read(path.read_bytes())
             self.boots += 1
             self._rewrite()
         except OSError as error:
+            self.close()
             raise StorageError(f"{path}: {error.strerror or error}") from None
+        except StorageError:
+            self.close()
+            raise
+
+    def _take_lock(self) -> None:
+        # Danger: two processes with one file would each keep promises that the other does not know of.
+        self._lock = os.open(self._path.with_name(self._path.name + ".lock"), os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            raise StorageBusyError(f"{self._path}: another process has it open") from None
+        self.is_new = not self._path.exists()
 
     def _read(self, data: bytes) -> None:
         place = 0
@@ -129,7 +149,8 @@
         except BaseException:
             os.close(file)
             raise
-        self.close()
+        if self._file is not None:
+            os.close(self._file)
         self._file = file
 
     def _put(self, file: int, data: bytes) -> None:
@@ -161,3 +182,6 @@
         if self._file is not None:
             os.close(self._file)
             self._file = None
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
--- a/saltport/peers/link.py
+++ b/saltport/peers/link.py
@@ -14,7 +14,7 @@
 from saltport.address import Address
 from saltport.peers.agent import Agent, Told
 from saltport.peers.envelope import Envelope
-from saltport.peers.messages import Place
+from saltport.peers.messages import Carried, Place
 from saltport.peers.outbox import Identity
 from saltport.peers.report import report
 from saltport.peers.settings import NS_PER_S, PeerSettings
@@ -25,6 +25,7 @@
 # Danger: of a process that starts again within one step, all datagrams would count as replays.
 STARTS_A_SECOND = 16
 LEAST_TURN_NS = 10_000_000
+MOST_CARRIED = 200  # bytes, where names have at most 14 characters
 LAG_DECAY = 0.9  # a turn
 
 log = logging.getLogger("saltport")
@@ -66,6 +67,8 @@
     ) -> None:
         self._loop, self._plan, self._lag, self._tell = loop, plan, lag, told
         self._envelope = Envelope(plan.keys)
+        self.carried: Callable[[str, bytes], None] | None = None
+        """Takes what other parts of live routers send, by the sender's name."""
         self._numbers = {address: number for number, address in enumerate(plan.peers)}
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -111,6 +114,15 @@
         number = self._numbers.get(addr)
         self.agent.receive(packet, packed(addr) if number is None else number, time.monotonic_ns())
         self._carry()
+        if isinstance(packet.body, Carried) and self.carried is not None:
+            record = self.agent.members.records.get(packet.sender)
+            if record is not None and record.live and record.start == packet.start:
+                self.carried(packet.sender, packet.body.data)
+
+    def send_to(self, name: str, data: bytes) -> None:
+        """Send something of another part to a router, if it is known; at most `MOST_CARRIED` bytes."""
+        self.agent.outbox.send_to(name, Carried(data), time.monotonic_ns())
+        self._carry()
 
     def error_received(self, exc: Exception) -> None:
         """Nobody listens there just now: the questions tell as much."""
--- a/saltport/peers/messages.py
+++ b/saltport/peers/messages.py
@@ -117,7 +117,13 @@
     """Nothing but updates."""
 
 
-Body = Ping | Ack | Relay | Relayed | Sync | Gossip
+class Carried(Struct, frozen=True, array_like=True, tag=6):
+    """Something of a part that stands on membership, which alone can read it."""
+
+    data: bytes
+
+
+Body = Ping | Ack | Relay | Relayed | Sync | Gossip | Carried
 
 
 class Packet(Struct, frozen=True, array_like=True):
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -12,9 +12,10 @@
 from saltport.address import Address, parse_address
 from saltport.decisions import Settings
 from saltport.decisions.settings import WireError, number, read_settings, typed
-from saltport.router.features import FeatureError, MemcachedFeatures, PeerFeatures, read_features
+from saltport.router.features import FeatureError, Features, MemcachedFeatures, PeerFeatures, read_features
 
 if TYPE_CHECKING:
+    from saltport.owners.link import OwnersPlan
     from saltport.peers.link import PeerPlan
 
 DEFAULT_MAX_OPEN = 20_000
@@ -50,6 +51,8 @@
     """The list of servers as last held, in discovery's form; it may be old."""
     peers: PeerPlan | None = None
     """Where this router is among those it knows; None: it knows none."""
+    owners: OwnersPlan | None = None
+    """One owner at a time for the fleet's work; None: it takes no part."""
     memcached: MemcachedFeatures = field(default_factory=MemcachedFeatures)
     admin: Address | None = None
     """Where operators call; None: nowhere."""
@@ -73,6 +76,7 @@
             settings=features.settings(config.settings),
             memcached=features.memcached,
             peers=_peers(features.peers, told, config.name) if features.peers.on else None,
+            owners=_owners(features, config.name) if features.owners.on else None,
         )
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
@@ -142,6 +146,35 @@
     return PeerPlan(addresses[0], tuple(addresses[1:]), features.zone, keys)
 
 
+def _owners(features: Features, name: str) -> OwnersPlan:
+    """The plan of ownership; raises FeatureError."""
+    from saltport.owners.link import OwnersPlan
+    from saltport.owners.raft import NS_PER_MS, RaftSettings
+    from saltport.owners.record import MOST_NAME
+    from saltport.owners.settings import OwnerSettings
+
+    told, longest = features.owners, 14  # of a router's name: messages must fit the peers' datagrams
+    if not features.peers.on:
+        raise FeatureError("owners.on: needs peers.on")
+    if len(told.voters) not in (3, 5) or len(set(told.voters)) != len(told.voters):
+        raise FeatureError(f"owners.voters: three or five names, each once; found {len(told.voters)}")
+    if any(not 0 < len(voter) <= longest for voter in (*told.voters, name)):
+        raise FeatureError(f"owners: names of routers have at most {longest} characters")
+    if any(not 0 < len(piece) <= MOST_NAME for piece in told.pieces):
+        raise FeatureError(f"owners.pieces: names have 1 to {MOST_NAME} characters")
+    if told.election_ms < 500:
+        raise FeatureError("owners.election_ms: must be at least 500, for round trips and short pauses")
+    if told.lease_ms < 2 * told.election_ms:
+        raise FeatureError("owners.lease_ms: must be at least twice owners.election_ms")
+    folder = Path(told.folder) if told.folder else None
+    if folder is not None and name in told.voters and not folder.is_dir():
+        raise FeatureError(f"owners.folder: {folder} is no folder")
+    raft = RaftSettings(election=told.election_ms * NS_PER_MS, heartbeat=told.election_ms * NS_PER_MS // 6)
+    lease = told.lease_ms * NS_PER_MS
+    settings = OwnerSettings(lease=lease, renew=lease // 6, raft=raft)
+    return OwnersPlan(told.voters, folder, told.begin, told.pieces, told.trials, settings)
+
+
 def _config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
     facts = typed("settings", told["settings"], dict)
     ceilings = facts.get("ceilings") or {}
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -104,6 +104,25 @@
     """By number; empty: `peers` of the configuration."""
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerFeatures:
+    """`[owners]`: one owner at a time for the fleet's work; needs `[peers]`."""
+
+    on: bool = False
+    voters: tuple[str, ...] = ()
+    """Three or five names of routers."""
+    folder: str = ""
+    """Where a voter keeps its state; empty: it has no lasting disk."""
+    begin: bool = False
+    """At the first start of a fleet only: voters begin with an empty state."""
+    pieces: tuple[str, ...] = ()
+    """Names of work that operators have done."""
+    trials: bool = False
+    """Whether servers that were taken out are tried by one owner each."""
+    lease_ms: int = 3_000
+    election_ms: int = 1_500
+
+
 @dataclass(frozen=True, slots=True)
 class Features:
     """All sections."""
@@ -113,6 +132,7 @@
     memcached: MemcachedFeatures = MemcachedFeatures()
     hot_keys: HotKeyFeatures = HotKeyFeatures()
     peers: PeerFeatures = PeerFeatures()
+    owners: OwnerFeatures = OwnerFeatures()
 
     def settings(self, settings: Settings) -> Settings:
         """The module's settings with what these files say; raises ValueError."""
@@ -208,6 +228,16 @@
         "listen": (_text, "host:port, or nothing"),
         "peers": (_addresses, "a list of host:port"),
     },
+    "owners": {
+        "on": (_bool, "true or false"),
+        "voters": (_addresses, "a list of routers' names"),
+        "folder": (_text, "a folder, or nothing"),
+        "begin": (_bool, "true or false"),
+        "pieces": (_addresses, "a list of names"),
+        "trials": (_bool, "true or false"),
+        "lease_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000"),
+        "election_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000"),
+    },
     "hot_keys": {
         "fill": (_fill, '"reads", "writes" or nothing'),
         "max_keys": (_int, "a whole number"),
@@ -225,6 +255,9 @@
     "memcached": MemcachedFeatures,
     "hot_keys": HotKeyFeatures,
     "peers": lambda peers=(), **told: PeerFeatures(peers=tuple(peers), **told),
+    "owners": lambda voters=(), pieces=(), **told: OwnerFeatures(
+        voters=tuple(voters), pieces=tuple(pieces), **told
+    ),
 }
 
 
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -39,6 +39,7 @@
     Void,
     VoidEnded,
     inheritance,
+    trials,
     views,
 )
 from saltport.decisions.interface import NS_PER_S
@@ -272,6 +273,18 @@
             self._pool.list_server(server_id, *self._places[server_id])
         self.tell(ServerBack(server_id))
 
+    def trials_due(self) -> dict[str, int]:
+        """The ejected servers, and when each may be tried."""
+        return trials.due(self._router.outliers)
+
+    def hold_trial(self, server: str, until: int) -> None:
+        """Try an ejected server no sooner than this."""
+        trials.hold(self._router.outliers, server, until)
+
+    def begin_trial(self, server: str) -> None:
+        """Let the next request try an ejected server."""
+        trials.begin(self._router.outliers, server, time.monotonic_ns())
+
     def discovery_failed(self) -> None:
         """Tell the module that a watch has ended."""
         self.tell(ServersChanged(ListKind.FAILED))
--- a/tests/admin/test_calls.py
+++ b/tests/admin/test_calls.py
@@ -39,6 +39,12 @@
     def peers(self) -> dict[str, Any]:
         return {"on": False}
 
+    def owners(self) -> dict[str, Any]:
+        return {"on": False}
+
+    def step_down(self, to: str) -> None:
+        self.done.append(f"lead {to}")
+
     def settle_peers(self) -> bool:
         self.done.append("settle")
         return self.well
@@ -62,6 +68,9 @@
         ("PUT", "/cache-servers/%73-1/maint", 200, ["out s-1"]),
         ("PUT", "/cache-servers/%C3%BC%2F%20%C3%A4/maint", 200, ["out ü/ ä"]),
         ("GET", "/peers", 200, []),
+        ("GET", "/owners", 200, []),
+        ("PUT", "/owners/step-down", 200, ["lead "]),
+        ("PUT", "/voters/r%32/lead", 200, ["lead r2"]),
         ("PUT", "/peers/settle", 200, ["settle"]),
         ("PUT", "/healthcheck/fail", 200, ["drain"]),
         ("PUT", "/healthcheck/ok", 200, ["resume"]),
--- a/tests/owners/test_storage.py
+++ b/tests/owners/test_storage.py
@@ -11,7 +11,7 @@
 
 from saltport.owners.log import Entry, Kind, Snapshot, Vote, Voting
 from saltport.owners.raft import AskTerm, Role, TellTerm
-from saltport.owners.storage import Storage, StorageError
+from saltport.owners.storage import Storage, StorageBusyError, StorageError
 from tests.owners.world import Cluster
 
 VOTERS = ("a", "b", "c")
@@ -41,6 +41,7 @@
     again.keep(None, Snapshot(3, 2, Voting(VOTERS), b"state"), entries(4, 4, term=2))
     again.close()
     last = Storage(path, "a", VOTERS)
+    assert last.boots == 3
     assert (last.log.snapshot.data, last.log.last, last.vote) == (b"state", 4, Vote(2, "b"))
 
 
@@ -76,6 +77,17 @@
     assert refused > 100
 
 
+def test_one_process_has_it_at_a_time(tmp_path: Path) -> None:
+    """As when a process replaces another: the first promises on until it has ended."""
+    path = tmp_path / "voter"
+    first = begun(path)
+    with pytest.raises(StorageBusyError, match="another process"):
+        Storage(path, "a", VOTERS)
+    first.keep(Vote(9, "c"), None, [])
+    first.close()
+    assert Storage(path, "a", VOTERS).vote == Vote(9, "c")
+
+
 def test_a_file_of_another_voter_and_one_that_says_nothing_are_refused(tmp_path: Path) -> None:
     path = tmp_path / "voter"
     begun(path).close()
