--- a/saltport/peers/accusations.py
+++ b/saltport/peers/accusations.py
@@ -13,6 +13,7 @@
 
 WITNESS_EVERY = 250 * NS_PER_MS
 JURORS = 5
+CROWDED_SHARE = 0.1  # of all members, in doubt at once
 LEAST_CROWD = 3  # suspects at a time that may be one matter
 
 
@@ -30,12 +31,18 @@
     ) -> None:
         self._me, self.held, self._members = me, suspicions, members
         self._outbox, self._reach, self._settings = outbox, reach, settings
+        self._crowd_until = 0
 
     @property
     def unsettled(self) -> bool:
         """Whether deaths may follow at once."""
         return any(len(held.accusers) > 1 for held in self.held.values())
 
+    @property
+    def crowded(self) -> bool:
+        """Whether so many are in doubt that it is likelier a cut or a host's pause than so many deaths."""
+        return len(self.held) >= max(LEAST_CROWD, CROWDED_SHARE * len(self._members))
+
     def mine(self) -> list[str]:
         """Whom this router accuses: it goes on asking them."""
         return [name for name, held in self.held.items() if self._me in held.accusers]
@@ -63,11 +70,15 @@
     def accuse(self, record: Record, begun: int, now: int) -> None:
         """A question of this router's own, begun at this time, had no answer."""
         heard = self._reach.heard_at(record.name)
-        if record.name not in self.held:
+        held = self.held.get(record.name)
+        if held is None or (held.start, held.incarnation) != (record.start, record.incarnation):
             # Danger: who was not asked for long must not count as silent from its last word on.
             heard = max(heard, begun - self._settings.period)
-        if self._of(record, heard, now).accuse(self._me, heard) or record.state is State.ALIVE:
-            update = Suspect(record.name, record.start, record.incarnation, self._me, in_ms(now - heard))
+        suspicion = self._of(record, heard, now)
+        if suspicion.accuse(self._me, heard) or record.state is State.ALIVE:
+            # Nor is it to be told by a juror's own last word, but by the latest that is known of anybody's.
+            silent = in_ms(now - suspicion.heard)
+            update = Suspect(record.name, record.start, record.incarnation, self._me, silent)
             self._members.merge(update, now)
             self._outbox.rumours.tell(update, now)
 
@@ -140,7 +151,10 @@
         """
         settings, count = self._settings, len(self._members)
         many = sum(len(held.accusers) > 1 for held in self.held.values())
-        crowd = many >= LEAST_CROWD and many >= settings.crowd_share * count
+        if many >= LEAST_CROWD and many >= settings.crowd_share * count:
+            self._crowd_until = now + settings.least_silence
+        # Danger: as those of a pause come back, the last of them would be dead for being no crowd any more.
+        crowd = now < self._crowd_until
         dead = []
         for name, suspicion in list(self.held.items()):
             record = self._members.records.get(name)
--- a/saltport/peers/agent.py
+++ b/saltport/peers/agent.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
+from heapq import nsmallest
 
 from saltport.peers.accusations import Accusations
 from saltport.peers.members import PARTS, Change, Members, Record, order_of
@@ -48,6 +49,7 @@
 REFUTE = 750 * NS_PER_MS  # for which a router says at each turn that it lives
 REFUTE_TO = 12
 BURST = 6  # datagrams at each turn while there is much to tell
+SWEEP = 4  # questions at each turn while many are in doubt
 MUCH = 8  # untold rumours
 ROWS_EVERY = 2 * NS_PER_S
 LEAVE_TO = 16
@@ -110,6 +112,8 @@
         self._sync_replies = self._sync_second = 0
         self._tried_dead: dict[str, int] = {}
         self._explored = 0
+        self._swept: dict[str, int] = {}
+        """Who was asked in a sweep and not heard since, and when."""
         self._announce(now)
 
     def take(self) -> list[tuple[Place, Packet]]:
@@ -152,6 +156,8 @@
             self._explore(now)
         for dead in self.accusations.judge(self._answered_at, now):
             self._take(dead, now, self.name)
+        if self.accusations.crowded:
+            self._sweep(now)
         self._refute_again(now)
         if self.outbox.rumours.fresh > MUCH:
             for name in self.members.some(BURST, self._rng, (self.name,)):
@@ -176,6 +182,7 @@
         self._tell("paused", self.name, f"{pause / NS_PER_S:.1f} s")
         # Its questions are void, and what it was about to say of others is old news.
         self.questions.clear()
+        self._swept.clear()
         self.outbox.rumours.drop_judgements()
         self.accusations.pardon_all(now)
         if self.mood is Mood.MEMBER:
@@ -228,6 +235,24 @@
         if self._order:
             self.questions.ask(self._order.pop(), now)
 
+    def _sweep(self, now: int) -> None:
+        """Many are in doubt at once: ask all others too, who were not heard for longest first.
+
+        Danger: the few on the small side of a cut watch some of the others only. Without this the rest would
+        look well to them, and make them a majority, until deaths have moved the rings round to everybody. Who
+        does not answer is doubted here, and accused by those who watch it.
+        """
+        doubted = self.accusations.held
+        late = now - 2 * self.settings.period
+        unheard = [
+            (max(self.reach.heard_at(record.name), self.reach.asked.get(record.name, 0)), record.name)
+            for record in self.members.live()
+            if record.name not in doubted and self.reach.heard_at(record.name) < late
+        ]
+        for _, name in nsmallest(SWEEP, unheard):
+            self._swept.setdefault(name, now)
+            self.questions.ask(name, now)
+
     def _try_dead(self, now: int) -> bool:
         dead = [
             r.name for r in self.members.records.values() if r.state is State.DEAD and r.place is not None
@@ -252,7 +277,12 @@
         self.questions.answered(name, now)
 
     def _unanswered(self, record: Record, begun: int, now: int) -> None:
-        if self.mood is Mood.MEMBER:
+        only_swept = (
+            record.name in self._swept
+            and record.name not in self.members.watched(self.name)
+            and not self.accusations.is_juror(record.name)
+        )
+        if self.mood is Mood.MEMBER and not only_swept:
             self.accusations.accuse(record, begun, now)
 
     def _deaf(self, now: int) -> bool:
@@ -491,7 +521,10 @@
             self._tell("view", self.name, f"{view.number}: {len(view.members)} routers")
         # Danger: who just came, or stood still, has asked nobody yet, and knows the others from hearsay only.
         fresh = now - self.patience.awake_since < self.settings.least_silence
-        if self.views.stand(self._deaf(now), fresh, self.accusations.held.keys(), now):
+        self._swept = {name: at for name, at in self._swept.items() if self.reach.heard_at(name) < at}
+        silent = now - self.settings.patience
+        doubted = self.accusations.held.keys() | {name for name, at in self._swept.items() if at < silent}
+        if self.views.stand(self._deaf(now), fresh, doubted, now):
             views = self.views
             among = f"{len(views.yardstick & views.view.members)} of {len(views.yardstick)}"
             self._tell("standing", self.name, f"{views.standing} ({among})")
--- a/tests/peers/test_world.py
+++ b/tests/peers/test_world.py
@@ -97,6 +97,16 @@
     assert world.until_agreed(10) < 5
 
 
+@pytest.mark.parametrize(("count", "small"), [(30, 4), (30, 2), (12, 2)])
+def test_the_few_know_that_they_are_few_before_deaths_are_told(count: int, small: int) -> None:
+    """Thirty real routers once had four that called themselves the majority for over five seconds."""
+    world = running(count)
+    world.cuts.append(lambda here, there, _: (here < small) != (there < small))
+    world.run(3.5)
+    assert {str(world.agents[place].views.standing) for place in range(small)} <= {"minority", "isolated"}
+    assert {str(world.agents[place].views.standing) for place in range(small, count)} == {"majority"}
+
+
 def test_three_parts_and_a_cut_that_swings() -> None:
     world = running(12)
     world.cuts.append(lambda here, there, _: here % 3 != there % 3)
@@ -111,14 +121,15 @@
     assert died(world, since) == []
 
 
-def test_half_of_the_fleet_stopped_together_for_three_seconds_stays() -> None:
-    world = running(12)
+@pytest.mark.parametrize("count", [12, 30])
+def test_half_of_the_fleet_stopped_together_for_three_seconds_stays(count: int) -> None:
+    world = running(count)
     since = world.now
-    for place in range(6):
+    for place in range(count // 2):
         world.pause(place, 3 * NS_PER_S)
     world.run(10)
     assert died(world, since) == []
-    assert standings(world) == {"majority": 12}
+    assert standings(world) == {"majority": count}
 
 
 def test_a_router_stopped_in_the_midst_of_accusing_asks_before_it_accuses() -> None:
