--- a/saltport/owners/trials.py
+++ b/saltport/owners/trials.py
@@ -22,6 +22,8 @@
 TELL_FOR = 8 * NS_PER_S  # an owner says so for so long that a server is well, each second
 TELL_EVERY = 1 * NS_PER_S
 SPREAD = 2 * NS_PER_S  # over which the others' trials begin
+LONGEST = 30 * NS_PER_S  # for which a server is left to its owner without a word, and up to twice that
+WINDOW = 6 * NS_PER_S  # in which it may then be tried here
 ALONE_SPREAD = 6 * NS_PER_S  # and those of routers without an owner in sight
 FRESH = 10 * NS_PER_S  # older evidence starts nothing
 
@@ -70,6 +72,8 @@
         self._due: dict[str, int] = {}
         """Trials to begin, by what others told."""
         self._spread: dict[str, int] = {}
+        self._until: dict[str, int] = {}
+        """For so long each ejected server is left to its owner."""
         self.taken = self.stale = 0
 
     @staticmethod
@@ -103,18 +107,31 @@
                     del self._due[server]
             elif self._tenure.may(PREFIX + server, now) is not None:
                 continue  # its owner tries it when its time has come
-            elif in_sight:
+            elif in_sight and now < self._patience(server, now):
                 self._spread.pop(server, None)
                 plan.holds[server] = now + HOLD
+            elif in_sight:
+                # Danger: an owner that never tries, as no client of its own asks there, must not keep it out for
+                # good. What was held back last ends within this window.
+                if now >= self._until[server] + WINDOW:
+                    del self._until[server]
             elif server not in self._spread:
                 self._spread[server] = now + self._rng.randrange(ALONE_SPREAD)
                 plan.holds[server] = max(due, self._spread[server])
         for server in [server for server in self._due if server not in ejected]:
             del self._due[server]
+        for server in [server for server in self._until if server not in ejected]:
+            del self._until[server]
         for server in [server for server in self._spread if server not in ejected]:
             del self._spread[server]
         return plan
 
+    def _patience(self, server: str, now: int) -> int:
+        """Until when a server is left to its owner, without a word from there."""
+        if server not in self._until:
+            self._until[server] = now + self._rng.randint(LONGEST, 2 * LONGEST)
+        return self._until[server]
+
     def heard(self, told: Evidence, ejected: Mapping[str, int], now: int) -> bool:
         """Take an owner's word; whether it starts a trial. One of an older epoch is refused."""
         if not self._fence.admit(PREFIX + told.server, told.epoch):
--- a/tests/owners/test_trials.py
+++ b/tests/owners/test_trials.py
@@ -8,7 +8,17 @@
 from saltport.owners.messages import Renewed, Rows
 from saltport.owners.settings import OwnerSettings
 from saltport.owners.tenure import Tenure
-from saltport.owners.trials import ALONE_SPREAD, HOLD, SPREAD, TELL_FOR, Evidence, Trials, decode, encode
+from saltport.owners.trials import (
+    ALONE_SPREAD,
+    HOLD,
+    LONGEST,
+    SPREAD,
+    TELL_FOR,
+    Evidence,
+    Trials,
+    decode,
+    encode,
+)
 
 S = 1_000_000_000
 SETTINGS = OwnerSettings(lease=60 * S)
@@ -57,6 +67,15 @@
     assert fresh.turn({"s": S}, True, 9 * S).starts == []
 
 
+def test_an_owner_that_never_tries_does_not_keep_a_server_out_for_good() -> None:
+    other = router("b")
+    seconds = [second for second in range(200) if not other.turn({"s": S}, True, second * S).holds]
+    assert LONGEST // S <= seconds[0] <= 2 * LONGEST // S + 1
+    # A window at each time, longer than what was held back last, and then patience again.
+    assert seconds[HOLD // S : WINDOW // S] == list(range(seconds[0] + HOLD // S, seconds[0] + WINDOW // S))
+    assert len(seconds) <= 200 // (LONGEST // S) * (WINDOW // S + 1)
+
+
 def test_an_owner_whose_lease_has_ended_says_nothing() -> None:
     owner = router("a", epoch=5)
     late = SETTINGS.own_lease + 2
