--- a/saltport/owners/trials.py
+++ b/saltport/owners/trials.py
@@ -111,8 +111,8 @@
                 self._spread.pop(server, None)
                 plan.holds[server] = now + HOLD
             elif in_sight:
-                # Danger: an owner that never tries, as no client of its own asks there, must not keep it out for
-                # good. What was held back last ends within this window.
+                # Danger: an owner that never tries, as no client of its own asks there, must not keep it out
+                # for good. What was held back last ends within this window.
                 if now >= self._until[server] + WINDOW:
                     del self._until[server]
             elif server not in self._spread:
--- a/tests/owners/test_trials.py
+++ b/tests/owners/test_trials.py
@@ -14,6 +14,7 @@
     LONGEST,
     SPREAD,
     TELL_FOR,
+    WINDOW,
     Evidence,
     Trials,
     decode,
