Between deaths and the view without them nobody is a majority by the dead

Cause: standing is counted in the view, which waits up to a second for deaths to come together, while the dead are in no doubt any more. Ruled out in virtual time: kills and restarts meanwhile, loss, the yardstick. Change: who is in the view and not live counts as absent.

--- a/saltport/peers/agent.py
+++ b/saltport/peers/agent.py
@@ -524,6 +524,9 @@
         self._swept = {name: at for name, at in self._swept.items() if self.reach.heard_at(name) < at}
         silent = now - self.settings.patience
         doubted = self.accusations.held.keys() | {name for name, at in self._swept.items() if at < silent}
+        if live is not None:
+            # Danger: between their deaths and the view without them, the dead are in no doubt any more.
+            doubted |= self.views.view.members - live
         if self.views.stand(self._deaf(now), fresh, doubted, now):
             views = self.views
             among = f"{len(views.yardstick & views.view.members)} of {len(views.yardstick)}"
--- a/tests/peers/test_world.py
+++ b/tests/peers/test_world.py
@@ -127,6 +127,21 @@
     assert {str(world.agents[place].views.standing) for place in range(small, count)} == {"majority"}
 
 
+@pytest.mark.parametrize("seed", [2, 3, 7])
+def test_the_smaller_side_is_never_a_majority_between_deaths_and_the_view_without_them(seed: int) -> None:
+    """Thirty real routers once had one that said so for a moment, five seconds into a cut."""
+    world = World(30, seed)
+    world.start_all()
+    world.until_agreed(10)
+    world.run(3)
+    small = {0, 2, 3, 7, 8, 9, 10, 12, 16, 18, 20, 24}
+    world.cuts.append(lambda here, there, _: (here in small) != (there in small))
+    world.run(3)
+    for _ in range(30):
+        world.run(0.1)
+        assert "majority" not in {str(world.agents[place].views.standing) for place in small}
+
+
 def test_three_parts_and_a_cut_that_swings() -> None:
     world = running(12)
     world.cuts.append(lambda here, there, _: here % 3 != there % 3)
