--- a/tests/nemesis/test_history.py
+++ b/tests/nemesis/test_history.py
@@ -6,7 +6,9 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
+from saltport.cli import cli
 from saltport.nemesis.history import History, Hold, Member, Sample, Span
 from saltport.nemesis.schedule import KINDS, ScheduleError, draw_schedule, read_schedule
 
@@ -126,3 +128,5 @@
             read_schedule(path, NAMES)
     with pytest.raises(ScheduleError, match="can't be read"):
         read_schedule(tmp_path / "none", NAMES)
+    told = CliRunner().invoke(cli, ["nemesis", "--schedule", str(tmp_path / "none")])
+    assert (told.exit_code, "can't be read" in told.output) == (2, True)
--- a/tests/owners/fleet.py
+++ b/tests/owners/fleet.py
@@ -100,15 +100,8 @@
         member = self.members[name]
         work = member.take()
         if name in self.disks:
-            disk = self.disks[name]
             self.written += work.vote is not None or bool(work.entries) or work.snapshot is not None
-            if work.vote is not None:
-                disk.vote = work.vote
-            if work.snapshot is not None:
-                disk.snapshot, disk.entries = work.snapshot, list(work.entries)
-            elif work.entries:
-                first = work.entries[0].index
-                disk.entries = [e for e in disk.entries if e.index < first] + list(work.entries)
+            self.disks[name].keep(work.vote, work.snapshot, work.entries)
         for to, message in work.messages:
             self._send(name, to, message)
 
--- a/tests/owners/world.py
+++ b/tests/owners/world.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field, replace
 
 from saltport.owners.log import Entry, Log, Snapshot, Vote, Voting
-from saltport.owners.raft import Message, Raft, RaftSettings, Ready, Role
+from saltport.owners.raft import Message, Raft, RaftSettings, Role
 
 SETTINGS = RaftSettings()
 START = 10 * SETTINGS.election
@@ -22,14 +22,14 @@
     snapshot: Snapshot
     entries: list[Entry] = field(default_factory=list)
 
-    def keep(self, ready: Ready) -> None:
-        if ready.vote is not None:
-            self.vote = ready.vote
-        if ready.snapshot is not None:
-            self.snapshot, self.entries = ready.snapshot, list(ready.entries)
-        elif ready.entries:
-            first = ready.entries[0].index
-            self.entries = [entry for entry in self.entries if entry.index < first] + list(ready.entries)
+    def keep(self, vote: Vote | None, snapshot: Snapshot | None, entries: list[Entry]) -> None:
+        if vote is not None:
+            self.vote = vote
+        if snapshot is not None:
+            self.snapshot, self.entries = snapshot, list(entries)
+        elif entries:
+            first = entries[0].index
+            self.entries = [entry for entry in self.entries if entry.index < first] + list(entries)
 
 
 class BrokenError(AssertionError):
@@ -85,7 +85,7 @@
         node = self.nodes[name]
         ready = node.take()
         vote = self.disks[name].vote
-        self.disks[name].keep(ready)
+        self.disks[name].keep(ready.vote, ready.snapshot, ready.entries)
         if not self.stores_votes:
             self.disks[name].vote = vote
         self.flying += [(name, to, message) for to, message in ready.messages if to in self.disks]
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -13,9 +13,11 @@
 
 import pytest
 import uvloop
+from click.testing import CliRunner
 
 from saltport.address import Address
 from saltport.admin.client import call
+from saltport.cli import cli
 from saltport.peers.agent import Told
 from saltport.peers.link import PeerLink, PeerPlan
 from saltport.peers.words import lines
@@ -192,6 +194,17 @@
     with routed(tmp_path, {"s1": Peer(lambda _, words: hit(words[1]))}) as router:
         assert call(router.admin, "GET", "/peers") == (200, {"on": False})
         assert call(router.admin, "PUT", "/peers/settle")[0] == 404
+        assert call(router.admin, "PUT", "/owners/step-down") == (500, {"error": "owners are off"})
+        address = "{}:{}".format(*router.admin)
+        for words, status, said in [
+            (["peers", address], 0, "peers: off"),
+            (["peers", address, "--settle"], 1, "peers are off"),
+            (["owners", address], 0, "owners: off"),
+            (["owners", address, "--may", "rollout"], 1, "no"),
+            (["owners", address, "--transfer", "r2"], 1, "owners are off"),
+        ]:
+            result = CliRunner().invoke(cli, words)
+            assert (result.exit_code, said in result.output) == (status, True), words
 
 
 def test_the_report_reads_in_lines() -> None:
