--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -529,10 +529,20 @@
 @click.option("--schedule", type=_FILE, help="Acts in TOML; else they are drawn by the seed.")
 @click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(10), help="Of a drawn one.")
 @click.option("--rate", default=0.0, show_default=True, help="Requests a second beside it, audited.")
+@click.option(
+    "--voters", default="0", show_default=True, type=click.Choice(["0", "3", "5"]), help="Of owners."
+)
 @click.option("--plot", is_flag=True, help="Draw how long deaths took to be known.")
 @_AS_JSON
 def nemesis(
-    routers: int, seed: int, schedule: Path | None, seconds: float, rate: float, plot: bool, as_json: bool
+    routers: int,
+    seed: int,
+    schedule: Path | None,
+    seconds: float,
+    rate: float,
+    voters: str,
+    plot: bool,
+    as_json: bool,
 ) -> None:
     """Start routers that know one another, break the links between them, stop and kill them, and judge."""
     import signal
@@ -545,6 +555,8 @@
     from saltport.nemesis.schedule import ScheduleError, draw_schedule, read_schedule
 
     names = [f"r{number + 1}" for number in range(routers)]
+    if int(voters) > routers:
+        _wrong(f"--voters: there are {routers} routers only", 2)
     try:
         acts = read_schedule(schedule, names) if schedule else draw_schedule(seed, names, seconds)
     except ScheduleError as error:
@@ -553,7 +565,7 @@
         # Danger: ended by SIGTERM as it is, this process would leave its routers running.
         signal.signal(signal.SIGTERM, signal.default_int_handler)
         with tempfile.TemporaryDirectory(prefix="saltport-nemesis-") as folder:
-            run = Nemesis(Path(folder), routers, seed)
+            run = Nemesis(Path(folder), routers, seed, voters=int(voters))
             report = uvloop.run(run_nemesis(run, acts, lambda line: click.echo(line, err=True), rate))
     except (HarnessError, NemesisError, OSError) as error:
         _wrong(str(error), 1)
@@ -564,7 +576,9 @@
         from saltport.load.report import histogram
 
         click.echo(histogram(report["detections_s"], "seconds until all knew of a death"), err=as_json)
-    report["repeat"] = f"saltport nemesis --routers {routers} --seed {seed} {which} --rate {rate:g}"
+    report["repeat"] = (
+        f"saltport nemesis --routers {routers} --seed {seed} {which} --rate {rate:g} --voters {voters}"
+    )
     _dump(report, indent=not as_json)
     click.echo(f"{'clean' if report['clean'] else 'BROKEN'}; again: {report['repeat']}", err=True)
     sys.exit(not report["clean"])
