Rigs of membership and owners say each thing once

Read over: the nemesis had its own HTTP caller beside admin.client.ask, two ways to end a fault on the links and the same asking twice; the history its own Violation beside the audit's; the relay kept addresses that its sockets know; the benchmark of trials read the ledger beside Harness.fleet_records; the virtual world pushed events and counted bytes in four places.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -16,6 +16,7 @@
 from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import replace
+from itertools import permutations
 
 import click
 
@@ -42,6 +43,7 @@
                 self.questions.ask(name, now)
 
 
+Pause = tuple[float, int]
 PLAIN = replace(PeerSettings(), refutes=False, gap=1 << 62, crowd_share=2.0)
 
 
@@ -53,79 +55,50 @@
     return world
 
 
-class Strain:
-    """Cuts and pauses of one minute after another, the same for each form."""
+def strain(members: int, seed: int, minutes: int) -> Iterator[tuple[set[tuple[int, int]], list[Pause]]]:
+    """The cuts of each minute, and the pauses: when in it, and who. The same for each form."""
+    rng, owed = random.Random(seed + 99), 0.0
+    for _ in range(minutes):
+        cut = {(a, b) for a, b in (rng.sample(range(members), 2) for _ in range(max(members // 6, 1)))}
+        owed += members / 20
+        yield cut, sorted((rng.uniform(0, 60), rng.randrange(members)) for _ in range(int(owed)))
+        owed -= int(owed)
 
-    def __init__(self, members: int, seed: int) -> None:
-        self._members, self._rng = members, random.Random(seed + 99)
 
-    def minutes(self, count: int) -> Iterator[tuple[set[tuple[int, int]], list[tuple[float, int]]]]:
-        """The cuts of each minute, and the pauses: when in it, and who."""
-        owed = 0.0
-        for _ in range(count):
-            rng, members = self._rng, self._members
-            cuts = {(a, b) for a, b in (rng.sample(range(members), 2) for _ in range(max(members // 6, 1)))}
-            owed += members / 20
-            pauses = [(rng.uniform(0, 60), rng.randrange(members)) for _ in range(int(owed))]
-            owed -= int(owed)
-            yield cuts, sorted(pauses)
-
-
-def storm(form: str, members: int, minutes: int, seed: int) -> dict[str, float]:
+def storm(form: str, members: int, minutes: int, seed: int) -> tuple[int, float]:
     """False deaths, each observer's belief counted once, and the bytes of a member a second."""
     if form in ("heartbeats", "phi"):
-        return _beats(form, members, minutes, seed)
+        return _beats(form, members, minutes, seed), (members - 1) * BEAT_BYTES / BEAT_S
     world = _world(form, members, seed)
-    since, world.loss = world.now, LOSS
+    since, before, world.loss = world.now, world.sent, LOSS
     cut: set[tuple[int, int]] = set()
     world.cuts.append(lambda here, there, _: (here, there) in cut)
-    before = sum(agent.outbox.bytes for agent in world.agents.values())
-    for number, (cuts, pauses) in enumerate(Strain(members, seed).minutes(minutes)):
+    for number, (now_cut, pauses) in enumerate(strain(members, seed, minutes)):
         cut.clear()
-        cut |= cuts
+        cut |= now_cut
         begun = since + number * 60 * NS_PER_S
         for at, who in pauses:
             world.run(until=max(begun + int(at * NS_PER_S), world.now))
             world.pause(who, int(PAUSE_S * NS_PER_S))
         world.run(until=begun + 60 * NS_PER_S)
-    died = world.told("died", since)
-    sent = sum(agent.outbox.bytes for agent in world.agents.values()) - before
-    return {
-        "beliefs": len(died),
-        "subjects": len({(seen.told.name, seen.told.detail) for seen in died}),
-        "bytes_per_s": sent / members / minutes / 60,
-    }
+    return len(world.told("died", since)), (world.sent - before) / members / minutes / 60
 
 
-def _beats(form: str, members: int, minutes: int, seed: int) -> dict[str, float]:
+def _beats(form: str, members: int, minutes: int, seed: int) -> int:
     """Heartbeats from each to all: pairs are independent but for the pauses."""
-    rng, beliefs, subjects = random.Random(seed), 0, set()
-    plan = list(Strain(members, seed).minutes(minutes))
-    paused: dict[int, list[float]] = {}
-    for minute, (_, pauses) in enumerate(plan):
-        for at, who in pauses:
-            paused.setdefault(who, []).append(minute * 60 + at)
-    for sender in range(members):
-        stops = paused.get(sender, [])
-        for hearer in range(members):
-            if hearer == sender:
+    rng, beliefs, plan = random.Random(seed), 0, list(strain(members, seed, minutes))
+    stops = [(minute * 60 + at, who) for minute, (_, pauses) in enumerate(plan) for at, who in pauses]
+    for sender, hearer in permutations(range(members), 2):
+        mine = [at for at, who in stops if who == sender]
+        heard, gaps, at = 0.0, deque([BEAT_S], maxlen=100), 0.0
+        while (at := at + BEAT_S) < minutes * 60:
+            still = any(stop <= at < stop + PAUSE_S for stop in mine)
+            if still or (sender, hearer) in plan[int(at // 60)][0] or rng.random() < LOSS:
                 continue
-            heard, gaps, at = 0.0, deque([BEAT_S], maxlen=100), 0.0
-            while (at := at + BEAT_S) < minutes * 60:
-                still = any(stop <= at < stop + PAUSE_S for stop in stops)
-                if still or (sender, hearer) in plan[int(at // 60)][0] or rng.random() < LOSS:
-                    continue
-                silent = at - heard
-                if silent > (_phi_limit(gaps) if form == "phi" else 2.6):
-                    beliefs += 1
-                    subjects.add((sender, int(at // 10)))
-                gaps.append(silent)
-                heard = at
-    return {
-        "beliefs": beliefs,
-        "subjects": len(subjects),
-        "bytes_per_s": (members - 1) * BEAT_BYTES / BEAT_S,
-    }
+            silent, heard = at - heard, at
+            beliefs += silent > (_phi_limit(gaps) if form == "phi" else 2.6)
+            gaps.append(silent)
+    return beliefs
 
 
 def _phi_limit(gaps: deque[float]) -> float:
@@ -156,10 +129,8 @@
     world = _world("ours", members, seed)
 
     def stand() -> str:
-        return ", ".join(
-            f"{count} {name}"
-            for name, count in Counter(str(agent.views.standing) for agent in world.agents.values()).items()
-        )
+        counts = Counter(agent.views.standing for agent in world.agents.values())
+        return ", ".join(f"{count} {name}" for name, count in counts.items())
 
     def views(since: int) -> float:
         return len(world.told("view", since)) / max(len(world.agents), 1)
@@ -168,12 +139,11 @@
         since = world.now
         world.cuts.append(lambda here, there, _, parts=parts: here % parts != there % parts)  # type: ignore[misc]
         world.run(20)
-        believed, changed = stand(), views(since)
+        believed, changed, sent = stand(), views(since), world.sent
         world.cuts.clear()
-        sent = sum(agent.outbox.bytes for agent in world.agents.values())
         healed = world.until_agreed(60)
-        sent = (sum(agent.outbox.bytes for agent in world.agents.values()) - sent) // members
-        yield f"cut in {parts}: {believed}; {changed:.1f} views each; healed {healed:.2f} s, {sent} bytes"
+        each = (world.sent - sent) // members
+        yield f"cut in {parts}: {believed}; {changed:.1f} views each; healed {healed:.2f} s, {each} bytes"
         world.run(12)
     since = world.now
     world.cuts.append(lambda here, there, now: here % 2 != there % 2 and now // (2 * NS_PER_S) % 2 == 0)
@@ -216,9 +186,8 @@
 def main(what: str, form: str, members: int, seed: int, minutes: int, count: int) -> None:
     """Measure."""
     if what == "storm":
-        told = storm(form, members, minutes, seed)
-        figures = ", ".join(f"{name} {figure:.0f}" for name, figure in told.items())
-        click.echo(f"{form} {members} seed {seed}, {minutes} min: {figures}")
+        believed, sent = storm(form, members, minutes, seed)
+        click.echo(f"{form} {members} seed {seed}, {minutes} min: {believed} believed, {sent:.0f} bytes/s")
     elif what == "deaths":
         times, calm = deaths(form, members, count, seed)
         p99 = times[min(len(times) * 99 // 100, len(times) - 1)]
--- a/benchmarks/peers_world.py
+++ b/benchmarks/peers_world.py
@@ -6,7 +6,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from saltport.peers.agent import Agent, Told
 from saltport.peers.messages import Packet
@@ -20,8 +20,7 @@
 """Whether nothing gets from one place to another at this time."""
 
 
-@dataclass(frozen=True, slots=True)
-class Seen:
+class Seen(NamedTuple):
     """What a router believed of another, and when."""
 
     at: int
@@ -92,19 +91,18 @@
     # Time
 
     def _turn_at(self, place: int, at: int) -> None:
+        self._push(at, place, -1, None, self._starts[place])
+
+    def _push(self, at: int, place: int, source: int, packet: Packet | None, life: int) -> None:
         self._count += 1
-        heapq.heappush(self._events, (at, self._count, place, -1, None, self._starts[place]))
+        heapq.heappush(self._events, (at, self._count, place, source, packet, life))
 
     def _carry(self, place: int) -> None:
         agent, rng, now = self.agents[place], self.rng, self.now
         for to, packet in agent.take():
-            if not isinstance(to, int) or rng.random() < self.loss:
-                continue
-            if any(cut(place, to, now) for cut in self.cuts):
-                continue
-            self._count += 1
-            at = now + rng.randrange(*DELAY)
-            heapq.heappush(self._events, (at, self._count, to, place, packet, 0))
+            lost = not isinstance(to, int) or rng.random() < self.loss
+            if isinstance(to, int) and not lost and not any(cut(place, to, now) for cut in self.cuts):
+                self._push(now + rng.randrange(*DELAY), to, place, packet, 0)
         for told in agent.take_told():
             self.seen.append(Seen(now, agent.name, told))
 
@@ -120,8 +118,7 @@
                 continue
             wakes = self.paused.get(place, 0)
             if wakes > self.now:
-                self._count += 1
-                heapq.heappush(events, (wakes, self._count, place, source, packet, life))
+                self._push(wakes, place, source, packet, life)
                 continue
             if packet is None:
                 agent.turn(self.now)
@@ -151,9 +148,13 @@
             self.run(step)
         return (self.now - begun) / NS_PER_S
 
+    @property
+    def sent(self) -> int:
+        """Bytes that all have sent."""
+        return sum(agent.outbox.bytes for agent in self.agents.values())
+
     def bytes_per_s(self, seconds: float) -> float:
         """Bytes that a router sends, the mean over all while so long passes."""
-        before = sum(agent.outbox.bytes for agent in self.agents.values())
+        before = self.sent
         self.run(seconds)
-        after = sum(agent.outbox.bytes for agent in self.agents.values())
-        return (after - before) / seconds / max(len(self.agents), 1)
+        return (self.sent - before) / seconds / max(len(self.agents), 1)
--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import tempfile
+import time
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +20,6 @@
 from saltport.harness import run_load
 from saltport.load.plan import LoadPlan, Step
 from saltport.nemesis.runner import Nemesis
-from saltport.standins.ledger import read_ledger
 
 FOUND_S = 5.0  # after which routers have found out
 AFTER_S = 30.0
@@ -27,52 +28,40 @@
 
 async def measure(nemesis: Nemesis, bad: int, ill_s: float, rate: float, kill: bool) -> dict[str, Any]:
     """Play it; returns the counts."""
-    marks: dict[str, float] = {}
+    clock, stop = time.monotonic, asyncio.Event()
     async with nemesis:
         await nemesis.until_agreed(60)
         await asyncio.sleep(12)
-        clock = asyncio.get_running_loop().time
-        stop = asyncio.Event()
         plan = LoadPlan((Step(0.0, rate),), 3_600.0, seed=nemesis.seed, keys=400, zipf=0.6)
         load = asyncio.get_running_loop().create_task(run_load(nemesis.harness, plan, stop=stop))
         await asyncio.sleep(8)
         nodes = sorted(nemesis.harness.addresses["nodes"])[:bad]
-        marks["struck"] = clock()
+        call, struck = nemesis.harness.control.call, clock()
         for node in nodes:
-            await nemesis.harness.control.call("strike", kind="spoil", target=node, figures={"share": 1.0})
+            await call("strike", kind="spoil", target=node, figures={"share": 1.0})
         await asyncio.sleep(ill_s / 2)
-        if kill:
-            owner = next(
-                (name for name, told in nemesis.told.items() if f"probe/{nodes[0]}" in told.get("holds", {})),
-                "",
-            )
-            if owner:
-                await nemesis.kill(owner)
-                await nemesis.start(owner)
-        await asyncio.sleep(max(marks["struck"] + ill_s - clock(), 0))
+        held = {piece: name for name, told in nemesis.told.items() for piece in told.get("holds", {})}
+        if kill and (owner := held.get(f"probe/{nodes[0]}")):
+            await nemesis.kill(owner)
+            await nemesis.start(owner)
+        await asyncio.sleep(max(struck + ill_s - clock(), 0))
         for node in nodes:
-            await nemesis.harness.control.call("mend", target=node)
-        marks["mended"] = clock()
+            await call("mend", target=node)
+        mended = clock()
         await asyncio.sleep(AFTER_S)
         stop.set()
         await load
-    attempts = [
-        (record["t"] / 1e9, record["node"])
-        for record in read_ledger(nemesis.folder / "fleet.jsonl")
-        if record["kind"] == "attempt"
-    ]
-    found, mended = marks["struck"] + FOUND_S, marks["mended"]
-    at_bad = sum(node in nodes and found <= at < mended for at, node in attempts)
-    recent = [(at, node) for at, node in attempts if mended <= at < mended + AFTER_S]
-    share = len(recent) / AFTER_S / nemesis.nodes * STEP_S
-    back = AFTER_S
-    for step in range(int(AFTER_S / STEP_S)):
-        begun = mended + step * STEP_S
-        seen = sum(node in nodes and begun <= at < begun + STEP_S for at, node in recent)
-        if seen >= share * bad / 2:
-            back = (step + 1) * STEP_S
-            break
-    return {"attempts_at_bad": at_bad, "seconds_ill": ill_s - FOUND_S, "back_after_s": back}
+    records = [record for record in nemesis.harness.fleet_records() if record["kind"] == "attempt"]
+    at_bad = [record["t"] / 1e9 for record in records if record["node"] in nodes]
+    after = [at for record in records if mended <= (at := record["t"] / 1e9) < mended + AFTER_S]
+    wanted = len(after) / AFTER_S / nemesis.nodes * STEP_S * bad / 2
+    steps = Counter(int((at - mended) // STEP_S) for at in at_bad if at >= mended)
+    back = next((step for step in range(int(AFTER_S / STEP_S)) if steps[step] >= wanted), None)
+    return {
+        "attempts_at_bad": sum(struck + FOUND_S <= at < mended for at in at_bad),
+        "seconds_ill": ill_s - FOUND_S,
+        "back_after_s": AFTER_S if back is None else (back + 1) * STEP_S,
+    }
 
 
 @click.command()
--- a/saltport/audit.py
+++ b/saltport/audit.py
@@ -38,10 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """A rule that was broken: when (nanoseconds on the common clock), and the case in one line."""
+    """A rule that was broken: when (by the run's clock, here in nanoseconds), and the case in one line."""
 
     rule: str
-    at: int
+    at: float
     what: str
 
 
--- a/saltport/nemesis/history.py
+++ b/saltport/nemesis/history.py
@@ -10,6 +10,8 @@
 from itertools import pairwise
 from statistics import quantiles
 
+from saltport.audit import Violation
+
 RULES = ("no_false_death", "records_only_rise", "one_majority", "agreed_at_last", "one_owner")
 EXCUSE_S = 12.0  # after a fault of its own, or on its links, somebody may still be held dead
 SETTLED_S = 5.0  # within a partition, after which two sides must not both be majorities
@@ -66,15 +68,6 @@
     epoch: int
 
 
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """One rule broken."""
-
-    rule: str
-    at: float
-    what: str
-
-
 @dataclass(slots=True)
 class History:
     """A run."""
@@ -94,13 +87,11 @@
 
     def checked(self) -> dict[str, int]:
         """How many cases each rule was tried on: a rule with 0 was not shown."""
-        deaths = sum(held.state == "dead" for sample in self.samples for held in sample.members.values())
-        cut = sum(1 for span in self.spans if span.group)
         return {
             "samples": len(self.samples),
-            "no_false_death": deaths,
+            "no_false_death": sum(m.state == "dead" for s in self.samples for m in s.members.values()),
             "records_only_rise": sum(1 for _ in self._successions()),
-            "one_majority": cut,
+            "one_majority": sum(bool(span.group) for span in self.spans),
             "agreed_at_last": len(self.last()),
             "one_owner": len(self.holds),
         }
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -17,6 +17,7 @@
 import orjson
 
 from saltport.address import Address
+from saltport.admin.client import ask
 from saltport.audit import Limits
 from saltport.harness import Harness, RouterProcess, run_load
 from saltport.load.plan import LoadPlan, Step
@@ -29,6 +30,12 @@
 ZONES = ("a", "b", "c")
 SLACK_MS = 1_000  # of the audit: many processes share few cores
 FOR_GOOD_S = 86_400.0
+STRAINS: dict[str, Callable[[float], Fault]] = {
+    "loss": lambda share: Fault(loss=share),
+    "double": lambda share: Fault(doubles=share),
+    "delay": lambda share: Fault(delay_s=(0.0, share)),
+}
+"""What befalls all links, by kind of act."""
 ASK_S = 2.0  # in which a router that runs answers how it sees the others
 
 
@@ -65,14 +72,9 @@
         self._relay = DatagramRelay(self.links, {name: _own_address(n) for n, name in enumerate(names)})
         await self._relay.open()
         (self.folder / "peers.keys").write_text(secrets.token_hex(32))
+        profile, features = quick(Profile(), 20), self._features()
         self.harness = Harness(
-            self.folder,
-            quick(Profile(), 20),
-            self.nodes,
-            self.routers,
-            self.seed,
-            self._features(),
-            self._dress,
+            self.folder, profile, self.nodes, self.routers, self.seed, features, self._dress
         )
         try:
             await self.harness.start()
@@ -134,33 +136,21 @@
 
     async def _ask(self, router: RouterProcess) -> None:
         life = self._lives[router.name]
-        try:
-            async with asyncio.timeout(ASK_S):
-                told = await _get(router.admin, "/peers")
-        except (OSError, TimeoutError, orjson.JSONDecodeError):
-            return
-        if life != self._lives[router.name]:
+        told = await _told(router, "/peers")
+        if told is None or life != self._lives[router.name]:
             return
         members = {
             name: Member(held["state"], held["start"], held["incarnation"])
             for name, held in told["members"].items()
         }
         standing = told["standing"]["state"] if told["mood"] == "member" else told["mood"]
-        self.history.samples.append(
-            Sample(self.now(), router.name, life, told["view"]["digest"], standing, members)
-        )
-        if self.voters:
-            await self._ask_owners(router)
-
-    async def _ask_owners(self, router: RouterProcess) -> None:
-        try:
-            async with asyncio.timeout(ASK_S):
-                told = await _get(router.admin, "/owners")
-        except (OSError, TimeoutError, orjson.JSONDecodeError):
-            return
-        for piece, epoch in told.get("holds", {}).items():
-            self.history.holds.append(Hold(told["now_ns"], router.name, piece, epoch))
-        self.told[router.name] = told
+        sample = Sample(self.now(), router.name, life, told["view"]["digest"], standing, members)
+        self.history.samples.append(sample)
+        owned = await _told(router, "/owners") if self.voters else None
+        if owned is not None:
+            self.told[router.name] = owned
+            for piece, epoch in owned.get("holds", {}).items():
+                self.history.holds.append(Hold(owned["now_ns"], router.name, piece, epoch))
 
     async def until(
         self, what: str, holds: Callable[[dict[str, Sample]], bool], seconds: float = 30.0
@@ -247,56 +237,54 @@
         self._end("down", [name])
 
     @contextlib.contextmanager
-    def cut(self, who: Sequence[str], whom: Sequence[str], both: bool = False) -> Any:
+    def cut(self, who: Sequence[str], whom: Sequence[str], both: bool = False) -> Iterator[None]:
         """Nothing gets from these to those (`both`: nor back) while the context lasts."""
-        touched = sorted({*who, *whom})
-        group = frozenset(who) if both and {*who, *whom} == set(self._relay.ends) else frozenset()
-        begun = self.now()
-        numbers = [self.links.fault(who, whom, Fault(cut=True))]
-        if both:
-            numbers.append(self.links.fault(whom, who, Fault(cut=True)))
+        touched = {*who, *whom}
+        group = frozenset(who) if both and touched == set(self._relay.ends) else frozenset()
+        with contextlib.ExitStack() as faults:
+            faults.enter_context(self._broken("cut", who, whom, Fault(cut=True), touched, group))
+            if both:
+                faults.enter_context(self._broken("cut", whom, who, Fault(cut=True)))
+            yield
+
+    @contextlib.contextmanager
+    def _broken(
+        self,
+        kind: str,
+        source: Sequence[str],
+        target: Sequence[str],
+        fault: Fault,
+        touched: Iterable[str] = (),
+        group: frozenset[str] = frozenset(),
+    ) -> Iterator[None]:
+        number, begun = self.links.fault(source, target, fault), self.now()
         try:
             yield
         finally:
-            for number in numbers:
-                self.links.mend(number)
-            self._note("cut", touched, begun, group)
+            self.links.mend(number)
+            self._note(kind, sorted(touched), begun, group)
 
     def others(self, who: Sequence[str]) -> list[str]:
         """All but these."""
         return [name for name in self._relay.ends if name not in who]
 
-    async def _strain(self, fault: Fault, seconds: float) -> None:
-        everyone = list(self._relay.ends)
-        number = self.links.fault(everyone, everyone, fault)
-        begun = self.now()
-        try:
-            await asyncio.sleep(seconds)
-        finally:
-            self.links.mend(number)
-            self._note("strained", everyone, begun)
-
     async def strike(self, act: Act) -> None:
         """Carry one act out, whole; whoever is down or stopped already is left alone."""
         taken = {who for kind, who in self._open if kind in ("down", "stopped")}
-        who = [name for name in act.who if name not in taken]
+        who, everyone = [name for name in act.who if name not in taken], self.others([])
         match act.kind:
             case "kill" | "restart":
                 await asyncio.gather(*(self._bounce(name, act) for name in who))
             case "stop":
                 await asyncio.gather(*(self.stop_for(name, act.seconds) for name in who))
-            case "cut":
-                with self.cut(act.who, act.whom or self.others(act.who)):
+            case "cut" | "partition":
+                both = act.kind == "partition"
+                whom = self.others(act.who) if both or not act.whom else act.whom
+                with self.cut(act.who, whom, both):
                     await asyncio.sleep(act.seconds)
-            case "partition":
-                with self.cut(act.who, self.others(act.who), both=True):
+            case _:
+                with self._broken("strained", everyone, everyone, STRAINS[act.kind](act.share), everyone):
                     await asyncio.sleep(act.seconds)
-            case "loss":
-                await self._strain(Fault(loss=act.share), act.seconds)
-            case "double":
-                await self._strain(Fault(doubles=act.share), act.seconds)
-            case "delay":
-                await self._strain(Fault(delay_s=(0.0, act.share)), act.seconds)
 
     async def _bounce(self, name: str, act: Act) -> None:
         await (self.kill(name) if act.kind == "kill" else self.end(name))
@@ -328,17 +316,12 @@
         return host, int(bound.getsockname()[1])
 
 
-async def _get(address: Address, path: str) -> dict[str, Any]:
-    reader, writer = await asyncio.open_connection(*address)
+async def _told(router: RouterProcess, path: str) -> dict[str, Any] | None:
+    """What a router answers; None: not in time, or its process has just gone."""
     try:
-        writer.write(f"GET {path} HTTP/1.1\r\nHost: nemesis\r\n\r\n".encode())
-        answer = await reader.read()
-    finally:
-        writer.close()
-    told = orjson.loads(answer.partition(b"\r\n\r\n")[2])
-    if not isinstance(told, dict) or not told.get("on"):
-        raise OSError("peers are off")
-    return told
+        return await asyncio.to_thread(ask, router.admin, path, ASK_S)
+    except (OSError, ValueError):
+        return None
 
 
 async def run_nemesis(
@@ -349,12 +332,10 @@
     async with nemesis:
         await nemesis.until_agreed(60.0)
         nemesis.restart_clock()
-        plan = LoadPlan((Step(0.0, rate),), FOR_GOOD_S, seed=nemesis.seed, keys=500) if rate else None
-        load = (
-            asyncio.get_running_loop().create_task(run_load(nemesis.harness, plan, stop=stop))
-            if plan is not None
-            else None
-        )
+        load = None
+        if rate:
+            plan = LoadPlan((Step(0.0, rate),), FOR_GOOD_S, seed=nemesis.seed, keys=500)
+            load = asyncio.get_running_loop().create_task(run_load(nemesis.harness, plan, stop=stop))
         try:
             with contextlib.suppress(NemesisError):  # the history tells as much
                 await nemesis.play(acts, say)
--- a/saltport/nemesis/schedule.py
+++ b/saltport/nemesis/schedule.py
@@ -73,12 +73,8 @@
     acts = []
     for number, entry in enumerate(entries):
         where = f"{path}: act[{number}]"
-        known = set(Act.__dataclass_fields__)
-        if (
-            not isinstance(entry, dict)
-            or entry.keys() - known
-            or not {"at", "kind", "seconds"} <= entry.keys()
-        ):
+        named = set(entry) if isinstance(entry, dict) else set()
+        if not {"at", "kind", "seconds"} <= named <= set(Act.__dataclass_fields__):
             raise ScheduleError(f"{where}: expected at, kind, seconds, and perhaps who, whom, share")
         if entry["kind"] not in KINDS:
             raise ScheduleError(f"{where}: unknown kind {entry['kind']!r}; there are {', '.join(KINDS)}")
@@ -108,16 +104,15 @@
         kind = bag.pop()
         some = tuple(rng.sample(list(routers), rng.randint(1, max(len(routers) // 6, 1))))
         length = round(min(rng.uniform(1.0, 12.0), seconds * 0.8 - at), 1)
+        whom: tuple[str, ...] = ()
+        share = 0.0
         match kind:
             case "cut":
-                whom = tuple(rng.sample(list(routers), rng.randint(1, len(routers))))
-                acts.append(Act(round(at, 1), kind, length, some[:1], whom))
+                some, whom = some[:1], tuple(rng.sample(list(routers), rng.randint(1, len(routers))))
             case "partition":
-                half = tuple(rng.sample(list(routers), rng.randint(1, len(routers) // 2)))
-                acts.append(Act(round(at, 1), kind, length, half))
+                some = tuple(rng.sample(list(routers), rng.randint(1, len(routers) // 2)))
             case "loss" | "double" | "delay":
-                acts.append(Act(round(at, 1), kind, length, share=round(rng.uniform(0.05, 0.3), 2)))
-            case _:
-                acts.append(Act(round(at, 1), kind, length, some))
+                some, share = (), round(rng.uniform(0.05, 0.3), 2)
+        acts.append(Act(round(at, 1), kind, length, some, whom, share))
         at += rng.expovariate(1 / every_s)
     return acts
--- a/saltport/standins/links.py
+++ b/saltport/standins/links.py
@@ -9,9 +9,11 @@
 
 import asyncio
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any, cast
+from functools import partial
+from itertools import permutations
+from typing import Any
 
 from saltport.address import Address
 
@@ -41,7 +43,7 @@
         self.rng = random.Random(seed)
         self._faults: dict[int, tuple[frozenset[str], frozenset[str], Fault]] = {}
         self._made = 0
-        self._budgets: dict[tuple[str, str], tuple[float, float]] = {}
+        self._budgets: dict[tuple[str, str], float] = {}
 
     def fault(self, source: Iterable[str], target: Iterable[str], fault: Fault) -> int:
         """Begin a fault on all that goes from these to those; returns its number, for `mend`."""
@@ -72,30 +74,20 @@
 
     def wait(self, source: str, target: str, size: int, rate: float, now: float) -> float:
         """Seconds until so many bytes have passed at this rate; beyond a second they do not count."""
-        until, _ = self._budgets.get((source, target), (now, 0.0))
-        done = max(until, now) + size / rate
+        done = max(self._budgets.get((source, target), now), now) + size / rate
         if done - now <= 1.0:
-            self._budgets[source, target] = (done, 0.0)
+            self._budgets[source, target] = done
         return done - now
 
 
 class _Side(asyncio.DatagramProtocol):
-    """`me`, as `seen_by` sees it: what comes here from that one goes on to `me`."""
+    """An address under which one end sees another."""
 
-    def __init__(self, relay: DatagramRelay, me: str, seen_by: str) -> None:
-        self._relay, self._me, self._seen_by = relay, me, seen_by
-        self.transport: asyncio.DatagramTransport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.DatagramTransport, transport)
+    def __init__(self, came: Callable[[bytes, Any], None]) -> None:
+        self._came = came
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
-        # Danger: from anybody else it would reach its target under a false name.
-        if addr == self._relay.ends[self._seen_by]:
-            self._relay.passes(self._seen_by, self._me, data)
-
-    def error_received(self, exc: Exception) -> None:
-        """The target does not listen just now."""
+        self._came(data, addr)
 
 
 class DatagramRelay:
@@ -103,28 +95,25 @@
 
     def __init__(self, links: Links, ends: Mapping[str, Address]) -> None:
         self.links, self.ends = links, dict(ends)
-        self._sides: dict[tuple[str, str], _Side] = {}
-        self._seen: dict[tuple[str, str], Address] = {}
+        self._sides: dict[tuple[str, str], asyncio.DatagramTransport] = {}
 
     async def open(self) -> None:
         """Bind an address for each pair."""
         loop = asyncio.get_running_loop()
-        for me in self.ends:
-            for other in self.ends:
-                if me != other:
-                    transport, side = await loop.create_datagram_endpoint(
-                        lambda me=me, other=other: _Side(self, me, other),  # type: ignore[misc]
-                        local_addr=("127.0.0.1", 0),
-                    )
-                    self._sides[me, other] = side
-                    self._seen[me, other] = transport.get_extra_info("sockname")
+        for me, by in permutations(self.ends, 2):
+            side = partial(_Side, partial(self._came, by, me))
+            transport, _ = await loop.create_datagram_endpoint(side, local_addr=("127.0.0.1", 0))
+            self._sides[me, by] = transport
 
     def seen(self, me: str, by: str) -> Address:
         """Under which address one sees another."""
-        return self.ends[me] if me == by else self._seen[me, by]
+        address: Address = self.ends[me] if me == by else self._sides[me, by].get_extra_info("sockname")
+        return address
 
-    def passes(self, source: str, target: str, data: bytes) -> None:
-        """A datagram from one to another is in the relay's hands."""
+    def _came(self, source: str, target: str, data: bytes, sender: Address) -> None:
+        # Danger: from anybody else it would reach its target under a false name.
+        if sender != self.ends[source]:
+            return
         loop = asyncio.get_running_loop()
         for delay in self.links.delays(source, target, len(data), loop.time()):
             if delay > 0:
@@ -133,15 +122,14 @@
                 self._arrive(source, target, data)
 
     def _arrive(self, source: str, target: str, data: bytes) -> None:
-        transport = self._sides[source, target].transport
-        if transport is not None and not transport.is_closing():
+        transport = self._sides[source, target]
+        if not transport.is_closing():
             transport.sendto(data, self.ends[target])
 
     def close(self) -> None:
         """Carry nothing more."""
-        for side in self._sides.values():
-            if side.transport is not None:
-                side.transport.close()
+        for transport in self._sides.values():
+            transport.close()
 
 
 class StreamRelay:
