The nemesis plays each act as a task; its benchmark of trials is one scenario

Read over: a set of tasks beside a sleeping loop, a begin and an end that took lists of one name, options that nobody gave.

--- a/benchmarks/peers_world.py
+++ b/benchmarks/peers_world.py
@@ -12,9 +12,9 @@
 from saltport.peers.messages import Packet
 from saltport.peers.outbox import Identity
 from saltport.peers.settings import NS_PER_MS, NS_PER_S, PeerSettings
+from saltport.standins.fleet import ZONES
 
 DELAY = (NS_PER_MS, 6 * NS_PER_MS)
-ZONES = ("a", "b", "c")
 
 Cut = Callable[[int, int, int], bool]
 """Whether nothing gets from one place to another at this time."""
@@ -139,13 +139,13 @@
         live = {agent.name for agent in self.agents.values()}
         return all({record.name for record in agent.members.live()} == live for agent in self.agents.values())
 
-    def until_agreed(self, seconds: float, step: float = 0.05) -> float:
+    def until_agreed(self, seconds: float) -> float:
         """Seconds until all agree; infinite if they don't in time."""
         begun = self.now
         while not self.agree():
             if self.now - begun >= seconds * NS_PER_S:
                 return math.inf
-            self.run(step)
+            self.run(0.05)
         return (self.now - begun) / NS_PER_S
 
     @property
--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -12,7 +12,6 @@
 import time
 from collections import Counter
 from pathlib import Path
-from typing import Any
 
 import click
 import uvloop
@@ -21,30 +20,32 @@
 from saltport.load.plan import LoadPlan, Step
 from saltport.nemesis.runner import Nemesis
 
+ROUTERS, NODES, BAD = 12, 8, 2
+RATE, ILL_S = 240.0, 40.0
 FOUND_S = 5.0  # after which routers have found out
 AFTER_S = 30.0
 STEP_S = 0.5
 
 
-async def measure(nemesis: Nemesis, bad: int, ill_s: float, rate: float, kill: bool) -> dict[str, Any]:
+async def measure(nemesis: Nemesis, kill: bool) -> dict[str, float]:
     """Play it; returns the counts."""
     clock, stop = time.monotonic, asyncio.Event()
     async with nemesis:
         await nemesis.until_agreed(60)
         await asyncio.sleep(12)
-        plan = LoadPlan((Step(0.0, rate),), 3_600.0, seed=nemesis.seed, keys=400, zipf=0.6)
+        plan = LoadPlan((Step(0.0, RATE),), 3_600.0, seed=nemesis.seed, keys=400, zipf=0.6)
         load = asyncio.get_running_loop().create_task(run_load(nemesis.harness, plan, stop=stop))
         await asyncio.sleep(8)
-        nodes = sorted(nemesis.harness.addresses["nodes"])[:bad]
+        nodes = sorted(nemesis.harness.addresses["nodes"])[:BAD]
         call, struck = nemesis.harness.control.call, clock()
         for node in nodes:
             await call("strike", kind="spoil", target=node, figures={"share": 1.0})
-        await asyncio.sleep(ill_s / 2)
+        await asyncio.sleep(ILL_S / 2)
         held = {piece: name for name, told in nemesis.told.items() for piece in told.get("holds", {})}
         if kill and (owner := held.get(f"probe/{nodes[0]}")):
             await nemesis.kill(owner)
             await nemesis.start(owner)
-        await asyncio.sleep(max(struck + ill_s - clock(), 0))
+        await asyncio.sleep(max(struck + ILL_S - clock(), 0))
         for node in nodes:
             await call("mend", target=node)
         mended = clock()
@@ -54,12 +55,12 @@
     records = [record for record in nemesis.harness.fleet_records() if record["kind"] == "attempt"]
     at_bad = [record["t"] / 1e9 for record in records if record["node"] in nodes]
     after = [at for record in records if mended <= (at := record["t"] / 1e9) < mended + AFTER_S]
-    wanted = len(after) / AFTER_S / nemesis.nodes * STEP_S * bad / 2
+    wanted = len(after) / AFTER_S / NODES * STEP_S * BAD / 2
     steps = Counter(int((at - mended) // STEP_S) for at in at_bad if at >= mended)
     back = next((step for step in range(int(AFTER_S / STEP_S)) if steps[step] >= wanted), None)
     return {
         "attempts_at_bad": sum(struck + FOUND_S <= at < mended for at in at_bad),
-        "seconds_ill": ill_s - FOUND_S,
+        "seconds_ill": ILL_S - FOUND_S,
         "back_after_s": AFTER_S if back is None else (back + 1) * STEP_S,
     }
 
@@ -67,19 +68,12 @@
 @click.command()
 @click.option("--owners", is_flag=True, help="Trials by one owner each.")
 @click.option("--kill", is_flag=True, help="End an owner in the midst of it.")
-@click.option("--routers", default=12, show_default=True)
-@click.option("--nodes", default=8, show_default=True)
-@click.option("--bad", default=2, show_default=True)
-@click.option("--ill", default=40.0, show_default=True)
-@click.option("--rate", default=240.0, show_default=True)
 @click.option("--seed", default=1, show_default=True)
-def main(
-    owners: bool, kill: bool, routers: int, nodes: int, bad: int, ill: float, rate: float, seed: int
-) -> None:
+def main(owners: bool, kill: bool, seed: int) -> None:
     """Measure."""
     with tempfile.TemporaryDirectory(prefix="saltport-trials-") as folder:
-        nemesis = Nemesis(Path(folder), routers, seed, nodes, voters=3 if owners else 0, pieces=())
-        told = uvloop.run(measure(nemesis, bad, ill, rate, kill))
+        nemesis = Nemesis(Path(folder), ROUTERS, seed, NODES, voters=3 if owners else 0, pieces=())
+        told = uvloop.run(measure(nemesis, kill))
     click.echo(f"{'owners' if owners else 'each for itself'}, seed {seed}: {told}")
 
 
--- a/saltport/nemesis/history.py
+++ b/saltport/nemesis/history.py
@@ -106,9 +106,8 @@
                 continue
             for name, held in sample.members.items():
                 if held.state == "dead" and not self._excused(name, sample.at):
-                    yield Violation(
-                        "no_false_death", sample.at, f"{sample.by} holds {name} dead, which is well"
-                    )
+                    what = f"{sample.by} holds {name} dead, which is well"
+                    yield Violation("no_false_death", sample.at, what)
 
     def _successions(self) -> Iterator[tuple[Sample, Sample]]:
         by: dict[tuple[str, int], list[Sample]] = {}
@@ -125,14 +124,10 @@
                 if earlier is None:
                     continue
                 was, now = (earlier.start, earlier.incarnation), (held.start, held.incarnation)
-                if now < was:
-                    yield Violation(
-                        "records_only_rise", after.at, f"{after.by}: {name} went from {was} to {now}"
-                    )
-                elif now == was and earlier.state == "dead" and held.state in ("alive", "suspect"):
-                    yield Violation(
-                        "records_only_rise", after.at, f"{after.by}: {name} came back from death unrefuted"
-                    )
+                unrefuted = now == was and earlier.state == "dead" and name in after.live
+                if now < was or unrefuted:
+                    how = "came back from death unrefuted" if unrefuted else f"went from {was} to {now}"
+                    yield Violation("records_only_rise", after.at, f"{after.by}: {name} {how}")
 
     def _majorities(self) -> Iterator[Violation]:
         """Of the sides of a partition, one at the most says that it is the majority."""
@@ -146,9 +141,8 @@
                     claims[sample.by in span.group] = sample
             if len(claims) == 2:
                 one, other = claims.values()
-                yield Violation(
-                    "one_majority", max(one.at, other.at), f"{one.by} and {other.by}, on two sides"
-                )
+                what = f"{one.by} and {other.by}, on two sides"
+                yield Violation("one_majority", max(one.at, other.at), what)
 
     def _stopped(self, name: str, at: float) -> bool:
         return any(
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -23,11 +23,11 @@
 from saltport.load.plan import LoadPlan, Step
 from saltport.nemesis.history import History, Hold, Member, Sample, Span
 from saltport.nemesis.schedule import Act
+from saltport.standins.fleet import ZONES
 from saltport.standins.links import DatagramRelay, Fault, Links
 from saltport.standins.profile import Profile, quick
 
 FEATURES = '[peers]\non = true\nkey_file = "{folder}/peers.keys"\nzone = "{zone}"\n'
-ZONES = ("a", "b", "c")
 SLACK_MS = 1_000  # of the audit: many processes share few cores
 FOR_GOOD_S = 86_400.0
 STRAINS: dict[str, Callable[[float], Fault]] = {
@@ -169,12 +169,8 @@
         running = frozenset(held.name for held in self.harness.held if held.alive)
 
         def agreed(last: dict[str, Sample]) -> bool:
-            held = [last[name] for name in running if name in last]
-            return (
-                len(held) == len(running)
-                and all(sample.live == running for sample in held)
-                and len({sample.digest for sample in held}) == 1
-            )
+            views = {(last[name].live, last[name].digest) if name in last else None for name in running}
+            return len(views) == 1 and all(view is not None and view[0] == running for view in views)
 
         await self.until(f"all agree on {len(running)} routers", agreed, seconds)
 
@@ -184,15 +180,11 @@
         """By name."""
         return next(held for held in self.harness.held if held.name == name)
 
-    def _begin(self, kind: str, names: Sequence[str]) -> None:
-        for name in names:
-            self._open[kind, name] = self.now()
+    def _begin(self, kind: str, name: str) -> None:
+        self._open[kind, name] = self.now()
 
-    def _end(self, kind: str, names: Sequence[str]) -> None:
-        for name in names:
-            begun = self._open.pop((kind, name), None)
-            if begun is not None:
-                self._note(kind, [name], begun)
+    def _end(self, kind: str, name: str) -> None:
+        self._note(kind, [name], self._open.pop((kind, name)))
 
     def _note(
         self, kind: str, names: Sequence[str], begun: float, group: frozenset[str] = frozenset()
@@ -209,7 +201,7 @@
     async def stop_for(self, name: str, seconds: float) -> None:
         """SIGSTOP, and SIGCONT after so long."""
         router = self.router(name)
-        self._begin("stopped", [name])
+        self._begin("stopped", name)
         self._signal(router, signal.SIGSTOP)
         try:
             await asyncio.sleep(seconds)
@@ -217,16 +209,16 @@
             self._signal(router, signal.SIGCONT)
             lasted = int((self.now() - self._open["stopped", name]) * 1e9)
             self.harness.ledger.write("router", name=name, state="stopped", ns=lasted)
-            self._end("stopped", [name])
+            self._end("stopped", name)
 
     async def kill(self, name: str) -> None:
         """SIGKILL."""
-        self._begin("down", [name])
+        self._begin("down", name)
         await self.harness.kill_router(self.router(name))
 
     async def end(self, name: str) -> None:
         """SIGTERM, and its end in good order."""
-        self._begin("down", [name])
+        self._begin("down", name)
         await self.harness.end_router(self.router(name))
 
     async def start(self, name: str) -> None:
@@ -234,7 +226,7 @@
         self._lives[name] += 1
         if not await self.harness.start_router(self.router(name)):
             raise NemesisError(f"{name} did not start again")
-        self._end("down", [name])
+        self._end("down", name)
 
     @contextlib.contextmanager
     def cut(self, who: Sequence[str], whom: Sequence[str], both: bool = False) -> Iterator[None]:
@@ -293,16 +285,17 @@
 
     async def play(self, acts: Sequence[Act], say: Callable[[str], None]) -> None:
         """Play a schedule to its end, faults side by side as they come, and wait until all agree."""
-        running: set[asyncio.Task[None]] = set()
+
+        async def one(act: Act) -> None:
+            await asyncio.sleep(max(act.at - self.now(), 0))
+            say(f"{self.now():6.1f} s  {act}")
+            await self.strike(act)
+
+        playing = [asyncio.get_running_loop().create_task(one(act)) for act in acts]
         try:
-            for act in acts:
-                await asyncio.sleep(max(act.at - self.now(), 0))
-                say(f"{self.now():6.1f} s  {act}")
-                running.add(asyncio.get_running_loop().create_task(self.strike(act)))
-            if running:
-                await asyncio.gather(*running)
+            await asyncio.gather(*playing)
         finally:
-            for task in running:
+            for task in playing:
                 task.cancel()
         await self.until_agreed(60.0)
         self.history.ended = self.now()
