Cuts as one list of scenes; the nemesis reads numbers as the settings do

Read over: seven scenes in a row wrote the same steps; schedule.py had a check of numbers beside decisions.settings.number, and descriptions of kinds that nothing showed (now in the operators' page); the runner counted starts where a process has a number.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -14,13 +14,13 @@
 import random
 import statistics
 from collections import Counter, deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from itertools import permutations
 
 import click
 
-from benchmarks.peers_world import World
+from benchmarks.peers_world import Cut, World
 from saltport.peers.agent import Agent
 from saltport.peers.settings import NS_PER_S, PeerSettings
 
@@ -125,55 +125,38 @@
 
 
 def cuts(members: int, seed: int) -> Iterator[str]:
-    """Lines on partitions and mass troubles."""
+    """Lines on partitions and mass troubles: what is believed at their end, and how long until all agree."""
     world = _world("ours", members, seed)
 
-    def stand() -> str:
-        counts = Counter(agent.views.standing for agent in world.agents.values())
-        return ", ".join(f"{count} {name}" for name, count in counts.items())
-
-    def views(since: int) -> float:
-        return len(world.told("view", since)) / max(len(world.agents), 1)
-
-    for parts in (2, 3):
+    def cut(far: Cut) -> Callable[[], object]:
+        return lambda: world.cuts.append(far)
+
+    def every(step: int, act: Callable[[int], object]) -> Callable[[], object]:
+        return lambda: [act(place) for place in range(0, members, step)]
+
+    scenes = [
+        ("cut in halves", cut(lambda a, b, _: a % 2 != b % 2), 20),
+        ("cut in thirds", cut(lambda a, b, _: a % 3 != b % 3), 20),
+        ("a cut that swings", cut(lambda a, b, now: a % 2 != b % 2 and now // (2 * NS_PER_S) % 2 == 0), 40),
+        ("half stopped for 3 s", every(2, lambda place: world.pause(place, 3 * NS_PER_S)), 10),
+        ("a third killed at once", every(3, world.kill), 0),
+        ("and started again", every(3, lambda place: world.start(place, 3_000)), 0),
+    ]
+    for what, begin, seconds in scenes:
         since = world.now
-        world.cuts.append(lambda here, there, _, parts=parts: here % parts != there % parts)  # type: ignore[misc]
-        world.run(20)
-        believed, changed, sent = stand(), views(since), world.sent
+        begin()
+        world.run(seconds)
+        stand = dict(Counter(str(agent.views.standing) for agent in world.agents.values()))
+        died, sent = len(world.told("died", since)), world.sent
         world.cuts.clear()
-        healed = world.until_agreed(60)
-        each = (world.sent - sent) // members
-        yield f"cut in {parts}: {believed}; {changed:.1f} views each; healed {healed:.2f} s, {each} bytes"
-        world.run(12)
-    since = world.now
-    world.cuts.append(lambda here, there, now: here % 2 != there % 2 and now // (2 * NS_PER_S) % 2 == 0)
-    world.run(40)
-    world.cuts.clear()
-    yield f"a cut that swings every 2 s: {len(world.told('died', since))} deaths believed"
-    world.run(12)
-    since = world.now
-    gone = range(0, members, 3)
-    for place in gone:
-        world.kill(place)
-    known = world.until_agreed(60)
-    world.run(3)
-    yield f"a third killed at once: known in {known:.2f} s, {views(since):.1f} views each, {stand()}"
-    for place in gone:
-        world.start(place, 3_000)
-    yield f"and started again: agreed in {world.until_agreed(60):.2f} s"
-    world.run(12)
-    since = world.now
-    for place in range(0, members, 2):
-        world.pause(place, 3 * NS_PER_S)
-    world.run(10)
-    yield f"half stopped for 3 s together: {len(world.told('died', since))} deaths believed, {stand()}"
+        agreed = world.until_agreed(60)
+        each, views = (world.sent - sent) // members, len(world.told("view", since)) / len(world.agents)
+        yield f"{what}: {stand}, {died} deaths, {views:.1f} views each; agreed {agreed:.2f} s, {each} bytes"
+        world.run(15)
     fresh = World(members, seed)
     fresh.start_all(NS_PER_S)
-    begun = fresh.now
-    agreed = fresh.until_agreed(60)
-    most = max(agent.outbox.bytes for agent in fresh.agents.values())
-    took = begun / NS_PER_S - 1 + agreed
-    yield f"all started within a second: agreed {took:.2f} s after the first, {most} bytes at most"
+    took, agreed = fresh.now / NS_PER_S - 1, fresh.until_agreed(60)
+    yield f"all started within a second: agreed {took + agreed:.2f} s after the first"
 
 
 @click.command()
--- a/saltport/nemesis/history.py
+++ b/saltport/nemesis/history.py
@@ -33,7 +33,7 @@
     at: float
     by: str
     life: int
-    """How often its process had been started."""
+    """Of its process: its number."""
     digest: str
     standing: str
     members: Mapping[str, Member]
@@ -131,25 +131,21 @@
 
     def _majorities(self) -> Iterator[Violation]:
         """Of the sides of a partition, one at the most says that it is the majority."""
+        stops = [span for span in self.spans if span.kind == "stopped"]
         for span in self.spans:
             if not span.group:
                 continue
             claims: dict[bool, Sample] = {}
             for sample in self.samples:
                 inside = span.begun + SETTLED_S <= sample.at <= span.ended
-                if inside and sample.standing == "majority" and not self._stopped(sample.by, sample.at):
+                late = any(s.who == sample.by and s.begun <= sample.at <= s.ended + 1 for s in stops)
+                if inside and not late and sample.standing == "majority":
                     claims[sample.by in span.group] = sample
             if len(claims) == 2:
                 one, other = claims.values()
                 what = f"{one.by} and {other.by}, on two sides"
                 yield Violation("one_majority", max(one.at, other.at), what)
 
-    def _stopped(self, name: str, at: float) -> bool:
-        return any(
-            span.kind == "stopped" and span.who == name and span.begun <= at <= span.ended + 1
-            for span in self.spans
-        )
-
     def last(self) -> dict[str, Sample]:
         """The last sample of each router."""
         return {sample.by: sample for sample in self.samples}
@@ -209,7 +205,6 @@
             "checked": self.checked(),
             "violations": [f"{held.at:.1f} s: {held.rule}: {held.what}" for held in violations[:20]],
             "broken": {rule: sum(held.rule == rule for held in violations) for rule in RULES},
-            "deaths_timed": len(times),
             "detections_s": [round(time, 2) for time in times],
             "known_to_all_s": {"p50": round(cut[49], 2), "p99": round(cut[98], 2)} if times else {},
         }
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -14,8 +14,6 @@
 from pathlib import Path
 from typing import Any
 
-import orjson
-
 from saltport.address import Address
 from saltport.admin.client import ask
 from saltport.audit import Limits
@@ -28,6 +26,7 @@
 from saltport.standins.profile import Profile, quick
 
 FEATURES = '[peers]\non = true\nkey_file = "{folder}/peers.keys"\nzone = "{zone}"\n'
+OWNERS = '[owners]\non = true\nbegin = true\nfolder = "{folder}"\ntrials = true\n'
 SLACK_MS = 1_000  # of the audit: many processes share few cores
 FOR_GOOD_S = 86_400.0
 STRAINS: dict[str, Callable[[float], Fault]] = {
@@ -36,6 +35,7 @@
     "delay": lambda share: Fault(delay_s=(0.0, share)),
 }
 """What befalls all links, by kind of act."""
+SAMPLE_S = 0.2
 ASK_S = 2.0  # in which a router that runs answers how it sees the others
 
 
@@ -54,7 +54,6 @@
     voters: int = 0
     """So many routers vote on who owns which work; 0: nobody does."""
     pieces: tuple[str, ...] = ("rollout", "report")
-    sample_s: float = 0.2
     links: Links = field(init=False)
     history: History = field(init=False)
     harness: Harness = field(init=False)
@@ -62,7 +61,6 @@
     """What each router said last of the fleet's work."""
     _relay: DatagramRelay = field(init=False)
     _began: float = field(init=False, default=0.0)
-    _lives: dict[str, int] = field(init=False, default_factory=dict)
     _open: dict[tuple[str, str], float] = field(init=False, default_factory=dict)
     _sampler: asyncio.Task[None] | None = field(init=False, default=None)
 
@@ -82,7 +80,6 @@
             self._relay.close()
             raise
         self._began = time.monotonic()
-        self._lives = dict.fromkeys(names, 1)
         self._sampler = asyncio.get_running_loop().create_task(self._sample_for_ever())
         return self
 
@@ -99,10 +96,8 @@
     def _features(self) -> str:
         if not self.voters:
             return FEATURES
-        told = {"on": True, "begin": True, "folder": "{folder}", "trials": True}
-        lists = {"voters": self.history.routers[: self.voters], "pieces": list(self.pieces)}
-        rows = [f"{name} = {orjson.dumps(value).decode()}" for name, value in (told | lists).items()]
-        return "\n".join([FEATURES, "[owners]", *rows, ""])
+        voters, pieces = self.history.routers[: self.voters], list(self.pieces)
+        return f"{FEATURES}{OWNERS}voters = {voters}\npieces = {pieces}\n"
 
     def _dress(self, name: str, told: dict[str, Any]) -> dict[str, str]:
         """Add what a router needs to know the others by; returns words for its features."""
@@ -126,7 +121,7 @@
         while True:
             begun = time.monotonic()
             await self.sample()
-            await asyncio.sleep(max(self.sample_s - (time.monotonic() - begun), 0.01))
+            await asyncio.sleep(max(SAMPLE_S - (time.monotonic() - begun), 0.01))
 
     async def sample(self) -> None:
         """Ask all routers that run and are not stopped."""
@@ -135,16 +130,16 @@
         await asyncio.gather(*(self._ask(router) for router in wanted))
 
     async def _ask(self, router: RouterProcess) -> None:
-        life = self._lives[router.name]
+        process = router.process
         told = await _told(router, "/peers")
-        if told is None or life != self._lives[router.name]:
+        if told is None or process is None or process is not router.process:
             return
         members = {
             name: Member(held["state"], held["start"], held["incarnation"])
             for name, held in told["members"].items()
         }
         standing = told["standing"]["state"] if told["mood"] == "member" else told["mood"]
-        sample = Sample(self.now(), router.name, life, told["view"]["digest"], standing, members)
+        sample = Sample(self.now(), router.name, process.pid, told["view"]["digest"], standing, members)
         self.history.samples.append(sample)
         owned = await _told(router, "/owners") if self.voters else None
         if owned is not None:
@@ -223,7 +218,6 @@
 
     async def start(self, name: str) -> None:
         """Start a router again, under its name and addresses."""
-        self._lives[name] += 1
         if not await self.harness.start_router(self.router(name)):
             raise NemesisError(f"{name} did not start again")
         self._end("down", name)
--- a/saltport/nemesis/schedule.py
+++ b/saltport/nemesis/schedule.py
@@ -9,16 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-KINDS = {
-    "kill": "SIGKILL, and a new start after `seconds`",
-    "restart": "SIGTERM, and a new start after `seconds`",
-    "stop": "SIGSTOP for `seconds`",
-    "cut": "nothing gets from `who` to `whom` for `seconds`",
-    "partition": "`who` and all others do not hear each other for `seconds`",
-    "loss": "this `share` of all datagrams is lost for `seconds`",
-    "delay": "datagrams take up to `share` seconds longer, and overtake each other, for `seconds`",
-    "double": "this `share` of all datagrams comes twice for `seconds`",
-}
+from saltport.decisions.settings import WireError, number
+
+KINDS = ("kill", "restart", "stop", "cut", "partition", "loss", "delay", "double")
+"""What each does: docs/operations/peers.md."""
 LONGEST_S = 3_600.0
 
 
@@ -53,12 +47,6 @@
     return tuple(names)
 
 
-def _number(where: str, told: Any, most: float) -> float:
-    if isinstance(told, bool) or not isinstance(told, int | float) or not 0 <= told <= most:
-        raise ScheduleError(f"{where}: expected a number from 0 to {most:g}")
-    return float(told)
-
-
 def read_schedule(path: Path, routers: Sequence[str]) -> list[Act]:
     """The acts of a TOML file with `[[act]]` entries, in order of time; raises ScheduleError."""
     try:
@@ -71,21 +59,20 @@
     if told or not isinstance(entries, list):
         raise ScheduleError(f"{path}: expected [[act]] entries and nothing else")
     acts = []
-    for number, entry in enumerate(entries):
-        where = f"{path}: act[{number}]"
+    for place, entry in enumerate(entries):
+        where = f"{path}: act[{place}]"
         named = set(entry) if isinstance(entry, dict) else set()
         if not {"at", "kind", "seconds"} <= named <= set(Act.__dataclass_fields__):
             raise ScheduleError(f"{where}: expected at, kind, seconds, and perhaps who, whom, share")
         if entry["kind"] not in KINDS:
             raise ScheduleError(f"{where}: unknown kind {entry['kind']!r}; there are {', '.join(KINDS)}")
-        act = Act(
-            _number(f"{where}.at", entry["at"], LONGEST_S),
-            entry["kind"],
-            _number(f"{where}.seconds", entry["seconds"], LONGEST_S),
-            _names(f"{where}.who", entry.get("who", []), routers),
-            _names(f"{where}.whom", entry.get("whom", []), routers),
-            _number(f"{where}.share", entry.get("share", 0), 10),
-        )
+        try:
+            at, seconds = (number(f"{where}.{key}", entry[key], 0, LONGEST_S) for key in ("at", "seconds"))
+            share = number(f"{where}.share", entry.get("share", 0), 0, 10)
+        except WireError as error:
+            raise ScheduleError(str(error)) from None
+        who, whom = (_names(f"{where}.{key}", entry.get(key, []), routers) for key in ("who", "whom"))
+        act = Act(at, entry["kind"], seconds, who, whom, share)
         if act.kind in ("kill", "restart", "stop", "cut", "partition") and not act.who:
             raise ScheduleError(f"{where}.who: must be named")
         acts.append(act)
