--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -108,8 +108,8 @@
     return mean + statistics.NormalDist().inv_cdf(1 - 10**-PHI) * deviation
 
 
-def deaths(form: str, members: int, count: int, seed: int) -> tuple[list[float], float]:
-    """Seconds until all know of each death, and the bytes of a member a second in calm."""
+def deaths(form: str, members: int, count: int, seed: int) -> str:
+    """How long it takes until all know of each of so many deaths, and the bytes of a member in calm."""
     world, times = _world(form, members, seed), []
     calm = world.bytes_per_s(10)
     for number in range(count):
@@ -121,7 +121,9 @@
         world.start(place, 2_000 + number)
         world.until_agreed(60)
         world.run(3)
-    return sorted(times), calm
+    times.sort()
+    p50, p99 = times[count // 2], times[min(count * 99 // 100, count - 1)]
+    return f"{count} deaths: p50 {p50:.2f} s, p99 {p99:.2f} s, {calm:.0f} bytes/s"
 
 
 def cuts(members: int, seed: int) -> Iterator[str]:
@@ -168,16 +170,12 @@
 @click.option("--count", default=20, show_default=True, help="Of deaths.")
 def main(what: str, form: str, members: int, seed: int, minutes: int, count: int) -> None:
     """Measure."""
+    click.echo(f"{form} {members} seed {seed}")
     if what == "storm":
         believed, sent = storm(form, members, minutes, seed)
-        click.echo(f"{form} {members} seed {seed}, {minutes} min: {believed} believed, {sent:.0f} bytes/s")
+        click.echo(f"{minutes} min: {believed} false deaths believed, {sent:.0f} bytes/s")
     elif what == "deaths":
-        times, calm = deaths(form, members, count, seed)
-        p99 = times[min(len(times) * 99 // 100, len(times) - 1)]
-        click.echo(
-            f"{form} {members} seed {seed}, {count} deaths: p50 {times[len(times) // 2]:.2f} s, "
-            f"p99 {p99:.2f} s, {calm:.0f} bytes/s"
-        )
+        click.echo(deaths(form, members, count, seed))
     else:
         for line in cuts(members, seed):
             click.echo(line)
--- a/saltport/nemesis/history.py
+++ b/saltport/nemesis/history.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from itertools import pairwise
 from statistics import quantiles
+from typing import NamedTuple
 
 from saltport.audit import Violation
 
@@ -17,8 +18,7 @@
 SETTLED_S = 5.0  # within a partition, after which two sides must not both be majorities
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(NamedTuple):
     """One router as another one holds it."""
 
     state: str
@@ -44,8 +44,7 @@
         return frozenset(name for name, held in self.members.items() if held.state in ("alive", "suspect"))
 
 
-@dataclass(frozen=True, slots=True)
-class Span:
+class Span(NamedTuple):
     """Something that was done to a router, from and until."""
 
     kind: str
@@ -57,8 +56,7 @@
     """Of a partition: its side."""
 
 
-@dataclass(frozen=True, slots=True)
-class Hold:
+class Hold(NamedTuple):
     """A router said that it might work on a piece just then."""
 
     at: int
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -39,6 +39,10 @@
 ASK_S = 2.0  # in which a router that runs answers how it sees the others
 
 
+Broken = contextlib.AbstractContextManager[None]
+_Pair = tuple[Sequence[str], Sequence[str]]
+
+
 class NemesisError(Exception):
     """A state that was waited for did not come; the text is one plain line."""
 
@@ -178,14 +182,10 @@
     def _begin(self, kind: str, name: str) -> None:
         self._open[kind, name] = self.now()
 
-    def _end(self, kind: str, name: str) -> None:
-        self._note(kind, [name], self._open.pop((kind, name)))
-
-    def _note(
-        self, kind: str, names: Sequence[str], begun: float, group: frozenset[str] = frozenset()
-    ) -> None:
-        """Danger: cuts overlap; were one's beginning kept by name, the next would take it away."""
-        self.history.spans += [Span(kind, name, begun, self.now(), group) for name in names]
+    def _end(self, kind: str, name: str) -> float:
+        span = Span(kind, name, self._open.pop((kind, name)), self.now())
+        self.history.spans.append(span)
+        return span.ended - span.begun
 
     @staticmethod
     def _signal(router: RouterProcess, number: signal.Signals) -> None:
@@ -202,9 +202,8 @@
             await asyncio.sleep(seconds)
         finally:
             self._signal(router, signal.SIGCONT)
-            lasted = int((self.now() - self._open["stopped", name]) * 1e9)
+            lasted = int(self._end("stopped", name) * 1e9)
             self.harness.ledger.write("router", name=name, state="stopped", ns=lasted)
-            self._end("stopped", name)
 
     async def kill(self, name: str) -> None:
         """SIGKILL."""
@@ -222,33 +221,25 @@
             raise NemesisError(f"{name} did not start again")
         self._end("down", name)
 
-    @contextlib.contextmanager
-    def cut(self, who: Sequence[str], whom: Sequence[str], both: bool = False) -> Iterator[None]:
+    def cut(self, who: Sequence[str], whom: Sequence[str], both: bool = False) -> Broken:
         """Nothing gets from these to those (`both`: nor back) while the context lasts."""
-        touched = {*who, *whom}
-        group = frozenset(who) if both and touched == set(self._relay.ends) else frozenset()
-        with contextlib.ExitStack() as faults:
-            faults.enter_context(self._broken("cut", who, whom, Fault(cut=True), touched, group))
-            if both:
-                faults.enter_context(self._broken("cut", whom, who, Fault(cut=True)))
-            yield
+        whole = both and {*who, *whom} == set(self._relay.ends)
+        pairs = [(who, whom), (whom, who)] if both else [(who, whom)]
+        return self._broken("cut", Fault(cut=True), pairs, frozenset(who if whole else ()))
 
     @contextlib.contextmanager
     def _broken(
-        self,
-        kind: str,
-        source: Sequence[str],
-        target: Sequence[str],
-        fault: Fault,
-        touched: Iterable[str] = (),
-        group: frozenset[str] = frozenset(),
+        self, kind: str, fault: Fault, pairs: Sequence[_Pair], group: frozenset[str] = frozenset()
     ) -> Iterator[None]:
-        number, begun = self.links.fault(source, target, fault), self.now()
+        """Danger: faults overlap; were one's beginning kept by name, the next would take it away."""
+        begun, touched = self.now(), sorted({name for pair in pairs for side in pair for name in side})
+        numbers = [self.links.fault(here, there, fault) for here, there in pairs]
         try:
             yield
         finally:
-            self.links.mend(number)
-            self._note(kind, sorted(touched), begun, group)
+            for number in numbers:
+                self.links.mend(number)
+            self.history.spans += [Span(kind, name, begun, self.now(), group) for name in touched]
 
     def others(self, who: Sequence[str]) -> list[str]:
         """All but these."""
@@ -269,7 +260,7 @@
                 with self.cut(act.who, whom, both):
                     await asyncio.sleep(act.seconds)
             case _:
-                with self._broken("strained", everyone, everyone, STRAINS[act.kind](act.share), everyone):
+                with self._broken("strained", STRAINS[act.kind](act.share), [(everyone, everyone)]):
                     await asyncio.sleep(act.seconds)
 
     async def _bounce(self, name: str, act: Act) -> None:
--- a/saltport/standins/links.py
+++ b/saltport/standins/links.py
@@ -169,11 +169,9 @@
     ) -> None:
         loop, first = asyncio.get_running_loop(), True
         while data := await reader.read(CHUNK):
-            faults = self._links.on(source, target)
-            while any(fault.cut for fault in faults):
+            while any(fault.cut for fault in self._links.on(source, target)):
                 await asyncio.sleep(0.01)  # a cut machine says nothing: what it sends waits for the link
-                faults = self._links.on(source, target)
-            for fault in faults:
+            for fault in self._links.on(source, target):
                 if first:
                     await asyncio.sleep(self._links.rng.uniform(*fault.delay_s))
                 if fault.rate:
