--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -8,6 +8,7 @@
 
 import os
 import sys
+from collections.abc import Callable, Iterator
 from dataclasses import asdict
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NoReturn
@@ -217,17 +218,11 @@
 @_AS_JSON
 def peers(router: Address, settle: bool, as_json: bool) -> None:
     """Show what a router believes of the other routers: who is alive, who is heard, where it stands."""
+    from saltport.peers.words import lines
+
     if settle:
         _ask(router, "/peers/settle", "PUT")
-    told = _ask(router, "/peers")
-    if as_json:
-        _dump(told, indent=True)
-    elif not told["on"]:
-        click.echo("peers: off")
-    else:
-        from saltport.peers.words import lines
-
-        click.echo("\n".join(lines(told)))
+    _show("peers", _ask(router, "/peers"), lines, as_json)
 
 
 @cli.command()
@@ -239,6 +234,7 @@
 def owners(router: Address, step_down: bool, transfer: str | None, may: str | None, as_json: bool) -> None:
     """Show who owns which of the fleet's work, with epochs and leases."""
     from saltport.admin.client import voter_path
+    from saltport.owners.words import lines
 
     if step_down:
         _ask(router, "/owners/step-down", "PUT")
@@ -249,14 +245,17 @@
         epoch = told.get("holds", {}).get(may)
         click.echo("no" if epoch is None else epoch)
         sys.exit(epoch is None)
+    _show("owners", told, lines, as_json)
+
+
+def _show(
+    part: str, told: dict[str, Any], lines: Callable[[dict[str, Any]], Iterator[str]], as_json: bool
+) -> None:
+    """Show the report of a part that may be off."""
     if as_json:
         _dump(told, indent=True)
-    elif not told["on"]:
-        click.echo("owners: off")
     else:
-        from saltport.owners.words import lines
-
-        click.echo("\n".join(lines(told)))
+        click.echo("\n".join(lines(told)) if told["on"] else f"{part}: off")
 
 
 def _hot_keys(told: dict[str, Any]) -> None:
--- a/saltport/nemesis/history.py
+++ b/saltport/nemesis/history.py
@@ -75,7 +75,7 @@
     spans: list[Span] = field(default_factory=list)
     holds: list[Hold] = field(default_factory=list)
     ended: float = 0.0
-    """Links and routers have been well since `calm`."""
+    """When all was over, by the samples' clock."""
 
     def check(self) -> list[Violation]:
         """All rules; an empty list: they hold."""
@@ -179,18 +179,14 @@
     def detections(self) -> list[float]:
         """Seconds from each death until all that were well held it dead; who came back before is left out."""
         found = []
-        for span in self.spans:
-            if span.kind != "down":
-                continue
+        for span in (span for span in self.spans if span.kind == "down"):
             seen: dict[str, float] = {}
-            others = [
-                name for name in self.routers if name != span.who and not self._excused(name, span.begun)
-            ]
+            others = [n for n in self.routers if n != span.who and not self._excused(n, span.begun)]
             for sample in self.samples:
                 held = sample.members.get(span.who)
                 if span.begun <= sample.at <= span.ended and held is not None and held.state == "dead":
                     seen.setdefault(sample.by, sample.at - span.begun)
-            if others and all(name in seen for name in others):
+            if others and seen.keys() >= set(others):
                 found.append(max(seen[name] for name in others))
         return sorted(found)
 
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -129,9 +129,10 @@
 
     async def sample(self) -> None:
         """Ask all routers that run and are not stopped."""
-        stopped = {who for kind, who in self._open if kind == "stopped"}
-        wanted = [held for held in self.harness.held if held.alive and held.name not in stopped]
-        await asyncio.gather(*(self._ask(router) for router in wanted))
+        running = (held for held in self.harness.held if held.alive)
+        await asyncio.gather(
+            *(self._ask(held) for held in running if ("stopped", held.name) not in self._open)
+        )
 
     async def _ask(self, router: RouterProcess) -> None:
         process = router.process
@@ -247,7 +248,7 @@
 
     async def strike(self, act: Act) -> None:
         """Carry one act out, whole; whoever is down or stopped already is left alone."""
-        taken = {who for kind, who in self._open if kind in ("down", "stopped")}
+        taken = {who for _, who in self._open}
         who, everyone = [name for name in act.who if name not in taken], self.others([])
         match act.kind:
             case "kill" | "restart":
@@ -319,11 +320,12 @@
                 await nemesis.play(acts, say)
         finally:
             stop.set()
-        told = await load if load is not None else None
+        if load is not None:
+            await load
         await nemesis.sample()
     report = nemesis.history.report()
-    if told is not None:
-        summary, ledger = told
+    if load is not None:
+        summary, ledger = load.result()
         verdict = nemesis.harness.audit([ledger], Limits(SLACK_MS, SLACK_MS, SLACK_MS, SLACK_MS))
         report["served"], report["audit"] = summary["served"], verdict.as_json()
         report["clean"] = report["clean"] and verdict.clean
--- a/saltport/owners/link.py
+++ b/saltport/owners/link.py
@@ -15,13 +15,13 @@
 from saltport.owners.log import Log, Snapshot, Vote, Voting
 from saltport.owners.member import Member
 from saltport.owners.messages import Message, decode, encode
+from saltport.owners.raft import NS_PER_S
 from saltport.owners.settings import OwnerSettings
 from saltport.owners.storage import Storage, StorageBusyError, StorageError
 from saltport.owners.trials import Trials
 from saltport.peers.agent import Mood
 from saltport.peers.link import PeerLink
 
-NS_PER_S = 1_000_000_000
 TRIALS_NS = 250_000_000  # between two looks at ejected servers
 BEGIN_EVERY = 200_000_000  # between two looks whether the process before this one has ended
 EVIDENCE_MARK = 64  # the tag of evidence, as its first element
--- a/saltport/owners/raft.py
+++ b/saltport/owners/raft.py
@@ -13,9 +13,10 @@
 
 from msgspec import Struct
 
-from saltport.owners.log import Entry, Kind, Log, Snapshot, Vote, Voting, pack
+from saltport.owners.log import Entry, Kind, Log, Snapshot, Vote, Voting, pack, unpack
 
 NS_PER_MS = 1_000_000
+NS_PER_S = 1_000 * NS_PER_MS
 
 
 class Role(StrEnum):
@@ -44,8 +45,6 @@
     """Bytes of a snapshot in a message."""
     prevote: bool = True
     """Off only to show in tests what it is for."""
-    stores: bool = True
-    """Whether votes and entries outlive the process."""
     lease_from_answer: bool = False
     """On only as a planted defect: the lease would count from when answers come."""
 
@@ -94,7 +93,7 @@
 
 
 class Part(Struct, frozen=True, array_like=True, tag=4):
-    """A part of a snapshot; `head` is there at offset 0."""
+    """A part of a snapshot, from `offset` on."""
 
     term: int
     index: int
@@ -162,7 +161,6 @@
     match: int = 0
     answered: int = 0
     """When the last question left that it answered."""
-    asked: int = 0
     snapshot_at: int = -1
     """Bytes of the snapshot that it has; -1: it needs none."""
     waiting: bool = False
@@ -307,7 +305,7 @@
         voting = self.log.snapshot.voting
         for entry in self.log.entries:
             if entry.index <= self.applied and entry.kind == Kind.CONFIG:
-                voting = Log(Snapshot(0, 0, voting), [entry]).voting()[1]
+                voting = unpack(entry.data)
         snapshot = Snapshot(self.applied, term, voting, data)
         self.log.cut(snapshot)
         self._ready.snapshot = snapshot
@@ -458,7 +456,7 @@
         held = self.progress[name]
         if held.waiting and not force:
             return
-        held.waiting, held.asked = True, now
+        held.waiting = True
         before_term = self.log.term_at(held.next - 1)
         if before_term is None:
             self._send_part(name, held, now)
--- a/saltport/owners/record.py
+++ b/saltport/owners/record.py
@@ -65,8 +65,6 @@
 
     pieces: dict[str, Holding]
     digests: dict[Session, int]
-    highest: int = 0
-    """The highest epoch that was ever given, also of pieces that are dropped."""
 
     @classmethod
     def empty(cls) -> Record:
@@ -94,7 +92,6 @@
                 continue
             given = Holding(command.to, entry.index)
             self.pieces[piece] = given
-            self.highest = entry.index
             self.digests[command.to] = self.digests.get(command.to, 0) ^ mark(piece, entry.index)
             changed.append((piece, given))
         self.digests = {session: digest for session, digest in self.digests.items() if digest}
@@ -106,15 +103,15 @@
 
     def save(self) -> bytes:
         """For a snapshot."""
-        return msgspec.msgpack.encode((self.highest, self.pieces))
+        return msgspec.msgpack.encode(self.pieces)
 
     @classmethod
     def load(cls, data: bytes) -> Record:
         """From a snapshot; raises ValueError."""
         if not data:
             return cls.empty()
-        highest, pieces = msgspec.msgpack.decode(data, type=tuple[int, dict[str, Holding]])
+        pieces = msgspec.msgpack.decode(data, type=dict[str, Holding])
         digests: dict[Session, int] = {}
         for piece, held in pieces.items():
             digests[held.owner] = digests.get(held.owner, 0) ^ mark(piece, held.epoch)
-        return cls(pieces, digests, highest)
+        return cls(pieces, digests)
--- a/saltport/owners/settings.py
+++ b/saltport/owners/settings.py
@@ -27,8 +27,6 @@
     raft: RaftSettings = field(default_factory=RaftSettings)
     keep: int = 512
     """Entries after which the log is put into a snapshot."""
-    fenced: bool = True
-    """Off only to show in tests what it is for: leases would count from answers."""
 
     @property
     def own_lease(self) -> int:
--- a/saltport/owners/steward.py
+++ b/saltport/owners/steward.py
@@ -6,18 +6,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import lru_cache
 from hashlib import blake2b
 
 from saltport.owners.messages import Renew, Renewed, Resign, Rows
-from saltport.owners.raft import NS_PER_MS
+from saltport.owners.raft import NS_PER_S
 from saltport.owners.record import MOST_NAME, MOST_PIECES, Command, Drop, Give, Record, Session
 from saltport.owners.settings import OwnerSettings
 
 COMMAND_ROOM = 110  # bytes of rows in a command
 ROWS_ROOM = 150  # and in a datagram to an owner
-NS_PER_S = 1_000 * NS_PER_MS
 
 
 @lru_cache(maxsize=65_536)
@@ -26,13 +24,6 @@
     return int.from_bytes(blake2b(f"{piece}/{name}".encode(), digest_size=8).digest())
 
 
-@dataclass(slots=True)
-class _Held:
-    """What is known of a session that asked for its lease."""
-
-    renewed: int
-
-
 _Gives = dict[Session, list[tuple[str, int]]]
 
 
@@ -42,9 +33,10 @@
     def __init__(self, record: Record, settings: OwnerSettings, now: int) -> None:
         self.record, self.settings = record, settings
         self._since = now
-        self._sessions: dict[Session, _Held] = {}
+        self._sessions: dict[Session, int] = {}
+        """When each last asked for its lease."""
         self._wanted: dict[str, int] = {}
-        self._asked_back: dict[str, int] = {}
+        self._asked_back: set[str] = set()
         self._returned: dict[str, int] = {}
         """Pieces whose owner works on them no more, with the epoch that it had."""
         self._pending: dict[str, int] = {}
@@ -57,15 +49,14 @@
     def live(self, now: int) -> dict[str, Session]:
         """The sessions that may be given work, one a router: the latest."""
         found: dict[str, Session] = {}
-        for session, held in self._sessions.items():
-            if now - held.renewed < self.settings.lease and found.get(session.name, session) <= session:
+        for session, renewed in self._sessions.items():
+            if now - renewed < self.settings.lease and found.get(session.name, session) <= session:
                 found[session.name] = session
         return found
 
     def over(self, session: Session, now: int) -> bool:
         """Whether a session's lease has ended for certain, by this clock."""
-        held = self._sessions.get(session)
-        return now - (held.renewed if held else self._since) > self.settings.lease
+        return now - self._sessions.get(session, self._since) > self.settings.lease
 
     def renew(self, asked: Renew, now: int) -> list[Renewed | Rows]:
         """Take a renewal; the answers. Danger: only while the lead is certain, at this very moment."""
@@ -73,7 +64,7 @@
         latest = max((held for held in self._sessions if held.name == session.name), default=session)
         if session < latest:
             return []  # a process before this one, or a session that it let lapse
-        self._sessions[session] = _Held(now)
+        self._sessions[session] = now
         for piece in asked.wants:
             if 0 < len(piece) <= MOST_NAME and (piece in self._wanted or len(self._wanted) < MOST_PIECES):
                 self._wanted[piece] = now
@@ -107,13 +98,13 @@
     def resign(self, told: Resign) -> None:
         """A session has ended by itself: its lease is over now."""
         if told.session in self._sessions or self.record.of(told.session):
-            self._sessions[told.session] = _Held(-self.settings.lease - 1)
+            self._sessions[told.session] = -self.settings.lease - 1
 
     def applied(self, changed: list[str]) -> None:
         """The record went on: what was proposed for these is decided."""
         for piece in changed:
             self._pending.pop(piece, None)
-            self._asked_back.pop(piece, None)
+            self._asked_back.discard(piece)
             self._returned.pop(piece, None)
 
     def failed(self, pieces: list[str]) -> None:
@@ -177,7 +168,7 @@
         self._moves_at = now
         if at_once or self._moves >= 1:
             self._moves -= not at_once
-            self._asked_back[piece] = now
+            self._asked_back.add(piece)
 
 
 def _best(piece: str, names: list[str]) -> str:
--- a/saltport/owners/trials.py
+++ b/saltport/owners/trials.py
@@ -14,9 +14,9 @@
 from msgspec import Struct
 
 from saltport.owners.fence import Fence
+from saltport.owners.raft import NS_PER_S
 from saltport.owners.tenure import Tenure
 
-NS_PER_S = 1_000_000_000
 PREFIX = "probe/"
 HOLD = 2 * NS_PER_S  # for so long ahead the others leave a server to its owner
 TELL_FOR = 8 * NS_PER_S  # an owner says so for so long that a server is well, each second
--- a/saltport/peers/accusations.py
+++ b/saltport/peers/accusations.py
@@ -6,9 +6,9 @@
 
 from saltport.peers.members import Members, Record
 from saltport.peers.messages import Dead, Gossip, Heard, State, Suspect
-from saltport.peers.outbox import Outbox, in_ms
+from saltport.peers.outbox import Outbox
 from saltport.peers.reach import Reach
-from saltport.peers.settings import NS_PER_MS, PeerSettings
+from saltport.peers.settings import NS_PER_MS, PeerSettings, in_ms
 from saltport.peers.suspicion import Suspicion
 
 WITNESS_EVERY = 250 * NS_PER_MS
@@ -63,7 +63,7 @@
 
     def _of(self, record: Record, heard: int, now: int) -> Suspicion:
         held = self.held.get(record.name)
-        if held is None or (held.start, held.incarnation) != (record.start, record.incarnation):
+        if held is None or not held.is_of(record):
             held = self.held[record.name] = Suspicion(record.start, record.incarnation, now, heard)
         return held
 
@@ -71,14 +71,13 @@
         """A question of this router's own, begun at this time, had no answer."""
         heard = self._reach.heard_at(record.name)
         held = self.held.get(record.name)
-        if held is None or (held.start, held.incarnation) != (record.start, record.incarnation):
+        if held is None or not held.is_of(record):
             # Danger: who was not asked for long must not count as silent from its last word on.
             heard = max(heard, begun - self._settings.period)
         suspicion = self._of(record, heard, now)
         if suspicion.accuse(self._me, heard) or record.state is State.ALIVE:
             # Nor is it to be told by a juror's own last word, but by the latest that is known of anybody's.
-            silent = in_ms(now - suspicion.heard)
-            update = Suspect(record.name, record.start, record.incarnation, self._me, silent)
+            update = suspicion.told(record.name, self._me, now)
             self._members.merge(update, now)
             self._outbox.rumours.tell(update, now)
 
@@ -99,10 +98,7 @@
     def told_of(self, name: str, now: int) -> list[Suspect]:
         """What is held against a router, for whoever is told of it; empty: nothing."""
         held = self.held.get(name)
-        if held is None or not held.accusers:
-            return []
-        silent = in_ms(now - held.heard)
-        return [Suspect(name, held.start, held.incarnation, next(iter(held.accusers)), silent)]
+        return [held.told(name, next(iter(held.accusers)), now)] if held is not None and held.accusers else []
 
     def is_juror(self, name: str) -> bool:
         """Whether this router is one of the few that ask too, once somebody is accused.
@@ -158,10 +154,7 @@
         dead = []
         for name, suspicion in list(self.held.items()):
             record = self._members.records.get(name)
-            current = record is not None and (record.start, record.incarnation) == (
-                suspicion.start, suspicion.incarnation,
-            )  # fmt: skip
-            if record is None or record.state is not State.SUSPECT or not current:
+            if record is None or record.state is not State.SUSPECT or not suspicion.is_of(record):
                 del self.held[name]
             elif now >= suspicion.due(settings, count, self._sound(suspicion), crowd) and (
                 not settings.refutes or self._may_declare(name, suspicion, answered_at, now)
--- a/saltport/peers/link.py
+++ b/saltport/peers/link.py
@@ -73,7 +73,6 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._closed = False
-        self._unsent = 0
         self._name, self._seed, self._settings = name, seed, settings or PeerSettings()
         self.agent = self._begin()
 
--- a/saltport/peers/outbox.py
+++ b/saltport/peers/outbox.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 
 from saltport.peers.members import Members
-from saltport.peers.messages import Alive, Body, Packet, Ping, Place, State, Suspect, Update, encode
+from saltport.peers.messages import Alive, Body, Packet, Ping, Place, State, Update, encode
 from saltport.peers.rumours import Rumours
-from saltport.peers.settings import DATAGRAM, NS_PER_MS, NS_PER_S, PeerSettings
+from saltport.peers.settings import DATAGRAM, NS_PER_S, PeerSettings
 from saltport.peers.suspicion import Suspicion
 from saltport.peers.views import Views
 
@@ -16,11 +16,6 @@
 ROOM = DATAGRAM - ENVELOPE - 2  # an array of more than 15 updates needs two bytes more
 
 
-def in_ms(time: int) -> int:
-    """Milliseconds, rounded up: what is told must not grow younger on its way."""
-    return max(-(-time // NS_PER_MS), 0)
-
-
 @dataclass(slots=True)
 class Identity:
     """Who this router is."""
@@ -71,8 +66,7 @@
         more = list(first)
         held = self._suspicions.get(name)
         if record.state is State.SUSPECT and held is not None and held.accusers:
-            silent = in_ms(now - held.heard)
-            more.append(Suspect(name, record.start, record.incarnation, next(iter(held.accusers)), silent))
+            more.append(held.told(name, next(iter(held.accusers)), now))
         elif record.state is State.DEAD:
             more.append(record.update(self._me.name))
         self.send(record.place, body, now, more, spare)
--- a/saltport/peers/reach.py
+++ b/saltport/peers/reach.py
@@ -42,16 +42,14 @@
         self.rows: dict[str, Row] = {}
         self.cut: tuple[str, ...] = ()
         self.version = 0
-        self.last = 0
-        """When anyone was last heard, on any path."""
 
     def hear(self, name: str, now: int) -> None:
         """A datagram of this router came."""
-        self.direct[name] = self.last = now
+        self.direct[name] = now
 
     def hear_of(self, name: str, helper: str, now: int) -> None:
         """A helper has heard it for this router: it is asked first the next time."""
-        self.relayed[name] = self.last = now
+        self.relayed[name] = now
         held = self._helpers.setdefault(name, {})
         held.pop(helper, None)
         held[helper] = None
--- a/saltport/peers/settings.py
+++ b/saltport/peers/settings.py
@@ -10,6 +10,11 @@
 DATAGRAM = 256  # bytes: the platform's limit
 
 
+def in_ms(time: int) -> int:
+    """Milliseconds, rounded up: what is told must not grow younger on its way."""
+    return max(-(-time // NS_PER_MS), 0)
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSettings:
     """Rates and times; the same at every router of a fleet."""
--- a/saltport/peers/suspicion.py
+++ b/saltport/peers/suspicion.py
@@ -9,7 +9,9 @@
 
 from dataclasses import dataclass, field
 
-from saltport.peers.settings import NS_PER_MS, PeerSettings
+from saltport.peers.members import Record
+from saltport.peers.messages import Suspect
+from saltport.peers.settings import NS_PER_MS, PeerSettings, in_ms
 
 TRANSIT = 250 * NS_PER_MS  # by so much two tellings of one time may differ
 MOST_ACCUSERS = 8  # that are remembered: more make no difference
@@ -30,6 +32,14 @@
     witnessed: int = 0
     """When this router last told the accusers that it hears the subject."""
 
+    def is_of(self, record: Record) -> bool:
+        """Whether it is of this very start and incarnation."""
+        return (self.start, self.incarnation) == (record.start, record.incarnation)
+
+    def told(self, name: str, accuser: str, now: int) -> Suspect:
+        """The accusation of one of its accusers, with the latest word that is known of anybody's."""
+        return Suspect(name, self.start, self.incarnation, accuser, in_ms(now - self.heard))
+
     def accuse(self, accuser: str, heard: int) -> bool:
         """Take an accusation, by who heard it last then; whether it is a new one."""
         self.heard = max(self.heard, heard)
--- a/saltport/standins/links.py
+++ b/saltport/standins/links.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -150,19 +151,17 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
-        there: asyncio.StreamWriter | None = None
-        try:
-            back, there = await asyncio.open_connection(*self._to)
-            async with asyncio.TaskGroup() as both:
-                both.create_task(self._pump(reader, there, self._source, self._target))
-                both.create_task(self._pump(back, writer, self._target, self._source))
-        except* (OSError, asyncio.CancelledError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            for end in (writer, there):
-                if end is not None:
-                    end.transport.abort()
+        task.add_done_callback(self._tasks.discard)
+        with contextlib.ExitStack() as ends:
+            ends.callback(writer.transport.abort)
+            try:
+                back, there = await asyncio.open_connection(*self._to)
+                ends.callback(there.transport.abort)
+                async with asyncio.TaskGroup() as both:
+                    both.create_task(self._pump(reader, there, self._source, self._target))
+                    both.create_task(self._pump(back, writer, self._target, self._source))
+            except* (OSError, asyncio.CancelledError):
+                pass
 
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str, target: str
--- a/tests/owners/fleet.py
+++ b/tests/owners/fleet.py
@@ -11,10 +11,10 @@
 from saltport.owners.member import Member
 from saltport.owners.messages import Message, decode, encode
 from saltport.owners.settings import OwnerSettings
+from saltport.peers.link import MOST_CARRIED
 from tests.owners.world import Disk
 
 S = 1_000_000_000
-MOST_BYTES = 200  # of a message in a datagram of the peers
 
 
 class TwoOwnersError(AssertionError):
@@ -107,7 +107,7 @@
 
     def _send(self, sender: str, to: str, message: Message) -> None:
         data = encode(message)
-        assert len(data) <= MOST_BYTES, (len(data), message)
+        assert len(data) <= MOST_CARRIED, (len(data), message)
         if to == sender:
             self._push(self.now, to, sender, data)
         elif self.rng.random() >= self.loss and not self.cut(sender, to):
