--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -24,7 +24,7 @@
 from saltport.decisions.portions import Portions, keeps
 from saltport.decisions.promptness import Promptness
 from saltport.decisions.roster import Roster
-from saltport.decisions.seam import make_spreading
+from saltport.decisions.spreading import make_spreading
 from saltport.decisions.table import SlotTable
 from saltport.structures.pace import Pace
 from saltport.structures.recent import RecentCounts
--- a/saltport/decisions/seam.py
+++ b/saltport/decisions/seam.py
@@ -1,19 +1,15 @@
 """The seam through which reads of popular keys get further nodes: what both of its forms answer to.
 
-The platform runs heat.py; where `Settings.hot_keys` is given, hotkeys/ stands in its place. No decisions are
-made here.
+spreading.py makes the form that the settings ask for. No decisions are made here.
 """
 
 from __future__ import annotations
 
-import random
 from collections.abc import Sequence
 from typing import Any, Protocol
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import Node
-from saltport.decisions.outliers import OutlierDetector, Standing
-from saltport.decisions.table import SlotTable
 
 
 class Asked(Protocol):
@@ -84,19 +80,3 @@
     def view(self, now: int) -> dict[str, Any]:
         """Its state, for people."""
         return {"on": False}
-
-
-def make_spreading(
-    settings: api.Settings, caches: SlotTable, outliers: OutlierDetector, rng: random.Random
-) -> Spreading:
-    """The form that the settings ask for."""
-    if settings.hot_keys is None:
-        from saltport.decisions.heat import Heat
-
-        return Heat(caches, rng, settings.origin_kind is None)
-    from saltport.decisions.hotkeys import HotKeys  # only where it is on
-
-    def usable(server: str, now: int) -> bool:
-        return outliers.standing(server, now) in (Standing.HEALTHY, Standing.PANIC)
-
-    return HotKeys(settings, settings.hot_keys, caches, usable, rng)
--- /dev/null
+++ b/saltport/decisions/spreading.py
@@ -0,0 +1,25 @@
+"""Makes the form of the seam that the settings ask for: the platform runs heat.py."""
+
+from __future__ import annotations
+
+import random
+
+from saltport.decisions import interface as api
+from saltport.decisions.heat import Heat
+from saltport.decisions.outliers import OutlierDetector, Standing
+from saltport.decisions.seam import Spreading
+from saltport.decisions.table import SlotTable
+
+
+def make_spreading(
+    settings: api.Settings, caches: SlotTable, outliers: OutlierDetector, rng: random.Random
+) -> Spreading:
+    """The form that the settings ask for."""
+    if settings.hot_keys is None:
+        return Heat(caches, rng, settings.origin_kind is None)
+    from saltport.decisions.hotkeys import HotKeys  # only where it is on
+
+    def usable(server: str, now: int) -> bool:
+        return outliers.standing(server, now) in (Standing.HEALTHY, Standing.PANIC)
+
+    return HotKeys(settings, settings.hot_keys, caches, usable, rng)
