Reads by zones: a form of the seam that keeps them near and follows a plan

Need: nothing told zones apart, so that two reads in three crossed them. Change: where a topology is told (off on the platform), a slot's reads stay in the router's zone or go where a plan says, by a hash of the slot alone; evidence is counted by zone and origin; what a plan has no room for is refused at once, retries first.

--- a/benchmarks/hot_keys.py
+++ b/benchmarks/hot_keys.py
@@ -55,7 +55,8 @@
     key: str | None = None
     sends = sent_at = 0
     attempts = 4
-    write, share = False, 0.0
+    write, retry, share = False, False, 0.0
+    cls = RequestClass("read", S, S)
     spread: Any = None
     failed: Sequence[Node] = ()
 
--- a/saltport/decisions/__init__.py
+++ b/saltport/decisions/__init__.py
@@ -38,6 +38,7 @@
     TimerFired,
     Void,
     VoidEnded,
+    ZonePlan,
 )
 from saltport.decisions.logic import Router
 
@@ -80,4 +81,5 @@
     "TimerFired",
     "Void",
     "VoidEnded",
+    "ZonePlan",
 ]
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -317,9 +317,10 @@
         spread = request.spread.spread if request.spread is not None else None
         return spread is not None and request.id in spread.fillers
 
-    def fetch_after(self, request: Asked) -> int:
-        """Until when a read of this key is not worth a fetch, as the last ones failed; 0: it is."""
-        return request.spread.fetch_after if request.spread is not None else 0
+    def turns_away(self, request: Asked, now: int) -> str:
+        """Why a read that found no node is not worth a fetch; empty: it is."""
+        waits = request.spread is not None and request.spread.fetch_after > now
+        return "its key's fetch failed just now" if waits else ""
 
     # What attempts tell
 
@@ -400,10 +401,11 @@
             if node in spread.absent:
                 spread.holds(node, FOR_GOOD)
 
-    def told(self, event: api.CopyEnded | api.VoidEnded, now: int) -> None:
+    def told(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
         """A copy or a void has ended."""
         if isinstance(event, api.VoidEnded):
             self._actions += self._voids.void_ended(event, now)
+        if not isinstance(event, api.CopyEnded):
             return
         key, server = event.key, event.server
         filling = self._filling.get(key, {})
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -7,6 +7,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from saltport.decisions.topology import Topology
 
 NS_PER_S = 1_000_000_000
 DEFAULT_SLOTS = 8192
@@ -178,6 +182,8 @@
     """For so long, in nanoseconds, what comes may lie unread before the router sheds; 0: it never does."""
     hot_keys: HotKeySettings | None = None
     """None: slots are spread by their heat, keys are not told apart."""
+    topology: Topology | None = None
+    """None: all servers are equally near."""
 
     def __post_init__(self) -> None:
         _require(bool(self.classes), "classes", "must name at least one class")
@@ -189,6 +195,7 @@
         _require(1 <= self.slots <= 1 << 20, "slots", "must be from 1 to 1,048,576")
         _require(self.overload_target >= 0, "overload_target", "must not be negative")
         _require(self.max_retry_after >= 0, "max_retry_after", "must not be negative")
+        _require(not (self.hot_keys and self.topology), "topology", "and hot_keys can't both be on yet")
 
 
 @dataclass(frozen=True, slots=True)
@@ -327,6 +334,26 @@
     turn: int
 
 
+@dataclass(frozen=True, slots=True)
+class ZonePlan:
+    """Where the reads of this router's zone go from now on; zones and regions by their places."""
+
+    shares: tuple[float, ...]
+    """Of the slots, by zone."""
+    refused: float = 0.0
+    """The part of the reads that finds room nowhere."""
+    trials: tuple[int, ...] = ()
+    """Zones that are held bad, and asked now and then."""
+    closed: tuple[int, ...] = ()
+    """Zones that were evacuated by hand: they get nothing."""
+    origins: tuple[int, ...] = ()
+    """Regions by whose origins this one is served, the first that is listed; empty: the nearest."""
+    lost: bool = False
+    """Whether the own region's origin is held silent, and asked now and then by reads."""
+    binding: bool = True
+    """Whether other zones are for failures only; False: nobody decides, and overflow is each router's own."""
+
+
 Event = (
     ServersChanged
     | RequestArrived
@@ -341,6 +368,7 @@
     | ServerOut
     | ServerBack
     | SettingsChanged
+    | ZonePlan
 )
 
 
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -237,7 +237,7 @@
                     self._actions.append(api.Log(news))
             case api.ClientGone() if event.request in self.requests:
                 self._finish(self.requests[event.request])
-            case api.CopyEnded() | api.VoidEnded():
+            case api.CopyEnded() | api.VoidEnded() | api.ZonePlan():
                 self.spreading.told(event, now)
         for action in self.spreading.take_actions():
             if isinstance(action, api.Answer):
@@ -380,8 +380,8 @@
             self.crowded = max(self.crowded + (full - self.crowded) / 64 - 1e-6, 0.0)
 
     def _missed(self, request: Request) -> None:
-        if not request.write and self.spreading.fetch_after(request) > self._now:
-            self._give_up(request, "its key's fetch failed just now")
+        if not request.write and (why := self.spreading.turns_away(request, self._now)):
+            self._give_up(request, why)
             return
         flight = None if request.key is None else self._flights.get(request.key)
         if flight is None or request.write or self.spreading.fetches_itself(request):
@@ -392,7 +392,7 @@
 
     def _fetch(self, request: Request) -> None:
         request.waiting = False
-        origins = self.origins.rank(request.slot, self._now)
+        origins = self.spreading.origins(self.origins.rank(request.slot, self._now), request)
         if not origins or not self._may_try(request) or not request.may_send(origins[0], self._now):
             self._give_up(request, "tries spent" if origins else "no origin")
             return
--- a/saltport/decisions/seam.py
+++ b/saltport/decisions/seam.py
@@ -6,11 +6,14 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import Node
 
+if TYPE_CHECKING:
+    from saltport.decisions.topology import Evidence
+
 
 class Asked(Protocol):
     """What the seam sees of an open request, and its own note on it."""
@@ -18,12 +21,14 @@
     id: str
     key: str | None
     deadline: int
+    cls: api.RequestClass
     slot: int
     sends: int
     attempts: int
     """That it may have at the most."""
     sent_at: int
     write: bool
+    retry: bool
     failed: Sequence[Node]
     spread: Any
     share: float
@@ -50,9 +55,13 @@
         """Whether a read is to ask the origin though another one asks for its key already."""
         return False
 
-    def fetch_after(self, request: Asked) -> int:
-        """Until when a read of this key is not worth a fetch, as the last ones failed; 0: it is."""
-        return 0
+    def turns_away(self, request: Asked, now: int) -> str:
+        """Why a read that found no node is not worth a fetch; empty: it is."""
+        return ""
+
+    def origins(self, ranked: list[Node], request: Asked) -> list[Node]:
+        """The origins in the order in which this request may go to them."""
+        return ranked
 
     def ended(self, request: Asked, node: Node, event: api.AttemptEnded, fetched: bool, now: int) -> None:
         """An attempt has ended."""
@@ -64,8 +73,8 @@
         """Whether a write's answer has to wait until its copies are void."""
         return False
 
-    def told(self, event: api.CopyEnded | api.VoidEnded, now: int) -> None:
-        """A copy or a void has ended."""
+    def told(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
+        """A copy or a void has ended, or a plan of zones is to be followed."""
 
     def due(self, token: str, now: int) -> None:
         """A timer of the seam's own is due."""
@@ -77,6 +86,10 @@
     def follow_settings(self, settings: api.Settings) -> None:
         """Take new settings; what was counted stays."""
 
+    def take_evidence(self) -> Evidence | None:
+        """What attempts told of the zones since the last call; None: zones are not told apart."""
+        return None
+
     def view(self, now: int) -> dict[str, Any]:
         """Its state, for people."""
         return {"on": False}
--- a/saltport/decisions/spreading.py
+++ b/saltport/decisions/spreading.py
@@ -15,6 +15,10 @@
     settings: api.Settings, caches: SlotTable, outliers: OutlierDetector, rng: random.Random
 ) -> Spreading:
     """The form that the settings ask for."""
+    if settings.topology is not None:
+        from saltport.decisions.zoned import Zoned  # only where it is on
+
+        return Zoned(settings, settings.topology, caches, outliers, rng)
     if settings.hot_keys is None:
         return Heat(caches, rng, settings.origin_kind is None)
     from saltport.decisions.hotkeys import HotKeys  # only where it is on
