--- a/benchmarks/hot_world.py
+++ b/benchmarks/hot_world.py
@@ -145,6 +145,10 @@
         before."""
         self.copied = 0
         self.logs: list[str] = []
+        self.trip: Callable[[int, str], int] = lambda router, server: MS
+        """Between a router and a node, there and back."""
+        self.parted: Callable[[int, str], bool] = lambda router, server: False
+        """Whether nothing comes of what a router sends to a node."""
         self.on_void: Callable[[str, str], bool] = lambda key, server: True
         """Whether a void arrives; a test may lose some."""
         self.list_all()
@@ -268,19 +272,20 @@
         node = self.nodes[send.server]
         self.sent[send.server] += 1
         self.sent_of[read.key][send.server] += 1
+        trip = self.trip(router, send.server)
         if node.down:
-            self.at(MS, lambda: end(Outcome.CONNECT_FAILED))
+            self.at(trip, lambda: end(Outcome.CONNECT_FAILED))
             return
-        if node.cut:
+        if node.cut or self.parted(router, send.server):
             self.at(send.timeout or S, lambda: end(Outcome.TIMEOUT))
             return
         work = int(self.work * node.slow * self.rng.uniform(1 - self.spread_work, 1 + self.spread_work))
         if node.free_at - self.now > self.queue_length * self.work * node.slow:
-            self.at(MS, lambda: end(Outcome.FULL))
+            self.at(trip, lambda: end(Outcome.FULL))
             return
         node.free_at = max(node.free_at, self.now) + work
         given_up = min(self.now + (send.timeout or S), read.asked_at + read.within)
-        if node.free_at + MS > given_up:
+        if node.free_at + trip > given_up:
             # A time-out stops nothing: the work goes on.
             self.at(max(given_up - self.now, 0), lambda: end(Outcome.TIMEOUT))
             return
@@ -301,7 +306,7 @@
             self._served(read, held[0])
             end(Outcome.OK, True, self.size_of(read.key), load)
 
-        self.at(node.free_at - self.now + MS, answer)
+        self.at(node.free_at - self.now + trip, answer)
 
     def size_of(self, key: str) -> int:
         """Bytes of a key's value."""
