Failover wired: deploy/failover.toml, saltport zones, evacuate, return, failover

Off by default; needs peers and owners. Operators' orders go to the owner wherever it is, are refused where the others have no room, and stand in the plan, so that they outlive their owner.

--- a/saltport/admin/calls.py
+++ b/saltport/admin/calls.py
@@ -5,10 +5,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
-from urllib.parse import unquote
+from urllib.parse import parse_qs, unquote
 
 SERVERS = "cache-servers"
 VOTERS = "voters"
+ZONES = "zones"
+
+
+LONGEST_WAY_MS = 3_600_000
 
 
 class CallError(Exception):
@@ -33,6 +37,15 @@
     def owners(self) -> dict[str, Any]:
         """What this router holds of the fleet's work, and what the record says where it is a voter."""
 
+    def zones(self) -> dict[str, Any]:
+        """Where reads go by zones, by which plan, and what its owner sees."""
+
+    def order_zones(self, what: str, zone: str, way_ms: int, force: bool) -> int | None:
+        """Have the owner evacuate a zone, return to it, freeze or thaw; the order's number.
+
+        None: there is no such zone. Raises CallError.
+        """
+
     def step_down(self, to: str) -> None:
         """Hand the lead over to this voter; empty: to any. Raises CallError."""
 
@@ -61,6 +74,9 @@
     allow: str = ""
 
 
+_Call = Callable[[Operations, str], Answer]
+
+
 def _health(operations: Operations, _: str) -> Answer:
     return Answer(200, {"healthy": True}) if operations.healthy() else Answer(503, {"healthy": False})
 
@@ -88,6 +104,22 @@
     return Answer(200, {"lead": voter or "handed over"})
 
 
+def _order(what: str) -> _Call:
+    def call(operations: Operations, named: str) -> Answer:
+        zone, _, query = named.rpartition("?")
+        told = parse_qs(query)
+        try:
+            way_ms = int(float(told.get("over", ["0"])[0]) * 1_000)
+        except (ValueError, OverflowError):
+            return _fault(400, "over: expected seconds")
+        if not 0 <= way_ms <= LONGEST_WAY_MS:
+            return _fault(400, f"over: expected 0 to {LONGEST_WAY_MS // 1_000} seconds")
+        number = operations.order_zones(what, zone, way_ms, told.get("force") == ["1"])
+        return _fault(404, "no such zone") if number is None else Answer(200, {"order": number})
+
+    return call
+
+
 def _drain(operations: Operations, _: str) -> Answer:
     operations.drain()
     return Answer(200, {"draining": True})
@@ -102,7 +134,6 @@
     return Answer(status, {"error": reason}, allow)
 
 
-_Call = Callable[[Operations, str], Answer]
 _CALLS: dict[tuple[str, ...], tuple[str, _Call]] = {
     ("healthcheck",): ("GET", _health),
     ("stats",): ("GET", lambda operations, _: Answer(200, operations.stats())),
@@ -112,6 +143,11 @@
     ("owners",): ("GET", lambda operations, _: Answer(200, operations.owners())),
     ("owners", "step-down"): ("PUT", _step_down),
     (VOTERS, "", "lead"): ("PUT", _step_down),
+    ("zones",): ("GET", lambda operations, _: Answer(200, operations.zones())),
+    (ZONES, "", "evacuate"): ("PUT", _order("evacuate")),
+    (ZONES, "", "return"): ("PUT", _order("return")),
+    ("failover", "freeze"): ("PUT", _order("freeze")),
+    ("failover", "thaw"): ("PUT", _order("thaw")),
     ("healthcheck", "fail"): ("PUT", _drain),
     ("healthcheck", "ok"): ("PUT", _resume),
     (SERVERS, "", "maint"): ("PUT", _out),
@@ -122,16 +158,18 @@
 
 def answer(method: str, target: str, operations: Operations) -> Answer:
     """Carry a call out: `target` as it came, with its percent signs and question mark."""
-    parts = target.partition("?")[0].split("/")
+    before, _, query = target.partition("?")
+    parts = before.split("/")
     if parts[0] or len(parts) < 2:
         return _fault(400, "the target must be a path")
     path, server = tuple(parts[1:]), ""
-    if len(path) == 3 and path[0] in (SERVERS, VOTERS):
+    if len(path) == 3 and path[0] in (SERVERS, VOTERS, ZONES):
         try:
             server = unquote(path[1], errors="strict")
         except UnicodeDecodeError:
             return _fault(400, "the id is no UTF-8")
         path = (path[0], "", path[2])
+        server += f"?{query}" * (path[0] == ZONES and bool(server))
     wanted, call = _CALLS.get(path, ("", None))
     if call is None or (len(path) == 3 and not server):
         return _fault(404, "no such call")
--- a/saltport/admin/client.py
+++ b/saltport/admin/client.py
@@ -40,6 +40,11 @@
     return f"/voters/{quote(voter, safe='')}/lead"
 
 
+def zone_path(zone: str, what: str, over_s: float, force: bool) -> str:
+    """The path of the call that evacuates a zone or returns to it."""
+    return f"/zones/{quote(zone, safe='')}/{what}?over={over_s:g}&force={int(force)}"
+
+
 def server_path(server: str, state: str) -> str:
     """The path of the call that takes a server out (`maint`) or back (`ready`)."""
     return f"/cache-servers/{quote(server, safe='')}/{state}"
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -92,6 +92,7 @@
     os.execve(sys.executable, [sys.executable, "-m", "saltport.router", *more], environ)
 
 
+ORDER_S = 8.0  # in which an owner answers, or nobody does
 _ROUTER = click.argument("router", type=_ADDRESS, metavar="HOST:PORT")
 
 
@@ -248,6 +249,75 @@
     _show("owners", told, lines, as_json)
 
 
+@cli.command()
+@_ROUTER
+@_AS_JSON
+def zones(router: Address, as_json: bool) -> None:
+    """Show where reads go by zones, by which plan, and what its owner sees."""
+    from saltport.failover.words import lines
+
+    _show("failover", _ask(router, "/zones"), lines, as_json)
+
+
+def _ordered(router: Address, path: str, wait_s: float) -> None:
+    """Give an order and wait for the owner's answer; status 1: it was refused, or none came."""
+    import time
+
+    number = str(_ask(router, path, "PUT")["order"])
+    end = time.monotonic() + ORDER_S
+    while (answer := _ask(router, "/zones")["orders"].get(number)) is None:
+        if time.monotonic() > end:
+            _wrong("no answer of the owner", 1)
+        time.sleep(0.1)
+    if answer != "done":
+        _wrong(answer, 1)
+    time.sleep(wait_s)
+    click.echo("done")
+
+
+_OVER = click.option(
+    "--over",
+    default=30.0,
+    show_default=True,
+    type=click.FloatRange(0, 3600),
+    help="Seconds that it may take.",
+)
+_WAIT = click.option("--wait", is_flag=True, help="Until the way is over, not only until it has begun.")
+
+
+@cli.command()
+@_ROUTER
+@click.argument("zone")
+@_OVER
+@click.option("--force", is_flag=True, help="Also where the others have no room for all.")
+@_WAIT
+def evacuate(router: Address, zone: str, over: float, force: bool, wait: bool) -> None:
+    """Send no reads to a zone any more, at all routers, until `saltport return`."""
+    from saltport.admin.client import zone_path
+
+    _ordered(router, zone_path(zone, "evacuate", over, force), over if wait else 0.0)
+
+
+@cli.command("return")
+@_ROUTER
+@click.argument("zone")
+@_OVER
+@_WAIT
+def return_(router: Address, zone: str, over: float, wait: bool) -> None:
+    """Send reads to an evacuated zone again, step by step."""
+    from saltport.admin.client import zone_path
+
+    _ordered(router, zone_path(zone, "return", over, False), over if wait else 0.0)
+
+
+@cli.command()
+@_ROUTER
+@click.argument("what", type=click.Choice(["freeze", "thaw"]))
+def failover(router: Address, what: str) -> None:
+    """Freeze the plan as it is, whatever the evidence says, or thaw it."""
+    _ordered(router, f"/failover/{what}", 0.0)
+
+
 def _show(
     part: str, told: dict[str, Any], lines: Callable[[dict[str, Any]], Iterator[str]], as_json: bool
 ) -> None:
@@ -531,6 +601,7 @@
 @click.option(
     "--voters", default="0", show_default=True, type=click.Choice(["0", "3", "5"]), help="Of owners."
 )
+@click.option("--zones", is_flag=True, help="Zones by common plans, and zones that are lost; takes voters.")
 @click.option("--plot", is_flag=True, help="Draw how long deaths took to be known.")
 @_AS_JSON
 def nemesis(
@@ -540,6 +611,7 @@
     seconds: float,
     rate: float,
     voters: str,
+    zones: bool,
     plot: bool,
     as_json: bool,
 ) -> None:
@@ -552,19 +624,28 @@
     from saltport.harness import HarnessError
     from saltport.nemesis.runner import Nemesis, NemesisError, run_nemesis
     from saltport.nemesis.schedule import ScheduleError, draw_schedule, read_schedule
+    from saltport.standins.fleet import ZONES
 
     names = [f"r{number + 1}" for number in range(routers)]
     if int(voters) > routers:
         _wrong(f"--voters: there are {routers} routers only", 2)
+    if zones and voters == "0":
+        _wrong("--zones: takes --voters", 2)
+    places = ZONES if zones else ()
     try:
-        acts = read_schedule(schedule, names) if schedule else draw_schedule(seed, names, seconds)
+        acts = (
+            read_schedule(schedule, names, places or ("none",))
+            if schedule
+            else draw_schedule(seed, names, seconds, zones=places)
+        )
     except ScheduleError as error:
         _wrong(str(error), 2)
     try:
         # Danger: ended by SIGTERM as it is, this process would leave its routers running.
         signal.signal(signal.SIGTERM, signal.default_int_handler)
         with tempfile.TemporaryDirectory(prefix="saltport-nemesis-") as folder:
-            run = Nemesis(Path(folder), routers, seed, voters=int(voters))
+            nodes = 30 if zones else 2
+            run = Nemesis(Path(folder), routers, seed, nodes, int(voters), failover=zones)
             report = uvloop.run(run_nemesis(run, acts, lambda line: click.echo(line, err=True), rate))
     except (HarnessError, NemesisError, OSError) as error:
         _wrong(str(error), 1)
@@ -577,6 +658,7 @@
         click.echo(histogram(report["detections_s"], "seconds until all knew of a death"), err=as_json)
     report["repeat"] = (
         f"saltport nemesis --routers {routers} --seed {seed} {which} --rate {rate:g} --voters {voters}"
+        f"{' --zones' * zones}"
     )
     _dump(report, indent=not as_json)
     click.echo(f"{'clean' if report['clean'] else 'BROKEN'}; again: {report['repeat']}", err=True)
--- a/saltport/lifecycle/reload.py
+++ b/saltport/lifecycle/reload.py
@@ -10,7 +10,7 @@
 LIVE = ("settings", "discovery", "peers")
 AT_START = ("known", "seed", "keys")  # what tells of a start only, or of the file
 SETTINGS_AT_START = (
-    "origin_kind", "weighted", "must_subscribe", "load_fields", "slots", "vectors", "hot_keys",
+    "origin_kind", "weighted", "must_subscribe", "load_fields", "slots", "vectors", "hot_keys", "topology",
 )  # fmt: skip
 
 
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -36,6 +36,7 @@
 from saltport.upstream.pool import Pool
 
 if TYPE_CHECKING:
+    from saltport.failover.link import FailoverLink
     from saltport.owners.link import OwnersLink, OwnersPlan
     from saltport.peers.agent import Told
     from saltport.peers.link import PeerLink
@@ -100,6 +101,7 @@
             if config.owners is not None and self._peers is not None
             else None
         )
+        self._failover = _failover_link(loop, config, self._peers, self._owners, self._host)
         self._takeover = (
             Takeover(loop, Path(folder), self._clients.adopt, self._share, self._learnt)
             if folder and config.listen_fd is not None
@@ -150,6 +152,8 @@
         if self._peers is not None and opening is not None:
             # Danger: the next process of this router waits for the address, and is unknown until it has it.
             opening.cancel()
+            if self._failover is not None:
+                self._failover.close()
             if self._owners is not None:
                 await self._owners.close()  # what it holds is given back before it goes
             await self._peers.close(self._takeover is not None and self._takeover.replaced)
@@ -232,6 +236,16 @@
         """See Operations."""
         return {"on": True, **self._owners.view()} if self._owners is not None else {"on": False}
 
+    def zones(self) -> dict[str, Any]:
+        """See Operations."""
+        return {"on": True, **self._failover.view()} if self._failover is not None else {"on": False}
+
+    def order_zones(self, what: str, zone: str, way_ms: int, force: bool) -> int | None:
+        """See Operations."""
+        if self._failover is None:
+            raise CallError("failover is off")
+        return self._failover.order(what, zone, way_ms, force)
+
     def step_down(self, to: str) -> None:
         """See Operations."""
         reason = self._owners.step_down(to) if self._owners is not None else "owners are off"
@@ -342,6 +356,21 @@
     return OwnersLink(loop, plan, peers, host, seed)
 
 
+def _failover_link(
+    loop: asyncio.AbstractEventLoop,
+    config: Config,
+    peers: PeerLink | None,
+    owners: OwnersLink | None,
+    host: RouterHost,
+) -> FailoverLink | None:
+    topology = config.settings.topology
+    if not config.failover or topology is None or peers is None or owners is None:
+        return None
+    from saltport.failover.link import FailoverLink  # only where it is on
+
+    return FailoverLink(loop, topology, config.settings.cold_time, peers, owners, host, config.seed)
+
+
 def _peer_link(loop: asyncio.AbstractEventLoop, config: Config, host: RouterHost) -> PeerLink:
     from saltport.peers.chronicle import Chronicle  # only where it is on
     from saltport.peers.link import PeerLink
--- a/saltport/nemesis/history.py
+++ b/saltport/nemesis/history.py
@@ -12,7 +12,9 @@
 
 from saltport.audit import Violation
 
-RULES = ("no_false_death", "records_only_rise", "one_majority", "agreed_at_last", "one_owner")
+RULES = (
+    "no_false_death", "records_only_rise", "one_majority", "agreed_at_last", "one_owner", "plans_only_rise",
+)  # fmt: skip
 EXCUSE_S = 12.0  # after a fault of its own, or on its links, somebody may still be held dead
 SETTLED_S = 5.0  # within a partition, after which two sides must not both be majorities
 
@@ -65,6 +67,19 @@
     epoch: int
 
 
+class Course(NamedTuple):
+    """The plan for zones that a router said it follows."""
+
+    at: float
+    by: str
+    life: int
+    epoch: int
+    number: int
+    maker: str
+    end: str
+    """Where it leads, as words."""
+
+
 @dataclass(slots=True)
 class History:
     """A run."""
@@ -73,13 +88,14 @@
     samples: list[Sample] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
     holds: list[Hold] = field(default_factory=list)
+    courses: list[Course] = field(default_factory=list)
     ended: float = 0.0
     """When all was over, by the samples' clock."""
 
     def check(self) -> list[Violation]:
         """All rules; an empty list: they hold."""
         found = [*self._false_deaths(), *self._records(), *self._majorities(), *self._agreement()]
-        found += self._owners()
+        found += [*self._owners(), *self._plans()]
         return sorted(found, key=lambda violation: violation.at)
 
     def checked(self) -> dict[str, int]:
@@ -91,6 +107,7 @@
             "one_majority": sum(bool(span.group) for span in self.spans),
             "agreed_at_last": len(self.last()),
             "one_owner": len(self.holds),
+            "plans_only_rise": len(self.courses),
         }
 
     def _excused(self, name: str, at: float) -> bool:
@@ -160,6 +177,22 @@
             if of.setdefault((held.piece, held.epoch), held.by) != held.by:
                 yield Violation("one_owner", at, f"epoch {held.epoch} of {held.piece} is two routers'")
 
+    def _plans(self) -> Iterator[Violation]:
+        """No process goes back to an older plan, each plan says one thing, all end with the same."""
+        latest: dict[tuple[str, int], tuple[int, int]] = {}
+        said: dict[tuple[int, int], tuple[str, str]] = {}
+        last: dict[str, tuple[int, int]] = {}
+        for course in self.courses:
+            age, life = (course.epoch, course.number), (course.by, course.life)
+            if age < latest.get(life, (0, 0)):
+                what = f"{course.by} follows plan {age}, after {latest[life]}"
+                yield Violation("plans_only_rise", course.at, what)
+            latest[life] = last[course.by] = age
+            if said.setdefault(age, (course.maker, course.end)) != (course.maker, course.end):
+                yield Violation("plans_only_rise", course.at, f"plan {age} says two things")
+        if len(set(last.values())) > 1:
+            yield Violation("plans_only_rise", self.ended, f"routers end with several plans: {last}")
+
     def _agreement(self) -> Iterator[Violation]:
         """At the end all routers hold the same view: just those that run."""
         last = self.last()
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -19,14 +19,20 @@
 from saltport.audit import Limits
 from saltport.harness import Harness, RouterProcess, run_load
 from saltport.load.plan import LoadPlan, Step
-from saltport.nemesis.history import History, Hold, Member, Sample, Span
+from saltport.nemesis.history import Course, History, Hold, Member, Sample, Span
 from saltport.nemesis.schedule import Act
-from saltport.standins.fleet import ZONES
+from saltport.standins.fleet import ZONES, zone_of
 from saltport.standins.links import DatagramRelay, Fault, Links
 from saltport.standins.profile import Profile, quick
 
 FEATURES = '[peers]\non = true\nkey_file = "{folder}/peers.keys"\nzone = "{zone}"\n'
 OWNERS = '[owners]\non = true\nbegin = true\nfolder = "{folder}"\ntrials = true\n'
+FAILOVER = """[topology]
+zones = ["a", "b", "c"]
+regions = { a = "west", b = "west", c = "east" }
+[failover]
+on = true
+"""
 SLACK_MS = 1_000  # of the audit: many processes share few cores
 FOR_GOOD_S = 86_400.0
 STRAINS: dict[str, Callable[[float], Fault]] = {
@@ -58,11 +64,15 @@
     voters: int = 0
     """So many routers vote on who owns which work; 0: nobody does."""
     pieces: tuple[str, ...] = ("rollout", "report")
+    failover: bool = False
+    """Whether zones go by common plans; it takes voters."""
     links: Links = field(init=False)
     history: History = field(init=False)
     harness: Harness = field(init=False)
     told: dict[str, dict[str, Any]] = field(init=False, default_factory=dict)
     """What each router said last of the fleet's work."""
+    zones: dict[str, dict[str, Any]] = field(init=False, default_factory=dict)
+    """And of the zones."""
     _relay: DatagramRelay = field(init=False)
     _began: float = field(init=False, default=0.0)
     _open: dict[tuple[str, str], float] = field(init=False, default_factory=dict)
@@ -101,7 +111,8 @@
         if not self.voters:
             return FEATURES
         voters, pieces = self.history.routers[: self.voters], list(self.pieces)
-        return f"{FEATURES}{OWNERS}voters = {voters}\npieces = {pieces}\n"
+        zones = FAILOVER if self.failover else ""
+        return f"{FEATURES}{OWNERS}voters = {voters}\npieces = {pieces}\n{zones}"
 
     def _dress(self, name: str, told: dict[str, Any]) -> dict[str, str]:
         """Add what a router needs to know the others by; returns words for its features."""
@@ -151,6 +162,16 @@
             self.told[router.name] = owned
             for piece, epoch in owned.get("holds", {}).items():
                 self.history.holds.append(Hold(owned["now_ns"], router.name, piece, epoch))
+        zoned = await _told(router, "/zones") if self.failover else None
+        if zoned is not None and process is router.process:
+            self.zones[router.name] = zoned
+            if plan := zoned.get("plan"):
+                end = str([plan["why"], plan["way_s"], plan["bad"], plan["out"]])
+                self.history.courses.append(
+                    Course(
+                        self.now(), router.name, process.pid, plan["epoch"], plan["number"], plan["by"], end
+                    )
+                )
 
     async def until(
         self, what: str, holds: Callable[[dict[str, Sample]], bool], seconds: float = 30.0
@@ -242,6 +263,19 @@
                 self.links.mend(number)
             self.history.spans += [Span(kind, name, begun, self.now(), group) for name in touched]
 
+    @contextlib.asynccontextmanager
+    async def zone_lost(self, zones: Sequence[str], kind: str = "cut_off") -> AsyncIterator[None]:
+        """All servers of these zones are struck while the context lasts; `kind`: of the stand-ins' faults."""
+        control, nodes = self.harness.control, self.harness.addresses["nodes"]
+        struck = [node for node in nodes if zone_of(node) in zones]
+        for node in struck:
+            await control.call("strike", kind=kind, target=node, figures={})
+        try:
+            yield
+        finally:
+            for node in struck:
+                await control.call("mend", target=node)
+
     def others(self, who: Sequence[str]) -> list[str]:
         """All but these."""
         return [name for name in self._relay.ends if name not in who]
@@ -255,6 +289,9 @@
                 await asyncio.gather(*(self._bounce(name, act) for name in who))
             case "stop":
                 await asyncio.gather(*(self.stop_for(name, act.seconds) for name in who))
+            case "zone":
+                async with self.zone_lost(act.who):
+                    await asyncio.sleep(act.seconds)
             case "cut" | "partition":
                 both = act.kind == "partition"
                 whom = self.others(act.who) if both or not act.whom else act.whom
--- a/saltport/nemesis/schedule.py
+++ b/saltport/nemesis/schedule.py
@@ -12,6 +12,7 @@
 from saltport.decisions.settings import WireError, number
 
 KINDS = ("kill", "restart", "stop", "cut", "partition", "loss", "delay", "double")
+ZONE = "zone"  # all servers of the zones named say nothing; only where zones go by plans
 """What each does: docs/operations/peers.md."""
 LONGEST_S = 3_600.0
 
@@ -43,11 +44,11 @@
         raise ScheduleError(f"{where}: expected a name or a list of names")
     for name in names:
         if name not in known:
-            raise ScheduleError(f"{where}: {name!r} is no router; there are {known[0]} to {known[-1]}")
+            raise ScheduleError(f"{where}: {name!r} is unknown; there are {known[0]} to {known[-1]}")
     return tuple(names)
 
 
-def read_schedule(path: Path, routers: Sequence[str]) -> list[Act]:
+def read_schedule(path: Path, routers: Sequence[str], zones: Sequence[str] = ("none",)) -> list[Act]:
     """The acts of a TOML file with `[[act]]` entries, in order of time; raises ScheduleError."""
     try:
         told = tomllib.loads(path.read_text())
@@ -64,30 +65,36 @@
         named = set(entry) if isinstance(entry, dict) else set()
         if not {"at", "kind", "seconds"} <= named <= set(Act.__dataclass_fields__):
             raise ScheduleError(f"{where}: expected at, kind, seconds, and perhaps who, whom, share")
-        if entry["kind"] not in KINDS:
+        if entry["kind"] not in (*KINDS, ZONE):
             raise ScheduleError(f"{where}: unknown kind {entry['kind']!r}; there are {', '.join(KINDS)}")
         try:
             at, seconds = (number(f"{where}.{key}", entry[key], 0, LONGEST_S) for key in ("at", "seconds"))
             share = number(f"{where}.share", entry.get("share", 0), 0, 10)
         except WireError as error:
             raise ScheduleError(str(error)) from None
-        who, whom = (_names(f"{where}.{key}", entry.get(key, []), routers) for key in ("who", "whom"))
+        known = zones if entry["kind"] == ZONE else routers
+        who, whom = (_names(f"{where}.{key}", entry.get(key, []), known) for key in ("who", "whom"))
         act = Act(at, entry["kind"], seconds, who, whom, share)
-        if act.kind in ("kill", "restart", "stop", "cut", "partition") and not act.who:
+        if act.kind in ("kill", "restart", "stop", "cut", "partition", ZONE) and not act.who:
             raise ScheduleError(f"{where}.who: must be named")
         acts.append(act)
     return sorted(acts, key=lambda act: act.at)
 
 
-def draw_schedule(seed: int, routers: Sequence[str], seconds: float, every_s: float = 4.0) -> list[Act]:
-    """Every kind in turn, in an order and on routers drawn by seed; the last quarter is calm."""
+def draw_schedule(
+    seed: int, routers: Sequence[str], seconds: float, every_s: float = 4.0, zones: Sequence[str] = ()
+) -> list[Act]:
+    """Every kind in turn, in an order and on routers drawn by seed; the last quarter is calm.
+
+    With zones one of them is lost now and then, too.
+    """
     rng = random.Random(seed)
     acts: list[Act] = []
     at = 2.0
     bag: list[str] = []
     while at < seconds * 0.75 - 2:
         if not bag:
-            bag = rng.sample(sorted(KINDS), len(KINDS))
+            bag = rng.sample(sorted(KINDS), len(KINDS)) + [ZONE] * bool(zones)
         kind = bag.pop()
         some = tuple(rng.sample(list(routers), rng.randint(1, max(len(routers) // 6, 1))))
         length = round(min(rng.uniform(1.0, 12.0), seconds * 0.8 - at), 1)
@@ -98,6 +105,8 @@
                 some, whom = some[:1], tuple(rng.sample(list(routers), rng.randint(1, len(routers))))
             case "partition":
                 some = tuple(rng.sample(list(routers), rng.randint(1, len(routers) // 2)))
+            case "zone":
+                some = (rng.choice(list(zones)),)
             case "loss" | "double" | "delay":
                 some, share = (), round(rng.uniform(0.05, 0.3), 2)
         acts.append(Act(round(at, 1), kind, length, some, whom, share))
--- a/saltport/owners/link.py
+++ b/saltport/owners/link.py
@@ -74,6 +74,8 @@
         self.name = peers.agent.name
         self.member: Member | None = None
         self.trouble = ""
+        self.wanted: list[str] = []
+        """Pieces of work that other parts of this process want done."""
         self._storage: Storage | None = None
         self._begin_at = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -110,7 +112,7 @@
                 kept = (Log(Snapshot(0, 0, Voting(self._plan.voters))), Vote(0), not self._plan.begin)
         start = self._peers.agent.me.start
         member = Member(self.name, start, self._plan.voters, self._plan.settings, self._rng, now, kept, boots)
-        member.tenure.want(self._plan.pieces)
+        member.tenure.want([*self._plan.pieces, *self.wanted])
         self._trials = Trials(member.tenure, member.fence, self._rng) if self._plan.trials else None
         return member
 
@@ -148,7 +150,7 @@
 
     def _try(self, member: Member, held: Trials, now: int) -> None:
         ejected = self._servers.trials_due()
-        member.tenure.want([*self._plan.pieces, *held.wanted(ejected)])
+        member.tenure.want([*self._plan.pieces, *self.wanted, *held.wanted(ejected)])
         shift = time.monotonic_ns() - now  # decisions go by the monotonic clock
         due = {server: at - shift for server, at in ejected.items()}
         plan = held.turn(due, not member.without_owner(now), now)
--- a/saltport/peers/link.py
+++ b/saltport/peers/link.py
@@ -69,6 +69,8 @@
         self._envelope = Envelope(plan.keys)
         self.carried: Callable[[str, bytes], None] | None = None
         """Takes what other parts of live routers send, by the sender's name."""
+        self.marked: dict[int, Callable[[str, bytes], None]] = {}
+        """Takes what begins with this byte in its place, without it."""
         self._numbers = {address: number for number, address in enumerate(plan.peers)}
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -113,10 +115,16 @@
         number = self._numbers.get(addr)
         self.agent.receive(packet, packed(addr) if number is None else number, time.monotonic_ns())
         self._carry()
-        if isinstance(packet.body, Carried) and self.carried is not None:
+        if isinstance(packet.body, Carried) and packet.body.data:
             record = self.agent.members.records.get(packet.sender)
             if record is not None and record.live and record.start == packet.start:
-                self.carried(packet.sender, packet.body.data)
+                self._hand_on(packet.sender, packet.body.data)
+
+    def _hand_on(self, sender: str, data: bytes) -> None:
+        if data[0] in self.marked:
+            self.marked[data[0]](sender, data[1:])
+        elif self.carried is not None:
+            self.carried(sender, data)
 
     def send_to(self, name: str, data: bytes) -> None:
         """Send something of another part to a router, if it is known; at most `MOST_CARRIED` bytes."""
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -53,6 +53,8 @@
     """Where this router is among those it knows; None: it knows none."""
     owners: OwnersPlan | None = None
     """One owner at a time for the fleet's work; None: it takes no part."""
+    failover: bool = False
+    """Whether zones go by common plans."""
     memcached: MemcachedFeatures = field(default_factory=MemcachedFeatures)
     admin: Address | None = None
     """Where operators call; None: nowhere."""
@@ -77,6 +79,7 @@
             memcached=features.memcached,
             peers=_peers(features.peers, told, config.name) if features.peers.on else None,
             owners=_owners(features, config.name) if features.owners.on else None,
+            failover=features.failover.on,
         )
     except OSError as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -10,13 +10,16 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from saltport.address import parse_address
 from saltport.decisions import Effect, Fill, HotKeySettings, Settings
 from saltport.decisions.interface import DEFAULT_SLOTS
 from saltport.decisions.tenancy import Prefixes
 
+if TYPE_CHECKING:
+    from saltport.decisions.topology import Topology
+
 _HOT = HotKeySettings()
 
 
@@ -123,6 +126,43 @@
     election_ms: int = 1_500
 
 
+@dataclass(frozen=True, slots=True)
+class TopologyFeatures:
+    """`[topology]`: zones, nearest first; without any all servers are equally near."""
+
+    zones: tuple[str, ...] = ()
+    here: str = ""
+    """Of this router; empty: `zone` of `[peers]`."""
+    regions: dict[str, str] = field(default_factory=dict)
+    """By zone."""
+    costs: dict[str, Any] = field(default_factory=dict)
+    """By ZONE/ZONE, milliseconds of a round trip."""
+    origins: dict[str, str] = field(default_factory=dict)
+    """By region: the id of its origin."""
+    capacity: dict[str, Any] = field(default_factory=dict)
+    """By zone: requests a second that one server can do."""
+
+    def read(self, zone: str) -> Topology | None:
+        """The module's form, None where it is off; raises FeatureError."""
+        if not self.zones:
+            return None
+        from saltport.router.zones import read_topology  # only where it is on
+
+        try:
+            return read_topology(
+                self.zones, self.here or zone, self.regions, self.costs, self.origins, self.capacity
+            )
+        except ValueError as error:
+            raise FeatureError(str(error)) from None
+
+
+@dataclass(frozen=True, slots=True)
+class FailoverFeatures:
+    """`[failover]`: zones by common plans; needs `[topology]` and `[owners]`."""
+
+    on: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Features:
     """All sections."""
@@ -133,6 +173,8 @@
     hot_keys: HotKeyFeatures = HotKeyFeatures()
     peers: PeerFeatures = PeerFeatures()
     owners: OwnerFeatures = OwnerFeatures()
+    topology: TopologyFeatures = TopologyFeatures()
+    failover: FailoverFeatures = FailoverFeatures()
 
     def settings(self, settings: Settings) -> Settings:
         """The module's settings with what these files say; raises ValueError."""
@@ -140,9 +182,14 @@
             _check_memcached(self.memcached, settings)
         if self.hot_keys.fill and settings.origin_kind is None:
             raise FeatureError("hot_keys.fill: the settings name no origin, and nodes fetch for themselves")
+        if self.hot_keys.fill and self.topology.zones:
+            raise FeatureError("topology.zones: hot_keys.fill is on, and both at once are not built yet")
+        if self.failover.on and not (self.topology.zones and self.owners.on):
+            raise FeatureError("failover.on: needs topology.zones and owners.on")
         return replace(
             settings,
             hot_keys=self.hot_keys.settings(),
+            topology=self.topology.read(self.peers.zone),
             slots=self.table.slots,
             vectors=self.table.vectors,
             overload_target=self.overload.target_ms * 1_000_000,
@@ -200,6 +247,10 @@
     return isinstance(value, dict) and all(map(_text, value.values()))
 
 
+def _table(value: Any) -> bool:
+    return isinstance(value, dict)
+
+
 def _addresses(value: Any) -> bool:
     return isinstance(value, list) and all(map(_text, value))
 
@@ -238,6 +289,15 @@
         "lease_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000"),
         "election_ms": (_milliseconds, "milliseconds, a whole number from 0 to 60000"),
     },
+    "topology": {
+        "zones": (_addresses, "a list of names"),
+        "here": (_text, "the name of a zone, or nothing"),
+        "regions": (_names, "a table of zones and names of regions"),
+        "costs": (_table, "a table of ZONE/ZONE and milliseconds"),
+        "origins": (_names, "a table of regions and servers' ids"),
+        "capacity": (_table, "a table of zones and requests a second"),
+    },
+    "failover": {"on": (_bool, "true or false")},
     "hot_keys": {
         "fill": (_fill, '"reads", "writes" or nothing'),
         "max_keys": (_int, "a whole number"),
@@ -258,6 +318,8 @@
     "owners": lambda voters=(), pieces=(), **told: OwnerFeatures(
         voters=tuple(voters), pieces=tuple(pieces), **told
     ),
+    "topology": lambda zones=(), **told: TopologyFeatures(zones=tuple(zones), **told),
+    "failover": FailoverFeatures,
 }
 
 
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter, deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from saltport.address import Address
 from saltport.admin.figures import Figures
@@ -55,6 +56,9 @@
 from saltport.upstream.pool import Connection, Pool, Server
 from saltport.upstream.resp import CacheConnection
 
+if TYPE_CHECKING:
+    from saltport.decisions.topology import Evidence
+
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
 REPORT_NS = 95 * NS_PER_MS  # between two reports of the loop to the module, with heartbeats of 20 ms: 100
 
@@ -285,6 +289,10 @@
         """Let the next request try an ejected server."""
         trials.begin(self._router.outliers, server, time.monotonic_ns())
 
+    def take_evidence(self) -> Evidence | None:
+        """What was found of the zones since the last call."""
+        return self._router.spreading.take_evidence()
+
     def discovery_failed(self) -> None:
         """Tell the module that a watch has ended."""
         self.tell(ServersChanged(ListKind.FAILED))
--- a/saltport/standins/fleet.py
+++ b/saltport/standins/fleet.py
@@ -26,6 +26,11 @@
 LAG_STEP_S, LAG_NOTED_S = 0.05, 0.02
 
 
+def zone_of(server: str) -> str:
+    """Where a node stands, by its id."""
+    return ZONES[hash_of(server) % len(ZONES)]
+
+
 class Fleet:
     """Stand-ins on loopback, at addresses of the kernel's choice; the same seed draws the same work."""
 
@@ -100,7 +105,7 @@
             return entry_of(server, self.origin.peer.address, ORIGIN_KIND, state, ZONES[0], 0, 0)
         node = self.nodes[server]
         started = unix_ms(node.started) if node.started is not None else 0
-        zone = ZONES[number % len(ZONES)]
+        zone = zone_of(server)
         return entry_of(server, node.peer.address, NODE_KIND, state, zone, number % CELL, started)
 
     # What the stand-ins share
--- a/tests/admin/test_calls.py
+++ b/tests/admin/test_calls.py
@@ -42,6 +42,13 @@
     def owners(self) -> dict[str, Any]:
         return {"on": False}
 
+    def zones(self) -> dict[str, Any]:
+        return {"on": False}
+
+    def order_zones(self, what: str, zone: str, way_ms: int, force: bool) -> int | None:
+        self.done.append(f"{what} {zone} {way_ms}{' force' if force else ''}")
+        return 7 if zone in ("", "b", "b?") else None
+
     def step_down(self, to: str) -> None:
         self.done.append(f"lead {to}")
 
@@ -68,6 +75,13 @@
         ("PUT", "/cache-servers/%73-1/maint", 200, ["out s-1"]),
         ("PUT", "/cache-servers/%C3%BC%2F%20%C3%A4/maint", 200, ["out ü/ ä"]),
         ("GET", "/peers", 200, []),
+        ("GET", "/zones", 200, []),
+        ("PUT", "/zones/b/evacuate?over=2.5&force=1", 200, ["evacuate b 2500 force"]),
+        ("PUT", "/zones/b%3F/return", 200, ["return b? 0"]),
+        ("PUT", "/zones/x/evacuate", 404, ["evacuate x 0"]),
+        ("PUT", "/zones/b/evacuate?over=soon", 400, []),
+        ("PUT", "/zones/b/evacuate?over=1e9", 400, []),
+        ("PUT", "/failover/freeze", 200, ["freeze  0"]),
         ("GET", "/owners", 200, []),
         ("PUT", "/owners/step-down", 200, ["lead "]),
         ("PUT", "/voters/r%32/lead", 200, ["lead r2"]),
