Regions: two origins in the stand-ins; trials by a zone's rate; few claims add up

Need: a region's origin lost under writes had no test between processes, and a zone with few reads came back after 34 to 40 s, as a fiftieth of them were trials. Change: trials are some five a second of a zone, claims of several windows add up to one.

--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -344,6 +344,8 @@
     """The part of the reads that finds room nowhere."""
     trials: tuple[int, ...] = ()
     """Zones that are held bad, and asked now and then."""
+    trial: float = 0.02
+    """By so many of the first tries of reads."""
     closed: tuple[int, ...] = ()
     """Zones that were evacuated by hand: they get nothing."""
     origins: tuple[int, ...] = ()
--- a/saltport/decisions/zoned.py
+++ b/saltport/decisions/zoned.py
@@ -21,7 +21,7 @@
 from saltport.structures.lanes import Lanes, mixed, score_of
 
 SEED = 0x5A17  # of the hash that places slots among zones
-TRIALS = 0.02  # of the reads go to a zone or origin that is held bad, to find out
+FETCH_TRIALS = 0.1  # of the reads' fetches go to an origin that is held silent, to find out
 COUNTED = 512  # requests after which what ranks they had is halved
 RETRY, OVER, FIRST = 0, 1, 2
 
@@ -101,7 +101,7 @@
         if plan is None:
             return self.topology.mine
         first = not request.write and not request.retry and not request.sends
-        if plan.trials and first and self._rng.random() < TRIALS:
+        if plan.trials and first and self._rng.random() < plan.trial:
             return self._rng.choice(plan.trials)
         total, at = sum(plan.shares), point(request.slot)
         for zone in self.topology.near(self.topology.mine):
@@ -193,7 +193,8 @@
             plan.origins if plan and plan.origins else topology.near_areas(topology.area_of(topology.mine))
         )
         ids = [topology.origin(area) for area in order]
-        if plan and plan.lost and not request.write and not request.retry and self._rng.random() < TRIALS:
+        tries = not request.write and not request.retry
+        if plan and plan.lost and tries and self._rng.random() < FETCH_TRIALS:
             ids.insert(0, topology.origin(topology.area_of(topology.mine)))
         known = {node.entry.id: node for node in ranked}
         first = [known[server] for server in dict.fromkeys(ids) if server in known]
--- a/saltport/failover/decider.py
+++ b/saltport/failover/decider.py
@@ -23,6 +23,7 @@
 OVERFLOW_MS = 1_000  # the way of a plan that only follows demand
 DEFAULT_WAY_MS = 10_000  # of an order
 FORGOTTEN = 600_000 * MS  # after which a zone without routers is one that has none
+TRIALS_A_SECOND, LEAST_TRIAL, MOST_TRIAL = 5.0, 0.01, 0.1  # of a zone's reads
 FAINT = 0.005  # less of a share than that needs no plan of its own to end it
 LATELY = 20_000 * MS  # for which a zone that is well again counts with all its servers
 REMEMBERED = 64  # orders whose answers are given again
@@ -247,10 +248,15 @@
         self._made = self._now
         return Plan(
             self.topology.digest, self.epoch, self._number, self.name, 0, 0, min(way_ms, 3_600_000),
-            parts_of(begin), parts_of(end), refused, bad, self.out, self.frozen,
+            parts_of(begin), parts_of(end), refused, bad, self._trial(), self.out, self.frozen,
             self._served(), self._lost(), mask_of(list(self._staffed)), why[:16],
         )  # fmt: skip
 
+    def _trial(self) -> bytes:
+        """So many of each zone's reads that some a second find out about a zone that is held bad."""
+        wanted = (TRIALS_A_SECOND / max(demand, 1.0) for demand in self.board.slow)
+        return bytes(round(1_000 * min(max(share, LEAST_TRIAL), MOST_TRIAL)) for share in wanted)
+
     def _bad_of(self, aim: _Aim) -> bytes:
         plan = self._follower.plan
         return bytes((plan.bad[s] if plan and s in aim.doubted else mask) for s, mask in enumerate(aim.bad))
--- a/saltport/failover/follower.py
+++ b/saltport/failover/follower.py
@@ -54,7 +54,8 @@
 
     def _readable(self, plan: Plan) -> bool:
         zones = len(self.topology.zones)
-        known = plan.topology == self.topology.digest and len(plan.refused) == len(plan.bad) == zones
+        rows = {len(plan.refused), len(plan.bad), len(plan.trial)}
+        known = plan.topology == self.topology.digest and rows == {zones}
         timed = 0 <= plan.word_ms <= plan.ago_ms <= LONGEST_MS and 0 <= plan.way_ms <= LONGEST_MS
         sane = len(plan.begin) == len(plan.end) == zones * zones
         areas = len(self.topology.areas)
--- a/saltport/failover/health.py
+++ b/saltport/failover/health.py
@@ -9,6 +9,7 @@
 from saltport.failover.settings import FailoverSettings
 
 VOUCHED = 10 * NS_PER_S  # for which good answers speak for a path
+GATHERED = 3 * NS_PER_S  # within which few claims add up to a window
 HEAVY = 3.0  # times the usual weight: so much does one router's claim count at the most
 
 
@@ -51,6 +52,9 @@
         self._bad_windows = self._good_windows = self._good = 0
         self._turned_well: int | None = None
         self._vouched: int | None = None
+        self._gathered: list[Claim] = []
+        """Claims that are too few as yet."""
+        self._gathered_at = 0
 
     def vouched(self, now: int) -> bool:
         """Whether good answers on this very path say that it is well, lately."""
@@ -69,10 +73,13 @@
     def learn(self, claims: Sequence[Claim], now: int) -> bool:
         """Take a window's claims; whether its health has turned."""
         settings = self._settings
-        claims = [claim for claim in claims if claim.attempts]
+        if now - self._gathered_at > GATHERED:
+            self._gathered, self._gathered_at = [], now
+        claims = self._gathered = [*self._gathered, *(claim for claim in claims if claim.attempts)]
         attempts = sum(claim.attempts for claim in claims)
         if not attempts or (attempts < settings.least_attempts and not self.bad):
             return False
+        self._gathered, self._gathered_at = [], now
         share = agreed_share(claims)
         if share <= settings.good_share and attempts >= settings.least_attempts:
             self._vouched = now
--- a/saltport/failover/messages.py
+++ b/saltport/failover/messages.py
@@ -55,6 +55,8 @@
     """Parts by source zone, of those reads that find no room."""
     bad: bytes
     """By source zone: a bit for each zone whose path is held bad."""
+    trial: bytes
+    """By source zone, in thousandths: first tries of reads that ask in zones held bad."""
     out: int
     """A bit for each zone that was evacuated by hand."""
     frozen: bool
--- a/saltport/failover/plans.py
+++ b/saltport/failover/plans.py
@@ -72,4 +72,5 @@
     refused = plan.refused[zone] / PARTS if binding else 0.0
     row = tuple(round(share, 3) for share in matrix[zone])
     lost = bool(plan.lost >> area & 1)
-    return ZonePlan(row, refused, trials, bits(plan.out, zones), order, lost, binding)
+    trial = plan.trial[zone] / 1_000
+    return ZonePlan(row, refused, trials, trial, bits(plan.out, zones), order, lost, binding)
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -10,7 +10,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator, Callable, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -30,6 +30,7 @@
 FAILOVER = """[topology]
 zones = ["a", "b", "c"]
 regions = { a = "west", b = "west", c = "east" }
+origins = { west = "origin", east = "origin-2" }
 [failover]
 on = true
 """
@@ -85,6 +86,8 @@
         await self._relay.open()
         (self.folder / "peers.keys").write_text(secrets.token_hex(32))
         profile, features = quick(Profile(), 20), self._features()
+        if self.failover:
+            profile = replace(profile, origins=2, origins_apart=1)
         self.harness = Harness(
             self.folder, profile, self.nodes, self.routers, self.seed, features, self._dress
         )
--- a/saltport/standins/profile.py
+++ b/saltport/standins/profile.py
@@ -62,6 +62,10 @@
     """1: nodes take SET and DEL, as on installations where a router sets copies itself."""
     origin_drops: int = 1
     """0: the origin tells no node of a write, so that only routers void what is kept."""
+    origins: int = 1
+    """Doors of the one store, the first in zone a, a second one in zone c."""
+    origins_apart: int = 0
+    """1: each of them remembers repeats for itself, so that repeats are dropped within a zone only."""
     origin_width: int = 16
     origin_queue: int = 64
     origin_work_ms: tuple[float, float] = (30.0, 80.0)
@@ -94,7 +98,7 @@
                     "aimNs": known.aim_ms * MS,
                     "giveUpNs": known.deadline_ms * MS,
                     "semantics": known.semantics,
-                    "group": "all",
+                    "group": "zone" if self.origins_apart else "all",
                     "dedupWindowNs": known.window_ms * MS,
                 }
                 for known in self.classes
