--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -351,6 +351,8 @@
     async with nemesis:
         await nemesis.until_agreed(60.0)
         nemesis.restart_clock()
+        calls = ", ".join("{} {}:{}".format(held.name, *held.admin) for held in nemesis.harness.held)
+        say(f"operators call {calls}")
         load = None
         if rate:
             plan = LoadPlan((Step(0.0, rate),), FOR_GOOD_S, seed=nemesis.seed, keys=500)
