A zone's room is not cut by what comes late with reads that were just moved

Ruled out: the origin, limits of nodes. Cause: in the second after the move all that had waited in vain came at once, was late, and room.py cut the two zones that were left to what they then answered, for 15 s. Change: late answers count from two seconds after a move on, and two windows in a row.

--- a/saltport/failover/decider.py
+++ b/saltport/failover/decider.py
@@ -24,6 +24,7 @@
 DEFAULT_WAY_MS = 10_000  # of an order
 FORGOTTEN = 600_000 * MS  # after which a zone without routers is one that has none
 TRIALS_A_SECOND, LEAST_TRIAL, MOST_TRIAL = 5.0, 0.01, 0.1  # of a zone's reads
+SETTLES = 2_000 * MS  # after reads were moved, before late answers count against a zone's room
 FAINT = 0.005  # less of a share than that needs no plan of its own to end it
 LATELY = 20_000 * MS  # for which a zone that is well again counts with all its servers
 REMEMBERED = 64  # orders whose answers are given again
@@ -77,6 +78,7 @@
         self.plans = 0
         self._number = 0
         self._began = self._closed_at = self._made = now
+        self._moved = now - SETTLES
         self._well_at: dict[int, int] = {}
         """By zone: when it was found well again."""
         self._staffed = dict.fromkeys(bits(plan.staffed, len(zones)) if plan else (), now)
@@ -108,7 +110,7 @@
         for path, claims in window.origins.items():
             self.sources[path].learn(claims, now)
         for zone, room in enumerate(self.rooms):
-            room.learn(window.in_time[zone], window.strained[zone], now)
+            room.learn(window.in_time[zone], window.strained[zone], now, now - self._moved > SETTLES)
 
     def _learn_gone(self, now: int) -> None:
         """Zones that had routers of their own, of which none says anything."""
@@ -243,6 +245,8 @@
     def _plan(
         self, begin: Sequence[Sequence[float]], end: Matrix, refused: bytes, bad: bytes, way_ms: int, why: str
     ) -> Plan:
+        if why not in ("new owner", "trials end"):
+            self._moved = self._now
         self._number += 1
         self.plans += 1
         self._made = self._now
--- a/saltport/failover/room.py
+++ b/saltport/failover/room.py
@@ -22,16 +22,25 @@
         self._best = 0.0
         self._held = UNLIMITED
         self._at = self.cut_at = 0
+        self._strained = 0
         self._wait = settings.retry
         self.tried = False
         """Whether more than what it was cut to is being tried."""
 
-    def learn(self, in_time: float, strained: float, now: int) -> None:
-        """Take a window: answers a second that were in time, and the share that was late or turned away."""
+    def learn(self, in_time: float, strained: float, now: int, settled: bool = True) -> None:
+        """Take a window: answers a second that were in time, and the share that was late or turned away.
+
+        `settled`: no reads have just been moved. Danger: what waited in vain elsewhere comes with them, late
+        and all at once; a zone would pass for one without room just where it is needed.
+        """
         passed = min((now - self._at) / NS_PER_S, 2.0) if self._at else 0.0
         self._at = now
         self.rate += (in_time - self.rate) * 0.4
-        if strained > self._settings.strained and in_time + self.rate >= FEW:
+        strains = settled and strained > self._settings.strained and in_time + self.rate >= FEW
+        self._strained = self._strained + 1 if strains else 0
+        if strains and self._strained < self._settings.bad_windows:
+            return
+        if strains:
             self._held = max(min(self._held, max(in_time, self.rate) * CUT), 1.0)
             if self.tried:
                 self._wait = min(self._wait * 2, self._settings.most_retry)
