--- a/saltport/nemesis/schedule.py
+++ b/saltport/nemesis/schedule.py
@@ -38,13 +38,13 @@
         return f"{self.kind}{share} {','.join(self.who) or 'all'}{whom} for {self.seconds:g} s"
 
 
-def _names(where: str, told: Any, known: Sequence[str]) -> tuple[str, ...]:
+def _names(where: str, told: Any, known: Sequence[str], what: str) -> tuple[str, ...]:
     names = [told] if isinstance(told, str) else told
     if not isinstance(names, list):
         raise ScheduleError(f"{where}: expected a name or a list of names")
     for name in names:
         if name not in known:
-            raise ScheduleError(f"{where}: {name!r} is unknown; there are {known[0]} to {known[-1]}")
+            raise ScheduleError(f"{where}: {name!r} is no {what}; there are {known[0]} to {known[-1]}")
     return tuple(names)
 
 
@@ -72,8 +72,8 @@
             share = number(f"{where}.share", entry.get("share", 0), 0, 10)
         except WireError as error:
             raise ScheduleError(str(error)) from None
-        known = zones if entry["kind"] == ZONE else routers
-        who, whom = (_names(f"{where}.{key}", entry.get(key, []), known) for key in ("who", "whom"))
+        known, what = (zones, "zone") if entry["kind"] == ZONE else (routers, "router")
+        who, whom = (_names(f"{where}.{key}", entry.get(key, []), known, what) for key in ("who", "whom"))
         act = Act(at, entry["kind"], seconds, who, whom, share)
         if act.kind in ("kill", "restart", "stop", "cut", "partition", ZONE) and not act.who:
             raise ScheduleError(f"{where}.who: must be named")
