An operators' call is told what stands behind its question mark, not a name with it glued on

Read over: the query of two calls travelled inside the server's id and was taken apart again. Now each call gets both.

--- a/saltport/admin/calls.py
+++ b/saltport/admin/calls.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 from urllib.parse import parse_qs, unquote
 
 SERVERS = "cache-servers"
@@ -74,58 +74,71 @@
     allow: str = ""
 
 
-_Call = Callable[[Operations, str], Answer]
+class Asked(NamedTuple):
+    """What a call names: the id in its path, if it has one, and what stands behind the question mark."""
 
+    name: str = ""
+    query: str = ""
 
-def _health(operations: Operations, _: str) -> Answer:
+
+_Call = Callable[[Operations, Asked], Answer]
+
+
+def _health(operations: Operations, _: Asked) -> Answer:
     return Answer(200, {"healthy": True}) if operations.healthy() else Answer(503, {"healthy": False})
 
 
-def _out(operations: Operations, server: str) -> Answer:
-    return _of(operations.take_out(server), server, "maint")
+def _out(operations: Operations, asked: Asked) -> Answer:
+    return _of(operations.take_out(asked.name), asked.name, "maint")
 
 
-def _back(operations: Operations, server: str) -> Answer:
-    return _of(operations.put_back(server), server, "ready")
+def _back(operations: Operations, asked: Asked) -> Answer:
+    return _of(operations.put_back(asked.name), asked.name, "ready")
 
 
 def _of(known: bool, server: str, state: str) -> Answer:
     return Answer(200, {"server": server, "state": state}) if known else _fault(404, "no such cache server")
 
 
-def _settle(operations: Operations, _: str) -> Answer:
+def _settle(operations: Operations, _: Asked) -> Answer:
     if not operations.settle_peers():
         return _fault(404, "peers are off")
     return Answer(200, {"settled": True})
 
 
-def _step_down(operations: Operations, voter: str) -> Answer:
-    operations.step_down(voter)
-    return Answer(200, {"lead": voter or "handed over"})
+def _step_down(operations: Operations, asked: Asked) -> Answer:
+    operations.step_down(asked.name)
+    return Answer(200, {"lead": asked.name or "handed over"})
 
 
 def _order(what: str) -> _Call:
-    def call(operations: Operations, named: str) -> Answer:
-        zone, _, query = named.rpartition("?")
-        told = parse_qs(query)
+    """A call on one zone, with `over` and `force` behind its name."""
+
+    def call(operations: Operations, asked: Asked) -> Answer:
+        told = parse_qs(asked.query)
         try:
             way_ms = int(float(told.get("over", ["0"])[0]) * 1_000)
         except (ValueError, OverflowError):
             return _fault(400, "over: expected seconds")
         if not 0 <= way_ms <= LONGEST_WAY_MS:
             return _fault(400, f"over: expected 0 to {LONGEST_WAY_MS // 1_000} seconds")
-        number = operations.order_zones(what, zone, way_ms, told.get("force") == ["1"])
+        number = operations.order_zones(what, asked.name, way_ms, told.get("force") == ["1"])
         return _fault(404, "no such zone") if number is None else Answer(200, {"order": number})
 
     return call
 
 
-def _drain(operations: Operations, _: str) -> Answer:
+def _whole(what: str) -> _Call:
+    """A call on the plan as it stands."""
+    return lambda operations, _: Answer(200, {"order": operations.order_zones(what, "", 0, False)})
+
+
+def _drain(operations: Operations, _: Asked) -> Answer:
     operations.drain()
     return Answer(200, {"draining": True})
 
 
-def _resume(operations: Operations, _: str) -> Answer:
+def _resume(operations: Operations, _: Asked) -> Answer:
     operations.resume()
     return Answer(200, {"draining": False})
 
@@ -146,8 +159,8 @@
     ("zones",): ("GET", lambda operations, _: Answer(200, operations.zones())),
     (ZONES, "", "evacuate"): ("PUT", _order("evacuate")),
     (ZONES, "", "return"): ("PUT", _order("return")),
-    ("failover", "freeze"): ("PUT", _order("freeze")),
-    ("failover", "thaw"): ("PUT", _order("thaw")),
+    ("failover", "freeze"): ("PUT", _whole("freeze")),
+    ("failover", "thaw"): ("PUT", _whole("thaw")),
     ("healthcheck", "fail"): ("PUT", _drain),
     ("healthcheck", "ok"): ("PUT", _resume),
     (SERVERS, "", "maint"): ("PUT", _out),
@@ -169,13 +182,12 @@
         except UnicodeDecodeError:
             return _fault(400, "the id is no UTF-8")
         path = (path[0], "", path[2])
-        server += f"?{query}" * (path[0] == ZONES and bool(server))
     wanted, call = _CALLS.get(path, ("", None))
     if call is None or (len(path) == 3 and not server):
         return _fault(404, "no such call")
     if method != wanted and not (method == "HEAD" and wanted == "GET"):
         return _fault(405, f"this call wants {wanted}", "GET, HEAD" if wanted == "GET" else wanted)
     try:
-        return call(operations, server)
+        return call(operations, Asked(server, query))
     except CallError as error:
         return _fault(500, str(error))
