Failover read over: no plan is a plan that binds nothing; what nothing reads goes

Read over: a zone's form asked in six places whether there is a plan; the nearest regions, the ids of origins and the sum over all tenants were made anew for each request; silence was listed beside outliers.SILENT; the board nested a loop for tellers without news; a method, and two fields of an answer, that nothing read; the words of plans that move nothing and the world's costs stood twice.

--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -15,10 +15,10 @@
 
 from benchmarks.hot_world import S
 from benchmarks.zones_world import ZonesWorld
+from saltport.failover.decider import STILL
 
 FORMS = ("plan", "alone", "envoy", "today")
 FAULTS = ("calm", "lost", "gone", "cut", "half", "slow", "flap", "liar", "crowd", "two")
-IDLE = ("new owner", "trials end")  # why plans are made that leave all shares as they are
 BEFORE_S, FAULT_S, AFTER_S = 25, 25, 40
 KEYS = 3_000
 
@@ -109,7 +109,7 @@
         "seconds over capacity": sum(over),
         "origin, most": max(world.seconds[second]["origin"] for second in range(begun, ended + AFTER_S - 1)),
         "refused": sum(world.seconds[second]["refused"] for second in range(begun, ended + AFTER_S - 1)),
-        "plans that moved anything": sum(at >= begun and why not in IDLE for at, why in world.made),
+        "plans that moved anything": sum(at >= begun and why not in STILL for at, why in world.made),
         "bytes a router a second": world.bytes / len(world.routers) / (world.now / S),
     }
 
--- a/benchmarks/zones_world.py
+++ b/benchmarks/zones_world.py
@@ -88,20 +88,18 @@
                 self.at(self._links.randrange(250 * MS), lambda place=place: self._envoy(place))  # type: ignore[misc]
 
     def _agent(self, place: int) -> Agent:
-        def may(now: int) -> int | None:
-            return self.epoch_of(place)
-
         rng = random.Random(self._links.getrandbits(32))
         topology = self.topologies[self.zone_of[place]]
-        return Agent(f"r{place}", topology, SETTINGS, rng, self.now, may, COLD_TIME)
+        return Agent(
+            f"r{place}", topology, SETTINGS, rng, self.now, lambda _: self.epoch_of(place), COLD_TIME
+        )
 
     def epoch_of(self, place: int) -> int | None:
         """The epoch under which a router may decide now."""
         return self.epoch if place == self.owner and self.now < self.owner_until else None
 
-    @staticmethod
-    def _cost(here: int, there: int) -> float:
-        return (COSTS.get((here, there)) or COSTS.get((there, here)) or 0.0) * MS
+    def _cost(self, here: int, there: int) -> float:
+        return self.topologies[0].cost(here, there) * MS
 
     # Agents
 
@@ -133,7 +131,11 @@
                 delay = cost + self._links.randrange(MS, 6 * MS)
                 self.at(delay, lambda other=other, data=data: self._arrive(place, other, decode(data)))  # type: ignore[misc]
         told = agent.told(self.now)
-        if told != self.told[place] and told is not None:
+        if told is not None:
+            self._follow(place, told)
+
+    def _follow(self, place: int, told: ZonePlan) -> None:
+        if told != self.told[place]:
             self.told[place] = told
             self.tell(place, told)
 
@@ -160,10 +162,7 @@
             left -= shares[zone]
         if sum(healthy) * 2 < sum(listed):
             shares = [float(zone == mine) for zone in range(3)]
-        told = ZonePlan(tuple(shares))
-        if told != self.told[place]:
-            self.told[place] = told
-            self.tell(place, told)
+        self._follow(place, ZonePlan(tuple(shares)))
         self.at(250 * MS, lambda: self._envoy(place))
 
     # Clients
--- a/saltport/decisions/topology.py
+++ b/saltport/decisions/topology.py
@@ -69,23 +69,28 @@
         """All zones as seen from one, itself first."""
         return self._nearest[zone]
 
+    @cached_property
+    def _nearest_areas(self) -> tuple[tuple[int, ...], ...]:
+        places, areas = range(len(self.zones)), range(len(self.areas))
+
+        def cost(one: int, other: int) -> float:
+            pairs = ((a, b) for a in places if self.area_of(a) == one for b in places)
+            return min(self.cost(a, b) for a, b in pairs if self.area_of(b) == other)
+
+        return tuple(tuple(sorted(areas, key=lambda to: (to != at, cost(at, to), to))) for at in areas)
+
     def near_areas(self, area: int) -> tuple[int, ...]:
         """All regions as seen from one, itself first."""
+        return self._nearest_areas[area]
 
-        def cost(other: int) -> float:
-            return min(
-                self.cost(a, b)
-                for a in range(len(self.zones))
-                for b in range(len(self.zones))
-                if self.area_of(a) == area and self.area_of(b) == other
-            )
-
-        others = [other for other in range(len(self.areas)) if other != area]
-        return (area, *sorted(others, key=lambda other: (cost(other), other)))
+    @cached_property
+    def _origins(self) -> tuple[str, ...]:
+        told = dict(self.origins)
+        return tuple(told.get(region, "") for region in self.areas)
 
     def origin(self, area: int) -> str:
         """The id of a region's origin; empty: any."""
-        return dict(self.origins).get(self.areas[area], "")
+        return self._origins[area]
 
     def room_of(self, zone: int) -> float:
         """Requests a second of one server; 0: not told."""
--- a/saltport/decisions/zoned.py
+++ b/saltport/decisions/zoned.py
@@ -11,10 +11,10 @@
 import random
 
 from saltport.decisions import interface as api
-from saltport.decisions.health import ANSWERED, NO_EVIDENCE, UNANSWERED, Node
+from saltport.decisions.health import ANSWERED, NO_EVIDENCE, Node
 from saltport.decisions.heat import HEAT_SHARE, Heat
 from saltport.decisions.interface import Outcome
-from saltport.decisions.outliers import OutlierDetector
+from saltport.decisions.outliers import SILENT, OutlierDetector
 from saltport.decisions.seam import Asked
 from saltport.decisions.table import DEPTH, MAX_ROWS, SlotTable
 from saltport.decisions.topology import Evidence, Topology, ZoneCount
@@ -74,15 +74,17 @@
     ) -> None:
         super().__init__(caches, rng, settings.origin_kind is None)
         self.topology, self._outliers = topology, outliers
-        self._portions = {tenant.name: tenant.portion for tenant in settings.tenants}
+        self.follow_settings(settings)
         self._zones = [_Zone() for _ in topology.zones]
         self._strangers = _Zone()
         """Servers of no zone that the topology knows: the last resort."""
         self._version = -1
-        self._plan: api.ZonePlan | None = None
+        near = tuple(float(place == topology.mine) for place in range(len(topology.zones)))
+        self._plan = api.ZonePlan(near, binding=False)
         self._found = self._empty()
         self._ranks = [0.0, 0.0, 0.0]
         self._asked: dict[str, float] = {}
+        self._asked_in_all = 0.0
 
     # The plan
 
@@ -98,8 +100,6 @@
     def _lead(self, request: Asked) -> int:
         """The zone that a read goes to first."""
         plan = self._plan
-        if plan is None:
-            return self.topology.mine
         first = not request.write and not request.retry and not request.sends
         if plan.trials and first and self._rng.random() < plan.trial:
             return self._rng.choice(plan.trials)
@@ -123,19 +123,20 @@
         if sum(self._ranks) > COUNTED:
             self._ranks = [held / 2 for held in self._ranks]
             self._asked = {name: held / 2 for name, held in self._asked.items() if held > 1}
-        if self._plan is not None and self._plan.refused and self._rng.random() < self._chance(rank):
+            self._asked_in_all = sum(self._asked.values())
+        if self._plan.refused and self._rng.random() < self._chance(rank):
             self._found.refused += 1
             request.spread = self
 
     def _over(self, tenant: str) -> bool:
         """Whether a tenant asks for more than its portion of what comes."""
-        self._asked[tenant] = self._asked.get(tenant, 0.0) + 1
+        asked = self._asked[tenant] = self._asked.get(tenant, 0.0) + 1
+        self._asked_in_all += 1
         portion = self._portions.get(tenant)
-        return portion is not None and self._asked[tenant] > 1.1 * portion * sum(self._asked.values())
+        return portion is not None and asked > 1.1 * portion * self._asked_in_all
 
     def _chance(self, rank: int) -> float:
         """With which a read of this rank is refused: lower ranks bear all that they can first."""
-        assert self._plan is not None
         total = sum(self._ranks)
         before = sum(self._ranks[:rank]) / total
         return min(max(self._plan.refused - before, 0.0) / (self._ranks[rank] / total), 1.0)
@@ -153,15 +154,13 @@
         if request.spread is self:
             return []
         self._follow()
-        lead = self._lead(request)
+        plan, lead = self._plan, self._lead(request)
         found = self._ranked(self._zones[lead], request, now)
         ejected = self._outliers.ejected
-        planned = self._plan is not None and self._plan.binding and not request.sends
-        if planned and any(node.entry.id not in ejected for node in found):
+        if plan.binding and not request.sends and any(node.entry.id not in ejected for node in found):
             return found
-        plan = self._plan or api.ZonePlan((1.0,) * len(self._zones))
-        others = [zone for zone in self.topology.near(self.topology.mine) if zone != lead]
-        others = [zone for zone in others if zone not in plan.closed]
+        near = self.topology.near(self.topology.mine)
+        others = [zone for zone in near if zone != lead and zone not in plan.closed]
         for zone in sorted(others, key=lambda zone: plan.shares[zone] == 0):
             found = found + self._ranked(self._zones[zone], request, now)
         return found + self._ranked(self._strangers, request, now)
@@ -189,13 +188,11 @@
         plan, topology = self._plan, self.topology
         if not topology.origins or len(ranked) < 2:
             return ranked
-        order = (
-            plan.origins if plan and plan.origins else topology.near_areas(topology.area_of(topology.mine))
-        )
-        ids = [topology.origin(area) for area in order]
+        mine = topology.area_of(topology.mine)
+        ids = [topology.origin(area) for area in plan.origins or topology.near_areas(mine)]
         tries = not request.write and not request.retry
-        if plan and plan.lost and tries and self._rng.random() < FETCH_TRIALS:
-            ids.insert(0, topology.origin(topology.area_of(topology.mine)))
+        if plan.lost and tries and self._rng.random() < FETCH_TRIALS:
+            ids.insert(0, topology.origin(mine))
         known = {node.entry.id: node for node in ranked}
         first = [known[server] for server in dict.fromkeys(ids) if server in known]
         return first + [node for node in ranked if node not in first]
@@ -211,9 +208,7 @@
         outcome = event.outcome
         if outcome in NO_EVIDENCE:
             return
-        silent = outcome in (*UNANSWERED, Outcome.CONNECT_FAILED) and not (
-            event.kept and outcome is Outcome.RESET
-        )
+        silent = outcome in SILENT and not (event.kept and outcome is Outcome.RESET)
         if outcome is Outcome.TIMEOUT and event.latency < node.pace.usual + 4 * node.pace.spread:
             return  # its client had less time than answers take
         if fetched:
--- a/saltport/failover/agent.py
+++ b/saltport/failover/agent.py
@@ -12,11 +12,14 @@
 from saltport.decisions.topology import Evidence, Topology
 from saltport.failover.decider import Decider, bad_paths
 from saltport.failover.follower import Follower
-from saltport.failover.messages import Ask, Known, Message, Order, Ordered, Plan, Report, Row
+from saltport.failover.messages import PARTS, Ask, Known, Message, Order, Ordered, Plan, Report, Row
 from saltport.failover.plans import MS, bits
 from saltport.failover.settings import FailoverSettings
 
-PASSED_ON = 3  # routers to whom each new plan is passed on at once; what is known goes to one more a second
+PASSED_ON, PASSED_AGAIN = (
+    3,
+    2,
+)  # routers to whom a new plan is passed on at once, and what is known each second
 ORDER_AGAIN = 500 * MS
 ORDER_FOR = 5_000 * MS
 MOST_ORDERS = 32
@@ -79,7 +82,7 @@
                 self._tell_again(decider, now)
         if now >= self._pass_at:
             self._pass_at = now + self.settings.tell
-            self._pass_on(2, now)
+            self._pass_on(PASSED_AGAIN, now)
         self._order_again(now)
 
     def _pass_on(self, most: int, now: int) -> None:
@@ -272,7 +275,7 @@
                 "bad": bad_paths(plan, topology),
                 "out": [zones[place] for place in bits(plan.out, len(zones))],
                 "frozen": plan.frozen,
-                "refused": {zone: parts / 250 for zone, parts in zip(zones, plan.refused, strict=True)},
+                "refused": {zone: parts / PARTS for zone, parts in zip(zones, plan.refused, strict=True)},
                 "origins": {
                     area: topology.areas[served]
                     for area, served in zip(topology.areas, plan.origins, strict=True)
--- a/saltport/failover/board.py
+++ b/saltport/failover/board.py
@@ -61,10 +61,6 @@
         if len(teller.window) < 8:
             teller.window.append(report)
 
-    def forget(self, name: str) -> None:
-        """A router is gone."""
-        self._tellers.pop(name, None)
-
     def fresh(self, now: int) -> list[Report]:
         """The latest report of each router that told anything lately."""
         least = now - self._settings.fresh
@@ -104,27 +100,30 @@
         span = max(now - self._closed, 1) / NS_PER_S
         self._closed = now
         answered, strained, attempts = ([0.0] * len(zones) for _ in range(3))
-        claims: dict[int, dict[str, dict[int, Claim]]] = {}
-        for name, teller in self._tellers.items():
+        claims: dict[int, list[dict[int, Claim]]] = {}
+        for teller in self._tellers.values():
             held, teller.window = teller.window, []
-            for zone in zones if held else ():
+            if not held:
+                continue
+            source, found = held[0].zone, {}
+            for zone in zones:
                 rows = [report.rows[zone] for report in held]
                 silent, full = sum(row.silent for row in rows), sum(row.full for row in rows)
                 good, late = sum(row.answered for row in rows), sum(row.late for row in rows)
                 if silent + full + good:
-                    claim = Claim(silent + full + good, silent)
-                    claims.setdefault(held[0].zone, {}).setdefault(name, {})[zone] = claim
+                    found[zone] = Claim(silent + full + good, silent)
                 answered[zone] += good - late
                 strained[zone] += full + late
                 attempts[zone] += full + good
-            area = topology.area_of(held[0].zone) if held else 0
-            for other in range(len(topology.areas)) if held else ():
+            claims.setdefault(source, []).append(found)
+            area = topology.area_of(source)
+            for other in range(len(topology.areas)):
                 told = [report.origins[other] for report in held if other < len(report.origins)]
                 good, silent = sum(one for one, _ in told), sum(two for _, two in told)
                 if good + silent:
                     window.origins.setdefault((area, other), []).append(Claim(good + silent, silent))
         for source, by in claims.items():
-            for found in self._trusted(source, list(by.values())):
+            for found in self._trusted(source, by):
                 for zone, claim in found.items():
                     window.claims.setdefault((source, zone), []).append(claim)
         window.in_time = [held / span for held in answered]
--- a/saltport/failover/decider.py
+++ b/saltport/failover/decider.py
@@ -17,8 +17,9 @@
 from saltport.failover.plans import MS, Matrix, bits, mask_of, parts_of
 from saltport.failover.room import Room
 from saltport.failover.settings import FailoverSettings
-from saltport.failover.waterfall import Poured, pour
+from saltport.failover.waterfall import UNLIMITED, Poured, pour
 
+STILL = ("new owner", "trials end")  # why plans are made that leave all shares as they are
 MOST_REFUSED = 0.95
 OVERFLOW_MS = 1_000  # the way of a plan that only follows demand
 DEFAULT_WAY_MS = 10_000  # of an order
@@ -121,8 +122,9 @@
                     self._gone.discard(zone)
                     self._well_at[zone] = now
             elif zone in self._staffed and now - self._began > self._settings.fresh * 2:
-                self._gone.add(zone)
-                if now - self._staffed[zone] > FORGOTTEN:
+                if now - self._staffed[zone] <= FORGOTTEN:
+                    self._gone.add(zone)
+                else:
                     self._gone.discard(zone)
                     del self._staffed[zone]
 
@@ -223,7 +225,7 @@
         rows = []
         for source, shares in enumerate(aim.poured.shares):
             total = sum(shares)
-            shut = sum(share for target, share in enumerate(held[source]) if aim.shut(source) >> target & 1)
+            shut = any(share and aim.shut(source) >> target & 1 for target, share in enumerate(held[source]))
             idle = self.board.quick[source] < self._settings.idle * sum(self.board.quick)
             stays = source in aim.doubted or not total or (idle and not shut)
             rows.append(held[source] if stays else tuple(share / total for share in shares))
@@ -245,7 +247,7 @@
     def _plan(
         self, begin: Sequence[Sequence[float]], end: Matrix, refused: bytes, bad: bytes, way_ms: int, why: str
     ) -> Plan:
-        if why not in ("new owner", "trials end"):
+        if why not in STILL:
             self._moved = self._now
         self._number += 1
         self.plans += 1
@@ -292,8 +294,7 @@
         if known is not None:
             return known, None
         text, plan = self._carry_out(asked)
-        age = plan.age if plan else (0, 0)
-        answer = self._answers[by, asked.id] = Ordered(asked.id, text, *age)
+        answer = self._answers[by, asked.id] = Ordered(asked.id, text)
         if len(self._answers) > REMEMBERED:
             del self._answers[next(iter(self._answers))]
         return answer, plan
@@ -362,7 +363,7 @@
 
 
 def _figure(rate: float) -> float | None:
-    return None if rate == float("inf") else round(rate, 1)
+    return None if rate == UNLIMITED else round(rate, 1)
 
 
 def bad_paths(plan: Plan, topology: Topology) -> list[tuple[str, str]]:
--- a/saltport/failover/messages.py
+++ b/saltport/failover/messages.py
@@ -99,12 +99,10 @@
 
 
 class Ordered(Struct, frozen=True, array_like=True, tag=85):
-    """What became of it; `text` empty: it is done, by this plan."""
+    """What became of it; `text` empty: it is done."""
 
     id: int
     text: str
-    epoch: int = 0
-    number: int = 0
 
 
 Message = Report | Plan | Ask | Known | Order | Ordered
--- a/saltport/failover/room.py
+++ b/saltport/failover/room.py
@@ -38,13 +38,9 @@
         self.rate += (in_time - self.rate) * 0.4
         strains = settled and strained > self._settings.strained and in_time + self.rate >= FEW
         self._strained = self._strained + 1 if strains else 0
-        if strains and self._strained < self._settings.bad_windows:
-            return
         if strains:
-            self._held = max(min(self._held, max(in_time, self.rate) * CUT), 1.0)
-            if self.tried:
-                self._wait = min(self._wait * 2, self._settings.most_retry)
-            self.cut_at, self.tried = now, False
+            if self._strained >= self._settings.bad_windows:
+                self._cut(in_time, now)
             return
         if self._held < UNLIMITED and now - self.cut_at >= self._wait:
             self.tried, self._held = True, UNLIMITED
@@ -52,6 +48,12 @@
             self.tried, self._wait = False, self._settings.retry
         self._best = max(self._best * (1 - passed / REMEMBERED_S), self.rate)
 
+    def _cut(self, in_time: float, now: int) -> None:
+        self._held = max(min(self._held, max(in_time, self.rate) * CUT), 1.0)
+        if self.tried:
+            self._wait = min(self._wait * 2, self._settings.most_retry)
+        self.cut_at, self.tried = now, False
+
     def most(self, servers: float) -> float:
         """What it can do with so many servers in use."""
         told = self._of_server * servers if self._of_server else UNLIMITED
