Nothing leaves for a client that has gone, or after its time, when its connection comes up

Seen in the code and forced over real connections: an exchange that waits in a server's queue or behind a dial was only asked whether it was over when a connection came free (Pool.released). A request whose client had left was sent; so was one whose deadline passed while the loop was held up (timers come before the dial's end, and the second look of Attempt._timed_out leaves a gap), and a keyed write whose dial came up after its repeat window. At ClientGone a fetch that others wait for was landed at once (Router._finish), so a second fetch of the key went out beside it.

Mend: the decision module says with Send until when it may leave (not_after: the deadline, or the end of the repeat window of the first attempt that may have run); the pool asks Exchange.may_begin where the bytes are written, and what comes too late ends as never run. A client that leaves ends its queued attempt at once. A fetch that is out goes on for those who wait. Ruled out by tests that passed before: a drain during the dial, a write behind another of its key.

--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -383,6 +383,8 @@
     timeout: int = 0
     hold: bool = False
     """Whether a good answer is not given yet, but only with Answer."""
+    not_after: int = 0
+    """The clock time from which on it may not leave, whatever it waited for; 0: its deadline only."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -132,8 +132,8 @@
     """What Spreading keeps of it."""
     failed: Sequence[Node] = ()
     node: Node | None = None
-    ran: tuple[Node, int] | None = None
-    """The first attempt that may have run: where, when sent."""
+    ran: Node | None = None
+    """Where the first attempt was sent that may have run."""
     holds = False
     """Whether its attempt counts as out at its server."""
     fetching = refetching = out = leads = waiting = done = False
@@ -142,18 +142,18 @@
         self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor, attempts: int
     ) -> None:
         self.id, self.key, self.deadline, self.write = event.request, event.key, event.deadline, event.write
+        self.not_after = event.deadline  # no attempt leaves from then on
         self.cls, self.guard, self.retry, self.attempts = cls, guard, event.retry, attempts
 
     def may_send(self, node: Node, now: int) -> bool:
         """Rule 2: what may have run goes out again only where and while its repeat is dropped."""
         if self.ran is None or self.cls.effect is Effect.SAFE:
             return True
-        here, there = node.entry, self.ran[0].entry
-        if self.cls.effect is Effect.UNSAFE or now - self.ran[1] >= self.cls.dedup_window:
+        here, there = node.entry, self.ran.entry
+        if self.cls.effect is Effect.UNSAFE or now >= self.not_after:
             return False
-        if self.cls.group is Group.ALL:
-            return True
-        return here.zone == there.zone and (self.cls.group is Group.ZONE or here.cell == there.cell)
+        group, same_zone = self.cls.group, here.zone == there.zone
+        return group is Group.ALL or (same_zone and (group is Group.ZONE or here.cell == there.cell))
 
     def may_repeat(self) -> bool:
         """Whether it does no harm to try again, whatever became of the attempts before."""
@@ -216,11 +216,8 @@
                 self._servers_changed(event)
             case api.SettingsChanged():
                 self._follow(event.settings)
-                self.caches.follow_settings(event.settings)
-                self.origins.follow_settings(event.settings)
-                self.outliers.follow_settings(event.settings)
-                self.overload.follow_settings(event.settings)
-                self.spreading.follow_settings(event.settings)
+                for part in (self.caches, self.origins, self.outliers, self.overload, self.spreading):
+                    part.follow_settings(event.settings)
             case api.ServerOut():
                 self.roster.take_out(event.server)
                 self._update([], [event.server])
@@ -306,7 +303,7 @@
         usual = self._patience(request, node)
         held = request.write and request.fetching and self.spreading.holds(request)
         timeout = usual if patience is None else patience
-        self._actions.append(api.Send(request.id, node.entry.id, timeout, held))
+        self._actions.append(api.Send(request.id, node.entry.id, timeout, held, request.not_after))
         if not request.fetching:
             self.spreading.sent(request, node)
 
@@ -454,7 +451,9 @@
                 node.pace.learn(event.latency)
                 self._answers.learn(event.latency)
         if not outcome.never_ran and request.ran is None:
-            request.ran = node, request.sent_at
+            request.ran = node
+            if request.cls.effect is Effect.KEYED:
+                request.not_after = min(request.deadline, request.sent_at + request.cls.dedup_window)
         if event.closed or request.done:
             self._finish(request, stored=fetched and outcome is Outcome.OK)
         elif outcome is Outcome.MISS and not fetched and self.settings.origin_kind is not None:
@@ -559,5 +558,5 @@
         request.done, request.waiting = True, False
         if not request.out:
             del self.requests[request.id]
-        if request.leads:
+        if request.leads and not request.out:  # a gone client's fetch goes on for those who wait for it
             self._land(request, stored)
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -360,10 +360,7 @@
             log.error("the module sent a request that is over")
             return
         now = time.monotonic_ns()
-        attempt = Attempt(self, request, action.server, action.hold)
-        if request.closed or now >= request.deadline or request.attempts > request.most_attempts:
-            attempt.end(Outcome.MOOT)
-            return
+        attempt = Attempt(self, request, action)
         due = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
         attempt.wait_until(due)
         self._pool.submit(action.server, attempt)
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -7,7 +7,15 @@
 from enum import Enum
 from typing import TYPE_CHECKING, TypeAlias
 
-from saltport.decisions import AttemptEnded, CacheNote, ClientGone, Outcome, RequestArrived, StreamStarted
+from saltport.decisions import (
+    AttemptEnded,
+    CacheNote,
+    ClientGone,
+    Outcome,
+    RequestArrived,
+    Send,
+    StreamStarted,
+)
 from saltport.decisions.ordering import NOTHING, KeyOrder
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import Progress
@@ -40,7 +48,7 @@
 
     __slots__ = (
         "_host", "_order", "_stage", "_timer", "asked", "attempts", "closed", "counted", "deadline", "held",
-        "id", "most_attempts", "out", "ran", "reply",
+        "id", "most_attempts", "out", "queued", "ran", "reply",
     )  # fmt: skip
 
     def __init__(self, host: RouterHost, request_id: str, asked: Request, reply: Reply, order: Order) -> None:
@@ -56,6 +64,8 @@
         """Whether an attempt ended so that nobody knows if it has run, or may run yet."""
         self.counted = False
         """Whether the figures know its end."""
+        self.queued: Attempt | None = None
+        """The attempt that waits for a connection."""
         self.held: bytes | None = None
         """A write's receipt that the module has not let go yet."""
 
@@ -133,6 +143,9 @@
         host.count(self, None)
         if source is not None:
             source.client_left()
+        if self.queued is not None:
+            # Danger: left in the queue it would be sent for nobody, and those who wait for it wait as long.
+            self.queued.give_up(Outcome.MOOT)
         host.settle(self)
         host.tell(ClientGone(self.id))
 
@@ -221,14 +234,23 @@
     _begun_at = 0
     _looked = False
 
-    def __init__(self, host: RouterHost, request: OpenRequest, server: str, hold: bool) -> None:
+    def __init__(self, host: RouterHost, request: OpenRequest, told: Send) -> None:
         super().__init__(host, request.reply, request.asked.request_class)
-        self._request, self._server, self._hold = request, server, hold
+        self._request, self._server, self._hold = request, told.server, told.hold
+        self._not_after = told.not_after or request.deadline
         self.request = request.asked
         self._number = request.attempts
         self._sent_at = time.monotonic_ns()
         request.attempts += 1
         request.out += 1
+        request.queued = self
+
+    @property
+    def may_begin(self) -> bool:
+        """See Exchange: its client is there, its time is not over, and it is not one too many."""
+        request = self._request
+        live = not request.closed and self._number < request.most_attempts
+        return live and time.monotonic_ns() < min(self._not_after, request.deadline)
 
     def wait_until(self, due: int) -> None:
         """Give up at the time `due`."""
@@ -266,6 +288,7 @@
     def begun(self) -> None:
         """Its request is written."""
         self._begun_at = time.monotonic_ns()
+        self._request.queued = None
 
     def _lag(self) -> int:
         """The time from the module's word until the request had left."""
@@ -305,6 +328,8 @@
             self._timer.cancel()
         request, reply = self._request, self._reply
         request.out -= 1
+        if request.queued is self:
+            request.queued = None
         request.ran = request.ran or not (outcome is Outcome.OK or outcome.never_ran)
         if self._source is not None:
             self._source = None
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -41,6 +41,14 @@
     kept = False
     """Whether the connection had carried others before."""
 
+    @property
+    def may_begin(self) -> bool:
+        """Whether its request may leave now.
+
+        Danger: what decided on it was told of another moment; a dial or a queue may take its whole time.
+        """
+        return True
+
     def begun(self) -> None:
         """Its request is written to a connection."""
 
@@ -356,6 +364,9 @@
         if server is None or not server.open:
             exchange.end(Outcome.CONNECT_FAILED)
             return
+        if not exchange.may_begin:
+            exchange.end(Outcome.MOOT)
+            return
         oldest = self.loop.time() - self._idle_limit
         while server.idle:
             connection = server.idle.pop()
@@ -405,9 +416,12 @@
             return
         while server.waiting:
             exchange = server.waiting.popleft()
-            if not exchange.over:
+            if exchange.over:
+                continue
+            if exchange.may_begin:
                 connection.start(exchange)
                 return
+            exchange.end(Outcome.MOOT)
         # Danger: without the time every connection counts as too old, and each request dials anew.
         connection.idle_since = self.loop.time()
         server.idle.append(connection)
--- /dev/null
+++ b/tests/crossings/test_gone_clients.py
@@ -0,0 +1,154 @@
+"""Clients that leave while something waits on their account: nothing more is sent for them.
+
+What they wait for is held back by the stand-ins until the router has noticed that they left.
+"""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from saltport.upstream.pool import PER_SERVER
+from tests.sockets import (
+    MISS,
+    PATIENCE_S,
+    Client,
+    Peer,
+    Routed,
+    bulk,
+    eventually,
+    get,
+    hit,
+    http_answer,
+    routed,
+)
+
+LONG = 60_000  # milliseconds: longer than anything is waited for here
+
+
+class HeldBack:
+    """A cache that answers each read with its id once it is let go, and PING at any time."""
+
+    def __init__(self) -> None:
+        self.let_go = threading.Event()
+        self.peer = Peer(self._answer)
+
+    def _answer(self, _: socket.socket, words: list[bytes]) -> bytes:
+        assert self.let_go.wait(PATIENCE_S)
+        return hit(words[2])
+
+    def asked_for(self, of: str) -> list[bytes]:
+        """The ids of one client's requests that came here."""
+        return [words[2] for words in self.peer.seen if words[2].startswith(of.encode())]
+
+
+def close(client: Client) -> None:
+    client.close()
+
+
+def half_close(client: Client) -> None:
+    client.socket.shutdown(socket.SHUT_WR)
+
+
+def fill(router: Routed, cache: HeldBack) -> Client:
+    """Take every connection that the one server may have."""
+    busy = router.client()
+    busy.send(b"".join(get(f"busy{i}", f"b{i}", LONG) for i in range(PER_SERVER)))
+    eventually(lambda: len(cache.peer.seen) == PER_SERVER, "all connections are taken")
+    return busy
+
+
+@pytest.mark.parametrize("leave", [close, half_close])
+def test_request_in_a_server_s_queue_is_not_sent_once_its_client_left(
+    tmp_path: Path, leave: Callable[[Client], None]
+) -> None:
+    cache = HeldBack()
+    with routed(tmp_path, {"s1": cache.peer}) as router:
+        busy, leaver, stayer = fill(router, cache), router.client(), router.client()
+        leaver.send(get("gone1", "g", LONG))
+        router.until("current", PER_SERVER + 1)
+        stayer.send(get("stays", "s", LONG))
+        router.until("current", PER_SERVER + 2)
+        leave(leaver)
+        router.until("current", PER_SERVER + 1)
+        cache.let_go.set()
+        assert [busy.answer() for _ in range(PER_SERVER)] == [b"busy%d" % i for i in range(PER_SERVER)]
+        assert stayer.answer() == b"stays", "it waited behind the one that left"
+        assert cache.asked_for("gone") == []
+
+
+def test_fetch_of_a_client_that_left_goes_on_for_those_who_wait_for_it(tmp_path: Path) -> None:
+    let_go = threading.Event()
+
+    def fetch(_: socket.socket, message: list[bytes]) -> bytes:
+        assert let_go.wait(PATIENCE_S)
+        return http_answer(200, message[1][1:])
+
+    cache, origin = Peer(lambda _, words: MISS), Peer(fetch, is_http=True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        leader, waiter = router.client(), router.client()
+        leader.send(get("leader", "k", LONG))
+        eventually(lambda: origin.seen, "the fetch")
+        waiter.send(get("waiter", "k", LONG))
+        eventually(lambda: len(cache.seen) == 2, "the second miss")
+        router.until("current", 2)
+        leader.close()
+        router.until("current", 1)
+        # A second fetch would be under way by now: a request after it on a new key shows the way there.
+        other = router.client()
+        other.send(get("other", "k2", LONG))
+        eventually(lambda: [m for m in origin.seen if m[1] == b"/k2"], "the other fetch")
+        assert len([m for m in origin.seen if m[1] == b"/k"]) == 1
+        let_go.set()
+        assert waiter.answer() == b"k"
+
+
+def test_fetch_that_waits_for_a_connection_passes_to_the_next_when_its_client_leaves(tmp_path: Path) -> None:
+    let_go = threading.Event()
+
+    def fetch(_: socket.socket, message: list[bytes]) -> bytes:
+        assert let_go.wait(PATIENCE_S)
+        return http_answer(200, message[1][1:])
+
+    cache, origin = Peer(lambda _, words: MISS), Peer(fetch, is_http=True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        busy, leader, waiter = router.client(), router.client(), router.client()
+        busy.send(b"".join(get(f"busy{i}", f"b{i}", LONG) for i in range(PER_SERVER)))
+        eventually(lambda: len(origin.seen) == PER_SERVER, "all connections are taken")
+        leader.send(get("leader", "k", LONG))
+        eventually(lambda: len(cache.seen) == PER_SERVER + 1, "the leader's miss")
+        waiter.send(get("waiter", "k", LONG))
+        eventually(lambda: len(cache.seen) == PER_SERVER + 2, "the waiter's miss")
+        router.until("current", PER_SERVER + 2)
+        leader.close()
+        router.until("current", PER_SERVER + 1)
+        let_go.set()
+        assert waiter.answer() == b"k"
+        assert not [m for m in origin.seen if b"Request-Id: leader" in m[2]]
+
+
+def test_write_behind_another_of_its_key_is_not_sent_once_its_client_left(tmp_path: Path) -> None:
+    let_go = threading.Event()
+
+    def write(_: socket.socket, message: list[bytes]) -> bytes:
+        assert let_go.wait(PATIENCE_S)
+        return http_answer(200, b"receipt")
+
+    def put(name: bytes) -> bytes:
+        return bulk(b"KV.SET", b"k", name, b"c=put,t=acme,d=60000,k=5c", b"v")
+
+    origin = Peer(write, is_http=True)
+    with routed(tmp_path, {}, origin) as router:
+        leaver = router.client()
+        leaver.send(put(b"gone1") + put(b"gone2"))
+        eventually(lambda: origin.seen, "the first write")
+        router.until("current", 2)
+        leaver.close()
+        router.until("current", 0)
+        let_go.set()
+        assert router.client().ask(put(b"other")) == b"receipt"
+        assert not [m for m in origin.seen if b"Request-Id: gone2" in m[2]]
