The fetch of a client that left goes on for its waiters: the test of it says so for every end

The test before asked for a second fetch at the moment the leader's client leaves. In its place: no second fetch while the first is out, and the waiter goes on by itself after each end of it, also where it never left.

--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -96,13 +96,18 @@
     assert (again.request, again.server) == ("two", two.server)
 
 
-def test_waiter_fetches_when_the_leading_client_leaves() -> None:
+@pytest.mark.parametrize("end", [Outcome.OK, Outcome.ERROR, Outcome.TIMEOUT, Outcome.MOOT])
+def test_fetch_whose_client_left_goes_on_for_the_waiter(end: Outcome) -> None:
     router = started(settings(), fleet(5))
     one, two = (only_send(router.handle(request(name), 0)) for name in ("one", "two"))
-    router.handle(ended(one, Outcome.MISS), 5 * MS)
+    fetch = only_send(router.handle(ended(one, Outcome.MISS), 5 * MS))
     router.handle(ended(two, Outcome.MISS), 5 * MS)
-    fetch = only_send(router.handle(ClientGone("one"), 10 * MS))
-    assert (fetch.request, fetch.server) == ("two", ORIGIN.id)
+    assert router.handle(ClientGone("one"), 10 * MS) == [], "no second fetch beside the one that is out"
+    # What it brought lies in the cache; where it brought nothing, or never left, the waiter fetches itself.
+    then = only_send(router.handle(ended(fetch, end, closed=True), 20 * MS))
+    assert then.request == "two"
+    assert (then.server == ORIGIN.id) == (end is not Outcome.OK)
+    assert "one" not in router.requests
 
 
 def test_waiter_is_answered_at_its_deadline() -> None:
