A client that leaves while its connection is not read is noticed all the same

Seen: with 256 commands open, a full write buffer, a broken stream or a long command waiting for memory, reading is paused (ClientConnection._set_reading), and a paused transport is not told of the peer's end: all that the client had asked for went on being sent, until the requests' deadlines. Forced with 266 commands on one connection at a server that is held back; the count of open requests never fell before.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -18,6 +18,7 @@
 from saltport.downstream.budget import Budget
 from saltport.downstream.departure import Arrival, Departure, Successor, may_go
 from saltport.downstream.replies import LongAnswer, Reply
+from saltport.downstream.unread import UnreadConnections
 from saltport.downstream.unsent import Unsent
 from saltport.handover.exchange import Parcel
 from saltport.handover.record import ConnectionRecord, RecordError, Value, decode
@@ -140,6 +141,7 @@
             return
         self.closed = True
         self.server.closed(self)
+        self.server.unread.discard(self)
         if self._reserved:
             self.server.budget.give_back(self._reserved)
         replies, self.replies = self.replies, deque()
@@ -270,8 +272,10 @@
         self._reading = wanted
         if wanted:
             self.transport.resume_reading()
+            self.server.unread.discard(self)
         else:
             self.transport.pause_reading()
+            self.server.unread.add(self)
 
     @property
     def idle(self) -> bool:
@@ -398,6 +402,13 @@
 
     _stuck = 0  # bytes that waited for the client at the last look
 
+    @property
+    def descriptor(self) -> int:
+        """Its socket's; -1 once it is closed."""
+        if self.closed or self.transport is None or self.transport.is_closing():
+            return -1
+        return int(self.transport.get_extra_info("socket").fileno())
+
 
 def kept_by_kernel(descriptor: int) -> int:
     """Bytes written to a connection that its other side has not acknowledged; 0 where nobody can tell."""
@@ -420,6 +431,7 @@
     ) -> None:
         self.loop, self.host, self.dialect, self._limit = loop, host, dialect, limit
         self.budget = Budget(budget)
+        self.unread = UnreadConnections(loop)
         self._connections: dict[ClientConnection, None] = {}
         self._listeners: list[asyncio.Server] = []
         self.emptying = False
--- a/tests/crossings/test_gone_clients.py
+++ b/tests/crossings/test_gone_clients.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from saltport.downstream.clients import MAX_PIPELINE
 from saltport.upstream.pool import PER_SERVER
 from tests.sockets import (
     MISS,
@@ -81,6 +82,24 @@
         assert cache.asked_for("gone") == []
 
 
+@pytest.mark.parametrize("leave", [close, half_close])
+def test_client_whose_connection_is_not_read_just_now_is_seen_to_leave(
+    tmp_path: Path, leave: Callable[[Client], None]
+) -> None:
+    cache = HeldBack()
+    with routed(tmp_path, {"s1": cache.peer}) as router:
+        leaver = router.client()
+        many = MAX_PIPELINE + 10  # past which the router reads no more until it has answered
+        leaver.send(b"".join(get(f"gone{i}", f"g{i}", LONG) for i in range(many)))
+        eventually(lambda: len(cache.peer.seen) == PER_SERVER, "all connections are taken")
+        leave(leaver)
+        router.until("current", 0)
+        cache.let_go.set()
+        other = router.client()
+        assert other.ask(get("other")) == b"other"
+        assert len(cache.asked_for("gone")) == PER_SERVER
+
+
 def test_fetch_of_a_client_that_left_goes_on_for_those_who_wait_for_it(tmp_path: Path) -> None:
     let_go = threading.Event()
 
