A close never resets what was written: the sending side ends first, what still comes is dropped

Forced over real connections, the loop standing still until a client's bytes lie unread in the kernel: the router's idle close, the close behind a last answer (drain, refusal, malformed command) and the close for a new client's room used transport.close() or abort(); over unread bytes that is a reset, and a long last answer was cut off by it. A refused command on a leaving connection closed it under the next command of the same read, which was then sent on for a client that had been hung up on (ClientConnection.flush within _read).

Mend: downstream/lingering.py ends the sending side, drops what comes, and closes at the client's end, after 1 s, or after 256 KiB; what a slow client still takes keeps the 10 s it had. Commands that were read together are all taken before the end. Room for a new client is made by connections that linger, then by the one idle for longest on which nothing is unread or on its way.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import logging
 import os
+import select
 import socket
-import sys
-import termios
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol, cast
@@ -17,7 +15,9 @@
 from saltport.decisions.ordering import KeyOrder
 from saltport.downstream.budget import Budget
 from saltport.downstream.departure import Arrival, Departure, Successor, may_go
+from saltport.downstream.lingering import Lingering
 from saltport.downstream.replies import LongAnswer, Reply
+from saltport.downstream.taking import STALL_S, waiting_for
 from saltport.downstream.unread import UnreadConnections
 from saltport.downstream.unsent import Unsent
 from saltport.handover.exchange import Parcel
@@ -33,7 +33,6 @@
 PROGRESS = 16 << 10  # bytes
 PENDING = 64 << 10  # bytes of a command under way that go to a process which takes no records
 IDLE_S = 2.0  # after which a connection without an open request may be closed
-STALL_S = 10.0  # in which a client must take something of what waits for it
 SWEEP_S = 0.2
 REFUSERS = 32
 
@@ -115,10 +114,10 @@
                     reply.source.pause()
         if self.replies:
             self.replies[0].its_turn()
-            self.flush()
         self._within = False
         if record.command:
             self.data_received(record.command)
+        self.flush()
 
     def attached(self) -> None:
         """Its transport reads from now on, which it had no way to be told before."""
@@ -161,6 +160,8 @@
             self.abort()
         finally:
             self._within = False
+        if not self.replies and self._leaves:
+            self.flush()
 
     def _read(self, data: bytes) -> None:
         reader = self._dialect
@@ -241,12 +242,19 @@
                 replies[0].its_turn()
         if self._moves:
             self.depart()
-        elif not replies and self._leaves and self.transport is not None:
+        elif not replies and self._leaves and not self._within:
+            # Danger: within a batch, the commands behind would be taken for a client that is hung up on.
             if self.server.successor is None or not self._hand_over():
-                self.transport.close()
+                self._end()
         elif not self._reading:
             self._set_reading()
 
+    def _end(self) -> None:
+        """End the connection, on which nothing is owed: all that was written reaches the client."""
+        if self.transport is not None and not self.closed and not self.transport.is_closing():
+            self._leave()
+            self.server.lingering.begin(self.transport)
+
     def pause_writing(self) -> None:
         """The client does not take what it asked for: read no more for it, from it or for its answer."""
         self.blocked = True
@@ -285,7 +293,7 @@
     @property
     def _leaves(self) -> bool:
         """Whether it closes once nothing is owed here."""
-        return self._last or (self.server.emptying and self.carried)
+        return self._last or (self.server.emptying and self.carried and not self._dialect.need)
 
     @property
     def _moves(self) -> bool:
@@ -300,7 +308,7 @@
         if self.transport is None or self.closed or (self.server.successor is not None and self._goes()):
             return
         if not self.replies and (even_midway or not self._dialect.need):
-            self.transport.close()
+            self._end()
         else:
             self._last = even_midway or not self._dialect.need or self._last
 
@@ -390,8 +398,7 @@
     def _takes(self, now: float) -> bool:
         """Whether its client is still taking what the kernel holds for it: it is slow, and not idle."""
         assert self.transport is not None
-        size = self.transport.get_write_buffer_size()
-        size += kept_by_kernel(self.transport.get_extra_info("socket").fileno())
+        size = waiting_for(self.transport)
         self._look_at(size, now)
         return bool(size) and now - self.used_at < STALL_S
 
@@ -409,13 +416,19 @@
             return -1
         return int(self.transport.get_extra_info("socket").fileno())
 
+    @property
+    def evictable(self) -> bool:
+        """Whether it can be closed at once and nobody loses anything by it.
 
-def kept_by_kernel(descriptor: int) -> int:
-    """Bytes written to a connection that its other side has not acknowledged; 0 where nobody can tell."""
-    try:
-        return int.from_bytes(fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
-    except OSError:
-        return 0
+        Danger: an answer that waits for its client goes with the close, and so does one on its way if a
+        request lies unread here.
+        """
+        assert self.transport is not None
+        if not self.idle or waiting_for(self.transport):
+            return False
+        arrivals = select.poll()
+        arrivals.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not arrivals.poll(0)
 
 
 class ClientServer:
@@ -431,7 +444,7 @@
     ) -> None:
         self.loop, self.host, self.dialect, self._limit = loop, host, dialect, limit
         self.budget = Budget(budget)
-        self.unread = UnreadConnections(loop)
+        self.unread, self.lingering = UnreadConnections(loop), Lingering(loop)
         self._connections: dict[ClientConnection, None] = {}
         self._listeners: list[asyncio.Server] = []
         self.emptying = False
@@ -503,21 +516,21 @@
 
     def opened(self, connection: ClientConnection) -> None:
         """Count a new connection in, making room for it where there is none."""
-        if len(self._connections) >= self._limit:
-            idle = min(
-                (other for other in self._connections if other.idle),
-                key=lambda other: other.used_at,
-                default=None,
-            )
-            if idle is not None:
-                idle.abort()
-            elif len(self._connections) < self._limit + REFUSERS:
-                connection.refusing = True
-            else:
+        if self.connected >= self._limit and not self.lingering.make_room() and not self._evict():
+            if self.connected >= self._limit + REFUSERS:
                 connection.abort()
                 return
+            connection.refusing = True
         self._connections[connection] = None
 
+    def _evict(self) -> bool:
+        """Close the connection that has been idle for longest; False: none can be closed."""
+        for other in sorted(self._connections, key=lambda other: other.used_at):
+            if other.evictable:
+                other.abort()
+                return True
+        return False
+
     def closed(self, connection: ClientConnection) -> None:
         """Count a connection out."""
         self._connections.pop(connection, None)
@@ -525,7 +538,7 @@
     @property
     def connected(self) -> int:
         """How many clients are connected."""
-        return len(self._connections)
+        return len(self._connections) + len(self.lingering)
 
     def stop_accepting(self) -> None:
         """Close the listeners."""
@@ -544,6 +557,7 @@
         now = self.loop.time()
         for connection in list(self._connections):
             connection.check(now)
+        self.lingering.check(now)
 
     def close(self) -> None:
         """Close everything."""
@@ -551,3 +565,4 @@
         self.stop_accepting()
         for connection in list(self._connections):
             connection.abort()
+        self.lingering.close()
