At the end of the process every open request gets its final answer before SIGKILL may come

Seen: Service._end waited for the longest deadline and 0.65 s and then closed what was left, without a word. Forced with servers that never answer: clients saw a close with no answer.

Mend: drain.py states the protocol's terms and derives its steps from them (the longest deadline, 3 s at most, 0.7 s, and 0.1 s for a late loop); what is taken from SIGTERM on has no longer than that; at the end what is open is refused where nothing of it left, and failed otherwise, and the answers have 50 ms to leave.

--- a/saltport/lifecycle/drain.py
+++ b/saltport/lifecycle/drain.py
@@ -5,12 +5,19 @@
 import math
 from dataclasses import dataclass
 
-ACCEPT_S = 0.5  # for which a front may still send new connections after the first no
+# The protocol's terms: after SIGTERM new connections go on coming for FRONT_S; what came by KILL_SLACK_S may
+# be found unanswered by SIGKILL, and that comes no sooner than so long after the longest deadline, of which
+# LONGEST_S count at the most.
+FRONT_S, KILL_SLACK_S, LONGEST_S = 0.4, 0.7, 3.0
+# The operators' terms for a drain by call: at DRAINED_S no client's connection is idle, or has a request
+# that came within the last 2 s.
+DRAINED_S = 4.0
+
+LATE_S = 0.1  # by which a step may come late, or a last answer leave
+ACCEPT_S = FRONT_S + LATE_S
 IDLE_S = 1.0
-# A request that came whole by then has 0.8 s left at 4 s; a longer one is answered all the same.
-MIDWAY_S = 3.2
-END_MIDWAY_S = 0.65
-KILL_SLACK_S = 0.65  # beyond the longest deadline; SIGKILL comes no sooner than 0.7 s
+MIDWAY_S = DRAINED_S - 0.8  # a command that is whole by then is answered, as long as it takes
+END_MIDWAY_S = KILL_SLACK_S - LATE_S / 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +31,7 @@
     midway: bool
     """Connections within a command close, too."""
     over: bool
-    """Nothing is waited for any longer."""
+    """Nothing is waited for any longer: what is still open gets its final answer now."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,4 +56,4 @@
     """At SIGTERM; `longest`: the longest deadline in seconds, `replaced`: another process accepts clients."""
     # Danger: clients are sent here for a while yet, and what they send to a closed door is lost.
     leaving = 0.0 if replaced else ACCEPT_S
-    return Plan(leaving, leaving, END_MIDWAY_S, longest + KILL_SLACK_S)
+    return Plan(leaving, leaving, END_MIDWAY_S, min(longest, LONGEST_S) + KILL_SLACK_S - LATE_S)
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -24,7 +24,7 @@
 from saltport.downstream.clients import ClientServer
 from saltport.downstream.resp import RespDialect
 from saltport.lifecycle.bans import Bans, BanStore
-from saltport.lifecycle.drain import BY_CALL, Plan, at_the_end
+from saltport.lifecycle.drain import BY_CALL, LATE_S, Plan, at_the_end
 from saltport.lifecycle.reload import plan_reload
 from saltport.lifecycle.takeover import Takeover
 from saltport.membership.listing import Clock, Listing, read_listing
@@ -43,6 +43,7 @@
 
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
 STEP_S = 0.01  # between two looks at what is left to drain
+LAST_ANSWERS_S = LATE_S / 2  # in which the last answers leave before SIGKILL may come
 FOLLOW_S = 0.1  # between two looks at what another process has put out or back
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
 ADMIN_DESCRIPTORS = 36  # the operators' listener, and the most callers
@@ -318,7 +319,13 @@
         if self._takeover is not None and self._takeover.replaced:
             self._clients.successor = self._takeover
             self._clients.ends_at = self._loop.time() + plan.over
+        self._host.ends_in(int(plan.over * NS_PER_S))
         await self._empty(plan, health=True)
+        self._host.end_all()
+        self._clients.finish(even_midway=True)
+        ended = self._loop.time()
+        while self._clients.connected and self._loop.time() - ended < LAST_ANSWERS_S:
+            await asyncio.sleep(STEP_S)
 
     @property
     def _giving(self) -> bool:
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import sys
 import time
 from collections import Counter, deque
 from collections.abc import Callable
@@ -73,6 +74,8 @@
     ) -> None:
         self.loop, self.settings = loop, settings
         self.ready = False
+        self.ends_at = sys.maxsize
+        """The clock time by which all must have their final answers, once the process is ending."""
         self.subscribe: Callable[[], None] = lambda: None
         """Begins a watch where discovery is asked; whoever owns the watch sets it."""
         self._router = Router(settings, seed)
@@ -228,6 +231,16 @@
         """Refuse a request that the module was never told of."""
         self._final(request.id, 0)
 
+    def ends_in(self, span: int) -> None:
+        """The process ends after so many nanoseconds: what comes from now on has no longer than that."""
+        self.ends_at = time.monotonic_ns() + span
+
+    def end_all(self) -> None:
+        """Give every open request its final answer: what is unanswered when the process ends is lost."""
+        for request in list(self._requests.values()):
+            never_ran = not request.ran and (not request.out or request.queued is not None)
+            self._final(request.id, 0 if never_ran else None)
+
     # The list of servers
 
     def servers_changed(self, listing: Listing) -> None:
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -56,7 +56,7 @@
         self._stage = Stage.WAITING
         self._timer: asyncio.TimerHandle | None = None
         self.id, self.asked, self.reply = request_id, asked, reply
-        self.deadline = time.monotonic_ns() + asked.timeout_ms * NS_PER_MS
+        self.deadline = min(time.monotonic_ns() + asked.timeout_ms * NS_PER_MS, host.ends_at)
         self.attempts = self.out = 0
         self.most_attempts = host.settings.max_attempts
         self.closed = False
