A change of the list is acted on within six seconds, whatever calls to discovery came before

Read in the code and then played on a loop whose clock jumps, with a discovery that hangs, resets, refuses, cuts off or sends what can't be read, one to three times in a row before the change: a pushed watch waited 5 s and 1 s of slack before its silence was noticed, which left no time for another call; each hanging call to a silent agent waited 6 s again, as it was made as a watch; an asked watch that fell silent cost 1 s of slack and the module's back-off, of up to half of what the settings allow, which bounded nothing by the protocol's terms; a discovery that counts anew (restart, another address while no watch was under way) was watched from a version it had not reached yet; a list that can't be read was asked for ten times a second.

Mend: one derivation with its arithmetic in registry.py. Pushed: wait 2.5 s, 0.7 s of slack, calls of 1 s, and the whole list after every failure.

--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -1,4 +1,18 @@
-"""Discovery's client: the whole list once, then a watch that goes on without a gap."""
+"""Discovery's client: the whole list once, then a watch that goes on without a gap.
+
+Its times come from one term of the protocol: a change is acted on within TERM_S of when discovery had it
+and could be reached, whatever came before (a call that failed, was refused or given up, a silent watch).
+
+Pushed lists, from the silence of a watch that has just begun, through one more call that hangs, to the one
+that brings the change:
+
+    PUSHED_WAIT_S + SLACK_S + RETRY_S + CALL_S + RETRY_S + CALL_S + LATE_S = 5.7 <= TERM_S
+
+Asked: the wait is the settings' own, and after a silent one 2 s are left (SILENT_S); a call that failed, from
+when it began, to the end of the next one:
+
+    SLACK_S + CALL_S + LATE_S = 2.0 <= SILENT_S        AGAIN_S + ASKED_CALL_S + LATE_S = TERM_S
+"""
 
 from __future__ import annotations
 
@@ -17,12 +31,18 @@
 
 MAX_BODY = 8 << 20
 LIST_PATH = "/registry/instances"
-PUSHED_WAIT_MS = 5_000
+TERM_S, SILENT_S = 6.0, 2.0  # PROTOCOL and the operators' terms: see above
+LATE_S = 0.3  # by which the loop may be late, all in all
+SLACK_S = 0.7  # beyond a wait, for the call's way there and back
+CALL_S = 1.0  # for a call that need not wait, with its dial; the agent answers at once
+RETRY_S = 0.1  # a watch goes on if the next call comes within 0.2 s
+PUSHED_WAIT_S = 2.5
+ASKED_CALL_S = 2.0  # calls wait in turn at a discovery that is asked
+AGAIN_S = TERM_S - ASKED_CALL_S - LATE_S  # from a call's beginning to that of the next, where it fails
 ASKED_LEAST_S = 1.0  # where discovery is asked each call costs it work
 ASKED_SPREAD = 0.25  # of a wait: routers that started together must not go on asking together
-CALL_SLACK_S = 1.0
-LIST_TIMEOUT_S = 2.0
-RETRY_S = 0.1  # a watch goes on if the next call comes within 0.2 s
+CALL_SLACK_S = 1.0  # of the time that the settings let news wait, kept back from a wait
+UNREADABLE_S = 1.0  # before a list that can't be read is asked for again
 
 log = logging.getLogger("saltport")
 
@@ -82,6 +102,10 @@
             self.transport.abort()
 
 
+class _RefusedError(Exception):
+    """Discovery answered, and not with a list."""
+
+
 class Discovery:
     """Keeps the list of servers up to date; a failed call changes nothing of what is held."""
 
@@ -103,6 +127,9 @@
         self._take, self._failed = take, failed
         self._call: _Call | None = None
         self._task: asyncio.Task[None] | None = None
+        self._whole = not asked
+        """Whether the next call is for the whole list: changes since the version held may not be told."""
+        self._again: asyncio.TimerHandle | None = None
         self.generation = 0
 
     def ask_within(self, seconds: float) -> None:
@@ -121,10 +148,12 @@
     def subscribe(self) -> None:
         """Begin a watch where discovery is asked, unless one is under way."""
         if self._task is None or self._task.done():
+            self._ask_no_later(None)
             self._task = asyncio.get_running_loop().create_task(self._watch_asked())
 
     def close(self) -> None:
         """Stop following."""
+        self._ask_no_later(None)
         if self._task is not None:
             self._task.cancel()
         if self._call is not None:
@@ -132,44 +161,64 @@
 
     def move(self, address: Address) -> None:
         """Go on at another address, from the whole list; what is held stays valid until that has come."""
-        watching = self._task is not None and not self._task.done()
         self.close()
         # Danger: the old call's end must not close the new one.
         self._address, self._call = address, None
-        if watching:
-            follow = self._watch_asked(whole=True) if self._asked else self._follow()
-            self._task = asyncio.get_running_loop().create_task(follow)
+        # Danger: another discovery's versions are none of this one's, be a watch under way just now or not.
+        self._whole = True
+        follow = self._watch_asked() if self._asked else self._follow()
+        self._task = asyncio.get_running_loop().create_task(follow)
+
+    def _ask_no_later(self, due: float | None) -> None:
+        """Ask again at this time, unless it is done before; None: it is."""
+        if self._again is not None:
+            self._again.cancel()
+        self._again = asyncio.get_running_loop().call_at(due, self.subscribe) if due is not None else None
 
     async def _follow(self) -> None:
-        whole, down = True, False
+        down = unreadable = False
         while True:
             try:
-                await self._ask_once(whole, PUSHED_WAIT_MS)
-                whole = down = False
+                await self._ask_once(PUSHED_WAIT_S, CALL_S)
+                down = unreadable = False
+                continue
             except Exception as error:
+                unreadable = isinstance(error, ValueError)
                 if not down:
                     log.warning("discovery: %s", str(error) or type(error).__name__)
-                down = True
-                await asyncio.sleep(RETRY_S)
+            # Danger: a discovery that restarted may count anew: a watch from a version ahead hears nothing.
+            down = self._whole = True
+            await asyncio.sleep(UNREADABLE_S if unreadable else RETRY_S)
 
-    async def _watch_asked(self, whole: bool = False) -> None:
+    async def _watch_asked(self) -> None:
+        loop = asyncio.get_running_loop()
+        begun, silent = loop.time(), False
         try:
             while True:
                 # Danger: a watch that fell silent looks like one with no news until its wait is over; if it
                 # waits longer than the settings let news wait, whole zones go and this router sends to them.
-                share = 1 - ASKED_SPREAD * self._rng.random()
-                await self._ask_once(whole, int(self._longest_s * share * 1000))
-                whole = False
+                wait_s = self._longest_s * (1 - ASKED_SPREAD * self._rng.random())
+                begun = loop.time()
+                try:
+                    await self._ask_once(0.0 if silent else wait_s, CALL_S if silent else ASKED_CALL_S)
+                    silent = False
+                except TimeoutError:
+                    # Once, and at once: what a silent watch missed counts as told SILENT_S after its wait.
+                    if silent or self._whole:
+                        raise
+                    silent = True
+                    log.warning("discovery: a watch fell silent")
         except Exception as error:
             log.warning("discovery: %s", str(error) or type(error).__name__)
         self._task = None
+        self._ask_no_later(begun + AGAIN_S * (1 - ASKED_SPREAD * self._rng.random()))
         self._failed()
 
-    async def _ask_once(self, whole: bool, wait_ms: int) -> None:
-        target = LIST_PATH if whole else f"{LIST_PATH}?index={self.generation}&wait={wait_ms}"
-        limit = LIST_TIMEOUT_S if whole else wait_ms / 1000 + CALL_SLACK_S
+    async def _ask_once(self, wait_s: float, call_s: float) -> None:
+        whole = self._whole
+        target = LIST_PATH if whole else f"{LIST_PATH}?index={self.generation}&wait={int(wait_s * 1000)}"
         try:
-            async with asyncio.timeout(limit):
+            async with asyncio.timeout(call_s if whole or not wait_s else wait_s + SLACK_S):
                 if self._call is None or not self._call.usable:
                     loop = asyncio.get_running_loop()
                     _, self._call = await loop.create_connection(_Call, *self._address)
@@ -180,10 +229,12 @@
                 self._call.close()
             raise
         if status != 200:
-            raise ValueError(f"answered {status}")
+            raise _RefusedError(f"answered {status}")
         for listing in self._steps.changes(orjson.loads(body)):
             if listing is not None:
                 self._take(listing)
                 if not listing.more:
+                    # A version behind the one held: discovery counts anew, and not all is told as changes.
+                    self._whole = not whole and listing.generation < self.generation
                     self.generation = listing.generation
             await asyncio.sleep(0)
--- /dev/null
+++ b/tests/crossings/test_discovery.py
@@ -0,0 +1,270 @@
+"""What may come before a change of the list, and that it is acted on in time whatever came.
+
+Discovery is a stand-in over real sockets, call by call as the test says; the clock jumps (jumping.py).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Sequence
+from contextlib import suppress
+from itertools import product
+
+import pytest
+
+from saltport.membership import registry
+from saltport.membership.listing import Clock, Listing
+from saltport.membership.registry import Discovery
+from tests.crossings.jumping import play
+
+ASK_WITHIN_S = 10.0
+ROUND_S = 0.01  # the loop's own rounding
+BAD = ("hangs", "is reset", "is refused", "can't be read", "is cut off")
+
+
+def entry(name: str, lifecycle: str = "up") -> dict[str, object]:
+    told = {"instanceId": name, "hostPort": "127.0.0.1:1", "lifecycle": lifecycle}
+    return {**told, "weight": 1.0, "startedAtMs": 0}
+
+
+class Scripted:
+    """Discovery, whose first calls go as told and whose later ones go well."""
+
+    def __init__(self, script: Sequence[str]) -> None:
+        self._script = list(script)
+        self.generation = 1
+        self.instances = [entry("old")]
+        self.changed = asyncio.Event()
+        self.calls: list[tuple[float, str]] = []
+        """When each began, and its target."""
+        self.bad_at = 0.0
+        """When the last call that went badly began."""
+        self.waits_end = 0.0
+        """When the wait of the last silent watch was over."""
+        self.indented = False
+        self.connections: set[asyncio.StreamWriter] = set()
+
+    async def listen(self) -> int:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return int(server.sockets[0].getsockname()[1])
+
+    def change(self) -> None:
+        self.generation += 1
+        self.instances = [entry("new")]
+        self.changed.set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections.add(writer)
+        loop = asyncio.get_running_loop()
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                target = head.split(b" ")[1].decode()
+                wait_s = int(target.split("wait=")[1]) / 1000 if "wait=" in target else 0.0
+                self.calls.append((loop.time(), target))
+                how = self._script.pop(0) if self._script else "goes well"
+                if how != "goes well":
+                    self.bad_at = loop.time()
+                    self.waits_end = loop.time() + wait_s
+                if how == "hangs":
+                    await asyncio.sleep(10_000)
+                elif how == "is reset":
+                    writer.transport.abort()
+                elif how == "is cut off":
+                    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 9000\r\n\r\n{")
+                    await writer.drain()
+                    writer.transport.abort()
+                elif how == "is refused":
+                    writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+                elif how == "can't be read":
+                    writer.write(b'HTTP/1.1 200 X\r\nContent-Length: 17\r\n\r\n{"generation": 3}')
+                else:
+                    body = await self._answer(target, wait_s)
+                    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, target: str, wait_s: float) -> bytes:
+        whole = "index=" not in target
+        index = -1 if whole else int(target.split("index=")[1].split("&")[0])
+        if not whole and self.generation <= index:
+            self.changed.clear()
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), wait_s)
+        entries = self.instances if self.generation > index else []
+        body = {"generation": self.generation, "reset": whole, "instances": entries, "unknown": [1]}
+        return json.dumps(body, indent=2 if self.indented else None).encode()
+
+
+class Follower:
+    """What a router knows: the servers told of last, and when it was told of the new one."""
+
+    def __init__(self, port: int, asked: bool, seed: int) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.told_at: dict[str, float] = {}
+        self.new = asyncio.Event()
+        self.failures = 0
+        self.rng = random.Random(seed)
+        self.discovery = Discovery(
+            ("127.0.0.1", port), asked, Clock(), self._take, self._failed, ASK_WITHIN_S, self.rng
+        )
+
+    def _take(self, listing: Listing) -> None:
+        for server in listing.change.servers:
+            self.told_at.setdefault(server.id, self.loop.time())
+            if server.id == "new":
+                self.new.set()
+
+    def _failed(self) -> None:
+        """As the decision module does: it asks again after up to half of what the settings allow."""
+        self.failures += 1
+        self.loop.call_later(ASK_WITHIN_S / 2, self.discovery.subscribe)
+
+
+def test_the_budget_is_within_the_terms() -> None:
+    r = registry
+    calls = 2 * (r.RETRY_S + r.CALL_S)
+    assert r.PUSHED_WAIT_S + r.SLACK_S + calls + r.LATE_S <= r.TERM_S
+    assert r.SLACK_S + r.CALL_S + r.LATE_S <= r.SILENT_S + 1e-9
+    assert r.AGAIN_S + r.ASKED_CALL_S + r.LATE_S <= r.TERM_S
+    assert r.RETRY_S < 0.2, "or a watch does not go on"
+
+
+@pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("before", [*product(BAD), *product(BAD, BAD), *product(BAD, BAD, BAD)], ids="+".join)
+def test_change_is_acted_on_in_time_whatever_calls_came_before(before: tuple[str, ...], asked: bool) -> None:
+    async def scene() -> None:
+        peer = Scripted(["goes well", *before])
+        follower = Follower(await peer.listen(), asked, seed=len(peer.calls))
+        if asked:
+            follower.discovery.subscribe()
+        else:
+            follower.discovery.start()
+        while len(peer.calls) < 1 + len(before):
+            await asyncio.sleep(0.05)
+        # From the beginning of the last call that goes badly on, any other would go well.
+        peer.change()
+        await asyncio.wait_for(follower.new.wait(), 100)
+        allowed = peer.bad_at + registry.TERM_S
+        if before[-1] == "hangs":
+            allowed = max(allowed, peer.waits_end + registry.SILENT_S if asked else 0.0)
+        assert follower.told_at["new"] <= allowed + ROUND_S
+        follower.discovery.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_silent_watch_of_an_asked_discovery_is_opened_anew_two_seconds_after_its_wait(seed: int) -> None:
+    async def scene() -> None:
+        peer = Scripted(["goes well", "hangs"])
+        follower = Follower(await peer.listen(), True, seed)
+        follower.discovery.subscribe()
+        while len(peer.calls) < 2:
+            await asyncio.sleep(0.05)
+        peer.change()
+        await asyncio.wait_for(follower.new.wait(), 100)
+        assert follower.told_at["new"] <= peer.waits_end + registry.SILENT_S - registry.LATE_S + ROUND_S
+        assert follower.failures == 0, "one call at once: the module's pause is for a discovery that fails"
+        follower.discovery.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
+def test_discovery_that_counts_anew_is_followed_from_its_whole_list(asked: bool) -> None:
+    async def scene() -> None:
+        peer = Scripted([])
+        peer.generation = 41
+        follower = Follower(await peer.listen(), asked, 1)
+        (follower.discovery.subscribe if asked else follower.discovery.start)()
+        while len(peer.calls) < 2:
+            await asyncio.sleep(0.05)
+        peer.generation = 3  # restarted: a watch from 41 hears of nothing newer
+        peer.change()
+        for writer in peer.connections:
+            writer.transport.abort()
+        await asyncio.wait_for(follower.new.wait(), 100)
+        assert follower.discovery.generation == 4
+        follower.discovery.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("watching", [False, True])
+def test_another_address_is_asked_at_once_and_for_the_whole_list(asked: bool, watching: bool) -> None:
+    async def scene() -> None:
+        first, second = Scripted(["goes well"] + ([] if watching else ["is refused"] * 99)), Scripted([])
+        first.generation, second.generation = 41, 2
+        second.instances = [entry("new")]
+        port = await second.listen()
+        follower = Follower(await first.listen(), asked, 1)
+        (follower.discovery.subscribe if asked else follower.discovery.start)()
+        while len(first.calls) < 2 + (not watching) * (not asked):
+            await asyncio.sleep(0.05)
+        moved = follower.loop.time()
+        follower.discovery.move(("127.0.0.1", port))
+        await asyncio.wait_for(follower.new.wait(), 100)
+        assert follower.told_at["new"] - moved <= ROUND_S
+        assert second.calls[0][1] == registry.LIST_PATH
+        follower.discovery.close()
+
+    play(scene())
+
+
+def test_moved_while_a_long_list_is_being_taken_ends_with_the_new_one() -> None:
+    async def scene() -> None:
+        first, second = Scripted([]), Scripted([])
+        first.instances = [entry(f"s{i}") for i in range(2000)]
+        second.instances = [entry(f"s{i}") for i in range(1000, 3000)] + [entry("new")]
+        port = await second.listen()
+        follower = Follower(await first.listen(), False, 1)
+        follower.discovery.start()
+        while not follower.told_at:
+            await asyncio.sleep(0)
+        assert len(follower.told_at) < 2000, "it is within the list"
+        follower.discovery.move(("127.0.0.1", port))
+        await asyncio.wait_for(follower.new.wait(), 100)
+        held = follower.discovery._steps._held
+        assert sorted(held) == sorted(["new", *(f"s{i}" for i in range(1000, 3000))])
+        follower.discovery.close()
+
+    play(scene())
+
+
+def test_indented_lists_with_unknown_fields_are_read() -> None:
+    async def scene() -> None:
+        peer = Scripted([])
+        peer.indented = True
+        peer.instances = [{**entry("new"), "colour": {"a": None}}]
+        follower = Follower(await peer.listen(), False, 1)
+        follower.discovery.start()
+        await asyncio.wait_for(follower.new.wait(), 100)
+        follower.discovery.close()
+
+    play(scene())
+
+
+def test_one_bad_entry_leaves_the_old_list_and_is_not_asked_for_without_rest() -> None:
+    async def scene() -> None:
+        peer = Scripted([])
+        follower = Follower(await peer.listen(), False, 1)
+        follower.discovery.start()
+        while len(peer.calls) < 2:
+            await asyncio.sleep(0.05)
+        peer.change()
+        peer.instances = [entry("new"), entry("worse", "nowhere")]
+        begun, known = follower.loop.time(), len(peer.calls)
+        while follower.loop.time() < begun + 20:
+            await asyncio.sleep(0.05)
+        assert len(peer.calls) - known <= 21
+        assert set(follower.told_at) == {"old"}
+        peer.instances = [entry("new")]
+        await asyncio.wait_for(follower.new.wait(), 100)
+        follower.discovery.close()
+
+    play(scene())
