A server that timed out is left alone for as long as it had not been heard of

Counted over 184 routers' logs: from the fifth second on a fifth of the reads timed out after 1.1 s, and ten of 100 servers took most of them; the worst answered 66 reads and let 418 time out, with no more asked of it than of others. Each router asks a server once in some ten seconds: a limit of one request out never binds, this customer's answers hold no load reports (portions need them), and three failures in a row take half a minute.

Mend: after a time-out past its aim a server gets nothing for the time for which it had not been heard of when the attempt was sent, 10 s at the most: milliseconds where it is asked often, the whole interval where seldom. Node.headroom has one reader, which counts it itself now.

--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -32,11 +32,6 @@
         self.portion, self.portion_at = 1.0, 0  # of its reads, and since when (portions.py)
         self._unheard_at = 0
 
-    @property
-    def headroom(self) -> float:
-        """What is left of its limit, as a share."""
-        return max(1.0 - self.load / self.limit.limit, 0.0)
-
     def judge(self, outcome: Outcome, took: int, aim: int, sent_at: int, now: int) -> None:
         """Learn from an attempt's end; quick errors count neither way, the next-ranked server is asked."""
         if outcome in NO_EVIDENCE:
@@ -48,6 +43,8 @@
             self.unheard = 0
         elif again or not self.unheard:
             self.unheard, self._unheard_at = self.unheard + 1, now
+        if took >= aim and outcome is Outcome.TIMEOUT:
+            self.limit.overdue(sent_at, now)
         if outcome in ANSWERED:
             self.limit.learn(took, self.load, sent_at, now, aim)
         elif outcome is Outcome.FULL:
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -287,7 +287,7 @@
         """What it has of this router's and what it will soon have, against what it can do."""
         seen = self._sent[node] + self._sent_before[node]
         span = max(now - self._counted_at + self._span_before, 1)
-        weight = self._weight(node, now) * max(node.headroom, LEAST_HEADROOM)
+        weight = self._weight(node, now) * max(1.0 - node.load / node.limit.limit, LEAST_HEADROOM)
         return (node.load + seen * self._usual / span) / weight
 
     def sent(self, request: Asked, node: Node) -> None:
--- a/saltport/decisions/limits.py
+++ b/saltport/decisions/limits.py
@@ -70,6 +70,10 @@
             self._pause = min(max(2 * self._pause, int(self.took), LEAST_PAUSE), MOST_PAUSE)
             self._until = now + self._pause
 
+    def overdue(self, sent_at: int, now: int) -> None:
+        """It timed out: leave it alone for as long as it was unheard; no limit binds who asks seldom."""
+        self._until = max(self._until, now + min(max(sent_at - self._heard_at, 0), FORGETS))
+
     def room(self, out: int, now: int) -> bool:
         """Whether one more may go."""
         return out < self.limit and now >= self._until
--- a/tests/decisions/test_limits.py
+++ b/tests/decisions/test_limits.py
@@ -10,10 +10,9 @@
 from hypothesis import strategies as st
 
 from saltport.decisions import Outcome, RequestClass, Send, StreamStarted
-from saltport.decisions.limits import LEAST, LEAST_PAUSE, MOST_PAUSE, Limit
-from tests.decisions.helpers import S, ended, fleet, only_send, request, sends, settings, started
+from saltport.decisions.limits import FORGETS, LEAST, LEAST_PAUSE, MOST_PAUSE, Limit
+from tests.decisions.helpers import MS, S, ended, fleet, only_send, request, sends, settings, started
 
-MS = 1_000_000
 AIM = 300 * MS
 
 
@@ -180,3 +179,18 @@
     assert sends(router.handle(request("r", S), S))
     router.handle(StreamStarted("r", 0), S)
     assert router.caches.nodes[fleet(1)[0].id].load == 1
+
+
+@pytest.mark.parametrize(("unheard", "pause"), [(10 * MS, 10 * MS), (4 * S, 4 * S), (60 * S, FORGETS)])
+def test_server_that_timed_out_is_left_alone_for_as_long_as_it_had_not_been_heard_of(
+    unheard: int, pause: int
+) -> None:
+    """At hundreds of routers each asks a server every some seconds: with none out, no limit ever binds."""
+    router = started(settings(), fleet(1), origin=False)
+    first = only_send(router.handle(request("heard", 100 * S), 100 * S))
+    router.handle(ended(first, Outcome.OK, latency=10 * MS), 100 * S)
+    silent = only_send(router.handle(request("silent", 100 * S + unheard), 100 * S + unheard))
+    over = 100 * S + unheard + S
+    router.handle(ended(silent, Outcome.TIMEOUT, closed=True, latency=S), over)
+    assert not sends(router.handle(request("meanwhile", over + pause - MS), over + pause - MS))
+    assert sends(router.handle(request("then", over + pause), over + pause))
