--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -19,7 +19,7 @@
 from saltport import __version__
 from saltport.address import parse_address
 from saltport.admin.calls import CallError
-from saltport.decisions import ListKind
+from saltport.decisions import ListKind, ServersChanged
 from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.clients import ClientServer
 from saltport.downstream.resp import RespDialect
@@ -127,10 +127,9 @@
         # Danger: without a handler SIGHUP ends the process and all that it has taken.
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._bans.follow()
-        if config.known is not None:
-            known = read_listing(config.known, self._clock, ListKind.CACHED)
-            self._discovery.hold(config.known, known.generation)
-            self._host.servers_changed(known)
+        known = self._known()
+        # Danger: told in any case, as where discovery is asked the first watch follows from it.
+        self._host.servers_changed(known or Listing(0, ServersChanged(ListKind.CACHED), {}))
         admin = None
         if config.admin is not None:
             from saltport.admin.listener import AdminListener  # only where operators call
@@ -144,7 +143,7 @@
             await self._clients.listen(address, self._memcached)
         if not config.settings.must_subscribe:
             self._discovery.start()
-        if config.known is not None:
+        if known is not None:
             loop.call_later(READY_S, self._make_do)
         opening = loop.create_task(self._peers.open()) if self._peers is not None else None
         if config.listen_fd is not None:
@@ -198,6 +197,19 @@
 
     # The list of servers
 
+    def _known(self) -> Listing | None:
+        """The list as this router last had it; one that can't be read is no reason to end."""
+        told = self._config.known
+        if told is None:
+            return None
+        try:
+            known = read_listing(told, self._clock, ListKind.CACHED)
+        except ValueError as error:
+            log.warning("known: %s; the router starts without it", error)
+            return None
+        self._discovery.hold(told, known.generation)
+        return known
+
     def _take(self, listing: Listing) -> None:
         self._host.servers_changed(listing)
         self._host.ready = self._host.ready or not listing.more
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -13,7 +13,6 @@
 import uvloop
 
 from saltport.lifecycle.service import Service
-from saltport.membership.listing import Clock, read_listing
 from saltport.router.config import Config, ConfigError, load_config
 from saltport.router.log import make_logger
 
@@ -39,9 +38,7 @@
     try:
         with_files = _with_files(sys.argv[1:])
         config = load_config(os.environ, with_files)
-        if config.known is not None:
-            read_listing(config.known, Clock())
-    except (ConfigError, ValueError) as error:
+    except ConfigError as error:
         print(f"saltport: {error}", file=sys.stderr)
         return 2
     make_logger(config.name)
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -47,8 +47,8 @@
     memory: int
     """Bytes; over this the router is killed."""
     sockets: int
-    known: dict[str, Any] | None
-    """The list of servers as last held, in discovery's form; it may be old."""
+    known: Any
+    """The list of servers as last held, in discovery's form; it may be old, or no list at all."""
     peers: PeerPlan | None = None
     """Where this router is among those it knows; None: it knows none."""
     owners: OwnersPlan | None = None
@@ -182,7 +182,6 @@
     facts = typed("settings", told["settings"], dict)
     ceilings = facts.get("ceilings") or {}
     limits = typed("limits", told.get("limits") or {}, dict)
-    known = told.get("known")
     admin = environ.get("LB_ADMIN_ADDR") or told.get("admin_addr")
     return Config(
         name=environ.get("LB_NAME") or str(told.get("name") or "router"),
@@ -197,7 +196,7 @@
         idle_close=_positive("ceilings.idleCloseNs", ceilings.get("idleCloseNs"), DEFAULT_IDLE_CLOSE_NS),
         memory=_positive("limits.memory_mb", limits.get("memory_mb"), DEFAULT_MEMORY_MB) << 20,
         sockets=_positive("limits.sockets", limits.get("sockets"), DEFAULT_SOCKETS),
-        known=typed("known", known, dict) if known is not None else None,
+        known=told.get("known"),
         admin=parse_address("admin_addr", admin) if admin else None,
         listen_fd=_descriptor(environ.get("LB_SOCKET_FD")),
         keys=frozenset(_paths(told)) - OPTIONAL,
