--- a/saltport/downstream/resp.py
+++ b/saltport/downstream/resp.py
@@ -45,6 +45,7 @@
 ANSWERS = RespAnswers()
 REMEMBERED_INFO = 128  # longer lists are read each time, so that strangers can't fill the memory
 _PLAIN = re.compile(rb"[ -~]+").fullmatch
+_TEXT = re.compile(rb"[ -~\x80-\xff]+").fullmatch  # names of classes and tenants may be in any script
 
 
 class RespDialect:
@@ -100,7 +101,7 @@
     if len(key) + len(request) + len(info) > MAX_WORD:
         raise ValueError("key, id or list too long")
     # Danger: these words become HTTP lines at the origin, where a line break would forge a header.
-    if not _PLAIN(request) or not _PLAIN(info):
+    if not _PLAIN(request) or not _TEXT(info):
         raise ValueError("id and list must be plain text")
     check_key(key)
     told = _told if len(info) <= REMEMBERED_INFO else _told.__wrapped__
--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -116,7 +116,11 @@
 def parse_info(info: bytes) -> dict[str, str]:
     """Take a request's list of names and values apart; raises ValueError in words for the client."""
     fields: dict[str, str] = {}
-    for part in info.decode("ascii").split(","):
+    try:
+        text = info.decode()
+    except UnicodeDecodeError:
+        raise ValueError("the list of names and values must be UTF-8") from None
+    for part in text.split(","):
         field, sign, value = part.partition("=")
         if not sign:
             raise ValueError("expected a list of names and values")
--- /dev/null
+++ b/tests/crossings/test_start.py
@@ -0,0 +1,99 @@
+"""Starts beside a discovery that is down, late or asked, with a known list that is old, empty or broken."""
+
+from __future__ import annotations
+
+import json
+import threading
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.sockets import (
+    PATIENCE_S,
+    Client,
+    DiscoveryPeer,
+    Peer,
+    bulk,
+    configuration,
+    entry,
+    eventually,
+    free_port,
+    get,
+    is_ready,
+    serving,
+    start_router,
+)
+
+BROKEN = [
+    "no list",
+    7,
+    {},
+    {"generation": "x", "instances": []},
+    {"generation": 1, "instances": [{}]},
+    {"generation": 1, "instances": [{"instanceId": "s", "hostPort": "nowhere", "lifecycle": "up"}]},
+]
+
+
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+@pytest.mark.parametrize("known", [None, *BROKEN], ids=json.dumps)
+def test_known_list_that_is_none_does_not_keep_a_router_from_its_work(
+    tmp_path: Path, known: Any, mode: str
+) -> None:
+    cache = serving()
+    discovery = DiscoveryPeer([entry(cache, "s1")])
+    port = free_port()
+    told = configuration(port, discovery, facts={"membershipMode": mode}) | {"known": known}
+    process = start_router(tmp_path, told)
+    try:
+        eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
+        assert process.poll() is None, process.communicate()[1]
+        assert Client(port).ask(get("r1")) == b"r1"
+    finally:
+        process.terminate()
+        log = process.communicate(timeout=PATIENCE_S)[1]
+        cache.close()
+        discovery.peer.close()
+    assert log.count("known:") == (known is not None), "said once, in one line"
+
+
+def test_idle_clients_that_fill_their_share_keep_nobody_from_discovery_or_servers(tmp_path: Path) -> None:
+    """Discovery is silent from the start; many more idle clients come than there are descriptors for."""
+    cache, speaks = serving(), threading.Event()
+    discovery = DiscoveryPeer([entry(cache, "s1")])
+    answer = discovery.peer.handler
+
+    def silent(connection: Any, message: list[bytes]) -> bytes | None:
+        speaks.wait(2 * PATIENCE_S)
+        return answer(connection, message)
+
+    discovery.peer.handler = silent
+    port = free_port()
+    old = Peer(lambda _, words: b"-BUSY\r\n")
+    known = {"generation": 0, "reset": True, "instances": [entry(old, "old")]}
+    process = start_router(tmp_path, configuration(port, discovery, sockets=160) | {"known": known})
+    idle: list[Client] = []
+    try:
+        eventually(lambda: is_ready(port), "ready by the known list")
+        idle += [Client(port) for _ in range(400)]
+        first = Client(port)
+        assert first.ask(bulk(b"PING")) == b"+PONG"
+        assert first.ask(get("r1")).startswith(b"-BUSY"), "the known server is dialled, and is full"
+        assert len(old.seen) > 0
+        speaks.set()
+        names = (f"n{i}" for i in range(10_000))
+        eventually(lambda: Client(port).ask(get(next(names))).startswith(b"n"), "the new list is used")
+        idle += [Client(port) for _ in range(400)]
+        assert Client(port).ask(bulk(b"PING")) == b"+PONG"
+        assert Client(port).ask(get("last")) == b"last"
+    finally:
+        speaks.set()
+        process.terminate()
+        log = process.communicate(timeout=PATIENCE_S)[1]
+        for peer in (cache, old, discovery.peer):
+            peer.close()
+        for client in idle:
+            client.close()
+    assert process.returncode == 0, log
+    assert "Traceback" not in log
+    assert "Too many open files" not in log
