--- a/tests/crossings/test_other_customers.py
+++ b/tests/crossings/test_other_customers.py
@@ -154,9 +154,14 @@
     tenants = tuple((named(rng, taken), 1 / 3) for _ in range(3))
     origin = rng.choice(((1.0, 2.0), (5.0, 60.0)))
     return Profile(
-        classes=tuple(classes), tenants=tenants, origin_work_ms=origin,
-        idle_close_ms=rng.choice((300, 60_000)), cold_from=rng.choice((0.05, 0.9)), cold_ms=rng.choice((500, 30_000)), drain_grace_ms=300,
-    )  # fmt: skip
+        classes=tuple(classes),
+        tenants=tenants,
+        origin_work_ms=origin,
+        idle_close_ms=rng.choice((300, 60_000)),
+        cold_from=rng.choice((0.05, 0.9)),
+        cold_ms=rng.choice((500, 30_000)),
+        drain_grace_ms=300,
+    )
 
 
 @pytest.mark.parametrize("seed", range(4))
