--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -54,8 +54,17 @@
         except HttpError as error:
             self.spoil(f"broke the protocol: {error}")
             return
-        if not whole:
-            return
+        if whole:
+            self._answered()
+
+    def eof_received(self) -> bool:
+        """The origin has ended, which is the end of an answer that names none."""
+        self.server.pool.touched()
+        if self.exchange is not None and self.ended():
+            self._answered()
+        return False
+
+    def _answered(self) -> None:
         status = self.status
         not_started = self.headers.get(b"not-started") == b"1"
         value = None if self._streaming else bytes(self._body)
--- a/saltport/wire/http.py
+++ b/saltport/wire/http.py
@@ -48,6 +48,20 @@
             raise HttpError("head too long")
         return self._whole
 
+    def ended(self) -> bool:
+        """The other side has ended cleanly; whether that makes the answer whole.
+
+        Danger: only where the head names no end of its own; and a reset is no end.
+        """
+        if (
+            not self._in_body
+            or self._whole
+            or self.headers.keys() & {b"content-length", b"transfer-encoding"}
+        ):
+            return False
+        self._whole, self._keep = True, False
+        return True
+
     def answer_done(self) -> bool:
         """Make ready for the next answer; returns whether the connection may be kept."""
         keep = self._keep
