A server that was never heard of is left alone only for as long as it is known

A router that restarts has heard of nobody, and its first time-out cost any server, hanging or not, the whole 10 s.

Mend: a limit counts from when its server was listed, or came back.

--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -20,14 +20,14 @@
 class Node:
     """One ready server."""
 
-    def __init__(self, entry: api.Server, weighted: bool, cold_time: int = 0) -> None:
+    def __init__(self, entry: api.Server, weighted: bool, cold_time: int = 0, known_at: int = 0) -> None:
         self.entry, self.load = entry, 0
         self.weight = entry.weight if weighted else 1.0
         self.seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
         self.warm_at = entry.started + cold_time if entry.started and cold_time else 0
         self.unheard = 0
         self.pace = Pace()
-        self.limit = Limit()
+        self.limit = Limit(known_at)
         self.promptness = Promptness()
         self.portion, self.portion_at = 1.0, 0  # of its reads, and since when (portions.py)
         self._unheard_at = 0
--- a/saltport/decisions/limits.py
+++ b/saltport/decisions/limits.py
@@ -25,14 +25,14 @@
 
     __slots__ = ("_cut_at", "_heard_at", "_pause", "_until", "limit", "took", "work")
 
-    def __init__(self) -> None:
+    def __init__(self, known_at: int = 0) -> None:
         self.limit = math.inf
         """None before the first sign of lateness: what it can take is unknown, a burst is no overload."""
         self.took = 0.0
         """Smoothed time of an answer."""
         self.work = 0.0
         """The part of it that is work: the least time seen lately."""
-        self._cut_at = self._heard_at = self._pause = self._until = 0
+        self._cut_at, self._heard_at, self._pause, self._until = 0, known_at, 0, 0
 
     def heard(self, now: int) -> None:
         """What is held of its answers counts from now on, where it was not learnt here."""
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -254,7 +254,7 @@
     def _update(self, ready: list[api.Server], left: list[str]) -> None:
         for table, is_origin in ((self.caches, False), (self.origins, True)):
             mine = [entry for entry in ready if (entry.kind == self.settings.origin_kind) == is_origin]
-            table.update(mine, left)
+            table.update(mine, left, self._now)
         self.outliers.follow(self.caches.nodes, self._now)
 
     def _keep_subscribed(self, kind: ListKind) -> None:
@@ -484,7 +484,7 @@
         if news is not None:
             self._actions.append(api.Log(news.message))
             if news.is_back:
-                node.limit = Limit()
+                node.limit = Limit(self._now)
 
     def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first."""
--- a/saltport/decisions/table.py
+++ b/saltport/decisions/table.py
@@ -59,7 +59,7 @@
         """Take new settings; servers that are held keep theirs."""
         self._settings = settings
 
-    def update(self, ready: list[api.Server], left: list[str]) -> None:
+    def update(self, ready: list[api.Server], left: list[str], now: int = 0) -> None:
         """Take servers that are ready, and ids of those that left."""
         for server_id in left:
             self._take_out(server_id)
@@ -67,7 +67,7 @@
             held = self.nodes.get(entry.id)
             if held is None or held.entry != entry:
                 self._take_out(entry.id)
-                node = Node(entry, self._settings.weighted, self._settings.cold_time)
+                node = Node(entry, self._settings.weighted, self._settings.cold_time, now)
                 self.nodes[entry.id] = node
                 self._lanes.add(node)
                 self._note(node, came=True)
--- a/tests/decisions/test_limits.py
+++ b/tests/decisions/test_limits.py
@@ -194,3 +194,12 @@
     router.handle(ended(silent, Outcome.TIMEOUT, closed=True, latency=S), over)
     assert not sends(router.handle(request("meanwhile", over + pause - MS), over + pause - MS))
     assert sends(router.handle(request("then", over + pause), over + pause))
+
+
+def test_server_that_never_answered_is_left_alone_for_as_long_as_it_is_known() -> None:
+    """A router that has just started knows nobody: its first time-outs tell nothing of how seldom it asks."""
+    router = started(settings(), fleet(1), origin=False, now=100 * S)
+    first = only_send(router.handle(request("first", 102 * S), 102 * S))
+    router.handle(ended(first, Outcome.TIMEOUT, closed=True, latency=S), 103 * S)
+    assert not sends(router.handle(request("meanwhile", 105 * S - MS), 105 * S - MS))
+    assert sends(router.handle(request("then", 105 * S), 105 * S))
