--- a/tests/crossings/test_gone_clients.py
+++ b/tests/crossings/test_gone_clients.py
@@ -47,6 +47,16 @@
         return [words[2] for words in self.peer.seen if words[2].startswith(of.encode())]
 
 
+def held_origin(let_go: threading.Event) -> Peer:
+    """An origin that answers each read with its key once it is let go."""
+
+    def fetch(_: socket.socket, message: list[bytes]) -> bytes:
+        assert let_go.wait(PATIENCE_S)
+        return http_answer(200, message[1][1:])
+
+    return Peer(fetch, is_http=True)
+
+
 def close(client: Client) -> None:
     client.close()
 
@@ -102,12 +112,7 @@
 
 def test_fetch_of_a_client_that_left_goes_on_for_those_who_wait_for_it(tmp_path: Path) -> None:
     let_go = threading.Event()
-
-    def fetch(_: socket.socket, message: list[bytes]) -> bytes:
-        assert let_go.wait(PATIENCE_S)
-        return http_answer(200, message[1][1:])
-
-    cache, origin = Peer(lambda _, words: MISS), Peer(fetch, is_http=True)
+    cache, origin = Peer(lambda _, words: MISS), held_origin(let_go)
     with routed(tmp_path, {"s1": cache}, origin) as router:
         leader, waiter = router.client(), router.client()
         leader.send(get("leader", "k", LONG))
@@ -128,12 +133,7 @@
 
 def test_fetch_that_waits_for_a_connection_passes_to_the_next_when_its_client_leaves(tmp_path: Path) -> None:
     let_go = threading.Event()
-
-    def fetch(_: socket.socket, message: list[bytes]) -> bytes:
-        assert let_go.wait(PATIENCE_S)
-        return http_answer(200, message[1][1:])
-
-    cache, origin = Peer(lambda _, words: MISS), Peer(fetch, is_http=True)
+    cache, origin = Peer(lambda _, words: MISS), held_origin(let_go)
     with routed(tmp_path, {"s1": cache}, origin) as router:
         busy, leader, waiter = router.client(), router.client(), router.client()
         busy.send(b"".join(get(f"busy{i}", f"b{i}", LONG) for i in range(PER_SERVER)))
