Read over: the pause after a failed call is local, and Send alone says until when it may leave

A flag of the loop in Discovery._follow was only ever read in the turn that set it. The module's not_after is never later than the request's deadline, so the second bound in Attempt.may_begin said the same again.

--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -176,19 +176,19 @@
         self._again = asyncio.get_running_loop().call_at(due, self.subscribe) if due is not None else None
 
     async def _follow(self) -> None:
-        down = unreadable = False
+        down = False
         while True:
             try:
                 await self._ask_once(PUSHED_WAIT_S, CALL_S)
-                down = unreadable = False
+                down = False
                 continue
             except Exception as error:
-                unreadable = isinstance(error, ValueError)
+                pause = UNREADABLE_S if isinstance(error, ValueError) else RETRY_S
                 if not down:
                     log.warning("discovery: %s", str(error) or type(error).__name__)
             # Danger: a discovery that restarted may count anew: a watch from a version ahead hears nothing.
             down = self._whole = True
-            await asyncio.sleep(UNREADABLE_S if unreadable else RETRY_S)
+            await asyncio.sleep(pause)
 
     async def _watch_asked(self) -> None:
         loop = asyncio.get_running_loop()
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -250,7 +250,7 @@
         """See Exchange: its client is there, its time is not over, and it is not one too many."""
         request = self._request
         live = not request.closed and self._number < request.most_attempts
-        return live and time.monotonic_ns() < min(self._not_after, request.deadline)
+        return live and time.monotonic_ns() < self._not_after
 
     def wait_until(self, due: int) -> None:
         """Give up at the time `due`."""
