The clients' listener is bound by address: no threads to resolve a host that is none

uvloop's create_server(host=...) resolves the host in libuv's thread pool, which starts four threads and keeps them: each router had five. The listener is made by socket.create_server, as that of operators' calls is. Seen: the new test found ['python', 'libuv-worker' x 4] without the change, one thread with it.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -506,14 +506,17 @@
     async def listen(self, address: Address, dialect: Callable[[], ClientDialect] | None = None) -> None:
         """Accept clients at this address, of the server's dialect or another; they share all limits."""
         speaks = dialect or self.dialect
-        await self._listen(lambda: ClientConnection(self, speaks), host=address[0], port=address[1])
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        # Danger: given a host, the loop resolves it, and keeps four threads for that as long as it runs.
+        listener = socket.create_server(address, family=family, backlog=BACKLOG)
+        await self._listen(lambda: ClientConnection(self, speaks), listener)
 
     async def listen_at(self, listener: socket.socket) -> None:
         """Accept clients at a socket that somebody else holds too, and that outlives this process."""
-        await self._listen(lambda: ClientConnection(self, self.dialect), sock=listener)
+        await self._listen(lambda: ClientConnection(self, self.dialect), listener)
 
-    async def _listen(self, made: Callable[[], ClientConnection], **where: Any) -> None:
-        self._listeners.append(await self.loop.create_server(made, backlog=BACKLOG, **where))
+    async def _listen(self, made: Callable[[], ClientConnection], listener: socket.socket) -> None:
+        self._listeners.append(await self.loop.create_server(made, backlog=BACKLOG, sock=listener))
 
     def adopt(self, record: ConnectionRecord, descriptors: Sequence[int], stays: bool = False) -> None:
         """Go on with a client's connection from another process; `stays`: it can't go there again.
--- a/tests/crossings/test_start.py
+++ b/tests/crossings/test_start.py
@@ -21,6 +21,7 @@
     free_port,
     get,
     is_ready,
+    routed,
     serving,
     start_router,
 )
@@ -97,3 +98,14 @@
     assert process.returncode == 0, log
     assert "Traceback" not in log
     assert "Too many open files" not in log
+
+
+def test_a_router_runs_in_one_thread(tmp_path: Path) -> None:
+    """Threads cost memory in each of hundreds of processes on one machine."""
+    cache = serving()
+    with routed(tmp_path, {"s1": cache}) as router:
+        assert router.client().ask(get("r1")) == b"r1"
+        assert router.shows("pid") == router.process.pid
+        tasks = Path(f"/proc/{router.process.pid}/task")
+        threads = [task.joinpath("comm").read_text().strip() for task in tasks.iterdir()]
+    assert len(threads) == 1, threads
