The origin is told what is left of the client's time, not all of it

`OriginConnection.request_bytes` words `d` by `left_ms()` as cache servers' connections do; all other names and values go on as they came.

--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -8,7 +8,7 @@
 from saltport.handover.record import Flow
 from saltport.upstream.pool import Connection, Exchange, Server
 from saltport.wire.http import HttpError, HttpReader, request
-from saltport.wire.resp import LARGE, MAX_VALUE
+from saltport.wire.resp import LARGE, MAX_VALUE, info_with
 
 _NEVER_RAN = (503, 504)
 KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
@@ -39,12 +39,15 @@
         self.read(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % flow.left)
 
     def request_bytes(self, exchange: Exchange) -> bytes:
-        """A read as GET, a write as PUT, with the list of names and values as it came; or a probe."""
+        """A read as GET, a write as PUT, with the client's list, whose `d` tells what is left; or a probe."""
         asked, (host, port) = exchange.request, self.server.address
         if asked is None:
             return request("GET", "/stats" if exchange.wants_load else "/health/live", f"{host}:{port}")
         method = "GET" if asked.value is None else "PUT"
-        headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (asked.id, asked.info)
+        headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (
+            asked.id,
+            info_with(asked.info, exchange.left_ms()),
+        )
         return request(method, "/" + quote(asked.key, safe=KEY_SAFE), f"{host}:{port}", headers, asked.value)
 
     def answer_came(self, data: bytes) -> None:
