Answers of cache servers are framed strictly, and a value is served only if it fits

Cause: hiredis takes the bytes that a length names and skips two without looking at them, so `*3\r\n$4\r\nabcdef$-1\r\n$-1\r\n` was served as `abcd`; `_pass_on` dropped the two bytes behind a long value unseen, so a longer value was passed on as a whole one.

Change: `wire/resp_answers.py` reads answers as a codec without sockets, typed messages out; length lines and bulk strings are read in `wire/resp.py` for commands and answers alike. Each length has to fit its bytes and their end mark, for value, note, load report, error line and what follows a long value, also after a hand-over. Refused: a count other than three, nested arrays, signs, leading zeros, other nulls, bare line feeds and carriage returns, over-long lines, unknown types. A broken answer ends its connection and counts as an error that may have run. Bytes behind a whole answer retire the connection, as before. A common answer is read in one step; anything else is read again from its start only when the bytes that it is known to need have come.

--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -1,7 +1,7 @@
-"""Clients' commands off the wire: arrays of bulk strings, read strictly and within bounds.
+"""RESP2: clients' commands off the wire, read strictly and within bounds, and commands put on it.
 
-Caches' answers are left to hiredis. For commands it would allocate whatever a header claims (an array of
-a thousand million places, say) before anything of it has come, and strangers write those headers.
+The elements that commands and answers have in common (length lines, bulk strings) are read here; answers of
+cache servers are read in `resp_answers`.
 """
 
 from __future__ import annotations
@@ -15,12 +15,21 @@
 MAX_WORD = 16 << 10  # all words of a command but its value together: far more than any has
 MAX_REPORT = 256
 MAX_HEADER = 16  # a length line: its mark, digits and end
+END = b"\r\n"
 
 
 class FramingError(Exception):
     """The stream breaks the protocol's framing; the text is for the client."""
 
 
+class Unfinished(Exception):  # noqa: N818 - no error: it goes on with the next bytes
+    """What is being read is not whole; it takes at least `need` bytes, counted from the start of the data."""
+
+    def __init__(self, need: int) -> None:
+        super().__init__(need)
+        self.need = need
+
+
 class CommandReader:
     """Cuts a client's bytes into commands, each a list of its words."""
 
@@ -53,50 +62,52 @@
         while position < len(data):
             try:
                 words, end = self._command(data, position)
+            except Unfinished as unfinished:
+                self.need = unfinished.need - position
+                self._held += data[position:]
+                break
             except FramingError as error:
                 self.broken = str(error)
                 break
-            if not end:
-                self._held += data[position:]
-                break
             commands.append(words)
             position = end
         return commands
 
     def _command(self, data: bytes, begin: int) -> tuple[list[bytes], int]:
-        count, position = self._length(data, begin, b"*")
-        if position and not 1 <= count <= MAX_PARTS:
+        count, position = length_line(data, begin, b"*")
+        if not 1 <= count <= MAX_PARTS:
             raise FramingError("invalid multibulk length")
         words: list[bytes] = []
-        while position and len(words) < count:
-            size, start = self._length(data, position, b"$")
-            if not start:
-                position = 0
-                break
-            position = start + size + 2
+        while len(words) < count:
+            size, start = length_line(data, position, b"$")
             if size > MAX_VALUE:
                 raise FramingError("value too long")
-            if position - begin > MAX_VALUE + MAX_WORD:
+            if start + size + len(END) - begin > MAX_VALUE + MAX_WORD:
                 raise FramingError("command too long")
-            if len(data) < position:
-                self.need = position - begin
-                return [], 0
-            if data[position - 2 : position] != b"\r\n":
-                raise FramingError("bulk string without its end")
-            words.append(data[start : position - 2])
-        if not position:
-            self.need = len(data) - begin + 1
+            word, position = string_of(data, start, size)
+            words.append(word)
         return words, position
 
-    def _length(self, data: bytes, begin: int, mark: bytes) -> tuple[int, int]:
-        """A length line's number and where the line ends; 0 where it is not whole."""
-        end = data.find(b"\r\n", begin, begin + MAX_HEADER)
-        if end < 0 and len(data) - begin < MAX_HEADER and mark.startswith(data[begin : begin + 1]):
-            return 0, 0
-        digits = data[begin + 1 : end] if end > 0 else b""
-        if data[begin : begin + 1] != mark or not digits.isdigit():
-            raise FramingError(f"expected {mark.decode()!r} and a length")
-        return int(digits), end + 2
+
+def length_line(data: bytes, begin: int, mark: bytes) -> tuple[int, int]:
+    """Return a length line's number and where the line ends; raises Unfinished and FramingError."""
+    end = data.find(END, begin, begin + MAX_HEADER)
+    if end < 0 and len(data) - begin < MAX_HEADER and mark.startswith(data[begin : begin + 1]):
+        raise Unfinished(len(data) + 1)
+    digits = data[begin + 1 : end] if end > 0 else b""
+    if data[begin : begin + 1] != mark or not digits.isdigit():
+        raise FramingError(f"expected {mark.decode()!r} and a length")
+    return int(digits), end + len(END)
+
+
+def string_of(data: bytes, start: int, size: int) -> tuple[bytes, int]:
+    """Return a bulk string that has so many bytes and where it ends; raises Unfinished and FramingError."""
+    end = start + size
+    if len(data) < end + len(END):
+        raise Unfinished(end + len(END))
+    if data[end : end + len(END)] != END:
+        raise FramingError("bulk string without its end")
+    return data[start:end], end + len(END)
 
 
 def _plain_command(data: bytes) -> list[bytes] | None:
--- a/tests/crossings/test_broken_answers.py
+++ b/tests/crossings/test_broken_answers.py
@@ -1,14 +1,23 @@
-"""Answers of the origin that end with their connection: a clean end is one, a reset is none."""
+"""Answers that are broken, cut or end with their connection, from cache servers and the origin.
+
+What is served is what a server framed as a whole answer; a length that does not fit its bytes is an error.
+"""
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import threading
 from pathlib import Path
 
 import pytest
+import uvloop
 
-from tests.sockets import MISS, PATIENCE_S, Peer, get, http_answer, reset, routed
+from saltport.decisions import CacheNote, Outcome
+from saltport.messages import Request, ValueSource
+from saltport.upstream.pool import Connection, Exchange, Pool
+from saltport.upstream.resp import CacheConnection
+from tests.sockets import MISS, PATIENCE_S, Peer, eventually, get, hit, http_answer, reset, routed
 
 VALUE = b"v" * 3000
 HEAD = b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n"
@@ -73,3 +82,127 @@
         assert [client.ask(get(f"r{i}", f"k{i}", d=15_000)) for i in range(5)] == [
             b"k%d" % i for i in range(5)
         ]
+
+
+class Received(Exchange):
+    """A read on a pool of its own: what of its answer has come, and how it has ended."""
+
+    request = Request(b"r", b"k", "get", "acme", 5000, None, False, b"c=get,t=acme,d=5000")
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+        self.end_of_it: asyncio.Future[tuple[Outcome, bytes | None]] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def value_started(self, length: int, source: ValueSource) -> None:
+        self.parts.append(b"")
+
+    def value_came(self, data: bytes) -> None:
+        self.parts.append(data)
+
+    def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
+        self.end_of_it.set_result((outcome, value))
+
+
+def exchange_with(
+    answers: list[bytes], connect: type[Connection] = CacheConnection, piece: int = 1 << 20
+) -> list[tuple[Outcome, bytes | None, bytes]]:
+    """Ask a real server that gives these answers in turn, in pieces; returns end, value, parts of each."""
+
+    async def play() -> list[tuple[Outcome, bytes | None, bytes]]:
+        pool = Pool(asyncio.get_running_loop(), 8, PATIENCE_S, PATIENCE_S)
+        pool.list_server("s1", ("127.0.0.1", peer.port), connect)
+        came = []
+        for _ in answers:
+            received = Received()
+            pool.submit("s1", received)
+            outcome, value = await asyncio.wait_for(received.end_of_it, PATIENCE_S)
+            came.append((outcome, value, b"".join(received.parts)))
+        pool.close()
+        return came
+
+    def answer(connection: socket.socket, _: list[bytes]) -> bytes | None:
+        data = next(left)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for at in range(0, len(data), piece):
+            connection.sendall(data[at : at + piece])
+        return None
+
+    left = iter(answers)
+    peer = Peer(answer, is_http=connect is not CacheConnection)
+    try:
+        return uvloop.run(play())
+    finally:
+        peer.close()
+
+
+BROKEN = {
+    "a length short of its bytes": b"*3\r\n$4\r\nabcdef$-1\r\n$-1\r\n",
+    "a length short of its bytes, end mark kept": b"*3\r\n$4\r\nabcdef\r\n$-1\r\n$-1\r\n",
+    "a length past its bytes": b"*3\r\n$8\r\nabcdef\r\n$-1\r\n$-1\r\n",
+    "another end mark": b"*3\r\n$4\r\nabcd\n\r$-1\r\n$-1\r\n",
+    "a note's length": b"*3\r\n$4\r\nabcd\r\n$2\r\nhit$-1\r\n",
+    "a report's end mark": b"*3\r\n$4\r\nabcd\r\n$3\r\nhit\r\n$3\r\nq=1xx",
+    "a miss whose note does not end": b"*3\r\n$-1\r\n$4\r\nmissxx$-1\r\n",
+    "an error line without its carriage return": b"-ERR failed\n",
+    "a status line with a stray carriage return": b"-ERR \rfailed\r\n",
+    "an error line without an end": b"-" + b"e" * 5000,
+    "two elements": b"*2\r\n$4\r\nabcd\r\n$3\r\nhit\r\n",
+    "four elements": b"*4\r\n$4\r\nabcd\r\n$3\r\nhit\r\n$-1\r\n$-1\r\n",
+    "no elements": b"*0\r\n",
+    "a null array": b"*-1\r\n",
+    "an array within the array": b"*3\r\n*1\r\n$4\r\nabcd\r\n$3\r\nhit\r\n$-1\r\n",
+    "an array for a note": b"*3\r\n$4\r\nabcd\r\n*1\r\n$3\r\nhit\r\n$-1\r\n",
+    "an integer for a note": b"*3\r\n$4\r\nabcd\r\n:3\r\n$-1\r\n",
+    "a length with a sign": b"*3\r\n$+4\r\nabcd\r\n$3\r\nhit\r\n$-1\r\n",
+    "a length with a leading zero": b"*3\r\n$04\r\nabcd\r\n$3\r\nhit\r\n$-1\r\n",
+    "a count with a leading zero": b"*03\r\n$4\r\nabcd\r\n$3\r\nhit\r\n$-1\r\n",
+    "another null": b"*3\r\n$-2\r\n$4\r\nmiss\r\n$-1\r\n",
+    "a length with a space": b"*3\r\n$ 4\r\nabcd\r\n$3\r\nhit\r\n$-1\r\n",
+    "a length line that ends in a line feed": b"*3\r\n$4\nabcd\r\n$3\r\nhit\r\n$-1\r\n",
+    "a length over the longest value": b"*3\r\n$4194305\r\nabcd",
+    "a length without an end": b"*3\r\n$" + b"4" * 40,
+    "a note over its limit": b"*3\r\n$4\r\nabcd\r\n$4097\r\nhit",
+    "no type that RESP2 has": b"_\r\n",
+    "a lone value": b"$4\r\nabcd\r\n",
+    "a long value whose end mark is another": hit(b"v" * 100_000).replace(b"v\r\n", b"v\n\r"),
+    "a long value with a byte too many": hit(b"v" * 100_000).replace(b"v\r\n", b"vv\r\n"),
+    "a long value, then a note that does not end": hit(b"v" * 100_000).replace(b"hit\r\n", b"hit\n\n"),
+    "a long value, then an integer": hit(b"v" * 100_000).replace(b"$3\r\nhit", b":3"),
+}
+
+
+@pytest.mark.parametrize("piece", [1 << 20, 3000])
+def test_answer_of_a_cache_server_whose_framing_is_broken_is_an_error(piece: int) -> None:
+    came = exchange_with(list(BROKEN.values()), piece=piece)
+    ends = dict(zip(BROKEN, came, strict=True))
+    assert {how: (outcome, value) for how, (outcome, value, _) in ends.items()} == dict.fromkeys(
+        BROKEN, (Outcome.ERROR, None)
+    )
+    assert not any(parts for how, (_, _, parts) in ends.items() if "a long value" not in how)
+
+
+@pytest.mark.parametrize("piece", [1 << 20, 7])
+def test_what_stands_behind_a_whole_answer_spoils_neither_it_nor_the_next(piece: int) -> None:
+    good = hit(b"\r\n$4\r\n*3\r\n")
+    came = exchange_with([good + b"\x80noise", good + good, MISS + b"*", hit(b"mine")], piece=piece)
+    value = b"\r\n$4\r\n*3\r\n"
+    ends = [(Outcome.OK, value), (Outcome.OK, value), (Outcome.MISS, None), (Outcome.OK, b"mine")]
+    assert [(outcome, value) for outcome, value, _ in came] == ends
+
+
+@pytest.mark.parametrize(
+    "how",
+    ["a length short of its bytes", "a report's end mark", "a long value whose end mark is another"],
+)
+def test_client_never_gets_a_value_whose_framing_is_broken(tmp_path: Path, how: str) -> None:
+    """Through the whole router; a long value that has begun ends with its connection, short of its end."""
+    cache = Peer(lambda _, words: BROKEN[how] if words[1] == b"bad" else hit(words[2]))
+    with routed(tmp_path, {"s1": cache}) as router:
+        client = router.client()
+        assert client.ask(get("r1", "good")) == b"r1"
+        answer = client.ask(get("r2", "bad"))
+        assert answer.startswith(b"cut off" if "long" in how else b"-"), answer
+        other = router.client()
+        eventually(lambda: other.ask(get("r3", "good")) == b"r3", "another answer")
