Answers over HTTP: what httptools lets pass and RFC 9112 does not is refused

It let pass, and the former code served or left open until its time-out: another coding beside chunks, chunks twice, chunks in HTTP/1.0, a coding that ends with the connection, HTTP/0.9 and 2.0, the status 000, control characters in the status line, empty lines ahead of it, heads of any size that came in one piece, interim answers without end, and chunk sizes, extensions and trailers without end (read on without a bound until the time-out). Trailers were mixed into the headers: `Not-Started: 1` behind a body counted as proof that a write never ran, as did the last of two that differ. Each is refused now, as an error that may have run; trailers are dropped, and a header given twice is joined. A length on an interim answer stays allowed, as it frames nothing.

--- a/saltport/wire/http.py
+++ b/saltport/wire/http.py
@@ -1,10 +1,23 @@
-"""A small HTTP/1.1 client on one connection: a request at a time, and never sent twice."""
+"""A small HTTP/1.1 client on one connection: a request at a time, and never sent twice.
+
+httptools reads strictly what decides where a message ends: one length without a sign, no length beside
+chunks, whole line ends, no folded lines. What it lets pass and RFC 9112 does not is refused here.
+"""
 
 from __future__ import annotations
 
+import re
+
 import httptools
 
 MAX_HEAD = 32 << 10
+"""Bytes of a head, and of what else may stand beside a body on end: chunk extensions and trailers."""
+MAX_INTERIM = 16
+"""Interim answers ahead of one."""
+_VERSIONS = ("1.0", "1.1")
+_FIRST = b"H"
+_LINE_EXTRA = len(": \r\n")
+_CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class HttpError(Exception):
@@ -20,7 +33,8 @@
     def _next_answer(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self.headers: dict[bytes, bytes] = {}
-        self._head = 0
+        self._beside = 0  # bytes read since the last one of a body
+        self._head = self._interim = 0
         self._in_body = self._whole = self._keep = False
 
     @property
@@ -35,17 +49,18 @@
 
     def read(self, data: bytes) -> bool:
         """Read a part of an answer; returns whether it is whole."""
-        if not self._in_body:
-            self._head += len(data)
+        if not self._beside and not self._in_body and data[:1] != _FIRST:
+            raise HttpError("expected a status line")
+        self._beside += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._whole:
-                raise HttpError(str(error) or type(error).__name__) from None
+                raise HttpError(str(error.__context__ or error) or type(error).__name__) from None
             # Danger: what stands behind a whole answer does not spoil it, but may never be read as the next.
             self._keep = False
-        if not self._in_body and self._head > MAX_HEAD:
-            raise HttpError("head too long")
+        if not self._whole and self._beside > MAX_HEAD:
+            raise HttpError("head too long" if not self._in_body else "too much beside the body")
         return self._whole
 
     def ended(self) -> bool:
@@ -68,24 +83,51 @@
         self._next_answer()
         return keep
 
+    def on_status(self, reason: bytes) -> None:
+        """Called by httptools with the status line's last part, or a piece of it."""
+        self._count(len(reason))
+        if _CONTROL.search(reason):
+            raise HttpError("a control character in the status line")
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by httptools."""
-        self.headers[name.lower()] = value
+        """Called by httptools, for trailers as well: these are dropped, as they come from behind the body."""
+        self._count(len(name) + len(value) + _LINE_EXTRA)
+        if self._in_body:
+            return
+        # Spaces only: behind a tab httptools does not know the coding, and neither may we.
+        name, value = name.lower(), value.strip(b" ")
+        former = self.headers.get(name)
+        self.headers[name] = value if former is None else b"%b, %b" % (former, value)
+
+    def _count(self, size: int) -> None:
+        self._head += size
+        if self._head > MAX_HEAD:
+            raise HttpError("head too long")
 
     def on_headers_complete(self) -> None:
         """Called by httptools."""
-        if self.status == 101:
+        status, version = self.status, self._parser.get_http_version()
+        if version not in _VERSIONS or not 100 <= status <= 599:
+            raise HttpError(f"a status of {status} in HTTP/{version}")
+        if status == 101:
             raise HttpError("a change of protocol was not asked for")
-        if self.status < 200:
+        if status < 200:
+            self._interim += 1
+            if self._interim > MAX_INTERIM:
+                raise HttpError("too many interim answers")
             return  # Danger: an interim answer may stand ahead of the real one, and is none itself
-        self._in_body = True
+        coding = self.headers.get(b"transfer-encoding")
+        if coding is not None and (version == "1.0" or coding.lower() != b"chunked"):
+            raise HttpError("a transfer coding that was not asked for")
         length = self.headers.get(b"content-length")
-        self.body_starts(int(length) if length is not None and length.isdigit() else None)
+        self._in_body = True
+        self.body_starts(int(length) if length is not None else None)
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools."""
         if self._whole:
             raise HttpError("more than one answer")
+        self._beside = 0
         self.body_came(data)
 
     def on_message_begin(self) -> None:
--- a/tests/crossings/test_broken_answers.py
+++ b/tests/crossings/test_broken_answers.py
@@ -15,6 +15,7 @@
 
 from saltport.decisions import CacheNote, Outcome
 from saltport.messages import Request, ValueSource
+from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import Connection, Exchange, Pool
 from saltport.upstream.resp import CacheConnection
 from tests.sockets import MISS, PATIENCE_S, Peer, eventually, get, hit, http_answer, reset, routed
@@ -192,6 +193,69 @@
     assert [(outcome, value) for outcome, value, _ in came] == ends
 
 
+OK = b"HTTP/1.1 200 OK\r\n"
+FOUR = b"Content-Length: 4\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+BROKEN_HTTP = {
+    "two lengths": OK + FOUR + b"Content-Length: 2\r\n\r\nabcd",
+    "the same length twice": OK + FOUR + FOUR + b"\r\nabcd",
+    "a list of lengths": OK + b"Content-Length: 4, 4\r\n\r\nabcd",
+    "a length with a sign": OK + b"Content-Length: +4\r\n\r\nabcd",
+    "an empty length": OK + b"Content-Length: \r\n\r\nabcd",
+    "a length and chunks": OK + FOUR + b"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+    "chunks and a length": OK + b"Transfer-Encoding: chunked\r\n" + FOUR + b"\r\n4\r\nabcd\r\n0\r\n\r\n",
+    "a coding beside chunks": OK + b"Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+    "chunks twice": OK + b"Transfer-Encoding: chunked\r\n" * 2 + b"\r\n4\r\nabcd\r\n0\r\n\r\n",
+    "a coding that ends with the connection": OK + b"Transfer-Encoding: gzip\r\n\r\nabcd",
+    "chunks in an older version": CHUNKED.replace(b"1.1", b"1.0") + b"4\r\nabcd\r\n0\r\n\r\n",
+    "a chunk short of its bytes": CHUNKED + b"3\r\nabcd\r\n0\r\n\r\n",
+    "a chunk past its bytes": CHUNKED + b"5\r\nabcd\r\n0\r\n\r\n",
+    "a chunk without a carriage return": CHUNKED + b"4\r\nabcd\n0\r\n\r\n",
+    "a chunk size without an end": CHUNKED + b"0" * 70_000,
+    "a chunk extension without an end": CHUNKED + b"4;" + b"e" * 70_000,
+    "chunks without a last one": CHUNKED + b"4\r\nabcd\r\nHTTP/1.1 200 OK\r\n",
+    "trailers without an end": CHUNKED + b"4\r\nabcd\r\n0\r\n" + b"A: b\r\n" * 20_000,
+    "a folded line": OK + b"A: b\r\n c\r\n" + FOUR + b"\r\nabcd",
+    "a folded length": OK + b"Content-Length: 4\r\n 0\r\n\r\nabcd",
+    "a status line that ends in a line feed": b"HTTP/1.1 200 OK\n" + FOUR + b"\r\nabcd",
+    "a header that ends in a line feed": OK + b"Content-Length: 4\n\r\nabcd",
+    "a head that ends in a line feed": OK + FOUR + b"\nabcd",
+    "a carriage return within a line": OK + b"A: b\rc\r\n" + FOUR + b"\r\nabcd",
+    "a status line broken in the middle": b"HTTP/1.1 20\r\n" + FOUR + b"\r\nabcd",
+    "a status line with noise": b"HTTP/1.1 200 O\x00\x01K\r\n" + FOUR + b"\r\nabcd",
+    "a status that is none": b"HTTP/1.1 000 OK\r\n" + FOUR + b"\r\nabcd",
+    "a version that is not spoken": b"HTTP/2.0 200 OK\r\n" + FOUR + b"\r\nabcd",
+    "an empty line ahead": b"\r\n" + OK + FOUR + b"\r\nabcd",
+    "a header without a colon": OK + b"Content-Length 4\r\n\r\nabcd",
+    "a space ahead of the colon": OK + b"Content-Length : 4\r\n\r\nabcd",
+    "a status line without an end": b"HTTP/1.1 200 " + b"e" * 70_000,
+    "a header without an end": OK + b"X: " + b"e" * 70_000,
+    "a head that never ends": OK + b"X: y\r\n" * 10_000 + FOUR + b"\r\nabcd",
+    "interim answers that never end": b"HTTP/1.1 100 Continue\r\n\r\n" * 100 + OK + FOUR + b"\r\nabcd",
+    "a change of protocol": b"HTTP/1.1 101 X\r\n\r\n" + OK + FOUR + b"\r\nabcd",
+}
+
+
+@pytest.mark.parametrize("piece", [1 << 20, 3000])
+def test_answer_of_the_origin_whose_framing_is_broken_is_an_error(piece: int) -> None:
+    came = exchange_with(list(BROKEN_HTTP.values()), OriginConnection, piece)
+    ends = dict(zip(BROKEN_HTTP, came, strict=True))
+    assert ends == dict.fromkeys(BROKEN_HTTP, (Outcome.ERROR, None, b""))
+
+
+def test_what_stands_behind_a_body_says_nothing_of_the_answer() -> None:
+    """`Not-Started: 1` proves that a write never ran: from a trailer, or told in two ways, it does not."""
+    failed = b"HTTP/1.1 503 X\r\n"
+    answers = [
+        failed + FOUR + b"Not-Started: 1\r\n\r\nabcd",
+        failed + CHUNKED[len(OK) :] + b"4\r\nabcd\r\n0\r\nNot-Started: 1\r\n\r\n",
+        failed + b"Not-Started: 0\r\nNot-Started: 1\r\n" + FOUR + b"\r\nabcd",
+        CHUNKED + b"4;x=y\r\nabcd\r\n0\r\nA: b\r\n\r\n",
+    ]
+    came = [outcome for outcome, _, _ in exchange_with(answers, OriginConnection)]
+    assert came == [Outcome.FULL, Outcome.ERROR, Outcome.ERROR, Outcome.OK]
+
+
 @pytest.mark.parametrize(
     "how",
     ["a length short of its bytes", "a report's end mark", "a long value whose end mark is another"],
