One type for a deadline, asked where the bytes leave; with nothing left, nothing leaves

Observed: `left_ms` said 1 when nothing was left, so a request whose time was over by its wording left all the same; `may_begin` and `left_ms` read the clock at two moments; a copy behind a dial told its whole lease, so its node kept it longer than this router counts; probes and plain commands had no time of their own when a connection came up.

`Exchange.remaining_ms()` takes the place of `may_begin` and `left_ms`: `Connection.start` asks it once, where it writes, words what it says, and with 0 sends nothing and the exchange ends as MOOT. This holds for attempts, repeats, probes, copies and voids, on both wires; `info_with` is the one place that words `d`.

Seen to fail, each with its piece taken out: `remaining_ms` saying 1 at least (nothing_left, both wires; test_deadline); a copy with its whole lease (behind_a_dial, does_not_leave[copy]). Held before: the time told behind a dial, and a void that is not sent after its time. The test's own `Exchange` in test_routing implements `remaining_ms` in place of `left_ms`.

--- a/saltport/router/errands.py
+++ b/saltport/router/errands.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from saltport.deadline import Deadline
 from saltport.decisions import CacheNote, Event, Outcome, ProbeEnded
 from saltport.upstream.pool import Exchange
 
@@ -20,7 +21,12 @@
         self._host, self._server = host, server
         self.wants_load = bool(host.settings.load_fields)
         self._sent_at = time.monotonic_ns()
-        self._timer = host.call_at(self._sent_at + timeout, self._timed_out)
+        self._deadline = Deadline(self._sent_at + timeout)
+        self._timer = host.call_at(self._deadline.at_ns, self._timed_out)
+
+    def remaining_ms(self) -> int:
+        """See Exchange: of the time that it may take."""
+        return self._deadline.remaining_ms(time.monotonic_ns())
 
     def _timed_out(self) -> None:
         self.give_up(Outcome.TIMEOUT)
@@ -33,13 +39,16 @@
 
 
 class PlainExchange(Exchange):
-    """A plain write or void of a key at a cache node, which no client asked for."""
+    """A plain command for one key at a cache node, which no client asked for."""
 
-    def __init__(
-        self, host: RouterHost, words: tuple[bytes, ...], timeout: int, told: Callable[[Outcome], Event]
-    ) -> None:
-        self._host, self.plain, self._told = host, words, told
-        self._timer = host.call_at(time.monotonic_ns() + timeout, self._timed_out)
+    def __init__(self, host: RouterHost, timeout: int, told: Callable[[Outcome], Event]) -> None:
+        self._host, self._told = host, told
+        self._deadline = Deadline(time.monotonic_ns() + timeout)
+        self._timer = host.call_at(self._deadline.at_ns, self._timed_out)
+
+    def remaining_ms(self) -> int:
+        """See Exchange: of the time that it may take."""
+        return self._deadline.remaining_ms(time.monotonic_ns())
 
     def _timed_out(self) -> None:
         # One that waits for a free connection never ran.
@@ -49,3 +58,40 @@
         """Tell the module."""
         self._timer.cancel()
         self._host.tell(self._told(outcome))
+
+
+class CopyExchange(PlainExchange):
+    """A write of a value that passes by, kept by the node until its lease ends."""
+
+    def __init__(
+        self,
+        host: RouterHost,
+        key: bytes,
+        value: bytes,
+        lease: Deadline,
+        timeout: int,
+        told: Callable[[Outcome], Event],
+    ) -> None:
+        super().__init__(host, timeout, told)
+        self._key, self._value, self._lease = key, value, lease
+
+    def remaining_ms(self) -> int:
+        """See Exchange: of the lease, which ends when it does, however late the copy leaves."""
+        now = time.monotonic_ns()
+        return 0 if self._deadline.expired(now) else self._lease.remaining_ms(now)
+
+    def plain_command(self, remaining_ms: int) -> tuple[bytes, ...]:
+        """See Exchange."""
+        return (b"SET", self._key, self._value, b"PX", b"%d" % remaining_ms)
+
+
+class VoidExchange(PlainExchange):
+    """A void of a key."""
+
+    def __init__(self, host: RouterHost, key: bytes, timeout: int, told: Callable[[Outcome], Event]) -> None:
+        super().__init__(host, timeout, told)
+        self._key = key
+
+    def plain_command(self, remaining_ms: int) -> tuple[bytes, ...]:
+        """See Exchange."""
+        return (b"DEL", self._key)
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import sys
 import time
 from collections import Counter, deque
 from collections.abc import Callable
@@ -12,6 +11,7 @@
 
 from saltport.address import Address
 from saltport.admin.figures import Figures
+from saltport.deadline import NEVER, NS_PER_MS, Deadline
 from saltport.decisions import (
     Action,
     Answer,
@@ -51,8 +51,8 @@
 from saltport.lag import HEARTBEAT_NS, LagMeter
 from saltport.membership.listing import Listing
 from saltport.messages import Request
-from saltport.router.errands import PlainExchange, ProbeExchange
-from saltport.router.requests import NS_PER_MS, Attempt, MovedValue, OpenRequest, Order
+from saltport.router.errands import CopyExchange, ProbeExchange, VoidExchange
+from saltport.router.requests import Attempt, MovedValue, OpenRequest, Order
 from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import Connection, Pool, Server
 from saltport.upstream.resp import CacheConnection
@@ -74,8 +74,8 @@
     ) -> None:
         self.loop, self.settings = loop, settings
         self.ready = False
-        self.ends_at = sys.maxsize
-        """The clock time by which all must have their final answers, once the process is ending."""
+        self.ends_at = NEVER
+        """By when all must have their final answers, once the process is ending."""
         self.subscribe: Callable[[], None] = lambda: None
         """Begins a watch where discovery is asked; whoever owns the watch sets it."""
         self._router = Router(settings, seed)
@@ -233,7 +233,7 @@
 
     def ends_in(self, span: int) -> None:
         """The process ends after so many nanoseconds: what comes from now on has no longer than that."""
-        self.ends_at = time.monotonic_ns() + span
+        self.ends_at = Deadline(time.monotonic_ns() + span)
 
     def end_all(self) -> None:
         """Give every open request its final answer: what is unanswered when the process ends is lost."""
@@ -374,8 +374,8 @@
             return
         now = time.monotonic_ns()
         attempt = Attempt(self, request, action)
-        due = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
-        attempt.wait_until(due)
+        last = request.deadline.at_ns
+        attempt.wait_until(min(now + action.timeout, last) if action.timeout else last)
         self._pool.submit(action.server, attempt)
 
     def _answer(self, request_id: str) -> None:
@@ -397,16 +397,16 @@
         if self._passing is None:
             self.tell(told(Outcome.MOOT))
             return
-        lease = str(action.lease // NS_PER_MS).encode()
-        words = (b"SET", action.key.encode(), self._passing, b"PX", lease)
-        self._pool.submit(action.server, PlainExchange(self, words, self._probe_timeout, told))
+        key, lease = action.key.encode(), Deadline(time.monotonic_ns() + action.lease)
+        copy = CopyExchange(self, key, self._passing, lease, self._probe_timeout, told)
+        self._pool.submit(action.server, copy)
 
     def _void(self, action: Void) -> None:
         def told(outcome: Outcome) -> Event:
             return VoidEnded(action.key, action.server, outcome, action.turn)
 
-        words = (b"DEL", action.key.encode())
-        self._pool.submit(action.server, PlainExchange(self, words, self._probe_timeout, told))
+        void = VoidExchange(self, action.key.encode(), self._probe_timeout, told)
+        self._pool.submit(action.server, void)
 
     def _set_timer(self, due: int, token: str) -> None:
         def fire() -> None:
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, TypeAlias
 
+from saltport.deadline import NS_PER_MS, Deadline
 from saltport.decisions import (
     AttemptEnded,
     CacheNote,
@@ -29,7 +30,6 @@
 
 Order: TypeAlias = "KeyOrder[OpenRequest]"
 
-NS_PER_MS = 1_000_000
 LOOK_S = 0.001  # in which the loop looks at the kernel once
 HELD_UP_NS = 5 * NS_PER_MS  # a timer that comes so late tells that the loop was held up
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
@@ -56,7 +56,8 @@
         self._stage = Stage.WAITING
         self._timer: asyncio.TimerHandle | None = None
         self.id, self.asked, self.reply = request_id, asked, reply
-        self.deadline = min(time.monotonic_ns() + asked.timeout_ms * NS_PER_MS, host.ends_at)
+        ends = Deadline(time.monotonic_ns() + asked.timeout_ms * NS_PER_MS)
+        self.deadline = min(ends, host.ends_at)
         self.attempts = self.out = 0
         self.most_attempts = host.settings.max_attempts
         self.closed = False
@@ -76,7 +77,7 @@
             self._stage = Stage.BEGUN
             self._begin()
         else:
-            self._timer = self._host.call_at(self.deadline, self._too_late)
+            self._timer = self._host.call_at(self.deadline.at_ns, self._too_late)
 
     def _released(self) -> None:
         """Its turn has come.
@@ -100,7 +101,7 @@
             RequestArrived(
                 request=self.id,
                 request_class=asked.request_class,
-                deadline=self.deadline,
+                deadline=self.deadline.at_ns,
                 tenant=asked.tenant,
                 key=asked.key.decode(),
                 write=asked.value is not None,
@@ -237,7 +238,7 @@
     def __init__(self, host: RouterHost, request: OpenRequest, told: Send) -> None:
         super().__init__(host, request.reply, request.asked.request_class)
         self._request, self._server, self._hold = request, told.server, told.hold
-        self._not_after = told.not_after or request.deadline
+        self._not_after_ns = told.not_after or request.deadline.at_ns
         self.request = request.asked
         self._number = request.attempts
         self._sent_at = time.monotonic_ns()
@@ -245,12 +246,12 @@
         request.out += 1
         request.queued = self
 
-    @property
-    def may_begin(self) -> bool:
-        """See Exchange: its client is there, its time is not over, and it is not one too many."""
-        request = self._request
-        live = not request.closed and self._number < request.most_attempts
-        return live and time.monotonic_ns() < self._not_after
+    def remaining_ms(self) -> int:
+        """See Exchange: nothing if its client has left, a repeat would have effect, or it is one too many."""
+        request, now = self._request, time.monotonic_ns()
+        if request.closed or self._number >= request.most_attempts or now >= self._not_after_ns:
+            return 0
+        return request.deadline.remaining_ms(now)
 
     def wait_until(self, due: int) -> None:
         """Give up at the time `due`."""
@@ -270,7 +271,7 @@
             self._looked = True
             # While it has not begun, its dial has not been looked at either.
             taken = self._lag() if self._begun_at else 2 * late
-            again = min(self._due + taken, self._request.deadline)
+            again = min(self._due + taken, self._request.deadline.at_ns)
             if taken > HELD_UP_NS and again > now:
                 self._due = again
                 self._timer = host.call_at(again, self._timed_out)
@@ -280,7 +281,7 @@
                 return
         # One that waits for a free connection never ran, and tells nothing of its server.
         queued = not self._begun_at and not host.dialing(self._server)
-        if self._begun_at and now >= self._request.deadline:
+        if self._begun_at and self._request.deadline.expired(now):
             self.leave(Outcome.TIMEOUT, host.late_s)
         else:
             self.give_up(Outcome.MOOT if queued else Outcome.TIMEOUT)
@@ -300,10 +301,6 @@
         took = now - self._sent_at
         return took, min(self._lag() + self._host.lag.unread(now), took)
 
-    def left_ms(self) -> int:
-        """What is left of the client's time."""
-        return max((self._request.deadline - time.monotonic_ns()) // NS_PER_MS, 1)
-
     def value_started(self, length: int, source: ValueSource) -> None:
         """Begin the client's answer with a long value."""
         self._latency = self._took()
@@ -379,6 +376,10 @@
         """So many bytes are still to come from this source."""
         self._relay(left, source)
 
+    def remaining_ms(self) -> int:
+        """See Exchange: its request left in another process."""
+        return 0
+
     def client_gone(self) -> None:
         """Its client has left."""
         self._moved()
--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -38,7 +38,7 @@
         self._length, self._left = flow.length, flow.left
         self.read(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % flow.left)
 
-    def request_bytes(self, exchange: Exchange) -> bytes:
+    def request_bytes(self, exchange: Exchange, remaining_ms: int) -> bytes:
         """A read as GET, a write as PUT, with the client's list, whose `d` tells what is left; or a probe."""
         asked, (host, port) = exchange.request, self.server.address
         if asked is None:
@@ -46,7 +46,7 @@
         method = "GET" if asked.value is None else "PUT"
         headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (
             asked.id,
-            info_with(asked.info, exchange.left_ms()),
+            info_with(asked.info, remaining_ms),
         )
         return request(method, "/" + quote(asked.key, safe=KEY_SAFE), f"{host}:{port}", headers, asked.value)
 
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -31,9 +31,7 @@
     connection: Connection | None = None
     over = False
     request: Request | None = None
-    """What is asked; None: a probe, or `plain`."""
-    plain: tuple[bytes, ...] = ()
-    """A command of the node's own, as it goes over the wire: a plain write or void."""
+    """What is asked; None: a probe, or a plain command."""
     wants_load = False
     """Whether a probe asks for the load report, and not only for a sign of life."""
     report: bytes | None = None
@@ -41,21 +39,21 @@
     kept = False
     """Whether the connection had carried others before."""
 
-    @property
-    def may_begin(self) -> bool:
-        """Whether its request may leave now.
+    @abstractmethod
+    def remaining_ms(self) -> int:
+        """What is left of its time in whole milliseconds, rounded down; 0: its request may not leave.
 
         Danger: what decided on it was told of another moment; a dial or a queue may take its whole time.
+        So it is asked where the bytes leave, and they tell what it says.
         """
-        return True
+
+    def plain_command(self, remaining_ms: int) -> tuple[bytes, ...]:
+        """The words of a command of the node's own, which no client sent; empty: it is none."""
+        return ()
 
     def begun(self) -> None:
         """Its request is written to a connection."""
 
-    def left_ms(self) -> int:
-        """What is left of the request's time, in whole milliseconds, 1 at least."""
-        return 1
-
     @abstractmethod
     def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """Take the end."""
@@ -99,6 +97,10 @@
     def __init__(self, late: Exchange) -> None:
         self.request = late.request
 
+    def remaining_ms(self) -> int:
+        """It is never sent: its request left long ago."""
+        return 0
+
     def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
         """Nobody waits for it."""
 
@@ -156,14 +158,21 @@
         """Whether the kernel has something that the loop has not read yet, be it an end."""
         return self.transport is not None and not self.transport.is_closing() and bool(self._arrivals.poll(0))
 
-    def start(self, exchange: Exchange) -> None:
-        """Write the exchange's request."""
+    def start(self, exchange: Exchange) -> bool:
+        """Write the exchange's request; False: its time is over, and nothing was done.
+
+        The kernel has the bytes within this call, or its buffer is full: none waits here for a turn's end.
+        """
         assert self.transport is not None
+        remaining_ms = exchange.remaining_ms()
+        if not remaining_ms:
+            return False
         self.exchange, exchange.connection, exchange.kept = exchange, self, self.kept
         self._counts = int(exchange.request is not None)
         self.server.pool.sends += self._counts
-        self.transport.write(self.request_bytes(exchange))
+        self.transport.write(self.request_bytes(exchange, remaining_ms))
         exchange.begun()
+        return True
 
     def leave(self, late: LateAnswer, wait_s: float) -> None:
         """Wait for an answer that nobody wants any more, to carry others after it."""
@@ -264,8 +273,8 @@
             self._within = False
 
     @abstractmethod
-    def request_bytes(self, exchange: Exchange) -> bytes:
-        """Write the exchange's request or probe down as the server reads it."""
+    def request_bytes(self, exchange: Exchange, remaining_ms: int) -> bytes:
+        """Write the exchange's request or probe down as the server reads it, with so much time left to it."""
 
     @abstractmethod
     def answer_came(self, data: bytes) -> None:
@@ -364,18 +373,27 @@
         if server is None or not server.open:
             exchange.end(Outcome.CONNECT_FAILED)
             return
-        if not exchange.may_begin:
+        connection = self._take_idle(server)
+        if connection is not None:
+            if not connection.start(exchange):
+                server.idle.append(connection)
+                exchange.end(Outcome.MOOT)
+            return
+        if not exchange.remaining_ms():
             exchange.end(Outcome.MOOT)
             return
+        server.waiting.append(exchange)
+        self._dial_for(server)
+
+    def _take_idle(self, server: Server) -> Connection | None:
+        """The connection that was used last, closing those that can't be used again."""
         oldest = self.loop.time() - self._idle_limit
         while server.idle:
             connection = server.idle.pop()
             if connection.reusable and connection.idle_since >= oldest:
-                connection.start(exchange)
-                return
+                return connection
             connection.close()
-        server.waiting.append(exchange)
-        self._dial_for(server)
+        return None
 
     def adopt(
         self, flow: Flow, descriptor: int, connect: Callable[[Server], Connection], exchange: Exchange
@@ -418,8 +436,7 @@
             exchange = server.waiting.popleft()
             if exchange.over:
                 continue
-            if exchange.may_begin:
-                connection.start(exchange)
+            if connection.start(exchange):
                 return
             exchange.end(Outcome.MOOT)
         # Danger: without the time every connection counts as too old, and each request dials anew.
--- a/saltport/upstream/resp.py
+++ b/saltport/upstream/resp.py
@@ -54,14 +54,14 @@
         self._places = places
         self._reader.feed(places + b"$0\r\n\r\n")
 
-    def request_bytes(self, exchange: Exchange) -> bytes:
+    def request_bytes(self, exchange: Exchange, remaining_ms: int) -> bytes:
         """The client's command again, with what is left of its time; or a probe."""
         request = exchange.request
         if request is None:
-            if exchange.plain:
-                return command(*exchange.plain)
+            if words := exchange.plain_command(remaining_ms):
+                return command(*words)
             return command(b"INFO", b"load") if exchange.wants_load else command(b"PING")
-        info = info_with(request.info, exchange.left_ms())
+        info = info_with(request.info, remaining_ms)
         if request.value is None:
             key, name = request.key, request.id
             # The most common command, in one step.
--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -140,12 +140,15 @@
     return values if all(0.0 <= value < math.inf for value in values) else None
 
 
-def info_with(info: bytes, left_ms: int) -> bytes:
-    """The list of names and values with `d` telling how long the router will wait."""
+def info_with(info: bytes, remaining_ms: int) -> bytes:
+    """The list of names and values, its `d` telling what is left of the client's time.
+
+    On every wire to servers, time is worded here and nowhere else.
+    """
     info = b"," + info
     start = info.index(b",d=") + 3
     end = info.find(b",", start)
-    return b"%b%d%b" % (info[1:start], left_ms, info[end:] if end >= 0 else b"")
+    return b"%b%d%b" % (info[1:start], remaining_ms, info[end:] if end >= 0 else b"")
 
 
 def bulk(value: bytes) -> bytes:
--- a/tests/crossings/test_time_told.py
+++ b/tests/crossings/test_time_told.py
@@ -9,9 +9,19 @@
 import re
 import socket
 import time
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
-from tests.sockets import MISS, Peer, get, hit, http_answer, put, reset, routed
+import pytest
+
+from saltport.deadline import Deadline
+from saltport.decisions import Event, Outcome, VoidEnded
+from saltport.router.errands import CopyExchange, VoidExchange
+from saltport.router.host import RouterHost
+from saltport.upstream.pool import Exchange
+from tests.crossings.test_moment_of_sending import HeldDials, ask, play, until
+from tests.sockets import MISS, PATIENCE_S, Peer, get, hit, http_answer, put, reset, routed
 
 TOTAL_MS = 10_000
 HELD_S = 0.25
@@ -81,3 +91,88 @@
     first, second = holding.peer.seen
     assert at_most_left(told_ms(b"," + first[3]), 0)
     assert at_most_left(told_ms(b"," + second[3]), holding.held_ns)
+
+
+def test_request_that_waited_for_a_dial_tells_what_is_left_then() -> None:
+    cache = Peer(lambda _, words: hit(words[2]))
+
+    async def scene(host: RouterHost, dials: HeldDials) -> None:
+        told = ask(host, b"r1", "get", TOTAL_MS)
+        asked = time.monotonic_ns()
+        await until(lambda: dials.up)
+        time.sleep(HELD_S)
+        held = time.monotonic_ns() - asked
+        dials.let_go.set()
+        assert await told.answer == "r1"
+        assert at_most_left(told_ms(b"," + cache.seen[0][3]), held)
+
+    play({"s1": cache}, scene)
+
+
+@pytest.mark.parametrize("ask_for", [get, put], ids=["read", "write"])
+def test_request_with_nothing_left_is_refused_and_not_sent(tmp_path: Path, ask_for: Any) -> None:
+    """Of one millisecond some is gone at once, and less than a whole one can't be told."""
+    cache, origin = Peer(lambda _, words: MISS), Peer(lambda _, words: http_answer(200, b"v"), is_http=True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        client = router.client()
+        assert client.ask(ask_for("r0", d=0)).startswith(b"-BUSY")
+        assert client.ask(ask_for("r1", d=1)).startswith(b"-BUSY")
+        assert client.ask(ask_for("r2", d=TOTAL_MS)) == b"v"
+    assert b"Request-Id: r2\r\n" in origin.seen[0][2]
+    assert len(origin.seen) == 1
+    assert len(cache.seen) == (ask_for is get)
+
+
+class Behind:
+    """A plain exchange behind a dial that is held, and its end."""
+
+    def __init__(self, make: Callable[[RouterHost, Callable[[Outcome], Event]], Exchange]) -> None:
+        self.outcomes: list[Outcome] = []
+        self.cache = Peer(lambda _, words: b"+OK\r\n")
+        self._make = make
+
+    def _told(self, outcome: Outcome) -> Event:
+        self.outcomes.append(outcome)
+        return VoidEnded("k", "s1", outcome, 0)
+
+    def play(self) -> None:
+        async def scene(host: RouterHost, dials: HeldDials) -> None:
+            host._pool.submit("s1", self._make(host, self._told))
+            await until(lambda: dials.up)
+            time.sleep(HELD_S)
+            dials.let_go.set()
+            await until(lambda: self.outcomes)
+
+        play({"s1": self.cache}, scene)
+
+
+def plain_span_ns(seconds: float) -> int:
+    return int(seconds * 1000) * NS_PER_MS
+
+
+def test_copy_behind_a_dial_is_kept_no_longer_than_its_lease() -> None:
+    def copy(host: RouterHost, told: Callable[[Outcome], Event]) -> CopyExchange:
+        lease = Deadline(time.monotonic_ns() + TOTAL_MS * NS_PER_MS)
+        return CopyExchange(host, b"k", b"v", lease, plain_span_ns(PATIENCE_S), told)
+
+    behind = Behind(copy)
+    behind.play()
+    assert behind.outcomes == [Outcome.OK]
+    (words,) = behind.cache.seen
+    assert words[:4] == [b"SET", b"k", b"v", b"PX"]
+    assert at_most_left(int(words[4]), plain_span_ns(HELD_S))
+
+
+@pytest.mark.parametrize("is_copy", [False, True], ids=["void", "copy"])
+def test_plain_command_does_not_leave_after_its_time(is_copy: bool) -> None:
+    def command(host: RouterHost, told: Callable[[Outcome], Event]) -> Exchange:
+        span = plain_span_ns(HELD_S / 2)
+        if is_copy:  # its lease is over, and not the time that it may take
+            lease = Deadline(time.monotonic_ns() + span)
+            return CopyExchange(host, b"k", b"v", lease, plain_span_ns(PATIENCE_S), told)
+        return VoidExchange(host, b"k", span, told)
+
+    behind = Behind(command)
+    behind.play()
+    assert behind.outcomes[0].never_ran
+    assert not behind.cache.seen
--- a/tests/router/test_routing.py
+++ b/tests/router/test_routing.py
@@ -347,7 +347,7 @@
 
     request = Request(b"r", b"k", "get", "acme", 5000, None, False, b"c=get,t=acme,d=5000")
 
-    def left_ms(self) -> int:
+    def remaining_ms(self) -> int:
         return 5000
 
     def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
--- /dev/null
+++ b/tests/test_deadline.py
@@ -0,0 +1,33 @@
+"""What is left until a moment, in whole milliseconds and never more than there is."""
+
+from __future__ import annotations
+
+import pytest
+
+from saltport.deadline import NEVER, NS_PER_MS, Deadline
+
+AT = 1_000 * NS_PER_MS
+
+
+@pytest.mark.parametrize(
+    ("now", "left"),
+    [
+        (AT - 5 * NS_PER_MS, 5),
+        (AT - 5 * NS_PER_MS + 1, 4),
+        (AT - 5 * NS_PER_MS - 1, 5),
+        (AT - 1, 0),
+        (AT, 0),
+        (AT + 1, 0),
+        (AT + 9 * NS_PER_MS, 0),
+    ],
+)
+def test_what_is_left_is_rounded_down_and_never_below_nothing(now: int, left: int) -> None:
+    assert Deadline(AT).remaining_ms(now) == left
+
+
+def test_deadline_is_over_from_its_moment_on() -> None:
+    assert [Deadline(AT).expired(AT + step) for step in (-1, 0, 1)] == [False, True, True]
+
+
+def test_the_earlier_of_two_is_the_smaller() -> None:
+    assert min(NEVER, Deadline(AT), Deadline(AT + 1)) == Deadline(AT)
