A list that tells a name twice is rejected, as its `d` can't be told truly

Observed: `parse_info` takes the last of two equal names, and `info_with` words the first anew. With `d=100,...,d=9999` the router kept to 9999 ms and servers read the client's own figure. Such a list is answered with an error now. test_time_told::tells_the_time_twice failed without the check.

--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -124,6 +124,9 @@
         field, sign, value = part.partition("=")
         if not sign:
             raise ValueError("expected a list of names and values")
+        if field in fields:
+            # Danger: of a `d` that stands there twice, one would go on as the client wrote it.
+            raise ValueError(f"{field} is told twice")
         fields[field] = value
     return fields
 
--- a/tests/crossings/test_time_told.py
+++ b/tests/crossings/test_time_told.py
@@ -123,6 +123,15 @@
     assert len(cache.seen) == (ask_for is get)
 
 
+def test_list_that_tells_the_time_twice_is_rejected(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: hit(words[2]))
+    with routed(tmp_path, {"s1": cache}) as router:
+        answer = router.client().ask(get("r1", d=TOTAL_MS, more=",d=99999"))
+    assert answer.startswith(b"-ERR")
+    assert b"twice" in answer
+    assert not cache.seen
+
+
 class Behind:
     """A plain exchange behind a dial that is held, and its end."""
 
