Tests known to fail are listed in KNOWN-RED.txt, run as strict expected failures

Change: a pytest plugin (tests/known_red.py, loaded by tests/conftest.py) reads KNOWN-RED.txt at the root, one line each `test id | cause | issue`, three at most. Listed tests run as strict expected failures and are printed with cause, issue and outcome. The run fails if a listed test passes again (unless its line ends in `| flaky`), if the whole suite was collected and a listed id matches no test, or if the list is malformed, names a test twice or has over three lines (before any test). One file's run doesn't judge the other ids. The file is absent: nothing is listed.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""Plugins of the whole suite."""
+
+pytest_plugins = ["pytester", "tests.known_red"]
--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,132 @@
+"""Pytest plugin: tests that fail for a known fault, listed in KNOWN-RED.txt, neither fail a run nor hide.
+
+Each line of the file is `test id | cause | issue`, at most `MOST_LISTED` of them; blank lines and lines
+that begin with `#` don't count. Listed tests still run, as strict expected failures: one that passes again
+fails the run, so that its line gets removed. Only a fourth field `flaky` lets a test pass and fail. A run
+of the whole suite fails if a listed id matches no test; a run of some files doesn't judge that. Every run
+prints the list with what came of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+FILE_NAME = "KNOWN-RED.txt"
+MOST_LISTED = 3
+FLAKY = "flaky"
+SEPARATOR = " | "
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRed:
+    """One line of the list."""
+
+    test_id: str
+    cause: str
+    issue: str
+    flaky: bool
+
+
+def parse(text: str) -> list[KnownRed]:
+    """Read the list; raises `pytest.UsageError` with the line that is wrong."""
+    lines = [line.strip() for line in text.splitlines()]
+    listed = [_parse_line(line) for line in lines if line and not line.startswith("#")]
+    if len(listed) > MOST_LISTED:
+        raise pytest.UsageError(f"{FILE_NAME}: {len(listed)} tests are listed, at most {MOST_LISTED} may be")
+    if len({known.test_id for known in listed}) < len(listed):
+        raise pytest.UsageError(f"{FILE_NAME}: a test is listed twice")
+    return listed
+
+
+def _parse_line(line: str) -> KnownRed:
+    fields = [field.strip() for field in line.split(SEPARATOR)]
+    well_formed = len(fields) in (3, 4) and all(fields) and fields[3:] in ([], [FLAKY])
+    if not well_formed:
+        raise pytest.UsageError(
+            f"{FILE_NAME}: not `test id | cause | issue`, nor that with `| {FLAKY}` behind it: {line}"
+        )
+    test_id, cause, issue, *rest = fields
+    return KnownRed(test_id, cause, issue, flaky=bool(rest))
+
+
+class KnownRedPlugin:
+    """Marks the listed tests, checks that they exist and prints what came of them."""
+
+    def __init__(self, listed: Sequence[KnownRed], whole_suite: bool) -> None:
+        """`whole_suite`: whether this run collects all tests there are."""
+        self._listed = {known.test_id: known for known in listed}
+        self._whole_suite = whole_suite
+        self._collected: set[str] = set()
+        self._outcomes: dict[str, str] = {}
+
+    @pytest.hookimpl(tryfirst=True)
+    def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
+        """Expect listed tests to fail. First of all hooks, so that deselected tests count as found."""
+        self._note_collected(item.nodeid for item in items)
+        for item in items:
+            known = self._listed.get(item.nodeid)
+            if known is not None:
+                reason = f"{FILE_NAME}: {known.cause} ({known.issue})"
+                item.add_marker(pytest.mark.xfail(reason=reason, strict=not known.flaky), append=False)
+
+    @pytest.hookimpl(optionalhook=True)
+    def pytest_xdist_node_collection_finished(self, ids: Sequence[str]) -> None:
+        """Under xdist the workers collect, and the controller judges and prints."""
+        self._note_collected(ids)
+
+    def _note_collected(self, ids: Iterable[str]) -> None:
+        self._collected.update(self._listed.keys() & set(ids))
+
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        """Keep a listed test's outcome: of its three phases the one that says most."""
+        if report.nodeid not in self._listed:
+            return
+        expected = hasattr(report, "wasxfail")
+        if expected and report.skipped:
+            self._outcomes[report.nodeid] = "failed as listed"
+        elif expected and report.passed:
+            self._outcomes[report.nodeid] = "passed this time, listed as flaky"
+        elif report.failed:
+            passed = "XPASS" in str(report.longrepr)
+            self._outcomes[report.nodeid] = "PASSES AGAIN: remove its line" if passed else "CRASHED"
+        elif report.skipped:
+            self._outcomes.setdefault(report.nodeid, "skipped")
+
+    def _missing(self) -> list[str]:
+        if not self._whole_suite:
+            return []
+        return [test_id for test_id in self._listed if test_id not in self._collected]
+
+    @pytest.hookimpl(trylast=True)
+    def pytest_sessionfinish(self, session: pytest.Session, exitstatus: int) -> None:
+        """Fail a run whose list names a test that doesn't exist."""
+        if self._missing() and exitstatus == pytest.ExitCode.OK:
+            session.exitstatus = pytest.ExitCode.TESTS_FAILED
+
+    def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
+        """Print each listed test with its cause, its issue and what came of it."""
+        if not self._listed:
+            return
+        terminalreporter.section(f"known red: {len(self._listed)} in {FILE_NAME}")
+        missing = self._missing()
+        for test_id, known in self._listed.items():
+            outcome = "NO SUCH TEST" if test_id in missing else self._outcomes.get(test_id, "not run")
+            terminalreporter.line(f"{test_id}: {outcome}; cause: {known.cause}; issue: {known.issue}")
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Read the list; a list that is wrong ends the run before any test."""
+    file = config.rootpath / FILE_NAME
+    listed = parse(file.read_text()) if file.exists() else []
+    config.pluginmanager.register(KnownRedPlugin(listed, _is_whole_suite(config)), "known-red-list")
+
+
+def _is_whole_suite(config: pytest.Config) -> bool:
+    """Whether the arguments are the configured test paths; under xdist the workers get them spelled out."""
+    whole = {(config.rootpath / path).resolve() for path in config.getini("testpaths")}
+    asked = {(config.invocation_params.dir / Path(argument)).resolve() for argument in config.args}
+    return bool(whole) and asked in (whole, {config.rootpath.resolve()})
