Owners: pieces are asked back in the order of asking, not in that of a set

Cause: Steward held the pieces it asks back in a set and told an owner the first two of it.

Change: an insertion-ordered dict; two loops over differences of sets in raft go by name.

A new test compares the histories of three processes with different hash seeds; it failed on the code before. No bound changed.

--- a/saltport/owners/raft.py
+++ b/saltport/owners/raft.py
@@ -282,7 +282,7 @@
             raise ValueError("one voter at a time")
         if index > self.commit or self.commit < self._term_start:
             raise ValueError("the change before is not committed yet")
-        for name in set(voting.voters) - set(held.voters):
+        for name in sorted(set(voting.voters) - set(held.voters)):
             progress = self.progress.get(name)
             if self.role is Role.LEADER and (progress is None or progress.match < self.commit):
                 raise ValueError(f"{name} has not caught up")
@@ -537,7 +537,7 @@
                     self._send_append(name, now)
             held_at, voting = self.log.voting()
             if held_at <= index:
-                for name in set(self.progress) - set(voting.everyone):
+                for name in sorted(set(self.progress) - set(voting.everyone)):
                     del self.progress[name]
                 if self.name not in voting.voters:
                     self._become(Role.FOLLOWER, self.vote.term, now)  # 4.2.2: it led its own leaving
--- a/saltport/owners/steward.py
+++ b/saltport/owners/steward.py
@@ -36,7 +36,8 @@
         self._sessions: dict[Session, int] = {}
         """When each last asked for its lease."""
         self._wanted: dict[str, int] = {}
-        self._asked_back: set[str] = set()
+        self._asked_back: dict[str, None] = {}
+        """In the order in which they were asked back: a set's order would differ from process to process."""
         self._returned: dict[str, int] = {}
         """Pieces whose owner works on them no more, with the epoch that it had."""
         self._pending: dict[str, int] = {}
@@ -104,7 +105,7 @@
         """The record went on: what was proposed for these is decided."""
         for piece in changed:
             self._pending.pop(piece, None)
-            self._asked_back.discard(piece)
+            self._asked_back.pop(piece, None)
             self._returned.pop(piece, None)
 
     def failed(self, pieces: list[str]) -> None:
@@ -168,7 +169,7 @@
         self._moves_at = now
         if at_once or self._moves >= 1:
             self._moves -= not at_once
-            self._asked_back.add(piece)
+            self._asked_back[piece] = None
 
 
 def _best(piece: str, names: list[str]) -> str:
--- a/tests/owners/test_owners.py
+++ b/tests/owners/test_owners.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import random
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
@@ -136,6 +140,39 @@
     assert sorted(times)[6] < 1.3 * LEASE_S
 
 
+TOLD_BY_A_CHILD = """
+from tests.owners.fleet import Fleet
+fleet = Fleet(6, pieces=8)
+for name in ["", "r3", "r0", "r5", "r1"]:
+    fleet.crash(name)
+    fleet.until_owned()
+    if name:
+        fleet.boot(name)
+    fleet.run(4)
+print(fleet.effects[-200:], fleet.spells, fleet.now)
+"""
+
+
+def test_one_seed_gives_one_history_in_each_process() -> None:
+    """Danger: sets of names have another order in each process, and so had what was asked back first."""
+    children = [
+        subprocess.Popen(
+            [sys.executable, "-c", TOLD_BY_A_CHILD],
+            env={**os.environ, "PYTHONHASHSEED": hash_seed},
+            cwd=Path(__file__).parents[2],
+            stdout=subprocess.PIPE,
+        )
+        for hash_seed in ("1", "2", "3")
+    ]
+    try:
+        histories = {child.communicate(timeout=60)[0] for child in children}
+    finally:
+        for child in children:
+            child.kill()
+    assert [child.returncode for child in children] == [0, 0, 0]
+    assert len(histories) == 1
+
+
 def test_a_stopped_owner_wakes_up_late_and_holds_nothing() -> None:
     fleet = owned(5, pieces=1)
     old = fleet.owners("p0")[0]
