--- a/tests/crossings/jumping.py
+++ b/tests/crossings/jumping.py
@@ -37,6 +37,13 @@
         return self._times.now
 
 
+def pass_time(seconds: float) -> None:
+    """Let the clock run on though the loop stands still, as on a machine that is busy."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, JumpingLoop)
+    loop._times.now += seconds
+
+
 def play(scene: Coroutine[Any, Any, None]) -> None:
     loop = JumpingLoop()
     asyncio.set_event_loop(loop)
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -17,7 +17,7 @@
 from saltport.membership import registry
 from saltport.membership.listing import Clock, Listing
 from saltport.membership.registry import Discovery
-from tests.crossings.jumping import play
+from tests.crossings.jumping import pass_time, play
 
 ASK_WITHIN_S = 10.0
 ROUND_S = 0.01  # the loop's own rounding
@@ -44,6 +44,10 @@
         self.waits_end = 0.0
         """When the wait of the last silent watch was over."""
         self.indented = False
+        self.answer_first = False
+        """Of the answer and the call's time-out, that come in one turn."""
+        self.whole_s = 0.0
+        """In which a call for the whole list has to be answered."""
         self.connections: set[asyncio.StreamWriter] = set()
 
     async def listen(self) -> int:
@@ -69,6 +73,8 @@
                     self.waits_end = loop.time() + wait_s
                 if how == "hangs":
                     await asyncio.sleep(10_000)
+                elif how == "comes with the time-out":
+                    await self._with_the_time_out(target, wait_s, writer)
                 elif how == "is reset":
                     writer.transport.abort()
                 elif how == "is cut off":
@@ -87,6 +93,23 @@
         finally:
             writer.close()
 
+    async def _with_the_time_out(self, target: str, wait_s: float, writer: asyncio.StreamWriter) -> None:
+        """Answer in the turn of the loop in which the call's time is over."""
+        loop = asyncio.get_running_loop()
+        call_s = wait_s + registry.SLACK_S if wait_s else self.whole_s
+        due = loop.time() + call_s
+        if self.answer_first:
+            await asyncio.sleep(call_s - ROUND_S)
+            body = await self._answer(target, 0.0)
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            pass_time(2 * ROUND_S)  # before the loop has looked at the kernel again
+        else:
+            await asyncio.sleep(call_s - 2 * ROUND_S)
+            body = await self._answer(target, 0.0)
+            answer = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+            loop.call_at(due + ROUND_S, writer.write, answer)
+            pass_time(4 * ROUND_S)  # so that both are due in the next turn, the time-out ahead
+
     async def _answer(self, target: str, wait_s: float) -> bytes:
         whole = "index=" not in target
         index = -1 if whole else int(target.split("index=")[1].split("&")[0])
@@ -268,3 +291,60 @@
         follower.discovery.close()
 
     play(scene())
+
+
+@pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("watching", [False, True], ids=["first call", "watch"])
+@pytest.mark.parametrize("answer_first", [False, True], ids=["time-out first", "answer first"])
+def test_answer_in_the_turn_of_its_call_s_time_out_is_brought_by_the_next_call(
+    asked: bool, watching: bool, answer_first: bool
+) -> None:
+    async def scene() -> None:
+        peer = Scripted([*["goes well"] * watching, "comes with the time-out"])
+        peer.answer_first = answer_first
+        peer.whole_s = registry.ASKED_CALL_S if asked else registry.CALL_S
+        follower = Follower(await peer.listen(), asked, 1)
+        (follower.discovery.subscribe if asked else follower.discovery.start)()
+        while len(peer.calls) < 1 + watching:
+            await asyncio.sleep(0.05)
+        peer.change()
+        await asyncio.wait_for(follower.new.wait(), 100)
+        assert len(peer.calls) >= 2 + watching, "its answer was not taken, and the list was asked for again"
+        assert follower.told_at["new"] <= peer.waits_end + registry.TERM_S + ROUND_S
+        assert follower.discovery.generation == peer.generation
+        await asyncio.sleep(0.1)
+        assert sum(not w.transport.is_closing() for w in peer.connections) <= 1, "the given-up one is closed"
+        follower.discovery.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
+def test_connection_that_comes_up_in_the_turn_of_its_time_out_is_not_left_open(
+    asked: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    class LateCall(registry._Call):
+        """A connection that comes up as its call's time is over, the first one only."""
+
+        count = 0
+
+        def __init__(self) -> None:
+            super().__init__()
+            LateCall.count += 1
+            if LateCall.count == 1:
+                pass_time(ASK_WITHIN_S + registry.ASKED_CALL_S)  # longer than any call may take
+
+    async def scene() -> None:
+        peer = Scripted([])
+        peer.change()
+        follower = Follower(await peer.listen(), asked, 1)
+        monkeypatch.setattr(registry, "_Call", LateCall)
+        (follower.discovery.subscribe if asked else follower.discovery.start)()
+        await asyncio.wait_for(follower.new.wait(), 200)
+        await asyncio.sleep(0.1)
+        assert LateCall.count == 2
+        assert len(peer.calls) <= 2, "nothing was asked on the first"
+        assert sum(not w.transport.is_closing() for w in peer.connections) == 1
+        follower.discovery.close()
+
+    play(scene())
--- a/tests/crossings/test_gone_clients.py
+++ b/tests/crossings/test_gone_clients.py
@@ -29,6 +29,7 @@
 )
 
 LONG = 60_000  # milliseconds: longer than anything is waited for here
+WRITES_THAT_FAIL = 20  # far more than it takes for the origin to count as in trouble
 
 
 class HeldBack:
@@ -171,3 +172,45 @@
         let_go.set()
         assert router.client().ask(put(b"other")) == b"receipt"
         assert not [m for m in origin.seen if b"Request-Id: gone2" in m[2]]
+
+
+@pytest.mark.parametrize("leave", [close, half_close])
+def test_write_held_by_the_origin_s_width_is_not_sent_once_its_client_left(
+    tmp_path: Path, leave: Callable[[Client], None]
+) -> None:
+    let_go, failing = threading.Event(), threading.Event()
+    failing.set()
+
+    def write(_: socket.socket, message: list[bytes]) -> bytes:
+        if failing.is_set():
+            return http_answer(500)
+        assert let_go.wait(PATIENCE_S)
+        return http_answer(200, b"receipt")
+
+    def put(name: str, d: int = LONG) -> bytes:
+        return bulk(b"KV.SET", name.encode(), name.encode(), f"c=put,t=acme,d={d},k={name}".encode(), b"v")
+
+    def sent(name: str) -> bool:
+        return any(message[1] == b"/" + name.encode() for message in origin.seen)
+
+    origin = Peer(write, is_http=True)
+    with routed(tmp_path, {}, origin) as router:
+        failed = router.client()
+        for n in range(WRITES_THAT_FAIL):  # one at a time, until no more than one is sent at a time
+            assert failed.ask(put(f"failed{n}", d=300)).startswith(b"-")
+        failing.clear()
+        first, leaver, stayer = router.client(), router.client(), router.client()
+        first.send(put("first"))
+        eventually(lambda: sent("first"), "the first write is at the origin")
+        # The newest of those held goes first: the one that leaves stands ahead of the one that stays.
+        stayer.send(put("stays"))
+        router.until("current", 2)
+        leaver.send(put("gone"))
+        router.until("current", 3)
+        leave(leaver)
+        router.until("current", 2)
+        assert not sent("stays"), "it is held, as the one that left was"
+        let_go.set()
+        assert first.answer() == b"receipt"
+        assert stayer.answer() == b"receipt"
+        assert not sent("gone")
