Peers hold 16,384 routers instead of 1,000, and what fills up drops what matters least

Cause: `most_members` was 1,000; beyond it a router was turned away for good, also where the table was full of dead names. An answer to a question for differences always began with the same records, so that of parts with more than some 60 records (960 routers) the last ones were never told by this router. Rumours beyond 4,096 were not taken, the newest first to go, and each death ran through all of them.

Change: one bound, MOST_MEMBERS, for records, rumours and senders; memory comes with need. A newcomer to a full table takes the place of who has been dead or gone for longest; among the live alone it is turned away at once and counted. Differences are told in random order. Full, the rumours drop what was told most often; accusations are found by their subject.

--- a/saltport/peers/agent.py
+++ b/saltport/peers/agent.py
@@ -499,7 +499,10 @@
         self._rng.shuffle(parts)
         updates: list[Update] = []
         for part in parts:
-            for record in self.members.part(part):
+            # Danger: told from the first on each time, what lies beyond one answer would never be told.
+            records = list(self.members.part(part))
+            self._rng.shuffle(records)
+            for record in records:
                 updates.append(record.update(self.name))
                 # Danger: told without the doubt, those on the other side of a cut look well to who just came.
                 updates += self.accusations.told_of(record.name, now)
--- a/saltport/peers/envelope.py
+++ b/saltport/peers/envelope.py
@@ -13,14 +13,14 @@
 from pathlib import Path
 
 from saltport.peers.messages import Packet, decode, encode
-from saltport.peers.settings import DATAGRAM
+from saltport.peers.settings import DATAGRAM, MOST_MEMBERS
 
 VERSION = 1
 MAC = 16
 LEAST_KEY = 16  # bytes
 MOST_KEYS = 2
 WINDOW = 256  # datagrams of one sender that may come out of order
-MOST_SENDERS = 4_096
+MOST_SENDERS = MOST_MEMBERS  # with their starts; who was heard longest ago is forgotten first
 
 
 class KeyFileError(ValueError):
--- a/saltport/peers/members.py
+++ b/saltport/peers/members.py
@@ -15,12 +15,13 @@
 from hashlib import blake2b
 
 from saltport.peers.messages import Alive, Dead, Left, Place, State, Suspect
+from saltport.peers.settings import MOST_MEMBERS
 
 PARTS = 16  # of the members' digest
 _FINAL = 1 << 62  # in place of an incarnation: nothing of the same start comes after leaving
 
 
-@lru_cache(maxsize=8192)
+@lru_cache(maxsize=2 * MOST_MEMBERS)
 def hash_of(name: str, salt: int) -> int:
     """32 bits, the same at every router."""
     return int.from_bytes(blake2b(f"{salt}:{name}".encode(), digest_size=4).digest())
@@ -94,7 +95,9 @@
         self.digest = 0
         """Of who is live, with start numbers: equal where two routers believe the same."""
         self.turned_away = 0
-        """Routers not taken up, as the table is full."""
+        """Routers not taken up, as the table is full of live ones."""
+        self._displaced: list[str] = []
+        """Dead ones that made room since the last call of `forget`."""
 
     def __len__(self) -> int:
         return len(self._rings[0])
@@ -118,11 +121,11 @@
         """Take an update; None: nothing new in it."""
         record, order = self.records.get(update.name), order_of(update)
         if record is None:
-            if len(self.records) >= self._most:
-                self.turned_away += 1
-                return None
             if isinstance(update, Suspect):
                 return None  # nobody knows where it is: who does will tell of it
+            if len(self.records) >= self._most and not (isinstance(update, Alive) and self._make_room()):
+                self.turned_away += 1
+                return None
             record = Record(update.name, update.start, 0, State.DEAD, None, "", now)
             self.records[update.name] = record
             before, restarted = None, False
@@ -160,12 +163,22 @@
             else:
                 del ring[bisect_left(ring, entry)]
 
+    def _make_room(self) -> bool:
+        """Drop who has been dead or gone for longest; False: all live."""
+        gone = min((r for r in self.records.values() if not r.live), key=lambda r: r.since, default=None)
+        if gone is None:
+            return False
+        del self.records[gone.name]
+        self._displaced.append(gone.name)
+        return True
+
     def forget(self, before: int) -> list[str]:
-        """Drop who has been dead or gone since before this time; returns the names."""
+        """Drop who has been dead or gone since before this time; returns all dropped since its last call."""
+        displaced, self._displaced = self._displaced, []
         old = [r.name for r in self.records.values() if not r.live and r.since < before]
         for name in old:
             del self.records[name]
-        return old
+        return [*old, *(name for name in displaced if name not in self.records)]
 
     def watched(self, me: str) -> list[str]:
         """Whom this router asks: the next one on each ring."""
--- a/saltport/peers/rumours.py
+++ b/saltport/peers/rumours.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from saltport.peers.messages import Dead, Row, Suspect, Update, encode
-from saltport.peers.settings import NS_PER_MS
+from saltport.peers.settings import MOST_MEMBERS, NS_PER_MS
 
 TELLINGS = 4  # times log10 of the members
-MOST = 4_096  # rumours held: as many as updates of a full table
+MOST = MOST_MEMBERS  # rumours held: as many as updates of a full table
 
 
 @dataclass(slots=True)
@@ -37,6 +37,8 @@
         self._levels: list[dict[Hashable, _Rumour]] = [{}]
         """By how often they were told."""
         self._level_of: dict[Hashable, int] = {}
+        self._accusers: dict[str, set[str]] = {}
+        """By subject, whose accusations are among them."""
 
     def __len__(self) -> int:
         return len(self._level_of)
@@ -56,20 +58,39 @@
         else:
             self.drop_accusations(update.name)
         self._remove(key)
-        if len(self._level_of) < MOST:
-            size = len(encode(update)) + (2 if isinstance(update, Suspect) else 0)
-            self._levels[0][key] = _Rumour(update, size, now)
-            self._level_of[key] = 0
+        if len(self._level_of) >= MOST:
+            self._make_room()
+        size = len(encode(update)) + (2 if isinstance(update, Suspect) else 0)
+        self._put(key, _Rumour(update, size, now), 0)
+
+    def _make_room(self) -> None:
+        """Drop the oldest of those told most often: news goes before what nearly all have heard."""
+        told_most = next(level for level in reversed(self._levels) if level)
+        self._remove(next(iter(told_most)))
+
+    def _put(self, key: Hashable, rumour: _Rumour, level: int) -> None:
+        while len(self._levels) <= level:
+            self._levels.append({})
+        self._levels[level][key] = rumour
+        self._level_of[key] = level
+        if isinstance(rumour.update, Suspect):
+            self._accusers.setdefault(rumour.update.name, set()).add(rumour.update.accuser)
 
     def _remove(self, key: Hashable) -> None:
         level = self._level_of.pop(key, None)
-        if level is not None:
-            del self._levels[level][key]
+        if level is None:
+            return
+        update = self._levels[level].pop(key).update
+        if isinstance(update, Suspect):
+            accusers = self._accusers[update.name]
+            accusers.discard(update.accuser)
+            if not accusers:
+                del self._accusers[update.name]
 
     def drop_accusations(self, name: str) -> None:
         """Whatever is said against a router is out of date."""
-        for key in [key for key in self._level_of if isinstance(key, tuple) and key[:2] == ("suspect", name)]:
-            self._remove(key)
+        for accuser in list(self._accusers.get(name, ())):
+            self._remove(("suspect", name, accuser))
 
     def drop_judgements(self) -> None:
         """Spread no accusation and no death any more: they are old news."""
@@ -94,8 +115,5 @@
             self._remove(key)
             held.told += 1
             if held.told < most:
-                while len(self._levels) <= held.told:
-                    self._levels.append({})
-                self._levels[held.told][key] = held
-                self._level_of[key] = held.told
+                self._put(key, held, held.told)
             yield aged(held.update, now - held.made)
--- a/saltport/peers/settings.py
+++ b/saltport/peers/settings.py
@@ -8,6 +8,9 @@
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000 * NS_PER_MS
 DATAGRAM = 256  # bytes: the platform's limit
+MOST_MEMBERS = 16_384
+"""Routers that are remembered, the dead among them: ten times the largest fleet in sight. It bounds memory
+(some 400 bytes each, as they come) against a peer that makes up names; docs/design/bounds.md."""
 
 
 def in_ms(time: int) -> int:
@@ -53,7 +56,8 @@
     """The longest that a change waits for others under way."""
     forget: int = 600 * NS_PER_S
     """After which somebody dead or gone is forgotten."""
-    most_members: int = 1_000
+    most_members: int = MOST_MEMBERS
+    """Beyond it a newcomer takes the place of who has been dead or gone for longest, or is turned away."""
     bytes_per_s: int = 20_000
     """The most that is sent, with one second's worth at once."""
     refutes: bool = True
