What a process has learnt goes to the next in pieces, so that no fleet is too large for it

Cause: it went in one message of at most 96 KiB, and beyond that nothing was told, without a word: 87 KB for 680 servers, 132 KB for 1,024 (ids of 11 characters, all figures learnt). So with some 760 servers or more each upgrade began from nothing.

Change: pieces of 95 KiB, up to 8 MiB, in the queue that carries records, so that a full link is tried again.

--- a/saltport/handover/exchange.py
+++ b/saltport/handover/exchange.py
@@ -1,7 +1,8 @@
 """Records over a link between two processes: pieces, answers, and who holds what at each moment. No I/O.
 
-The giver's first byte of a message says what it is: `L` what was learnt, `C` a connection that owes nothing
-(for a taker that says no version), `P` a piece of a record, `M` its last piece, which brings all descriptors.
+The giver's first byte of a message says what it is: `l` a piece of what was learnt, `L` its last or only one,
+`C` a connection that owes nothing (for a taker that says no version), `P` a piece of a record, `M` its last
+piece, which brings all descriptors.
 The taker says `H` with the version of records that it takes, `A` when a record is its own, `N` and why not.
 
 From the moment its last piece is sent a record is the taker's: what both could hold would be done twice. The
@@ -19,7 +20,9 @@
 PIECE = 64 << 10
 WINDOW = 32  # connections frozen at a time, or under way: they bound bytes, descriptors and time stood still
 MAX_RECORD = MAX_ANSWERS + MAX_COMMAND
-LEARNT, CONNECTION, PART, LAST = b"L", b"C", b"P", b"M"
+LEARNT_PIECE = 95 << 10  # takers of earlier versions read one message of 96 KiB, and know no pieces
+MAX_LEARNT = 8 << 20  # some 60,000 servers
+LEARNT_PART, LEARNT, CONNECTION, PART, LAST = b"l", b"L", b"C", b"P", b"M"
 HELLO, TAKEN, TURNED_DOWN = b"H", b"A", b"N"
 
 
@@ -49,6 +52,8 @@
     def __init__(self, release: Callable[[Sequence[int]], None]) -> None:
         """`release` closes descriptors that nobody here needs any more."""
         self._release = release
+        self._learnt: deque[bytes] = deque()
+        """Messages that tell what was learnt; they go before all connections."""
         self._queue: deque[Parcel] = deque()
         self._sent: deque[Parcel] = deque()
         self.version = 0
@@ -66,12 +71,22 @@
         """Whether something is frozen, or sent and not answered."""
         return bool(self._queue or self._sent)
 
+    def tell(self, learnt: bytes) -> None:
+        """Begin with what was learnt; beyond `MAX_LEARNT` bytes the taker starts without it."""
+        if len(learnt) > MAX_LEARNT:
+            return
+        pieces = [learnt[at : at + LEARNT_PIECE] for at in range(0, len(learnt), LEARNT_PIECE)] or [b""]
+        self._learnt.extend(LEARNT_PART + piece for piece in pieces[:-1])
+        self._learnt.append(LEARNT + pieces[-1])
+
     def offer(self, parcel: Parcel) -> None:
         """Take a frozen connection, to be sent when the link has room."""
         self._queue.append(parcel)
 
     def outgoing(self) -> Message | None:
         """The next message; None: nothing now. `sent` has to follow before it is asked again."""
+        if self._learnt:
+            return Message(self._learnt[0])
         if not self._queue:
             return None
         parcel = self._queue[0]
@@ -82,6 +97,9 @@
 
     def sent(self) -> None:
         """The link has taken that message, whole."""
+        if self._learnt:
+            self._learnt.popleft()
+            return
         parcel = self._queue[0]
         parcel.at += PIECE
         if parcel.at >= len(parcel.record):
@@ -104,6 +122,7 @@
 
     def ended(self) -> None:
         """The link is gone: what was sent whole went with it, and the rest goes on here."""
+        self._learnt.clear()
         sent, self._sent = self._sent, deque()
         queue, self._queue = self._queue, deque()
         self.version = 0
@@ -120,6 +139,25 @@
     def __init__(self) -> None:
         self._pieces: list[bytes] = []
         self._size = 0
+        self._learnt: list[bytes] = []
+        self._learnt_size = 0
+
+    @property
+    def learning(self) -> bool:
+        """Whether what was learnt has begun to come, and more of it is on its way."""
+        return self._learnt_size > 0
+
+    def learn(self, data: bytes) -> bytes:
+        """Take a piece of what was learnt; returns it with its last piece, or nothing (yet, or too long)."""
+        self._learnt_size += len(data) - 1
+        if self._learnt_size <= MAX_LEARNT:
+            self._learnt.append(data[1:])
+        else:
+            self._learnt.clear()
+        if data[:1] != LEARNT:
+            return b""
+        pieces, self._learnt, self._learnt_size = self._learnt, [], 0
+        return b"".join(pieces)
 
     def heard(self, data: bytes, descriptors: int) -> ConnectionRecord | None:
         """Take a piece; returns the record with its last one. Raises RecordError, once for a whole record.
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -175,6 +175,9 @@
         self._follow_bans()
         while not self._host.ready and not self._terminated.is_set():
             await asyncio.sleep(STEP_S)
+        given_up = self._loop.time() + READY_S
+        while self._takeover is not None and self._takeover.learning and self._loop.time() < given_up:
+            await asyncio.sleep(STEP_S)
         if self._takeover is not None and self._takeover.inherited:
             try:
                 self._host.inherit(orjson.loads(self._takeover.inherited))
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -22,6 +22,7 @@
     HELLO,
     LAST,
     LEARNT,
+    LEARNT_PART,
     PART,
     TAKEN,
     TURNED_DOWN,
@@ -75,6 +76,11 @@
         """Whether another process of this router runs, as far as known."""
         return self._before is not None or self._after is not None
 
+    @property
+    def learning(self) -> bool:
+        """Whether more is coming of what the process before this one has learnt."""
+        return self._taker.learning
+
     @property
     def replaced(self) -> bool:
         """Whether another process is there to take this one's place."""
@@ -139,10 +145,8 @@
             self._end_after()
         self._after = link
         self._loop.add_reader(link.fileno(), self._hear)
-        message = LEARNT + self._learnt()
-        if len(message) <= MAX_MESSAGE:
-            with suppress(OSError):  # it may have gone already, and can do without
-                link.send(message)
+        self.giver.tell(self._learnt())
+        self._give_more()
         self._changed()
 
     def _hear(self) -> None:
@@ -235,8 +239,8 @@
             self._changed()
             return
         kind = message[:1]
-        if kind == LEARNT:
-            self.inherited = message[1:]
+        if kind in (LEARNT_PART, LEARNT):
+            self.inherited = self._taker.learn(message) or self.inherited
         elif kind in (PART, LAST):
             self._take(message, descriptors, bool(flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC)))
             return
