--- a/saltport/load/driver.py
+++ b/saltport/load/driver.py
@@ -344,8 +344,10 @@
             progress(f"{seconds:5.0f} s: {self.report.progress()}")
 
 
-async def wait_ready(address: Address, seconds: float, alive: Callable[[], bool] = lambda: True) -> bool:
-    """Wait until a router answers PING with +PONG."""
+async def wait_ready(
+    address: Address, seconds: float, alive: Callable[[], bool] = lambda: True, every_s: float = 0.02
+) -> bool:
+    """Wait until a router answers PING with +PONG, looking every so many seconds."""
     loop = asyncio.get_running_loop()
     end = loop.time() + seconds
     while loop.time() < end and alive():
@@ -359,7 +361,7 @@
                 return True
         except (OSError, TimeoutError):
             pass
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(every_s)
     return False
 
 
