--- a/tests/crossings/test_broken_answers.py
+++ b/tests/crossings/test_broken_answers.py
@@ -96,6 +96,9 @@
             asyncio.get_running_loop().create_future()
         )
 
+    def remaining_ms(self) -> int:
+        return 5000
+
     def value_started(self, length: int, source: ValueSource) -> None:
         self.parts.append(b"")
 
--- a/tests/wire/mutations.py
+++ b/tests/wire/mutations.py
@@ -72,6 +72,9 @@
         self.length: int | None = None
         self.parts = b""
 
+    def remaining_ms(self) -> int:
+        return 5000
+
     def value_started(self, length: int, source: ValueSource) -> None:
         assert self.length is None
         self.length = length
