--- a/saltport/downstream/access_report.py
+++ b/saltport/downstream/access_report.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 import sys
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import chain
 from pathlib import Path
 
 import msgspec
@@ -82,7 +83,8 @@
 
     def __init__(self, source: str) -> None:
         self._source = source
-        self._open: dict[str, RequestAccepted] = {}
+        self._open: dict[tuple[int, str], deque[RequestAccepted]] = {}
+        """By connection and id; answers on a connection come in the order of its requests."""
         self._last_answer: dict[int, RequestAccepted] = {}
         """By connection: the request that was answered last."""
         self._stopped = False
@@ -95,7 +97,7 @@
         match entry:
             case RequestAccepted():
                 self.report.accepted += 1
-                self._open[entry.id] = entry
+                self._open.setdefault((entry.connection, entry.id), deque()).append(entry)
             case RequestAnswered():
                 self._answered(entry)
             case ConnectionClosed():
@@ -104,7 +106,7 @@
                 self._stopped = True
 
     def _answered(self, entry: RequestAnswered) -> None:
-        request = self._open.pop(entry.id, None)
+        request = self._take_open(entry.connection, entry.id)
         if request is None:
             unknown = RequestAccepted(entry.at_ns, entry.connection, entry.id, "unknown", 0)
             self._suspect(Finding.ANSWERED_TWICE, unknown)
@@ -118,7 +120,7 @@
 
     def _closed(self, entry: ConnectionClosed) -> None:
         for request_id in entry.unanswered:
-            request = self._open.pop(request_id, None)
+            request = self._take_open(entry.connection, request_id)
             if request is None:
                 continue
             if entry.reason is CloseReason.MOVED:
@@ -134,10 +136,20 @@
 
     def finish(self) -> Report:
         """The report, once all entries are read."""
-        for request in self._open.values():
+        for request in chain.from_iterable(self._open.values()):
             self._suspect(self._open_at_the_end(request), request)
         return self.report
 
+    def _take_open(self, connection: int, request_id: str) -> RequestAccepted | None:
+        """The oldest request of this id that is open on its connection, which is open no longer."""
+        requests = self._open.get((connection, request_id))
+        if requests is None:
+            return None
+        request = requests.popleft()
+        if not requests:
+            del self._open[connection, request_id]
+        return request
+
     def _open_at_the_end(self, request: RequestAccepted) -> Finding:
         if self._stopped:
             return Finding.FORGOTTEN
--- a/tests/downstream/test_access_log.py
+++ b/tests/downstream/test_access_log.py
@@ -160,6 +160,18 @@
     assert findings(report) == [(Finding.ANSWERED_TWICE, "r1")]
 
 
+def test_an_id_that_a_client_uses_again_is_no_second_answer() -> None:
+    accepted = (
+        b'{"event":"accepted","at_ns":5,"connection":%d,"id":"r1","request_class":"get","timeout_ms":9}'
+    )
+    answered = b'{"event":"answered","at_ns":9,"connection":%d,"id":"r1","answer":"%b"}'
+    lines = [accepted % 1, accepted % 1, accepted % 2, answered % (2, b"rejected")]
+    lines += [answered % (1, b"served"), answered % (1, b"rejected")]
+    report = read_log("r1", lines)
+    assert report.answers == {"served": 1, "rejected": 2}
+    assert report.suspects == []
+
+
 def test_a_full_log_is_set_aside(tmp_path: Path) -> None:
     path = tmp_path / "log"
 
