--- /dev/null
+++ b/tests/decisions/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded event streams for the replay check, and the world that they were recorded in."""
