The rankings of slots are a data structure of their own, without knowledge of servers

Cause: decisions/table.py mixed which servers a slot has (weights, the cold ramp) with how their ranking is kept up to date across joins and leaves.

Change: structures/slot_rankings.py keeps the rows for any holders with a seed and a weight; the slot table asks it. The tests of bounds name the new module.

--- a/saltport/decisions/zoned.py
+++ b/saltport/decisions/zoned.py
@@ -16,9 +16,10 @@
 from saltport.decisions.interface import Outcome
 from saltport.decisions.outliers import SILENT, OutlierDetector
 from saltport.decisions.seam import Asked
-from saltport.decisions.table import DEPTH, MAX_ROWS, SlotTable
+from saltport.decisions.table import DEPTH, SlotTable
 from saltport.decisions.topology import Evidence, Topology, ZoneCount
 from saltport.structures.lanes import Lanes, mixed, score_of
+from saltport.structures.slot_rankings import MAX_ROWS
 
 SEED = 0x5A17  # of the hash that places slots among zones
 FETCH_TRIALS = 0.1  # of the reads' fetches go to an origin that is held silent, to find out
--- a/tests/decisions/test_slot_table.py
+++ b/tests/decisions/test_slot_table.py
@@ -14,8 +14,9 @@
 
 from saltport.decisions.health import Node
 from saltport.decisions.interface import Server
-from saltport.decisions.table import DEPTH, KEPT, MAX_ROWS, NOTED, SHOWN, SlotTable
+from saltport.decisions.table import DEPTH, KEPT, SHOWN, SlotTable
 from saltport.structures.lanes import score_of
+from saltport.structures.slot_rankings import MAX_ROWS, NOTED
 from tests.decisions.helpers import S, fleet, settings
 
 SLOTS = settings().slots
@@ -181,7 +182,7 @@
         hashed.append(node.entry.id)
         return score_of(slot, node)
 
-    monkeypatch.setattr("saltport.decisions.table.score_of", counting)
+    monkeypatch.setattr("saltport.structures.slot_rankings.score_of", counting)
     for size in (130, 2000):
         table = table_of(fleet(size) if size <= 250 else tuple(Server(f"s{n}") for n in range(size)))
         for slot in range(100):
@@ -201,12 +202,12 @@
     table.update([Server(f"s{n}") for n in range(4)], [])
     for slot in range(MAX_ROWS + 500):
         table.rank(slot, 0)
-    assert len(table._rows) == MAX_ROWS
+    assert len(table._rankings._rows) == MAX_ROWS
     for number in range(4, 500):
         table.update([Server(f"s{number}")], [])
         table.rank(MAX_ROWS, 0)
-    assert len(table._rows[MAX_ROWS].ranked) <= 2 * KEPT
-    assert len(table._noted) <= NOTED
+    assert len(table._rankings._rows[MAX_ROWS].ranked) <= 2 * KEPT
+    assert len(table._rankings._noted) <= NOTED
 
 
 def test_the_same_list_in_another_order_changes_nothing() -> None:
