Structures go by the names of their sources: rendezvous hash, frequent items, windowed counter

lanes -> rendezvous (Lanes -> RendezvousHash), frequent -> frequent_items, tally -> windowed_counter (Tally -> WindowedCounter), pace -> response_time (Pace -> ResponseTimeEstimate with mean and deviation, Jacobson 1988). What is written between versions at a hand-over is as it was.

--- a/benchmarks/sketches.py
+++ b/benchmarks/sketches.py
@@ -23,7 +23,7 @@
 
 import orjson
 
-from saltport.structures.frequent import FrequentItems
+from saltport.structures.frequent_items import FrequentItems
 
 KEYS = 1_000_000
 TOP = 20
--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -10,7 +10,7 @@
 from saltport.decisions.interface import Outcome, Server
 from saltport.decisions.limits import Limit
 from saltport.decisions.promptness import Promptness
-from saltport.structures.pace import Pace
+from saltport.structures.response_time import ResponseTimeEstimate
 
 ANSWERED, UNANSWERED = (Outcome.OK, Outcome.MISS), (Outcome.TIMEOUT, Outcome.RESET)
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.MOOT)  # ends that tell nothing of a server
@@ -25,7 +25,7 @@
         self.seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
         self.warm_at = entry.started + cold_time if entry.started and cold_time else 0
         self.unheard = 0
-        self.pace = Pace()
+        self.response_time = ResponseTimeEstimate()
         self.limit = Limit(known_at)
         self.promptness = Promptness()
         self.portion, self.portion_at = 1.0, 0  # of its reads, and since when (portions.py)
--- a/saltport/decisions/hotkeys/meter.py
+++ b/saltport/decisions/hotkeys/meter.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from saltport.decisions.interface import NS_PER_S
-from saltport.structures.frequent import FrequentItems
+from saltport.structures.frequent_items import FrequentItems
 
 MEMORY = 10 * NS_PER_S
 EVIDENCE = 8.0  # reads of a key before it is looked at: by fewer its share can't be told from chance
--- a/saltport/decisions/inheritance.py
+++ b/saltport/decisions/inheritance.py
@@ -12,7 +12,7 @@
 from saltport.decisions.health import Node
 from saltport.decisions.outliers import INTERVAL, MAX_EJECTION, Record
 from saltport.decisions.settings import WireError, number
-from saltport.structures.tally import Tally
+from saltport.structures.windowed_counter import WindowedCounter
 
 if TYPE_CHECKING:
     from saltport.decisions.logic import Router
@@ -46,8 +46,8 @@
 
 def _node(node: Node) -> list[float]:
     limit = -1.0 if math.isinf(node.limit.limit) else node.limit.limit
-    pace = node.pace
-    return [limit, node.limit.took, node.limit.work, pace.usual, pace.spread, node.portion]
+    times = node.response_time
+    return [limit, node.limit.took, node.limit.work, times.mean, times.deviation, node.portion]
 
 
 def _number(value: Any, least: float = 0.0) -> Any:
@@ -74,13 +74,16 @@
     for name, figures in nodes.items():
         node = router.caches.nodes.get(name)
         if node is not None:
-            limit, node.limit.took, node.limit.work, node.pace.usual, node.pace.spread, node.portion = figures
+            times = node.response_time
+            limit, node.limit.took, node.limit.work, times.mean, times.deviation, node.portion = figures
             node.limit.limit = math.inf if limit < 0 else max(limit, 1.0)
             node.limit.heard(now)
     for name, (left, ejections, reason) in ejected.items():
         node = router.caches.nodes.get(name)
         if node is not None:
-            record = Record(node.entry.started, Tally(INTERVAL, now), ejections=ejections, reason=reason)
+            record = Record(
+                node.entry.started, WindowedCounter(INTERVAL, now), ejections=ejections, reason=reason
+            )
             record.ejected_at, record.until = now, now + min(left, 2 * MAX_EJECTION)
             router.outliers.adopt(name, record)
 
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -24,10 +24,10 @@
 from saltport.decisions.roster import Roster
 from saltport.decisions.spreading import make_spreading
 from saltport.decisions.table import SlotTable
-from saltport.structures.pace import Pace
 from saltport.structures.recent import RecentCounts
+from saltport.structures.response_time import ResponseTimeEstimate
 
-SPREADS = 6  # deviations beyond the usual that an answer may take before it counts as lost
+DEVIATIONS = 6  # deviations beyond the usual that an answer may take before it counts as lost
 TELLING = (*ANSWERED, Outcome.TIMEOUT)
 PATIENCE_SHARE, SLOW_SHARE = 0.95, 0.8
 
@@ -46,7 +46,7 @@
         self.requests: dict[str, Request] = {}
         self.placement = Placement(self.spreading, self.outliers)
         self.fetches = OriginFetches(settings, self._rng)
-        self._answers = Pace(min(cls.aim for cls in settings.classes))  # of the caches
+        self._response_time = ResponseTimeEstimate(min(cls.aim for cls in settings.classes))  # of the caches
         self._portions = Portions(settings)
         self._asking, self._failed_calls = False, 0
         self.given_up = RecentCounts()  # requests that got no answer of a server, by tenant and reason
@@ -138,7 +138,7 @@
         slots = self.settings.slots
         request.slot = self._rng.randrange(slots) if event.key is None else crc32(event.key.encode()) % slots
         self.requests[request.id] = request
-        late = event.deadline - self._now < self._answers.usual
+        late = event.deadline - self._now < self._response_time.mean
         rank = HOPELESS if late else RETRY if event.retry else FIRST
         if not self.overload.admit(event.tenant or "", request.write, rank):
             self._give_up(request, Reason.ROUTER_OVERLOADED)
@@ -161,10 +161,11 @@
             self.spreading.sent(request, node)
 
     def _patience(self, request: Request, node: Node) -> int:
-        known, aim = self.fetches.pace if request.fetching else self._answers, request.cls.aim
-        usual, spread = max(known.usual, node.pace.usual), max(known.spread, node.pace.spread)
-        request.lost_after = int(min(usual + spread * SPREADS, aim * PATIENCE_SHARE))
-        slow = usual + spread * SPREADS / 2 > aim * SLOW_SHARE
+        known, aim = self.fetches.response_time if request.fetching else self._response_time, request.cls.aim
+        here = node.response_time
+        mean, deviation = max(known.mean, here.mean), max(known.deviation, here.deviation)
+        request.lost_after = int(min(mean + deviation * DEVIATIONS, aim * PATIENCE_SHARE))
+        slow = mean + deviation * DEVIATIONS / 2 > aim * SLOW_SHARE
         first = not request.refetching if request.fetching else request.sends == 1
         return 0 if slow or not first or not may_repeat(request) else request.lost_after
 
@@ -247,8 +248,8 @@
         elif not broke:
             self._judge(request, node, event, late, took)
             if outcome in ANSWERED:
-                node.pace.learn(event.latency)
-                self._answers.learn(event.latency)
+                node.response_time.learn(event.latency)
+                self._response_time.learn(event.latency)
         if not outcome.never_ran and request.ran is None:
             request.ran = node
             if request.cls.effect is Effect.KEYED:
@@ -294,7 +295,7 @@
             request.refetching = True
             self._fetch(request)
             return
-        pause = int(self.fetches.pace.usual * self._rng.uniform(0.5, 1.5))
+        pause = int(self.fetches.response_time.mean * self._rng.uniform(0.5, 1.5))
         if request.write and self._now + pause < request.deadline and outcome is not Outcome.TIMEOUT:
             self._wait(request, pause)
         else:
--- a/saltport/decisions/origin.py
+++ b/saltport/decisions/origin.py
@@ -15,7 +15,7 @@
 from saltport.decisions.interface import AttemptEnded, Outcome, Reason, Settings, Tenant
 from saltport.decisions.request import Request
 from saltport.decisions.suppression import CUT, Suppressor
-from saltport.structures.pace import Pace
+from saltport.structures.response_time import ResponseTimeEstimate
 
 BAD_SAMPLES, BAD_SHARE = 8, 0.2
 
@@ -27,7 +27,8 @@
         self._rng = rng
         self.guards: dict[str, Suppressor] = {}
         self.follow_settings(settings)
-        self.pace = Pace(min(cls.aim for cls in settings.classes) / 2)  # of good fetches
+        aim = min(cls.aim for cls in settings.classes)
+        self.response_time = ResponseTimeEstimate(aim / 2)  # of good fetches
         self._width, self._last_cut = math.inf, 0
         self._bad = 0.0  # smoothed share of bad fetches
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
@@ -74,10 +75,10 @@
     def ended(self, node: Node, event: AttemptEnded, late: bool, now: int) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first."""
         if event.outcome is Outcome.TIMEOUT:
-            self.pace.learn(event.latency)
+            self.response_time.learn(event.latency)
         if event.outcome is Outcome.OK and not late:
             self._bad -= self._bad / BAD_SAMPLES
-            self.pace.learn(event.latency)
+            self.response_time.learn(event.latency)
             self._width += 1 / self._width
             for guard in self.guards.values():
                 guard.rise(now)
@@ -87,7 +88,7 @@
             # A time-out that is not late had too little time left: not the origin's fault.
             self._bad += (1 - self._bad) / BAD_SAMPLES
             # A lone bad fetch is chance (a heavy tail), and one round-trip's bad fetches are one sign.
-            if self._bad >= BAD_SHARE and now - self._last_cut >= self.pace.usual:
+            if self._bad >= BAD_SHARE and now - self._last_cut >= self.response_time.mean:
                 self._cut(node, now)
 
     def _cut(self, node: Node, now: int) -> None:
--- a/saltport/decisions/outliers.py
+++ b/saltport/decisions/outliers.py
@@ -13,7 +13,7 @@
 
 from saltport.decisions.health import NO_EVIDENCE, Node
 from saltport.decisions.interface import NS_PER_S, Outcome, Settings
-from saltport.structures.tally import Tally
+from saltport.structures.windowed_counter import WindowedCounter
 
 CONSECUTIVE = 3  # signs in a row: one failure in a hundred by chance makes a wrong ejection one in a million
 INTERVAL = 10 * NS_PER_S  # over which failures are counted
@@ -53,7 +53,7 @@
     """The evidence against one server. Servers without any have no record."""
 
     started: int
-    tally: Tally
+    attempts: WindowedCounter
     row: int = 0
     """Failures in a row."""
     broken: int = 0
@@ -80,7 +80,7 @@
         silent = self.failed_at - self.silent_since
         if self.row >= CONSECUTIVE and silent >= silence:
             return f"{self.row} failures in a row over {silent / NS_PER_S:.1f} s"
-        attempts, failures = self.tally.both()
+        attempts, failures = self.attempts.totals()
         if attempts >= MIN_ATTEMPTS and failures >= attempts * (usual + FAILURE_SHARE):
             return f"{failures} of {attempts} attempts failed"
         return ""
@@ -91,7 +91,7 @@
 
     def clean(self, now: int) -> bool:
         """Whether nothing is held against it any more."""
-        return not (self.row or self.tally.both()[1] or self.until or self.repeated(now))
+        return not (self.row or self.attempts.totals()[1] or self.until or self.repeated(now))
 
 
 class OutlierDetector:
@@ -104,7 +104,7 @@
         self.ejected: set[str] = set()
         self.suspects: set[str] = set()  # ejected but for the ceiling
         self.listed = 0
-        self._all = Tally(INTERVAL)
+        self._all = WindowedCounter(INTERVAL)
 
     def follow_settings(self, settings: Settings) -> None:
         """Take new settings; the evidence stays."""
@@ -164,7 +164,7 @@
         if record is None:
             if outcome not in SILENT and outcome not in FAILED:
                 return None
-            record = self.records[server] = Record(node.entry.started, Tally(INTERVAL, now))
+            record = self.records[server] = Record(node.entry.started, WindowedCounter(INTERVAL, now))
         is_trial = record.trial == request
         if is_trial:
             record.trial = None
@@ -176,7 +176,7 @@
             if answered and (is_trial or sent_at >= record.ejected_at):
                 return self._take_back(server, record, now)
             return self._eject(server, record, f"trial: {outcome.value}", now) if is_trial else None
-        attempts, failures = self._all.both()
+        attempts, failures = self._all.totals()
         reason = record.against(failures / attempts, self._silence)
         if reason:
             return self._eject(server, record, reason, now)
@@ -194,7 +194,7 @@
             self.ejected.add(server)
 
     def _count(self, record: Record, outcome: Outcome, sent_at: int, now: int) -> None:
-        record.tally.count(outcome in FAILED, now)
+        record.attempts.count(outcome in FAILED, now)
         if outcome not in SILENT:
             record.row = record.broken = 0
             return
@@ -225,5 +225,5 @@
         out = (now - record.ejected_at) / NS_PER_S
         record.until, record.returned_at, record.row, record.reason = 0, now, 0, ""
         record.broken = 0
-        record.tally = Tally(INTERVAL, now)
+        record.attempts = WindowedCounter(INTERVAL, now)
         return News(f"{server}: back; it was last ejected {out:.1f} s ago", is_back=True)
--- a/saltport/decisions/portions.py
+++ b/saltport/decisions/portions.py
@@ -10,7 +10,7 @@
 from saltport.decisions.health import Node
 from saltport.decisions.interface import NS_PER_S, Settings
 from saltport.decisions.limits import PROMPT
-from saltport.structures.lanes import WORD, mixed
+from saltport.structures.rendezvous import WORD, mixed
 
 TIME_FIELDS = ("latency_ms", "recent_ms")  # the recent service time, as PROTOCOL's wires name it
 GAIN = 1 / 4  # twice the time, a sixth less: a queue grows faster than load, the whole ratio would overshoot
--- a/saltport/decisions/zoned.py
+++ b/saltport/decisions/zoned.py
@@ -18,7 +18,7 @@
 from saltport.decisions.request import Request
 from saltport.decisions.table import DEPTH, SlotTable
 from saltport.decisions.topology import Evidence, Topology, ZoneCount
-from saltport.structures.lanes import Lanes, mixed, score_of
+from saltport.structures.rendezvous import RendezvousHash, mixed, score_of
 from saltport.structures.slot_rankings import MAX_ROWS
 
 SEED = 0x5A17  # of the hash that places slots among zones
@@ -32,20 +32,25 @@
     return mixed(slot, SEED) / 2**64
 
 
+def _usual_most(node: Node) -> float:
+    """The time within which a server usually answers, nanoseconds."""
+    return node.response_time.mean + 4 * node.response_time.deviation
+
+
 class _Zone:
     """The servers of one zone, ranked slot by slot."""
 
     def __init__(self) -> None:
-        self.lanes = Lanes[Node]()
+        self.hash = RendezvousHash[Node]()
         self._rows: dict[tuple[int, int], list[Node]] = {}
 
     def follow(self, nodes: set[Node]) -> None:
         """Hold just these servers."""
-        held = set(self.lanes.nodes)
+        held = set(self.hash.nodes)
         for node in held - nodes:
-            self.lanes.remove(node)
+            self.hash.remove(node)
         for node in sorted(nodes - held, key=lambda node: node.entry.id):
-            self.lanes.add(node)
+            self.hash.add(node)
         if held != nodes:
             self._rows.clear()
 
@@ -55,7 +60,7 @@
         if row is None:
             if len(self._rows) >= MAX_ROWS:
                 self._rows.clear()
-            best = self.lanes.best(slot, depth, None)
+            best = self.hash.best(slot, depth, None)
             row = self._rows[slot, depth] = sorted(best, key=lambda node: -score_of(slot, node))[:depth]
         if any(now < node.warm_at for node in row):
             return sorted(row, key=lambda node: -score_of(slot, node) * table.warmth(node, now))
@@ -167,7 +172,7 @@
         return found + self._ranked(self._strangers, request, now)
 
     def _ranked(self, zone: _Zone, request: Request, now: int) -> list[Node]:
-        owners = math.ceil(request.share * len(zone.lanes.nodes) / HEAT_SHARE)
+        owners = math.ceil(request.share * len(zone.hash.nodes) / HEAT_SHARE)
         ranking = zone.rank(request.slot, max(owners, DEPTH), self._caches, now)
         self._now = now
         return sorted(ranking[:owners], key=self._draw) + ranking[owners:] if owners > 1 else ranking
@@ -210,7 +215,7 @@
         if outcome in NO_EVIDENCE:
             return
         silent = outcome in SILENT and not (event.kept and outcome is Outcome.RESET)
-        if outcome is Outcome.TIMEOUT and event.latency < node.pace.usual + 4 * node.pace.spread:
+        if outcome is Outcome.TIMEOUT and event.latency < _usual_most(node):
             return  # its client had less time than answers take
         if fetched:
             for area in range(len(self.topology.areas)):
@@ -236,6 +241,6 @@
         found, self._found = self._found, self._empty()
         ejected = self._outliers.ejected
         for count, zone in zip(found.zones, self._zones, strict=True):
-            count.listed = len(zone.lanes.nodes)
-            count.usable = sum(node.entry.id not in ejected for node in zone.lanes.nodes)
+            count.listed = len(zone.hash.nodes)
+            count.usable = sum(node.entry.id not in ejected for node in zone.hash.nodes)
         return found
--- a/saltport/structures/lanes.py
+++ b/saltport/structures/rendezvous.py
@@ -43,7 +43,7 @@
     return -node.weight / math.log((mixed(slot, node.seed) + 1) / (WORD + 2))
 
 
-class Lanes(Generic[Holder]):
+class RendezvousHash(Generic[Holder]):
     """The holders' seeds and weights side by side, to hash a slot against all of them at once."""
 
     def __init__(self) -> None:
--- a/saltport/structures/slot_rankings.py
+++ b/saltport/structures/slot_rankings.py
@@ -10,7 +10,7 @@
 from bisect import insort
 from typing import Any, Generic, TypeVar
 
-from saltport.structures.lanes import Hashed, Lanes, score_of
+from saltport.structures.rendezvous import Hashed, RendezvousHash, score_of
 
 CATCH_UP = 48  # changes that a row catches up with; past that it is cheaper to rank it anew
 NOTED = 8 * CATCH_UP
@@ -42,7 +42,7 @@
     def __init__(self, shown: int, kept: int, numpy: Any = None) -> None:
         """`numpy`: the module, where large numbers of holders are to be ranked with it."""
         self._shown, self._kept, self._numpy = shown, kept, numpy
-        self._lanes = Lanes[Holder]()
+        self._hash = RendezvousHash[Holder]()
         self._rows: dict[int, Row[Holder]] = {}
         self._noted: list[tuple[Holder, bool]] = []  # the latest changes: a holder, and whether it came
         self.version = 0
@@ -50,12 +50,12 @@
 
     def add(self, holder: Holder) -> None:
         """Take a holder in."""
-        self._lanes.add(holder)
+        self._hash.add(holder)
         self._note(holder, came=True)
 
     def remove(self, holder: Holder) -> None:
         """Take a holder out."""
-        self._lanes.remove(holder)
+        self._hash.remove(holder)
         self._note(holder, came=False)
 
     def _note(self, holder: Holder, came: bool) -> None:
@@ -86,9 +86,9 @@
         return row
 
     def _ranked(self, slot: int, kept: int) -> Row[Holder]:
-        best = self._lanes.best(slot, kept, self._numpy)
+        best = self._hash.best(slot, kept, self._numpy)
         ranked = sorted([(score_of(slot, holder), holder) for holder in best], key=_by_score)[:kept]
-        row = Row(ranked, self.version, len(ranked) == len(self._lanes.nodes))
+        row = Row(ranked, self.version, len(ranked) == len(self._hash.nodes))
         self._rows.pop(slot, None)
         if len(self._rows) >= MAX_ROWS:
             del self._rows[next(iter(self._rows))]  # the one that was ranked longest ago
--- a/saltport/structures/tally.py
+++ b/saltport/structures/windowed_counter.py
@@ -6,7 +6,7 @@
 
 
 @dataclass(slots=True)
-class Tally:
+class WindowedCounter:
     """Attempts and failures of the interval under way and of the one before it."""
 
     interval: int
@@ -25,6 +25,6 @@
         self.attempts += 1
         self.failures += failed
 
-    def both(self) -> tuple[int, int]:
+    def totals(self) -> tuple[int, int]:
         """Attempts and failures of both intervals."""
         return self.attempts + self._old[0], self.failures + self._old[1]
--- a/tests/decisions/test_inheritance.py
+++ b/tests/decisions/test_inheritance.py
@@ -49,7 +49,7 @@
     for server in fleet(4):
         held, told = new.caches.nodes[server.id], old.caches.nodes[server.id]
         assert (held.limit.limit, held.limit.took) == (told.limit.limit, told.limit.took)
-        assert (held.pace.usual, held.portion) == (told.pace.usual, told.portion)
+        assert (held.response_time.mean, held.portion) == (told.response_time.mean, told.portion)
 
 
 def test_ejection_that_was_inherited_ends_with_a_trial() -> None:
--- a/tests/decisions/test_slot_table.py
+++ b/tests/decisions/test_slot_table.py
@@ -15,7 +15,7 @@
 from saltport.decisions.health import Node
 from saltport.decisions.interface import Server
 from saltport.decisions.table import DEPTH, KEPT, SHOWN, SlotTable
-from saltport.structures.lanes import score_of
+from saltport.structures.rendezvous import score_of
 from saltport.structures.slot_rankings import MAX_ROWS, NOTED
 from tests.decisions.helpers import S, fleet, settings
 
--- a/tests/structures/test_frequent.py
+++ b/tests/structures/test_frequent_items.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from saltport.structures.frequent import RESCALED, FrequentItems
+from saltport.structures.frequent_items import RESCALED, FrequentItems
 
 S = 1_000_000_000
 
