--- a/benchmarks/hot_keys.py
+++ b/benchmarks/hot_keys.py
@@ -30,10 +30,10 @@
 from saltport.admin.client import ask
 from saltport.audit import Limits
 from saltport.decisions import Fill, HotKeySettings, RequestArrived, RequestClass, Server, Settings, Tenant
-from saltport.decisions.heat import Heat
 from saltport.decisions.hotkeys import HotKeys
+from saltport.decisions.replication import Replication
 from saltport.decisions.request import Request
-from saltport.decisions.seam import Spreading
+from saltport.decisions.slot_replication import SlotReplication
 from saltport.decisions.suppression import Suppressor
 from saltport.decisions.table import SlotTable
 from saltport.harness import Harness, run_load
@@ -163,8 +163,8 @@
     slots = [crc32(key.encode()) % 8192 for key in keys]
     classes = (RequestClass("read", S, S),)
     settings = Settings(classes=classes, tenants=(Tenant("a", 0.7), Tenant("b", 0.3)))
-    kinds: dict[str, Spreading] = {
-        "slots' heat": Heat(caches, rng, False),
+    kinds: dict[str, Replication] = {
+        "slots' heat": SlotReplication(caches, rng, False),
         "hot keys": HotKeys(settings, HotKeySettings(), caches, lambda server, now: True, rng),
     }
     took = {}
--- a/saltport/cli.py
+++ b/saltport/cli.py
@@ -185,12 +185,12 @@
     limits = told["limits"]
     click.echo(
         f"servers overrun: {limits['crowded_share']:.0%} of reads find their server full, "
-        f"{limits['overflowed']} went to another one, {limits['moved']} by their server's portion"
+        f"{limits['overflowed']} went to another one, {limits['moved']} by their server's weight adjustment"
     )
     for name, server in list(limits["servers"].items())[:_TOP_KEYS]:
         click.echo(
             f"  {name}: {server['out']} out of {server['limit'] or 'no limit'}, "
-            f"keeps {server['portion']:.0%}, work {server['work_ms']:.1f} ms, "
+            f"keeps {server['weight_factor']:.0%}, work {server['work_ms']:.1f} ms, "
             f"waiting {server['waiting_ms']:.1f} ms"
         )
     known = told["peers"]
@@ -332,9 +332,10 @@
     if not told["on"]:
         click.echo("hot keys: not told apart")
         return
-    voids, counts = told["voids"], told["counts"]
+    voids = told["voids"]
+    counts = {what: count for what, count in told["counts"].items() if what != "spread"}
     click.echo(
-        f"hot keys: {told['spread']} spread, {told['watched']} watched, "
+        f"hot keys: {told['replicated']} replicated, {told['watched']} watched, "
         f"{sum(told['counted'].values())} counted; {told['copied_bytes']} bytes of further copies, "
         f"filled by {told['fill']}; voids {voids['under_way']} under way, {voids['in_doubt']} in doubt; "
         f"{', '.join(f'{count} {what}' for what, count in counts.items()) or 'nothing done yet'}"
--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -9,7 +9,7 @@
 
 from saltport.decisions.interface import Outcome, Server
 from saltport.decisions.limits import Limit
-from saltport.decisions.promptness import Promptness
+from saltport.decisions.timeliness import Timeliness
 from saltport.structures.response_time import ResponseTimeEstimate
 
 ANSWERED, UNANSWERED = (Outcome.OK, Outcome.MISS), (Outcome.TIMEOUT, Outcome.RESET)
@@ -27,8 +27,8 @@
         self.unheard = 0
         self.response_time = ResponseTimeEstimate()
         self.limit = Limit(known_at)
-        self.promptness = Promptness()
-        self.portion, self.portion_at = 1.0, 0  # of its reads, and since when (portions.py)
+        self.timeliness = Timeliness()
+        self.weight_factor, self.weight_factor_at = 1.0, 0  # of its reads, and since when (portions.py)
         self._unheard_at = 0
 
     def judge(self, outcome: Outcome, took: int, aim: int, sent_at: int, now: int) -> None:
--- a/saltport/decisions/hotkeys/__init__.py
+++ b/saltport/decisions/hotkeys/__init__.py
@@ -1,6 +1,6 @@
 """Hot keys: found by measurement, held at several nodes where that pays, let go when they cool. No I/O.
 
-Asked through the seam in decisions/seam.py. meter.py finds, need.py and spread.py decide how many nodes
+Asked through decisions/replication.py. meter.py finds, need.py and replicated_key.py decide how many nodes
 and which, voiding.py what a write has to reach, control.py joins them. Times are nanoseconds on the
 caller's clock.
 """
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -1,4 +1,4 @@
-"""Hot keys joined together: asked through the seam in seam.py, it finds, spreads, fills, voids, lets go."""
+"""Replication of single hot keys: finds them, fills further nodes, voids copies, and releases them."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 from saltport.decisions.health import Node
 from saltport.decisions.hotkeys.meter import KeyMeter, Watched
 from saltport.decisions.hotkeys.need import copies_needed, over_zones, room, threshold
-from saltport.decisions.hotkeys.spread import FILL_PAUSE, FOR_GOOD, Spread
+from saltport.decisions.hotkeys.replicated_key import FILL_PAUSE, FOR_GOOD, ReplicatedKey
 from saltport.decisions.hotkeys.voiding import Voids
 from saltport.decisions.interface import NS_PER_S, Fill, Outcome
+from saltport.decisions.replication import Replication
 from saltport.decisions.request import Request
-from saltport.decisions.seam import Spreading
 from saltport.decisions.table import DEPTH, SlotTable
 
 TICK = NS_PER_S // 4
@@ -39,27 +39,27 @@
 Usable = Callable[[str, int], bool]
 
 
-class HotKeys(Spreading):
+class HotKeys(Replication):
     """Keeps the keys that are too hot for their own node on several."""
 
     def __init__(
-        self, settings: api.Settings, told: api.HotKeySettings, caches: SlotTable, usable: Usable,
+        self, settings: api.Settings, limits: api.HotKeySettings, caches: SlotTable, usable: Usable,
         rng: random.Random,
     ) -> None:  # fmt: skip
-        self._told, self._caches, self._usable, self._rng = told, caches, usable, rng
+        self._limits, self._caches, self._usable, self._rng = limits, caches, usable, rng
         portions = {tenant.name: tenant.portion for tenant in settings.tenants}
-        self._meter = KeyMeter({**portions, "": 0.0}, told.capacity, 4 * told.max_keys)
+        self._meter = KeyMeter({**portions, "": 0.0}, limits.capacity, 4 * limits.max_keys)
         whole = sum(portions.values()) or 1.0
-        self._most = {name: max(int(told.max_keys * p / whole), 1) for name, p in portions.items()}
-        self._most[""] = max(told.max_keys // 8, 1)
-        self._spreads: dict[str, Spread] = {}
-        self._writes = told.fill is Fill.WRITES
-        self._voids = Voids(told.lease, 0)
+        self._most = {name: max(int(limits.max_keys * p / whole), 1) for name, p in portions.items()}
+        self._most[""] = max(limits.max_keys // 8, 1)
+        self._replicated: dict[str, ReplicatedKey] = {}
+        self._writes = limits.fill is Fill.WRITES
+        self._voids = Voids(limits.lease, 0)
         self.follow_settings(settings)
         self._held_writes: dict[str, str] = {}  # writes whose answers wait, with their keys
         self._filling: dict[str, dict[str, int]] = {}  # plain writes under way, by key and server
-        self._withdrawn: dict[str, dict[str, int]] = {}  # copies of keys that are spread no more, till when
-        self._hot = 0.0  # the share of all spread keys together
+        self._withdrawn: dict[str, dict[str, int]] = {}  # copies of keys released, till when
+        self._hot = 0.0  # the share of all replicated keys together
         self._brought: defaultdict[Node, float] = defaultdict(float)  # by node, as a share of all reads
         self._sent: Counter[Node] = Counter()
         self._sent_before: Counter[Node] = Counter()
@@ -95,13 +95,13 @@
         watched = self._meter.add(tenant, key, request.slot, now)
         if watched is None:
             return
-        request.spread = watched
+        request.replication = watched
         if not self._ticking:
             self._tick_later()
-        spread = watched.spread
-        if isinstance(spread, Spread):
-            if now >= spread.look_at:
-                self._look(watched, spread, now)
+        replicated = watched.replicated
+        if isinstance(replicated, ReplicatedKey):
+            if now >= replicated.look_at:
+                self._look(watched, replicated, now)
         elif now >= watched.look_at:
             watched.look_at = now + LOOK // 2
             if self._meter.share(watched) > self._meter.threshold:
@@ -113,11 +113,11 @@
         self._weigh(now)
         own = min((node.weight for node in nodes.values()), default=1.0)
         self._meter.threshold = threshold(
-            own / (sum(node.weight for node in nodes.values()) or 1.0), self._told.promise
+            own / (sum(node.weight for node in nodes.values()) or 1.0), self._limits.promise
         )
         self._actions += self._voids.gone(nodes, now)
-        for key in list(self._spreads):
-            self._spreads[key].look_at = 0
+        for key in list(self._replicated):
+            self._replicated[key].look_at = 0
 
     def _weigh(self, now: int) -> None:
         """What all nodes can take together just now."""
@@ -131,15 +131,15 @@
 
     def _order(self, slot: int, now: int) -> list[Node]:
         """The nodes that may get a key of this slot, the slot's own first: the same at every router."""
-        ranking = self._caches.rank(slot, now, 2 * self._told.max_copies)[: 2 * self._told.max_copies]
-        return over_zones(ranking)[: self._told.max_copies]
+        ranking = self._caches.rank(slot, now, 2 * self._limits.max_copies)[: 2 * self._limits.max_copies]
+        return over_zones(ranking)[: self._limits.max_copies]
 
     def _need(self, watched: Watched, order: list[Node], share: float, now: int) -> int:
         if now - self._weight_at >= NS_PER_S:
             self._weigh(now)
         # What is left of a node's limit moves by the second and is no size: it counts in the choice alone.
         total = self._total_weight or 1.0
-        mine = self._spreads.get(watched.key)
+        mine = self._replicated.get(watched.key)
         own = {}
         if mine is not None:
             own = dict.fromkeys(mine.members, mine.share / max(len(mine.members), 1))
@@ -150,17 +150,17 @@
                 self._weight(node, now) / total,
                 hot,
                 brought.get(node, 0.0) - own.get(node, 0.0),
-                self._told.promise,
+                self._limits.promise,
             )
             for node in order
         )
         return copies_needed(share, rooms)
 
-    def _bring(self, spread: Spread, sign: int) -> None:
-        """Count what a spread key brings to each of its nodes, or take it back."""
-        self._hot += sign * spread.share
-        part = sign * spread.share / max(len(spread.members), 1)
-        for node in spread.members:
+    def _bring(self, replicated: ReplicatedKey, sign: int) -> None:
+        """Count what a replicated key brings to each of its nodes, or take it back."""
+        self._hot += sign * replicated.share
+        part = sign * replicated.share / max(len(replicated.members), 1)
+        for node in replicated.members:
             self._brought[node] += part
             if sign < 0 and self._brought[node] < 1e-9:
                 del self._brought[node]
@@ -169,7 +169,7 @@
         return [node for node in order if self._usable(node.entry.id, now)]
 
     def _consider(self, watched: Watched, now: int) -> None:
-        """A key looks too hot for its own node: spread it if that holds, and if the budget allows."""
+        """A key looks too hot for its own node: replicate it if that holds, and if the budget allows."""
         order = self._healthy(self._order(watched.slot, now), now)
         need = self._need(watched, order, self._meter.share(watched), now)
         if need < 2:
@@ -181,24 +181,24 @@
                 self._told_limit[watched.key] = now
                 self._log(watched.key, f"needs {need} nodes and stays on one: {limit}")
             return
-        spread = Spread(watched.key, watched.slot, watched.tenant, now)
-        watched.spread = self._spreads[watched.key] = spread
+        replicated = ReplicatedKey(watched.key, watched.slot, watched.tenant, now)
+        watched.replicated = self._replicated[watched.key] = replicated
         for server, until in self._withdrawn.pop(watched.key, {}).items():
-            spread.held[server] = until
-        self.counts["spread"] += 1
-        self._look(watched, spread, now)
-        self._log(watched.key, f"spread to {spread.copies} nodes: {spread.why}")
+            replicated.held[server] = until
+        self.counts["replicated"] += 1
+        self._look(watched, replicated, now)
+        self._log(watched.key, f"replicated to {replicated.copies} nodes: {replicated.why}")
 
     def _limit_for(self, watched: Watched, now: int) -> str:
-        """Why a further key can't be spread; a key with less than half its share makes room for it."""
-        if watched.size > self._told.max_value and self._writes:
+        """Why a further key can't be replicated; a key with less than half its share makes room for it."""
+        if watched.size > self._limits.max_value and self._writes:
             return f"its {watched.size} bytes are more than are copied"
-        mine = [held for held in self._spreads.values() if held.tenant == watched.tenant]
+        mine = [held for held in self._replicated.values() if held.tenant == watched.tenant]
         most = self._most.get(watched.tenant, self._most[""])
         if len(mine) >= most:
-            rivals, limit = mine, f"tenant {watched.tenant or '(none)'} has {most} spread keys"
-        elif len(self._spreads) >= self._told.max_keys:
-            rivals, limit = list(self._spreads.values()), f"{self._told.max_keys} keys are spread"
+            rivals, limit = mine, f"tenant {watched.tenant or '(none)'} has {most} replicated keys"
+        elif len(self._replicated) >= self._limits.max_keys:
+            rivals, limit = list(self._replicated.values()), f"{self._limits.max_keys} keys are replicated"
         else:
             return ""
         least = min(rivals, key=lambda held: self._meter.share(self._meter.watched[held.key]))
@@ -207,81 +207,81 @@
         self._release(least, "a hotter key takes its place", now)
         return ""
 
-    def _look(self, watched: Watched, spread: Spread, now: int) -> None:
-        """Find what a spread key needs now, and place it."""
-        spread.look_at = now + LOOK
-        if spread.version != self._caches.version or now - spread.ordered_at >= NS_PER_S:
+    def _look(self, watched: Watched, replicated: ReplicatedKey, now: int) -> None:
+        """Find what a replicated key needs now, and place it."""
+        replicated.look_at = now + LOOK
+        if replicated.version != self._caches.version or now - replicated.ordered_at >= NS_PER_S:
             # Also as time goes by: cold nodes rise in the ranking while they warm up.
-            spread.version, spread.ordered_at = self._caches.version, now
-            spread.order = self._order(spread.slot, now)
-        order = self._healthy(spread.order, now)
+            replicated.version, replicated.ordered_at = self._caches.version, now
+            replicated.order = self._order(replicated.slot, now)
+        order = self._healthy(replicated.order, now)
         share = self._meter.share(watched)
-        need, most = self._need(watched, order, share, now), self._room(watched, spread)
-        before = spread.copies
-        spread.follow(min(need, most), now)
-        spread.copies = min(spread.copies, most)  # a limit is one at once
-        if spread.copies != before or not spread.why:
-            spread.why = f"{share:.1%} of all reads, {share * len(self._caches.nodes):.1f} fair shares"
-        members = order[: spread.copies]
-        moved = members != spread.members
-        if moved or abs(share - spread.share) > spread.share * SHARE_MOVED:
-            self._bring(spread, -1)
-            spread.share = share
+        need, most = self._need(watched, order, share, now), self._room(watched, replicated)
+        before = replicated.copies
+        replicated.follow(min(need, most), now)
+        replicated.copies = min(replicated.copies, most)  # a limit is one at once
+        if replicated.copies != before or not replicated.why:
+            replicated.why = f"{share:.1%} of all reads, {share * len(self._caches.nodes):.1f} fair shares"
+        members = order[: replicated.copies]
+        moved = members != replicated.members
+        if moved or abs(share - replicated.share) > replicated.share * SHARE_MOVED:
+            self._bring(replicated, -1)
+            replicated.share = share
             if moved:
-                spread.place(members, now)
-            self._bring(spread, 1)
-        elif now - spread.placed_at >= NS_PER_S:
-            spread.place(members, now)  # copies whose time is over are absent now
+                replicated.place(members, now)
+            self._bring(replicated, 1)
+        elif now - replicated.placed_at >= NS_PER_S:
+            replicated.place(members, now)  # copies whose time is over are absent now
 
-    def _room(self, watched: Watched, spread: Spread) -> int:
+    def _room(self, watched: Watched, replicated: ReplicatedKey) -> int:
         """How many nodes the budget of bytes allows this key."""
-        if watched.size > self._told.max_value and self._writes:
+        if watched.size > self._limits.max_value and self._writes:
             return 1
         if not watched.size:
-            return self._told.max_copies
-        others = self._copied() - self._copied(spread)
-        return max(int((self._told.max_bytes - others) // watched.size) + 1, 1)
+            return self._limits.max_copies
+        others = self._copied() - self._copied(replicated)
+        return max(int((self._limits.max_bytes - others) // watched.size) + 1, 1)
 
-    def _copied(self, only: Spread | None = None) -> int:
-        """Bytes of the further copies of all spread keys, or of one."""
-        held = self._spreads.values() if only is None else (only,)
+    def _copied(self, only: ReplicatedKey | None = None) -> int:
+        """Bytes of the further copies of all replicated keys, or of one."""
+        held = self._replicated.values() if only is None else (only,)
         return sum((one.copies - 1) * self._meter.watched[one.key].size for one in held)
 
     # Routing
 
     def candidates(self, request: Request, now: int) -> list[Node]:
         """Copies known to be there, the better of two first; then the others as the ranking has them."""
-        spread = request.spread.spread if request.spread is not None else None
+        replicated = request.replication.replicated if request.replication is not None else None
         doubts = self._voids.in_doubt(request.key) if self._writes and request.key is not None else None
-        if spread is None:
+        if replicated is None:
             ranking = self._caches.rank(request.slot, now, DEPTH)
             return [node for node in ranking if node.entry.id not in doubts] if doubts else ranking
-        if spread.version != self._caches.version:
-            self._look(request.spread, spread, now)
+        if replicated.version != self._caches.version:
+            self._look(request.replication, replicated, now)
         chosen: list[Node] = []
-        if not self._writes and spread.absent:
-            chosen = self._visits(request, spread, now)
-        ready = spread.ready
+        if not self._writes and replicated.absent:
+            chosen = self._visits(request, replicated, now)
+        ready = replicated.ready
         if ready:
             first, second = ready.two(self._rng)
             if self._burden(second, now) < self._burden(first, now):
                 first, second = second, first
-            chosen += (first, second, spread.members[0])
-        chosen += self._caches.rank(spread.slot, now, DEPTH)[:DEPTH]
+            chosen += (first, second, replicated.members[0])
+        chosen += self._caches.rank(replicated.slot, now, DEPTH)[:DEPTH]
         return [node for node in chosen if node.entry.id not in doubts] if doubts else chosen
 
-    def _visits(self, request: Request, spread: Spread, now: int) -> list[Node]:
+    def _visits(self, request: Request, replicated: ReplicatedKey, now: int) -> list[Node]:
         """The absent node that this read has to visit next, if it is one of those that fill them."""
-        mine = spread.fillers.get(request.id)
+        mine = replicated.fillers.get(request.id)
         if mine is None:
-            if request.sends or now < spread.fill_after or len(spread.fillers) >= MAX_FILLERS:
+            if request.sends or now < replicated.fill_after or len(replicated.fillers) >= MAX_FILLERS:
                 return []
-            taken = {node for nodes in spread.fillers.values() for node in nodes}
+            taken = {node for nodes in replicated.fillers.values() for node in nodes}
             # In their order: what is filled first is what the others are next to hold.
-            free = (node for node in spread.members if node in spread.absent and node not in taken)
+            free = (node for node in replicated.members if node in replicated.absent and node not in taken)
             mine = list(islice(free, VISITED))
             if mine:
-                spread.fillers[request.id] = mine
+                replicated.fillers[request.id] = mine
         return [node for node in mine if node not in request.failed][:1]
 
     def _burden(self, node: Node, now: int) -> float:
@@ -292,7 +292,7 @@
         return (node.load + seen * self._usual / span) / weight
 
     def sent(self, request: Request, node: Node) -> None:
-        """Count what a node gets, also before a key is spread: a flash finds the nodes with room at once."""
+        """Count what a node gets, also before a key is replicated: a flash finds nodes with room at once."""
         self._sent[node] += 1
         self._sent_total += 1
         if request.sent_at - self._counted_at >= COUNTED:
@@ -300,27 +300,27 @@
 
     def missed(self, request: Request, node: Node, now: int) -> bool:
         """Ask a further copy before the origin: whoever fills visits the next, others one that holds it."""
-        watched = request.spread
-        spread = watched.spread if watched is not None else None
-        if spread is None or not spread.members:
+        watched = request.replication
+        replicated = watched.replicated if watched is not None else None
+        if replicated is None or not replicated.members:
             return False
-        spread.lacks(node)
+        replicated.lacks(node)
         if request.sends + 2 > request.attempts:
             return False  # one try is the origin's
-        if request.id in spread.fillers:
+        if request.id in replicated.fillers:
             seen = (*request.failed, node)
-            return any(left not in seen for left in spread.fillers[request.id])
+            return any(left not in seen for left in replicated.fillers[request.id])
         # One more, and not each in turn: what held it may have lost it everywhere.
-        return not request.failed and any(held is not node for held in spread.ready)
+        return not request.failed and any(held is not node for held in replicated.ready)
 
     def fetches_itself(self, request: Request) -> bool:
         """Whether a read is to ask the origin though another one does: it fills other nodes."""
-        spread = request.spread.spread if request.spread is not None else None
-        return spread is not None and request.id in spread.fillers
+        replicated = request.replication.replicated if request.replication is not None else None
+        return replicated is not None and request.id in replicated.fillers
 
     def turns_away(self, request: Request, now: int) -> api.Reason | None:
         """Why a read that found no node is not worth a fetch; None: it is."""
-        waits = request.spread is not None and request.spread.fetch_after > now
+        waits = request.replication is not None and request.replication.fetch_after > now
         return api.Reason.FETCH_PAUSED if waits else None
 
     # What attempts tell
@@ -331,7 +331,7 @@
             if fetched and self._writes and request.key is not None:
                 self._write_ended(request, event, now)
             return
-        watched = request.spread
+        watched = request.replication
         if watched is None:
             return
         if fetched:
@@ -349,25 +349,25 @@
         if not fetched:
             watched.took += (event.latency - watched.took) / 16
             self._usual += (event.latency - self._usual) / 64
-        spread = watched.spread
-        if not isinstance(spread, Spread):
+        replicated = watched.replicated
+        if not isinstance(replicated, ReplicatedKey):
             return
-        if not fetched and node in spread.absent:
-            spread.holds(node, now + self._told.lease // 2 if self._writes else FOR_GOOD)
+        if not fetched and node in replicated.absent:
+            replicated.holds(node, now + self._limits.lease // 2 if self._writes else FOR_GOOD)
         if self._writes and event.size:
-            self._copy(request, spread, event.size, now)
+            self._copy(request, replicated, event.size, now)
 
-    def _copy(self, request: Request, spread: Spread, size: int, now: int) -> None:
-        if size > self._told.max_value or not self._voids.may_copy(spread.key, request.sent_at):
+    def _copy(self, request: Request, replicated: ReplicatedKey, size: int, now: int) -> None:
+        if size > self._limits.max_value or not self._voids.may_copy(replicated.key, request.sent_at):
             return
         # Danger: copies that all run out together leave their readers to the slot's own node.
-        due = spread.renewable(now + self._told.lease // 2, COPIES_AT_ONCE)
-        if not due and not spread.absent:
+        due = replicated.renewable(now + self._limits.lease // 2, COPIES_AT_ONCE)
+        if not due and not replicated.absent:
             return
-        filling = self._filling.setdefault(spread.key, {})
-        doubts = self._voids.in_doubt(spread.key)
+        filling = self._filling.setdefault(replicated.key, {})
+        doubts = self._voids.in_doubt(replicated.key)
         room = min(COPIES_AT_ONCE, MAX_FILLING - sum(map(len, self._filling.values())))
-        for node in (*due, *islice(spread.absent, len(filling) + COPIES_AT_ONCE)):
+        for node in (*due, *islice(replicated.absent, len(filling) + COPIES_AT_ONCE)):
             if room <= 0:
                 break
             server = node.entry.id
@@ -378,9 +378,9 @@
             filling[server] = now
             room -= 1
             self.counts["copies"] += 1
-            self._actions.append(api.Copy(request.id, spread.key, server, self._told.lease))
+            self._actions.append(api.Copy(request.id, replicated.key, server, self._limits.lease))
         if not filling:
-            del self._filling[spread.key]
+            del self._filling[replicated.key]
 
     def done(self, request: Request, stored: bool, now: int) -> None:
         """A request is over: if it filled nodes, they hold the key now."""
@@ -390,19 +390,19 @@
                     self._voids.leave(request.key, request.id)
                 self._voids.write_ends(request.key, now)
             return
-        spread = request.spread.spread if request.spread is not None else None
-        visited = spread.fillers.pop(request.id, None) if spread is not None else None
-        if spread is None or visited is None:
+        replicated = request.replication.replicated if request.replication is not None else None
+        visited = replicated.fillers.pop(request.id, None) if replicated is not None else None
+        if replicated is None or visited is None:
             return
         if not stored:
-            spread.fill_after = now + FILL_PAUSE
+            replicated.fill_after = now + FILL_PAUSE
             return
         self.counts["fills"] += 1
         for node in visited:
-            if node in spread.absent:
-                spread.holds(node, FOR_GOOD)
+            if node in replicated.absent:
+                replicated.holds(node, FOR_GOOD)
 
-    def told(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
+    def on_event(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
         """A copy or a void has ended."""
         if isinstance(event, api.VoidEnded):
             self._actions += self._voids.void_ended(event, now)
@@ -419,15 +419,15 @@
             self._copy_failed(server, event.outcome, now)
         if event.outcome not in (Outcome.OK, Outcome.TIMEOUT, Outcome.RESET):
             return
-        until = began + self._told.lease
-        spread, node = self._spreads.get(key), self._caches.nodes.get(server)
-        if spread is None:
+        until = began + self._limits.lease
+        replicated, node = self._replicated.get(key), self._caches.nodes.get(server)
+        if replicated is None:
             self._withdrawn.setdefault(key, {})[server] = until
         elif event.outcome is Outcome.OK and node is not None and self._voids.may_copy(key, began):
             # Renewed while it still holds, so that a wave of reads never meets nodes that all ran out.
-            spread.holds(node, until - self._told.lease // 4)
+            replicated.holds(node, until - self._limits.lease // 4)
         else:
-            spread.held[server] = 0
+            replicated.held[server] = 0
 
     def _copy_failed(self, server: str, outcome: Outcome, now: int) -> None:
         """Copy nothing there for a while; a node that turns plain writes down is told of."""
@@ -449,11 +449,11 @@
             return
         servers = {node.entry.id for node in self._order(request.slot, now)}
         servers |= self._known(key, now) & self._caches.nodes.keys()
-        spread = self._spreads.get(key)
-        if spread is not None:
-            for node in list(spread.ready):
-                spread.lacks(node)
-            spread.held.clear()
+        replicated = self._replicated.get(key)
+        if replicated is not None:
+            for node in list(replicated.ready):
+                replicated.lacks(node)
+            replicated.held.clear()
         self._withdrawn.pop(key, None)
         answer = None
         if event.outcome is Outcome.OK and not event.closed:
@@ -466,11 +466,11 @@
 
     def _known(self, key: str, now: int) -> set[str]:
         """The servers that this router knows to hold a key, or to have held it while its lease lasts."""
-        spread = self._spreads.get(key)
-        held = spread.held if spread is not None else self._withdrawn.get(key, {})
-        return {server for server, until in held.items() if until + self._told.lease > now}
+        replicated = self._replicated.get(key)
+        held = replicated.held if replicated is not None else self._withdrawn.get(key, {})
+        return {server for server, until in held.items() if until + self._limits.lease > now}
 
-    def due(self, token: str, now: int) -> None:
+    def on_timer(self, token: str, now: int) -> None:
         """The clock of all this, or a held write whose time is nearly over."""
         if token == TOKEN:
             self._ticking = False
@@ -487,11 +487,11 @@
 
     def _tick(self, now: int) -> None:
         self._meter.sweep(now)
-        for key, spread in list(self._spreads.items()):
-            self._look(self._meter.watched[key], spread, now)
-            if spread.copies < 2:
-                lasted = (now - spread.began) / NS_PER_S
-                self._release(spread, f"on one node again after {lasted:.0f} s", now)
+        for key, replicated in list(self._replicated.items()):
+            self._look(self._meter.watched[key], replicated, now)
+            if replicated.copies < 2:
+                lasted = (now - replicated.began) / NS_PER_S
+                self._release(replicated, f"on one node again after {lasted:.0f} s", now)
         for key, held in list(self._withdrawn.items()):
             for server in [server for server, until in held.items() if now >= until]:
                 del held[server]
@@ -502,7 +502,7 @@
         for key in [key for key, at in self._told_limit.items() if now - at >= AT_LIMIT]:
             del self._told_limit[key]
         self._actions += self._voids.sweep(self._caches.nodes, now)
-        if self._spreads or self._meter.watched or self._withdrawn or not self._voids.idle:
+        if self._replicated or self._meter.watched or self._withdrawn or not self._voids.idle:
             self._tick_later()
 
     def _count_anew(self, now: int) -> None:
@@ -514,15 +514,15 @@
             self._sent_before, self._sent, self._sent_total = self._sent, Counter(), 0
             self._span_before, self._counted_at = min(age, LONGEST_COUNTED), now
 
-    def _release(self, spread: Spread, why: str, now: int) -> None:
-        del self._spreads[spread.key]
-        self._bring(spread, -1)
-        self._meter.watched[spread.key].spread = None
-        held = {server: until for server, until in spread.held.items() if until > now}
+    def _release(self, replicated: ReplicatedKey, why: str, now: int) -> None:
+        del self._replicated[replicated.key]
+        self._bring(replicated, -1)
+        self._meter.watched[replicated.key].replicated = None
+        held = {server: until for server, until in replicated.held.items() if until > now}
         if self._writes and held:
-            self._withdrawn[spread.key] = held
+            self._withdrawn[replicated.key] = held
         self.counts["released"] += 1
-        self._log(spread.key, why)
+        self._log(replicated.key, why)
 
     # To look at
 
@@ -536,10 +536,10 @@
         return actions
 
     def digest(self, now: int, most: int = SHOWN) -> list[tuple[str, float, int]]:
-        """Key, share of this router's reads and nodes of its spread keys, hottest first: for its peers."""
+        """Key, share of this router's reads and nodes of its replicated keys, hottest first, for peers."""
         held = [
-            (key, self._meter.share(self._meter.watched[key]), spread.copies)
-            for key, spread in self._spreads.items()
+            (key, self._meter.share(self._meter.watched[key]), replicated.copies)
+            for key, replicated in self._replicated.items()
         ]
         return sorted(held, key=lambda entry: -entry[1])[:most]
 
@@ -549,19 +549,20 @@
                for tenant, key, count, error in self._meter.top(SHOWN)]  # fmt: skip
         return {
             "on": True,
-            "fill": self._told.fill.value,
-            "spread": len(self._spreads),
+            "fill": self._limits.fill.value,
+            "replicated": len(self._replicated),
+            "spread": len(self._replicated),  # the name until the next version
             "watched": len(self._meter.watched),
             "counted": {tenant or "(none)": held for tenant, held in self._meter.held().items()},
             "copied_bytes": self._copied(),
             "threshold_share": round(self._meter.threshold, 5),
-            "counts": dict(self.counts),
+            "counts": {**self.counts, "spread": self.counts["replicated"]},
             "voids": self._voids.view(),
             "top": top,
         }
 
     def _view_of(self, tenant: str, key: str, count: float, error: float, now: int) -> dict[str, object]:
-        watched, spread = self._meter.watched.get(key), self._spreads.get(key)
+        watched, replicated = self._meter.watched.get(key), self._replicated.get(key)
         rate = self._meter.rate(count, now)
         return {
             "key": key[:SHOWN_KEY],
@@ -572,8 +573,8 @@
             "size": watched.size if watched else 0,
             "bytes_per_s": round(rate * watched.size) if watched else None,
             "node_ms_per_s": round(rate * watched.took / 1e6, 3) if watched else None,
-            "copies": spread.copies if spread else 1,
-            "held": len(spread.ready) if spread else 1,
-            "releasing": spread.releasing if spread else False,
-            "why": spread.why if spread else "",
+            "copies": replicated.copies if replicated else 1,
+            "held": len(replicated.ready) if replicated else 1,
+            "releasing": replicated.releasing if replicated else False,
+            "why": replicated.why if replicated else "",
         }
--- a/saltport/decisions/hotkeys/meter.py
+++ b/saltport/decisions/hotkeys/meter.py
@@ -2,7 +2,7 @@
 
 The sketch tells a key's share over some seconds, within its error. A key near the threshold is watched: it is
 counted exactly in short panes, which tell of a flash, and of its end, long before the sketch does. Both ends
-of what a pane can mean bound the estimate, so that chance neither spreads a key nor keeps it spread.
+of what a pane can mean bound the estimate, so that chance neither replicates a key nor keeps it replicated.
 """
 
 from __future__ import annotations
@@ -49,7 +49,7 @@
     """Fetches in a row that the origin did not answer with a value."""
     fetch_after: int = 0
     look_at: int = 0
-    spread: object | None = None
+    replicated: object | None = None
 
     def close_pane(self, now: int, seen: int) -> None:
         """End the pane if it is long enough, and begin the next."""
@@ -123,7 +123,7 @@
         for watched in list(self.watched.values()):
             watched.close_pane(now, self.seen)
             cool = now - watched.read_at > FORGOTTEN or self.counted(watched.key) < self.total * low
-            if watched.spread is None and cool and now >= watched.fetch_after:
+            if watched.replicated is None and cool and now >= watched.fetch_after:
                 del self.watched[watched.key]
                 self._watching[watched.tenant] -= 1
 
--- a/saltport/decisions/hotkeys/spread.py
+++ b/saltport/decisions/hotkeys/replicated_key.py
@@ -1,4 +1,4 @@
-"""One spread key: how many nodes it has, which of them hold it, and how it is let go. No I/O."""
+"""One replicated key: how many nodes it has, which of them hold it, and how it is let go. No I/O."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 FOR_GOOD = 1 << 62
 
 
-class Spread:
+class ReplicatedKey:
     """A key on several nodes; `members[0]` is the slot's own node, which always counts as holding it."""
 
     def __init__(self, key: str, slot: int, tenant: str, now: int) -> None:
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -150,7 +150,7 @@
 
     fill: Fill = Fill.READS
     max_keys: int = 64
-    """Spread at a time; a tenant may have its portion of them, one at least."""
+    """ReplicatedKey at a time; a tenant may have its portion of them, one at least."""
     max_copies: int = 16
     """Of one key, its own node among them; with plain writes also the nodes that each write voids."""
     max_bytes: int = 64 << 20
@@ -203,7 +203,7 @@
     overload_target: int = 0
     """For so long, in nanoseconds, what comes may lie unread before the router sheds; 0: it never does."""
     hot_keys: HotKeySettings | None = None
-    """None: slots are spread by their heat, keys are not told apart."""
+    """None: slots are replicated by their estimated load, keys are not told apart."""
     topology: Topology | None = None
     """None: all servers are equally near."""
 
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -19,11 +19,11 @@
 from saltport.decisions.outliers import OutlierDetector
 from saltport.decisions.overload import FIRST, HOPELESS, RETRY, OverloadControl
 from saltport.decisions.placement import Placement, Suspected
-from saltport.decisions.portions import Portions
+from saltport.decisions.replication_factory import make_replication
 from saltport.decisions.request import Request
-from saltport.decisions.roster import Roster
-from saltport.decisions.spreading import make_spreading
+from saltport.decisions.server_registry import ServerRegistry
 from saltport.decisions.table import SlotTable
+from saltport.decisions.weight_adjustment import WeightAdjustment
 from saltport.structures.recent import RecentCounts
 from saltport.structures.response_time import ResponseTimeEstimate
 
@@ -38,16 +38,16 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self._rng = random.Random(seed)
         self.settings, self._classes = settings, {cls.name: cls for cls in settings.classes}
-        self.roster = Roster()
+        self.registry = ServerRegistry()
         self.caches, self.origins = SlotTable(settings), SlotTable(settings)
         self.outliers = OutlierDetector(settings, self._rng)
         self.overload = OverloadControl(settings, self._rng)
-        self.spreading = make_spreading(settings, self.caches, self.outliers, self._rng)
+        self.replication = make_replication(settings, self.caches, self.outliers, self._rng)
         self.requests: dict[str, Request] = {}
-        self.placement = Placement(self.spreading, self.outliers)
+        self.placement = Placement(self.replication, self.outliers)
         self.fetches = OriginFetches(settings, self._rng)
         self._response_time = ResponseTimeEstimate(min(cls.aim for cls in settings.classes))  # of the caches
-        self._portions = Portions(settings)
+        self._weights = WeightAdjustment(settings)
         self._asking, self._failed_calls = False, 0
         self.given_up = RecentCounts()  # requests that got no answer of a server, by tenant and reason
         self._now = 0
@@ -66,10 +66,10 @@
             case api.SettingsChanged():
                 self._follow_settings(event.settings)
             case api.ServerOut():
-                self.roster.take_out(event.server)
+                self.registry.take_out(event.server)
                 self._update([], [event.server])
             case api.ServerBack():
-                entry = self.roster.put_back(event.server, now)
+                entry = self.registry.put_back(event.server, now)
                 self._update([entry] if entry else [], [])
             case api.TimerFired():
                 self._timer(event.token)
@@ -82,8 +82,8 @@
             case api.ClientGone() if event.request in self.requests:
                 self._finish(self.requests[event.request])
             case api.CopyEnded() | api.VoidEnded() | api.ZonePlan():
-                self.spreading.told(event, now)
-        for action in self.spreading.take_actions():
+                self.replication.on_event(event, now)
+        for action in self.replication.take_actions():
             if isinstance(action, api.Answer):
                 if action.request not in self.requests or self.requests[action.request].done:
                     continue
@@ -94,7 +94,7 @@
     def _follow_settings(self, settings: api.Settings) -> None:
         """Take new settings; open requests keep what they came with."""
         self.settings, self._classes = settings, {cls.name: cls for cls in settings.classes}
-        for part in (self.fetches, self.caches, self.origins, self.outliers, self.overload, self.spreading):
+        for part in (self.fetches, self.caches, self.origins, self.outliers, self.overload, self.replication):
             part.follow_settings(settings)
 
     def _servers_changed(self, event: api.ServersChanged) -> None:
@@ -102,7 +102,7 @@
             self._keep_subscribed(event.kind)
         if event.kind is ListKind.FAILED:
             return
-        self._update(*self.roster.follow(event))
+        self._update(*self.registry.follow(event))
 
     def _update(self, ready: list[api.Server], left: list[str]) -> None:
         for table, is_origin in ((self.caches, False), (self.origins, True)):
@@ -125,7 +125,7 @@
             self._asking = False
             self._actions.append(api.Subscribe())
             return
-        self.spreading.due(token, self._now)
+        self.replication.on_timer(token, self._now)
         request = self.requests.get(token)
         if request and request.waiting and self._now >= request.deadline:
             self._give_up(request, Reason.DEADLINE)
@@ -133,8 +133,8 @@
             self._fetch(request)
 
     def _arrived(self, event: api.RequestArrived) -> None:
-        guard = self.fetches.guards.get(event.tenant or "", self.fetches.guards[""])
-        request = Request(event, self._classes[event.request_class], guard, self.settings.max_attempts)
+        limiter = self.fetches.rate_limiters.get(event.tenant or "", self.fetches.rate_limiters[""])
+        request = Request(event, self._classes[event.request_class], limiter, self.settings.max_attempts)
         slots = self.settings.slots
         request.slot = self._rng.randrange(slots) if event.key is None else crc32(event.key.encode()) % slots
         self.requests[request.id] = request
@@ -143,7 +143,7 @@
         if not self.overload.admit(event.tenant or "", request.write, rank):
             self._give_up(request, Reason.ROUTER_OVERLOADED)
             return
-        self.spreading.arrived(request, event.tenant or "", self._now)
+        self.replication.arrived(request, event.tenant or "", self._now)
         if request.write and self.settings.origin_kind is not None:
             self._fetch(request)
         else:
@@ -154,11 +154,11 @@
         request.node, request.sent_at, request.out, request.holds = node, self._now, True, True
         node.load += 1
         usual = self._patience(request, node)
-        held = request.write and request.fetching and self.spreading.holds(request)
+        held = request.write and request.fetching and self.replication.holds(request)
         timeout = usual if patience is None else patience
         self._actions.append(api.Send(request.id, node.entry.id, timeout, held, request.not_after))
         if not request.fetching:
-            self.spreading.sent(request, node)
+            self.replication.sent(request, node)
 
     def _patience(self, request: Request, node: Node) -> int:
         known, aim = self.fetches.response_time if request.fetching else self._response_time, request.cls.aim
@@ -189,16 +189,16 @@
             self._give_up(request, choice)
 
     def _missed(self, request: Request) -> None:
-        if not request.write and (reason := self.spreading.turns_away(request, self._now)):
+        if not request.write and (reason := self.replication.turns_away(request, self._now)):
             self._give_up(request, reason)
-        elif self.spreading.fetches_itself(request) or not self.fetches.join(request):
+        elif self.replication.fetches_itself(request) or not self.fetches.join(request):
             self._fetch(request)
         else:
             self._wait(request, request.deadline - self._now)
 
     def _fetch(self, request: Request) -> None:
         request.waiting = False
-        origins = self.spreading.origins(self.origins.rank(request.slot, self._now), request)
+        origins = self.replication.origins(self.origins.rank(request.slot, self._now), request)
         if not origins or not self._may_try(request) or not may_send(request, origins[0], self._now):
             self._give_up(request, Reason.TRIES_SPENT if origins else Reason.NO_ORIGIN)
             return
@@ -233,14 +233,14 @@
         late = took > request.cls.aim
         # Danger: servers may close what they keep at any time; counted, that would eject healthy ones.
         broke = event.kept and outcome is Outcome.RESET
-        self.spreading.ended(request, node, event, fetched, self._now)
+        self.replication.ended(request, node, event, fetched, self._now)
         if outcome in TELLING and not request.write:
-            busy = request.guard.in_use(self._now) if fetched else node.limit.busy
-            node.promptness.learn(took, outcome in ANSWERED, busy, self._now)
+            busy = request.rate_limiter.in_use(self._now) if fetched else node.limit.busy
+            node.timeliness.learn(took, outcome in ANSWERED, busy, self._now)
             if not fetched:
                 self.placement.learn(took, outcome, self._now)
         if event.load and not fetched:
-            self._portions.learn(node, event.load, request.cls.aim, request.sent_at, self._now)
+            self._weights.learn(node, event.load, request.cls.aim, request.sent_at, self._now)
         if fetched:
             self.fetches.ended(node, event, late, self._now)
             for waiter in self.fetches.released(node):
@@ -257,7 +257,7 @@
         if event.closed or request.done:
             self._finish(request, stored=fetched and outcome is Outcome.OK)
         elif outcome is Outcome.MISS and not fetched and self.settings.origin_kind is not None:
-            if self.spreading.missed(request, node, self._now):
+            if self.replication.missed(request, node, self._now):
                 request.failed = (*request.failed, node)
                 self._route(request)
             else:
@@ -301,9 +301,9 @@
         else:
             self._give_up(request, Reason.ORIGIN_FAILED)
 
-    def _land(self, request: Request, stored: bool) -> None:
-        """End a flight: its waiters ask the cache again, or one of them fetches in the leader's place."""
-        for waiter in self.fetches.land(request):
+    def _end_coalesced(self, request: Request, stored: bool) -> None:
+        """End a coalesced fetch: its waiters ask the cache again, or one of them becomes the leader."""
+        for waiter in self.fetches.end_coalesced(request):
             if not waiter.done:
                 waiter.waiting = False
                 (self._route if stored else self._missed)(waiter)
@@ -313,7 +313,7 @@
         self._actions.append(api.SetTimer(delay, request.id))
 
     def _give_up(self, request: Request, reason: Reason) -> None:
-        self.given_up.add((request.guard.name, reason.value), self._now)
+        self.given_up.add((request.rate_limiter.name, reason.value), self._now)
         if may_refuse(request):
             wait = int(self._rng.uniform(0.5, 1.0) * self.settings.max_retry_after)
             self._actions.append(api.Refuse(request.id, wait if self.settings.retry_after else 0, reason))
@@ -323,9 +323,9 @@
 
     def _finish(self, request: Request, stored: bool = False) -> None:
         if not request.done:
-            self.spreading.done(request, stored, self._now)
+            self.replication.done(request, stored, self._now)
         request.done, request.waiting = True, False
         if not request.out:
             del self.requests[request.id]
-        if request.leads and not request.out:  # a gone client's fetch goes on for those who wait for it
-            self._land(request, stored)
+        if request.leader and not request.out:  # a gone client's fetch goes on for those who wait for it
+            self._end_coalesced(request, stored)
--- a/saltport/decisions/origin.py
+++ b/saltport/decisions/origin.py
@@ -25,22 +25,22 @@
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self._rng = rng
-        self.guards: dict[str, Suppressor] = {}
+        self.rate_limiters: dict[str, Suppressor] = {}
         self.follow_settings(settings)
         aim = min(cls.aim for cls in settings.classes)
         self.response_time = ResponseTimeEstimate(aim / 2)  # of good fetches
         self._width, self._last_cut = math.inf, 0
         self._bad = 0.0  # smoothed share of bad fetches
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
-        self._flights: dict[str, list[Request]] = {}
+        self._coalesced: dict[str, list[Request]] = {}
 
     def follow_settings(self, settings: Settings) -> None:
         """Take the tenants, at the start or anew; what was learnt of those that stay is kept."""
-        held, self.guards = self.guards, {}
+        held, self.rate_limiters = self.rate_limiters, {}
         for tenant in (*settings.tenants, Tenant("", 1.0)):
-            if guard := held.get(tenant.name):
-                guard.retune(tenant, settings.routers)
-            self.guards[tenant.name] = guard or Suppressor(tenant, settings.routers, self._rng)
+            if limiter := held.get(tenant.name):
+                limiter.retune(tenant, settings.routers)
+            self.rate_limiters[tenant.name] = limiter or Suppressor(tenant, settings.routers, self._rng)
 
     def admit(self, request: Request, origin: Node, now: int) -> Reason | None:
         """Why a request may not be sent to the origin now, or None; ORIGIN_BUSY: it waits in `released`."""
@@ -48,29 +48,29 @@
             if origin.load >= self._width:
                 self._held.append(request)
                 return Reason.ORIGIN_BUSY
-            request.guard.count(now)
+            request.rate_limiter.count(now)
             return None
-        if not origin.promptness.worth(request.deadline - now, now):
+        if not origin.timeliness.worth(request.deadline - now, now):
             return Reason.TOO_LATE
-        if not request.guard.admit(now):
+        if not request.rate_limiter.admit(now):
             return Reason.FETCH_SUPPRESSED
         if request.key is not None:
-            self._flights.setdefault(request.key, [])
-            request.leads = True
+            self._coalesced.setdefault(request.key, [])
+            request.leader = True
         return None
 
     def join(self, request: Request) -> bool:
         """Let a read wait for the fetch of its key; False: none is under way."""
-        flight = None if request.key is None else self._flights.get(request.key)
-        if flight is None or request.write:
+        followers = None if request.key is None else self._coalesced.get(request.key)
+        if followers is None or request.write:
             return False
-        flight.append(request)
+        followers.append(request)
         return True
 
-    def land(self, request: Request) -> list[Request]:
-        """End the fetch that a request leads; returns those that waited for it."""
-        request.leads = False
-        return self._flights.pop(request.key or "", [])
+    def end_coalesced(self, request: Request) -> list[Request]:
+        """End the fetch whose leader a request is; returns those that waited for it."""
+        request.leader = False
+        return self._coalesced.pop(request.key or "", [])
 
     def ended(self, node: Node, event: AttemptEnded, late: bool, now: int) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first."""
@@ -80,8 +80,8 @@
             self._bad -= self._bad / BAD_SAMPLES
             self.response_time.learn(event.latency)
             self._width += 1 / self._width
-            for guard in self.guards.values():
-                guard.rise(now)
+            for limiter in self.rate_limiters.values():
+                limiter.rise(now)
         elif event.kept and event.outcome is Outcome.RESET:
             pass  # no sign of the origin's health
         elif late or event.outcome not in (Outcome.MOOT, Outcome.CANCELLED, Outcome.TIMEOUT):
@@ -94,9 +94,9 @@
     def _cut(self, node: Node, now: int) -> None:
         self._last_cut = now
         self._width = max(1.0, min(self._width, node.load + 1) * CUT)
-        all_used = sum(guard.used(now) for guard in self.guards.values())
-        for guard in self.guards.values():  # the origin is shared: it speaks for all
-            guard.cut(now, all_used)
+        all_used = sum(limiter.used(now) for limiter in self.rate_limiters.values())
+        for limiter in self.rate_limiters.values():  # the origin is shared: it speaks for all
+            limiter.cut(now, all_used)
 
     def released(self, node: Node) -> Iterator[Request]:
         """The writes that waited and may be sent now, each asked for once the one before was sent."""
--- a/saltport/decisions/overload.py
+++ b/saltport/decisions/overload.py
@@ -35,7 +35,7 @@
         self._usual: dict[tuple[str, int], float] = {}  # the same, smoothed
         self._chances: dict[tuple[str, int], float] = {}
         self.shed: Counter[str] = Counter()
-        self.told = LoopReport(0.0, 0)
+        self.last_report = LoopReport(0.0, 0)
 
     def follow_settings(self, settings: Settings) -> None:
         """Take new settings; what was shed stays counted."""
@@ -46,22 +46,22 @@
     @property
     def lag(self) -> int:
         """For how long what comes lies unread while the loop has no rest: this router's part of any wait."""
-        return self.told.delay if self.told.busy >= BUSY else 0
+        return self.last_report.delay if self.last_report.busy >= BUSY else 0
 
-    def report(self, told: LoopReport) -> str | None:
+    def report(self, report: LoopReport) -> str | None:
         """Take a report of the loop; returns a line for the operator when the state changes."""
-        self.told = told
+        self.last_report = report
         if not self.target:
             return None
-        over = told.busy >= BUSY and told.delay > self.target
+        over = report.busy >= BUSY and report.delay > self.target
         self._over = self._over + 1 if over else 0
         before = self.admitted
         if self._over >= PATIENT:
             # Danger: refusals cost CPU too; cut for as long as the loop has no rest, all would be refused.
-            room = max(self.target / told.delay, LEAST)
+            room = max(self.target / report.delay, LEAST)
             self.admitted += (min(room, 1.0) - self.admitted) * STEP
         elif not over:
-            self.admitted = min(self.admitted + told.span / (RISE_S * NS_PER_S), 1.0)
+            self.admitted = min(self.admitted + report.span / (RISE_S * NS_PER_S), 1.0)
         for kind in self._usual.keys() | self._came.keys():
             usual = self._usual.get(kind, 0.0)
             self._usual[kind] = usual + (self._came[kind] - usual) * SMOOTH
@@ -70,7 +70,7 @@
         if (before < 1.0) == (self.admitted < 1.0):
             return None
         if self.admitted < 1.0:
-            return f"overloaded: what comes lies unread for {told.delay / 1e6:.0f} ms; shedding begins"
+            return f"overloaded: what comes lies unread for {report.delay / 1e6:.0f} ms; shedding begins"
         return f"no longer overloaded; {self.shed.total()} reads were shed since the start"
 
     def _ranked(self) -> dict[tuple[str, int], float]:
--- a/saltport/decisions/placement.py
+++ b/saltport/decisions/placement.py
@@ -13,11 +13,11 @@
 from saltport.decisions.health import ANSWERED, Node
 from saltport.decisions.interface import Outcome, Reason
 from saltport.decisions.outliers import OutlierDetector, Standing
-from saltport.decisions.portions import keeps
-from saltport.decisions.promptness import Promptness
+from saltport.decisions.replication import Replication
 from saltport.decisions.request import Request
-from saltport.decisions.seam import Spreading
 from saltport.decisions.suppression import IN_USE
+from saltport.decisions.timeliness import Timeliness
+from saltport.decisions.weight_adjustment import keeps
 
 LOST_SAMPLES = 32  # attempts over which the share that is lost is smoothed
 OVERFLOW = 2  # servers after the key's own that are asked for room
@@ -35,24 +35,24 @@
 class Placement:
     """Answers for one request at a time; it keeps how crowded and how timely all cache servers are."""
 
-    def __init__(self, spreading: Spreading, outliers: OutlierDetector) -> None:
-        self._spreading, self._outliers = spreading, outliers
+    def __init__(self, replication: Replication, outliers: OutlierDetector) -> None:
+        self._replication, self._outliers = replication, outliers
         self.crowded = 0.0
         """Smoothed share of reads that found their server full."""
         self.overflowed = self.moved = 0
-        self._promptness, self._lost = Promptness(), 0.0  # of all servers; the smoothed share of time-outs
+        self._timeliness, self._lost = Timeliness(), 0.0  # of all servers; the smoothed share of time-outs
 
     def learn(self, took: int, outcome: Outcome, now: int) -> None:
         """Take the end of a read's attempt at any cache server."""
         # How busy servers are can't be told from an answer in some seconds; what is lost there can.
         self._lost += ((outcome is Outcome.TIMEOUT) - self._lost) / LOST_SAMPLES
-        self._promptness.learn(took, outcome in ANSWERED, self._lost, now)
+        self._timeliness.learn(took, outcome in ANSWERED, self._lost, now)
 
     def place(self, request: Request, now: int) -> Node | Suspected | Reason:
         """The server that a request goes to now; NO_SERVER: none that would have its key is in use."""
         full = moved = 0
         spare: Node | None = None  # the first that has room and keeps this slot from itself
-        for node in self._spreading.candidates(request, now):
+        for node in self._replication.candidates(request, now):
             if node in request.failed or not may_send(request, node, now):
                 continue
             standing = self._outliers.standing(node.entry.id, now, first=not request.sends)
@@ -91,10 +91,10 @@
 
     def _in_time(self, request: Request, node: Node, now: int) -> bool:
         left = request.deadline - now
-        if not node.promptness.worth(left, now):
+        if not node.timeliness.worth(left, now):
             return False
         # Many routers each hear too little of one server: what all servers tell counts until it is known.
-        return node.promptness.sure or self._promptness.worth(left, now)
+        return node.timeliness.sure or self._timeliness.worth(left, now)
 
     def _has_room(self, request: Request, node: Node, full: int, now: int) -> bool:
         # A client's retry can't be in time any more: what is in time goes first.
@@ -105,11 +105,11 @@
 
     def _gives_away(self, request: Request, node: Node, now: int) -> bool:
         # No sign of crowding, as others have more room; but where fetches are in use it may cost one.
-        return not keeps(node, request.slot) and request.guard.in_use(now) < IN_USE
+        return not keeps(node, request.slot) and request.rate_limiter.in_use(now) < IN_USE
 
     def _is_crowded(self, request: Request, full: int, now: int) -> bool:
         """Whether to look for room no further: it is the load and no server, or a fetch costs too much."""
-        return full > OVERFLOW or self.crowded > CROWDED or request.guard.in_use(now) >= IN_USE
+        return full > OVERFLOW or self.crowded > CROWDED or request.rate_limiter.in_use(now) >= IN_USE
 
     def _count(self, request: Request, full: bool) -> None:
         if not request.retry:  # the same demand once more is no more of it
--- a/saltport/decisions/seam.py
+++ b/saltport/decisions/replication.py
@@ -1,6 +1,6 @@
-"""The seam through which reads of popular keys get further nodes: what both of its forms answer to.
+"""Hot-key replication: the interface through which reads of hot keys get further nodes.
 
-spreading.py makes the form that the settings ask for. No decisions are made here.
+replication_factory.py makes the form that the settings ask for. No decisions are made here.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
     from saltport.decisions.topology import Evidence
 
 
-class Spreading:
-    """Which nodes a key's reads may go to, and what its writes have to reach; each verb's null form."""
+class Replication:
+    """Which nodes a key's reads may go to, and what its writes have to reach. Defaults replicate nothing."""
 
     def arrived(self, request: Request, tenant: str, now: int) -> None:
         """Count a request that was admitted."""
@@ -54,11 +54,11 @@
         """Whether a write's answer has to wait until its copies are void."""
         return False
 
-    def told(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
+    def on_event(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
         """A copy or a void has ended, or a plan of zones is to be followed."""
 
-    def due(self, token: str, now: int) -> None:
-        """A timer of the seam's own is due."""
+    def on_timer(self, token: str, now: int) -> None:
+        """A timer that this set is due."""
 
     def take_actions(self) -> list[api.Action]:
         """What there is to do since last asked."""
@@ -68,7 +68,7 @@
         """Take new settings; what was counted stays."""
 
     def take_evidence(self) -> Evidence | None:
-        """What attempts told of the zones since the last call; None: zones are not told apart."""
+        """What attempts showed of the zones since the last call; None: zones are not distinguished."""
         return None
 
     def view(self, now: int) -> dict[str, Any]:
--- a/saltport/decisions/spreading.py
+++ b/saltport/decisions/replication_factory.py
@@ -5,22 +5,22 @@
 import random
 
 from saltport.decisions import interface as api
-from saltport.decisions.heat import Heat
 from saltport.decisions.outliers import OutlierDetector, Standing
-from saltport.decisions.seam import Spreading
+from saltport.decisions.replication import Replication
+from saltport.decisions.slot_replication import SlotReplication
 from saltport.decisions.table import SlotTable
 
 
-def make_spreading(
+def make_replication(
     settings: api.Settings, caches: SlotTable, outliers: OutlierDetector, rng: random.Random
-) -> Spreading:
+) -> Replication:
     """The form that the settings ask for."""
     if settings.topology is not None:
         from saltport.decisions.zoned import Zoned  # only where it is on
 
         return Zoned(settings, settings.topology, caches, outliers, rng)
     if settings.hot_keys is None:
-        return Heat(caches, rng, settings.origin_kind is None)
+        return SlotReplication(caches, rng, settings.origin_kind is None)
     from saltport.decisions.hotkeys import HotKeys  # only where it is on
 
     def usable(server: str, now: int) -> bool:
--- a/saltport/decisions/request.py
+++ b/saltport/decisions/request.py
@@ -20,20 +20,21 @@
     lost_after = 0
     """The time after which the answer under way counts as lost."""
     share = 0.0
-    spread: Any = None
-    """What Spreading keeps of it."""
+    replication: Any = None
+    """What hot-key replication keeps of it."""
     failed: Sequence[Node] = ()
     node: Node | None = None
     ran: Node | None = None
     """Where the first attempt was sent that may have run."""
     holds = False
     """Whether its attempt counts as out at its server."""
-    fetching = refetching = out = leads = waiting = done = False
+    # `leader`: of a coalesced fetch.
+    fetching = refetching = out = leader = waiting = done = False
 
     def __init__(
-        self, event: api.RequestArrived, cls: api.RequestClass, guard: Suppressor, attempts: int
+        self, event: api.RequestArrived, cls: api.RequestClass, rate_limiter: Suppressor, attempts: int
     ) -> None:
         """`attempts`: as many as it may have at the most."""
         self.id, self.key, self.deadline, self.write = event.request, event.key, event.deadline, event.write
         self.not_after = event.deadline  # no attempt leaves from then on
-        self.cls, self.guard, self.retry, self.attempts = cls, guard, event.retry, attempts
+        self.cls, self.rate_limiter, self.retry, self.attempts = cls, rate_limiter, event.retry, attempts
--- a/saltport/decisions/roster.py
+++ b/saltport/decisions/server_registry.py
@@ -1,4 +1,4 @@
-"""The list of servers as told, and those taken out by hand: which of them may be used, and since when.
+"""The list of servers, and those taken out by hand: which of them may be used, and since when.
 
 A server that is out counts as draining, whatever the list says of it, until it is put back. It comes back as
 one that has just started: meanwhile it may have, and the list tells so late.
@@ -13,7 +13,7 @@
 REMEMBERED = 4096  # ids that were listed once and are gone, the latest ones
 
 
-class Roster:
+class ServerRegistry:
     """Holds the list, and tells the tables what of it is ready."""
 
     def __init__(self) -> None:
@@ -29,8 +29,8 @@
     def follow(self, event: ServersChanged) -> tuple[list[Server], list[str]]:
         """Take news of the list; returns servers that are ready, and the ids of those that are not."""
         left = [entry.id for entry in event.servers if entry.state is not ServerState.READY]
-        told = {entry.id: entry for entry in event.servers if entry.state is not ServerState.GONE}
-        unlisted = self.listed.keys() - told.keys() if event.kind is not ListKind.DELTA else set()
+        listed = {entry.id: entry for entry in event.servers if entry.state is not ServerState.GONE}
+        unlisted = self.listed.keys() - listed.keys() if event.kind is not ListKind.DELTA else set()
         unlisted.update(entry.id for entry in event.servers if entry.state is ServerState.GONE)
         for server in unlisted & self.listed.keys():
             del self.listed[server]
@@ -38,8 +38,8 @@
             self._gone[server] = None
         while len(self._gone) > REMEMBERED:
             del self._gone[next(iter(self._gone))]
-        self.listed.update(told)
-        usable = [self._as_used(entry) for entry in told.values() if entry.state is ServerState.READY]
+        self.listed.update(listed)
+        usable = [self._as_used(entry) for entry in listed.values() if entry.state is ServerState.READY]
         out = [entry.id for entry in usable if entry.id in self.out]
         return [entry for entry in usable if entry.id not in self.out], [*left, *unlisted, *out]
 
--- a/saltport/decisions/promptness.py
+++ b/saltport/decisions/timeliness.py
@@ -14,7 +14,7 @@
 UNHEARD = 10  # times `least` without an answer, after which one request finds out
 
 
-class Promptness:
+class Timeliness:
     """How soon one server's answers come."""
 
     __slots__ = ("_answers", "_heard_at", "least")
--- a/saltport/decisions/views.py
+++ b/saltport/decisions/views.py
@@ -25,13 +25,13 @@
     return {
         "caches": len(router.caches.nodes),
         "origins": len(router.origins.nodes),
-        "out": sorted(router.roster.out),
+        "out": sorted(router.registry.out),
         "open": len(router.requests),
         "given_up": router.given_up.view(now),
-        "tenants": tenants(router.fetches.guards.values(), now),
+        "tenants": tenants(router.fetches.rate_limiters.values(), now),
         "outliers": outliers(router.outliers, now),
         "overload": overload(router.overload),
-        "hot_keys": router.spreading.view(now),
+        "hot_keys": router.replication.view(now),
         "limits": limits(router.caches.nodes.values(), router.placement),
     }
 
@@ -39,28 +39,28 @@
 def cluster(router: Router) -> tuple[int, int]:
     """How many cache servers are listed, and how many of them are avoided: out by hand, or ejected."""
     origin = router.settings.origin_kind
-    caches = {server for server, entry in router.roster.listed.items() if entry.kind != origin}
+    caches = {server for server, entry in router.registry.listed.items() if entry.kind != origin}
     panic = router.outliers.panicking  # nobody is believed bad
-    avoided = router.roster.out if panic else router.roster.out | router.outliers.ejected
+    avoided = router.registry.out if panic else router.registry.out | router.outliers.ejected
     return len(caches), len(caches & avoided)
 
 
-def tenants(guards: Iterable[Suppressor], now: int) -> dict[str, object]:
+def tenants(limiters: Iterable[Suppressor], now: int) -> dict[str, object]:
     """Each tenant's allowance at the origin, calls a second."""
     return {
-        guard.name: {
-            "rate_limit_per_s": round(guard.limit, 3),
-            "cap_per_s": round(guard.cap, 3),
-            "fetches_per_s": round(guard.used(now), 3),
-            "declined": guard.calls.declined,
+        limiter.name: {
+            "rate_limit_per_s": round(limiter.limit, 3),
+            "cap_per_s": round(limiter.cap, 3),
+            "fetches_per_s": round(limiter.used(now), 3),
+            "declined": limiter.calls.declined,
         }
-        for guard in guards
+        for limiter in limiters
     }
 
 
 def limits(nodes: Iterable[Node], placement: Placement) -> dict[str, object]:
     """What servers can take, those with the least first."""
-    least = nsmallest(SHOWN, nodes, key=lambda node: (node.portion, node.limit.limit))
+    least = nsmallest(SHOWN, nodes, key=lambda node: (node.weight_factor, node.limit.limit))
     return {
         "crowded_share": round(placement.crowded, 3),
         "overflowed": placement.overflowed,
@@ -70,15 +70,16 @@
 
 
 def limit(node: Node) -> dict[str, float | None]:
-    """One server's limit and portion; times in milliseconds."""
+    """One server's limit and weight factor; times in milliseconds."""
     learnt = node.limit
     return {
         "limit": None if math.isinf(learnt.limit) else round(learnt.limit, 1),
         "out": node.load,
         "work_ms": round(learnt.work / 1e6, 1),
         "waiting_ms": round(max(learnt.took - learnt.work, 0.0) / 1e6, 1),
-        "portion": round(node.portion, 3),
-        "least_ms": node.promptness.least / 1e6,
+        "weight_factor": round(node.weight_factor, 3),
+        "portion": round(node.weight_factor, 3),  # the name until the next version
+        "least_ms": node.timeliness.least / 1e6,
     }
 
 
@@ -112,7 +113,7 @@
         "on": control.target > 0,
         "overloaded": control.admitted < 1.0,
         "admitted_share": round(control.admitted, 3),
-        "loop_busy_share": round(control.told.busy, 3),
-        "loop_delay_ms": round(control.told.delay / 1e6, 3),
+        "loop_busy_share": round(control.last_report.busy, 3),
+        "loop_delay_ms": round(control.last_report.delay / 1e6, 3),
         "shed": {tenant or "(none)": count for tenant, count in control.shed.items()},
     }
--- a/saltport/decisions/portions.py
+++ b/saltport/decisions/weight_adjustment.py
@@ -19,7 +19,7 @@
 DRAWN = 1 << 32  # beyond all slots: what a server keeps must not depend on what it holds
 
 
-class Portions:
+class WeightAdjustment:
     """Learns every server's portion from the reports in answers."""
 
     def __init__(self, settings: Settings) -> None:
@@ -32,15 +32,15 @@
         """Take the report that came with an answer, once for all that was out or too new to show."""
         if not 0 <= self._place < len(load):
             return
-        told = max(load[self._place] * 1e6, 1.0)
-        self._usual += (told - self._usual) / 32 if self._usual else told
-        if sent_at >= node.portion_at:
-            node.portion_at = now + SETTLES
+        reported = max(load[self._place] * 1e6, 1.0)
+        self._usual += (reported - self._usual) / 32 if self._usual else reported
+        if sent_at >= node.weight_factor_at:
+            node.weight_factor_at = now + SETTLES
             # All slow at once is load, and no server's own: then none keeps less than its part.
             fair = max(PROMPT * aim, self._usual)
-            node.portion = min(max(node.portion * (fair / told) ** GAIN, LEAST), 1.0)
+            node.weight_factor = min(max(node.weight_factor * (fair / reported) ** GAIN, LEAST), 1.0)
 
 
 def keeps(node: Node, slot: int) -> bool:
     """Whether a server keeps this slot's reads."""
-    return node.portion >= 1.0 or mixed(slot + DRAWN, node.seed) < node.portion * WORD
+    return node.weight_factor >= 1.0 or mixed(slot + DRAWN, node.seed) < node.weight_factor * WORD
--- a/saltport/decisions/zoned.py
+++ b/saltport/decisions/zoned.py
@@ -12,10 +12,10 @@
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import ANSWERED, NO_EVIDENCE, Node
-from saltport.decisions.heat import HEAT_SHARE, Heat
 from saltport.decisions.interface import Outcome
 from saltport.decisions.outliers import SILENT, OutlierDetector
 from saltport.decisions.request import Request
+from saltport.decisions.slot_replication import LOAD_SHARE, SlotReplication
 from saltport.decisions.table import DEPTH, SlotTable
 from saltport.decisions.topology import Evidence, Topology, ZoneCount
 from saltport.structures.rendezvous import RendezvousHash, mixed, score_of
@@ -67,7 +67,7 @@
         return row
 
 
-class Zoned(Heat):
+class Zoned(SlotReplication):
     """See the module."""
 
     def __init__(
@@ -94,7 +94,7 @@
 
     # The plan
 
-    def told(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
+    def on_event(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
         """Follow a plan."""
         if isinstance(event, api.ZonePlan):
             self._plan = event
@@ -132,7 +132,7 @@
             self._asked_in_all = sum(self._asked.values())
         if self._plan.refused and self._rng.random() < self._chance(rank):
             self._found.refused += 1
-            request.spread = self
+            request.replication = self
 
     def _over(self, tenant: str) -> bool:
         """Whether a tenant asks for more than its portion of what comes."""
@@ -149,7 +149,7 @@
 
     def turns_away(self, request: Request, now: int) -> api.Reason | None:
         """Why a read gets no fetch either."""
-        return api.Reason.OUTSIDE_PLAN if request.spread is self else None
+        return api.Reason.OUTSIDE_PLAN if request.replication is self else None
 
     def candidates(self, request: Request, now: int) -> list[Node]:
         """The servers of the slot's zone; those of others after a failure, or where none of them is in use.
@@ -157,7 +157,7 @@
         Danger: a full zone's reads must not spill into others by each router's own choice while a plan
         holds: it knows what room they have.
         """
-        if request.spread is self:
+        if request.replication is self:
             return []
         self._follow()
         plan, lead = self._plan, self._lead(request)
@@ -172,7 +172,7 @@
         return found + self._ranked(self._strangers, request, now)
 
     def _ranked(self, zone: _Zone, request: Request, now: int) -> list[Node]:
-        owners = math.ceil(request.share * len(zone.hash.nodes) / HEAT_SHARE)
+        owners = math.ceil(request.share * len(zone.hash.nodes) / LOAD_SHARE)
         ranking = zone.rank(request.slot, max(owners, DEPTH), self._caches, now)
         self._now = now
         return sorted(ranking[:owners], key=self._draw) + ranking[owners:] if owners > 1 else ranking
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -125,11 +125,11 @@
 
     def learnt(self) -> dict[str, object]:
         """What this process has learnt, for the one that takes its place."""
-        return inheritance.told(self._router, time.monotonic_ns())
+        return inheritance.export(self._router, time.monotonic_ns())
 
     def inherit(self, message: object) -> None:
         """Go on from what another process has learnt; raises ValueError, and then nothing of it counts."""
-        inheritance.take(self._router, message, time.monotonic_ns())
+        inheritance.restore(self._router, message, time.monotonic_ns())
 
     def stats(self) -> dict[str, object]:
         """The figures, as operators read them."""
@@ -262,7 +262,7 @@
                 is_origin = server.kind == self.settings.origin_kind
                 place = listing.addresses[server.id], OriginConnection if is_origin else CacheConnection
                 self._places[server.id] = place
-                if server.id not in self._router.roster.out:
+                if server.id not in self._router.registry.out:
                     self._pool.list_server(server.id, *place)
             else:
                 gone.add(server.id)
@@ -272,12 +272,12 @@
 
     def knows(self, server_id: str) -> bool:
         """Whether a server is listed, was once, or is out by hand."""
-        return self._router.roster.knows(server_id)
+        return self._router.registry.knows(server_id)
 
     @property
     def out(self) -> frozenset[str]:
         """The servers that are out by hand."""
-        return frozenset(self._router.roster.out)
+        return frozenset(self._router.registry.out)
 
     def take_out(self, server_id: str) -> None:
         """Send nothing more to a server, whatever the list says, until it is put back."""
@@ -304,7 +304,7 @@
 
     def take_evidence(self) -> Evidence | None:
         """What was found of the zones since the last call."""
-        return self._router.spreading.take_evidence()
+        return self._router.replication.take_evidence()
 
     def discovery_failed(self) -> None:
         """Tell the module that a watch has ended."""
--- a/tests/decisions/test_inheritance.py
+++ b/tests/decisions/test_inheritance.py
@@ -19,9 +19,9 @@
         at = now - S + i * 10 * MS
         send = only_send(router.handle(request(f"r{i}", at, key=f"k{i}"), at))
         router.handle(ended(send, Outcome.MISS, latency=40 * MS), at)
-    guard = router.fetches.guards["a"]
-    guard.limit = 12.5
-    guard.count(now - 200 * MS, declined=True)
+    limiter = router.fetches.rate_limiters["a"]
+    limiter.limit = 12.5
+    limiter.count(now - 200 * MS, declined=True)
     node = router.caches.nodes[fleet(4)[0].id]
     for i in range(3):
         router.outliers.judge(
@@ -32,16 +32,16 @@
 
 def test_next_process_goes_on_where_the_old_one_stood() -> None:
     old, begun = experienced(100 * S), 7 * S  # on a clock of its own
-    message = json.loads(json.dumps(inheritance.told(old, 100 * S)))
+    message = json.loads(json.dumps(inheritance.export(old, 100 * S)))
     new = started(settings(), fleet(4), now=begun)
-    inheritance.take(new, message, begun)
-    was, guard = old.fetches.guards["a"], new.fetches.guards["a"]
-    assert guard.limit == 12.5
-    assert guard.accepted(begun) == was.accepted(100 * S) > 0
-    assert guard.calls.declined == was.calls.declined == 1
+    inheritance.restore(new, message, begun)
+    was, limiter = old.fetches.rate_limiters["a"], new.fetches.rate_limiters["a"]
+    assert limiter.limit == 12.5
+    assert limiter.accepted(begun) == was.accepted(100 * S) > 0
+    assert limiter.calls.declined == was.calls.declined == 1
     later = 3 * S + 950 * MS + was.window_s * S - 4 * S
-    assert guard.accepted(int(begun + later)) == pytest.approx(was.accepted(int(100 * S + later)), abs=11)
-    assert guard.accepted(int(begun + was.window_s * S)) == 0
+    assert limiter.accepted(int(begun + later)) == pytest.approx(was.accepted(int(100 * S + later)), abs=11)
+    assert limiter.accepted(int(begun + was.window_s * S)) == 0
     bad = fleet(4)[0].id
     assert new.outliers.ejected == old.outliers.ejected == {bad}
     left = old.outliers.records[bad].until - 100 * S
@@ -49,13 +49,13 @@
     for server in fleet(4):
         held, told = new.caches.nodes[server.id], old.caches.nodes[server.id]
         assert (held.limit.limit, held.limit.took) == (told.limit.limit, told.limit.took)
-        assert (held.response_time.mean, held.portion) == (told.response_time.mean, told.portion)
+        assert (held.response_time.mean, held.weight_factor) == (told.response_time.mean, told.weight_factor)
 
 
 def test_ejection_that_was_inherited_ends_with_a_trial() -> None:
     old, begun = experienced(100 * S), 7 * S
     new = started(settings(), fleet(4), now=begun)
-    inheritance.take(new, inheritance.told(old, 100 * S), begun)
+    inheritance.restore(new, inheritance.export(old, 100 * S), begun)
     bad = fleet(4)[0].id
     now = begun + 2 * S
     for i in range(100):
@@ -68,20 +68,20 @@
 
 def test_strangers_are_passed_over_and_bounds_are_this_process_s() -> None:
     old, begun = experienced(100 * S), 7 * S
-    message = inheritance.told(old, 100 * S)
+    message = inheritance.export(old, 100 * S)
     message["tenants"]["nobody"] = message["tenants"]["a"]
     message["tenants"]["a"]["limit"] = 10**9
     message["servers"]["gone"] = [-1.0, 1.0, 1.0, 1.0, 1.0, 1.0]
     message["ejected"] = {server.id: [10**14, 3, "x"] for server in fleet(4)}
     new = started(settings(tenants=(Tenant("a", 1.0, 20.0),)), fleet(4), now=begun)
-    inheritance.take(new, message, begun)
-    assert new.fetches.guards["a"].limit == 20.0
-    assert set(new.fetches.guards) == {"a", ""}
+    inheritance.restore(new, message, begun)
+    assert new.fetches.rate_limiters["a"].limit == 20.0
+    assert set(new.fetches.rate_limiters) == {"a", ""}
     assert len(new.outliers.ejected) == 2, "half of the servers at the most"
     assert all(record.until <= begun + 60 * S for record in new.outliers.records.values())
 
 
-GOOD = inheritance.told(experienced(100 * S), 100 * S)
+GOOD = inheritance.export(experienced(100 * S), 100 * S)
 
 
 @pytest.mark.parametrize(
@@ -104,15 +104,15 @@
 )
 def test_message_that_is_no_good_changes_nothing(change: dict[str, Any]) -> None:
     new = started(settings(), fleet(4), now=S)
-    limit = new.fetches.guards["a"].limit
+    limit = new.fetches.rate_limiters["a"].limit
     with pytest.raises(ValueError):  # noqa: PT011
-        inheritance.take(new, {**GOOD, **change}, S)
-    assert new.fetches.guards["a"].limit == limit
-    assert new.fetches.guards["a"].accepted(S) == 0
+        inheritance.restore(new, {**GOOD, **change}, S)
+    assert new.fetches.rate_limiters["a"].limit == limit
+    assert new.fetches.rate_limiters["a"].accepted(S) == 0
     assert not new.outliers.ejected
 
 
 @pytest.mark.parametrize("message", [None, 3, [], "x", {}])
 def test_what_is_no_message_is_told(message: Any) -> None:
     with pytest.raises(ValueError, match=r".+"):
-        inheritance.take(started(settings(), fleet(1)), message, S)
+        inheritance.restore(started(settings(), fleet(1)), message, S)
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -17,7 +17,7 @@
 def asked(router: Router, name: str = "r", cls: str = "read", deadline: int = S) -> Request:
     """A request that the router knows of, but has sent nowhere."""
     event = request(name, cls=cls, deadline=deadline)
-    limiter = router.fetches.guards["a"]
+    limiter = router.fetches.rate_limiters["a"]
     made = Request(event, router._classes[event.request_class], limiter, 4)
     made.slot = 5
     return made
@@ -67,7 +67,7 @@
     router = started(settings(origin_kind=None), fleet(3), origin=False)
     for node in router.caches.nodes.values():
         for _ in range(16):
-            node.promptness.learn(200 * MS, True, 0.5, S)
+            node.timeliness.learn(200 * MS, True, 0.5, S)
     wanted = asked(router, cls="edit" if write else "read", deadline=S + 50 * MS)
     chosen = router.placement.place(wanted, S)
     assert isinstance(chosen, Node) if write else chosen is Reason.TOO_LATE
@@ -118,10 +118,10 @@
 def test_a_server_that_gives_its_reads_away_is_still_better_than_none() -> None:
     router = started(settings(), fleet(2))
     first, second = ranking(router)
-    first.portion = 1e-9
+    first.weight_factor = 1e-9
     assert router.placement.place(asked(router), 0) is second
     assert router.placement.moved == 1
-    second.portion = 1e-9
+    second.weight_factor = 1e-9
     assert router.placement.place(asked(router), 0) is first
 
 
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -272,8 +272,8 @@
 def test_lone_bad_fetch_cuts_nobody_and_repeated_ones_cut_every_tenant() -> None:
     # Found on cluj's rough days: one late fetch in forty, by chance, starved every tenant.
     router = started(settings(), fleet(5))
-    guards = list(router.fetches.guards.values())
-    caps = [guard.limit for guard in guards]
+    limiters = list(router.fetches.rate_limiters.values())
+    caps = [limiter.limit for limiter in limiters]
 
     def fetch(i: int, outcome: Outcome) -> None:
         now = (i + 1) * S
@@ -282,9 +282,9 @@
         router.handle(ended(out, outcome, 1, closed=True, latency=600 * MS), now)
 
     fetch(0, Outcome.TIMEOUT)
-    assert [guard.limit for guard in guards] == caps
+    assert [limiter.limit for limiter in limiters] == caps
     fetch(1, Outcome.TIMEOUT)
-    assert all(guard.limit < cap for guard, cap in zip(guards, caps, strict=True))
+    assert all(limiter.limit < cap for limiter, cap in zip(limiters, caps, strict=True))
 
 
 def test_cuts_come_once_an_origin_round_trip() -> None:
@@ -293,14 +293,14 @@
     for i in range(12):
         send = only_send(router.handle(request(f"r{i}", S, key=f"k{i}"), S))
         fetches += sends(router.handle(ended(send, Outcome.MISS), S))
-    guard = router.fetches.guards["b"]
+    limiter = router.fetches.rate_limiters["b"]
     for fetch in fetches:
         router.handle(ended(fetch, Outcome.RESET, 1), S + 200 * MS)
-    once = guard.limit
-    assert once < guard.cap
+    once = limiter.limit
+    assert once < limiter.cap
     again = ended(fetches[0], Outcome.RESET)
     router.fetches.ended(router.origins.nodes[ORIGIN.id], again, False, S + 200 * MS)
-    assert guard.limit == once
+    assert limiter.limit == once
 
 
 def test_writes_are_held_while_the_origin_is_over_its_width_and_the_newest_goes_first() -> None:
--- a/tests/decisions/test_retune.py
+++ b/tests/decisions/test_retune.py
@@ -59,17 +59,17 @@
     for i in range(5):
         send = only_send(router.handle(request(f"r{i}", S, key=f"k{i}"), S))
         router.handle(ended(send, Outcome.MISS), S)
-    held = router.fetches.guards["a"]
+    held = router.fetches.rate_limiters["a"]
     assert held.accepted(S) == 5
     tenants = (Tenant("a", 0.3, 30.0), Tenant("c", 0.7, 70.0))
     router.handle(SettingsChanged(settings(tenants=tenants)), S)
-    assert router.fetches.guards["a"] is held
+    assert router.fetches.rate_limiters["a"] is held
     assert (held.accepted(S), held.cap, held.portion) == (5, 30.0, 0.3)
     assert held.limit <= held.cap
-    assert set(router.fetches.guards) == {"a", "c", ""}
+    assert set(router.fetches.rate_limiters) == {"a", "c", ""}
     send = only_send(router.handle(request("gone", S, tenant="b", key="z"), S))  # as unknown
     router.handle(ended(send, Outcome.MISS), S)
-    assert router.fetches.guards[""].accepted(S) == 1
+    assert router.fetches.rate_limiters[""].accepted(S) == 1
 
 
 def test_what_is_derived_from_the_settings_follows() -> None:
--- a/tests/decisions/test_rules.py
+++ b/tests/decisions/test_rules.py
@@ -89,7 +89,7 @@
         unanswered = [name for name, known in self.open.items() if known.closed_at is None]
         assert not unanswered
         assert not self.router.requests
-        assert not self.router.fetches._flights
+        assert not self.router.fetches._coalesced
 
     def deliver(self, event: Event, now: int) -> None:
         if isinstance(event, RequestArrived):
--- a/tests/decisions/test_roster.py
+++ b/tests/decisions/test_server_registry.py
@@ -21,7 +21,7 @@
     ServerState,
     views,
 )
-from saltport.decisions.roster import REMEMBERED, Roster
+from saltport.decisions.server_registry import REMEMBERED, ServerRegistry
 from tests.decisions.helpers import MS, ORIGIN, S, ended, finals, fleet, request, sends, settings, started
 
 COLD = settings(cold_share=0.25, cold_time=8 * S)
@@ -162,19 +162,19 @@
 
 
 def test_only_ids_that_were_listed_are_known_and_the_gone_ones_are_bounded() -> None:
-    roster = Roster()
-    assert not roster.knows("a")
-    roster.follow(ServersChanged(ListKind.FULL, (Server("a"), Server("b", state=ServerState.DRAINING))))
-    assert roster.knows("a")
-    assert roster.knows("b")
-    roster.follow(ServersChanged(ListKind.FULL, ()))
-    assert roster.knows("a")
+    registry = ServerRegistry()
+    assert not registry.knows("a")
+    registry.follow(ServersChanged(ListKind.FULL, (Server("a"), Server("b", state=ServerState.DRAINING))))
+    assert registry.knows("a")
+    assert registry.knows("b")
+    registry.follow(ServersChanged(ListKind.FULL, ()))
+    assert registry.knows("a")
     for i in range(REMEMBERED + 10):
-        roster.follow(ServersChanged(ListKind.DELTA, (Server(f"n{i}"),)))
-        roster.follow(ServersChanged(ListKind.DELTA, (Server(f"n{i}", state=ServerState.GONE),)))
-    assert not roster.knows("a")
-    assert roster.knows(f"n{REMEMBERED}")
-    assert len(roster._gone) == REMEMBERED
+        registry.follow(ServersChanged(ListKind.DELTA, (Server(f"n{i}"),)))
+        registry.follow(ServersChanged(ListKind.DELTA, (Server(f"n{i}", state=ServerState.GONE),)))
+    assert not registry.knows("a")
+    assert registry.knows(f"n{REMEMBERED}")
+    assert len(registry._gone) == REMEMBERED
 
 
 def test_roster_and_tables_agree_over_any_news() -> None:
--- a/tests/decisions/test_suppressor.py
+++ b/tests/decisions/test_suppressor.py
@@ -23,108 +23,108 @@
 
 
 def suppressor(limit: float = 10.0, window_s: float = 60.0, draw: float = 0.5) -> Suppressor:
-    guard = Suppressor(Tenant("t", 1.0, limit), 1, Fixed(draw))
-    guard.window_s = window_s
-    return guard
+    limiter = Suppressor(Tenant("t", 1.0, limit), 1, Fixed(draw))
+    limiter.window_s = window_s
+    return limiter
 
 
-def fill(guard: Suppressor, start: int, count: int, per_s: float, declined: bool = False) -> int:
+def fill(limiter: Suppressor, start: int, count: int, per_s: float, declined: bool = False) -> int:
     """Count calls at an even rate from `start`; returns the time after the last."""
     now = start
     for _ in range(count):
-        guard.count(now, declined)
+        limiter.count(now, declined)
         now += int(S / per_s)
     return now
 
 
 def test_first_call_goes_and_below_the_soft_limit_all_go() -> None:
-    guard = suppressor(limit=1.0, window_s=10.0, draw=0.999)
-    assert [guard.admit(i * 100 * MS) for i in range(10)] == [True] * 10
-    assert len(guard.calls) == 10
-    assert guard.calls.declined == 0
+    limiter = suppressor(limit=1.0, window_s=10.0, draw=0.999)
+    assert [limiter.admit(i * 100 * MS) for i in range(10)] == [True] * 10
+    assert len(limiter.calls) == 10
+    assert limiter.calls.declined == 0
 
 
 def test_worked_example_of_the_paper_700_in_the_window_and_12_in_the_last_second() -> None:
     # 700 / 60 = 11.67 a second on average, 12 in the last 1000 ms: chance 10 / 12.
-    guard = suppressor()
-    fill(guard, 0, 688, per_s=12.0)
+    limiter = suppressor()
+    fill(limiter, 0, 688, per_s=12.0)
     now = 59 * S
-    fill(guard, now, 12, per_s=100.0)
-    assert len(guard.calls) == 700
-    assert guard.chance(now + 500 * MS) == pytest.approx(10 / 12)
+    fill(limiter, now, 12, per_s=100.0)
+    assert len(limiter.calls) == 700
+    assert limiter.chance(now + 500 * MS) == pytest.approx(10 / 12)
 
 
 def test_window_average_is_used_when_it_is_the_higher_rate() -> None:
-    guard = suppressor()
-    now = fill(guard, 0, 840, per_s=15.0)  # 56 s; 840 / 60 = 14 a second
-    assert guard.chance(now + 2 * S) == pytest.approx(10 / 14)
+    limiter = suppressor()
+    now = fill(limiter, 0, 840, per_s=15.0)  # 56 s; 840 / 60 = 14 a second
+    assert limiter.chance(now + 2 * S) == pytest.approx(10 / 14)
 
 
 @pytest.mark.parametrize(("draw", "allowed"), [(0.70, True), (0.72, False)])
 def test_between_the_limits_a_fetch_goes_with_the_chance(draw: float, allowed: bool) -> None:
-    guard = suppressor(draw=draw)
-    now = fill(guard, 0, 840, per_s=15.0)
-    assert guard.admit(now + 2 * S) is allowed
-    assert len(guard.calls) == 841
-    assert guard.calls.declined == (not allowed)
+    limiter = suppressor(draw=draw)
+    now = fill(limiter, 0, 840, per_s=15.0)
+    assert limiter.admit(now + 2 * S) is allowed
+    assert len(limiter.calls) == 841
+    assert limiter.calls.declined == (not allowed)
 
 
 def test_hard_limit_on_the_current_total_denies_whatever_the_draw() -> None:
-    guard = suppressor(draw=0.0)
-    now = fill(guard, 0, 899, per_s=15.0)
-    assert guard.admit(now)  # 899: still between the limits
-    assert not guard.admit(now)  # 900 = 60 x 10 x 1.5
+    limiter = suppressor(draw=0.0)
+    now = fill(limiter, 0, 899, per_s=15.0)
+    assert limiter.admit(now)  # 899: still between the limits
+    assert not limiter.admit(now)  # 900 = 60 x 10 x 1.5
 
 
 def test_chance_is_cached_for_100_ms_and_never_above_one() -> None:
-    guard = suppressor()
-    guard.count(0)
-    assert guard.chance(0) == 1.0
-    fill(guard, 10 * MS, 30, per_s=1000.0)
-    assert guard.chance(99 * MS) == 1.0
-    assert guard.chance(100 * MS) == pytest.approx(10 / 31)
+    limiter = suppressor()
+    limiter.count(0)
+    assert limiter.chance(0) == 1.0
+    fill(limiter, 10 * MS, 30, per_s=1000.0)
+    assert limiter.chance(99 * MS) == 1.0
+    assert limiter.chance(100 * MS) == pytest.approx(10 / 31)
 
 
 def test_window_forgets() -> None:
-    guard = suppressor(window_s=10.0)
-    fill(guard, 0, 50, per_s=100.0)
-    assert guard.accepted(9 * S) == 50
-    assert guard.accepted(11 * S) == 0
-    assert len(guard.calls) == 0
+    limiter = suppressor(window_s=10.0)
+    fill(limiter, 0, 50, per_s=100.0)
+    assert limiter.accepted(9 * S) == 50
+    assert limiter.accepted(11 * S) == 0
+    assert len(limiter.calls) == 0
 
 
 def test_refusals_alone_do_not_pin_a_tenant_at_the_hard_limit() -> None:
     # Found on overloaded days: every retry of a refused read counts anew, and nothing ever went again.
-    guard = suppressor(limit=1.0, window_s=10.0, draw=0.05)
-    fill(guard, 0, 100, per_s=20.0, declined=True)
-    assert guard.accepted(5 * S) == 0
-    assert guard.admit(5 * S)  # the chance, 1 / 20, instead of a denial
+    limiter = suppressor(limit=1.0, window_s=10.0, draw=0.05)
+    fill(limiter, 0, 100, per_s=20.0, declined=True)
+    assert limiter.accepted(5 * S) == 0
+    assert limiter.admit(5 * S)  # the chance, 1 / 20, instead of a denial
     shut = suppressor(limit=1.0, window_s=10.0, draw=0.06)
     fill(shut, 0, 100, per_s=20.0, declined=True)
     assert not shut.admit(5 * S)
 
 
 def test_rise_only_while_used_and_up_to_the_cap() -> None:
-    guard = suppressor(limit=10.0, window_s=10.0)
-    guard.limit = 4.0
-    guard.rise(S)
-    assert guard.limit == 4.0
-    now = fill(guard, S, 60, per_s=10.0)
-    guard.rise(now)
-    assert guard.limit == pytest.approx(4.0 + 10.0 / RISE_S * 6.0)  # 6 s since the last rise
+    limiter = suppressor(limit=10.0, window_s=10.0)
+    limiter.limit = 4.0
+    limiter.rise(S)
+    assert limiter.limit == 4.0
+    now = fill(limiter, S, 60, per_s=10.0)
+    limiter.rise(now)
+    assert limiter.limit == pytest.approx(4.0 + 10.0 / RISE_S * 6.0)  # 6 s since the last rise
     for i in range(1, 200):
-        guard.count(now + i * 50 * MS)
-        guard.rise(now + i * 50 * MS)
-    assert guard.limit <= 10.0
+        limiter.count(now + i * 50 * MS)
+        limiter.rise(now + i * 50 * MS)
+    assert limiter.limit <= 10.0
 
 
 def test_cut_is_from_what_was_used_and_harder_over_the_portion() -> None:
-    guard = Suppressor(Tenant("t", 0.5, 10.0), 1, Fixed(0.5))
-    now = fill(guard, S, 40, per_s=20.0)  # 8 a second over the window of 5 s
-    guard.cut(now, all_used=20.0)
-    assert guard.limit == pytest.approx(8.0 * CUT)
-    guard.cut(now, all_used=10.0)
-    assert guard.limit == pytest.approx(8.0 * CUT**3)
+    limiter = Suppressor(Tenant("t", 0.5, 10.0), 1, Fixed(0.5))
+    now = fill(limiter, S, 40, per_s=20.0)  # 8 a second over the window of 5 s
+    limiter.cut(now, all_used=20.0)
+    assert limiter.limit == pytest.approx(8.0 * CUT)
+    limiter.cut(now, all_used=10.0)
+    assert limiter.limit == pytest.approx(8.0 * CUT**3)
     for _ in range(30):
-        guard.cut(now, all_used=10.0)
-    assert guard.limit == guard.floor == pytest.approx(0.2)
+        limiter.cut(now, all_used=10.0)
+    assert limiter.limit == limiter.floor == pytest.approx(0.2)
--- a/tests/decisions/test_portions.py
+++ b/tests/decisions/test_weight_adjustment.py
@@ -5,9 +5,10 @@
 import pytest
 
 from benchmarks.hot_world import World
+from saltport.decisions import views
 from saltport.decisions.health import Node
 from saltport.decisions.limits import PROMPT
-from saltport.decisions.portions import LEAST, SETTLES, Portions, keeps
+from saltport.decisions.weight_adjustment import LEAST, SETTLES, WeightAdjustment, keeps
 from tests.decisions.helpers import MS, S, fleet, settings
 
 AIM = 300 * MS
@@ -19,65 +20,67 @@
     return [Node(entry, False) for entry in fleet(number)]
 
 
-def tell(portions: Portions, held: list[Node], times: list[float], seconds: int, begin: int = 0) -> int:
+def tell(
+    adjustment: WeightAdjustment, held: list[Node], times: list[float], seconds: int, begin: int = 0
+) -> int:
     """Each node reports its time in milliseconds once a second, in an answer sent after the last change."""
     now = begin
     for _ in range(seconds):
         now += SETTLES + MS
         for node, time in zip(held, times, strict=True):
-            portions.learn(node, (time, 0.0), AIM, now, now)
+            adjustment.learn(node, (time, 0.0), AIM, now, now)
     return now
 
 
 def test_server_that_reports_more_time_than_the_others_keeps_less_and_gets_it_back() -> None:
-    portions, held = Portions(settings(load_fields=FIELDS)), nodes(10)
-    now = tell(portions, held, [600.0, *[60.0] * 9], 8)
-    assert held[0].portion < 0.6
-    assert [node.portion for node in held[1:]] == [1.0] * 9
-    tell(portions, held, [60.0] * 10, 10, now)
-    assert held[0].portion == 1.0
+    adjustment, held = WeightAdjustment(settings(load_fields=FIELDS)), nodes(10)
+    now = tell(adjustment, held, [600.0, *[60.0] * 9], 8)
+    assert held[0].weight_factor < 0.6
+    assert [node.weight_factor for node in held[1:]] == [1.0] * 9
+    tell(adjustment, held, [60.0] * 10, 10, now)
+    assert held[0].weight_factor == 1.0
 
 
 def test_all_slow_at_once_is_load_and_no_servers_own() -> None:
-    portions, held = Portions(settings(load_fields=FIELDS)), nodes(10)
-    tell(portions, held, [900.0] * 10, 60)
-    assert min(node.portion for node in held) > 0.99
+    adjustment, held = WeightAdjustment(settings(load_fields=FIELDS)), nodes(10)
+    tell(adjustment, held, [900.0] * 10, 60)
+    assert min(node.weight_factor for node in held) > 0.99
 
 
 def test_what_is_prompt_costs_nothing_however_much_quicker_the_others_are() -> None:
-    portions, held = Portions(settings(load_fields=FIELDS)), nodes(10)
-    tell(portions, held, [PROMPT * AIM / MS - 1, *[2.0] * 9], 60)
-    assert held[0].portion == 1.0
+    adjustment, held = WeightAdjustment(settings(load_fields=FIELDS)), nodes(10)
+    tell(adjustment, held, [PROMPT * AIM / MS - 1, *[2.0] * 9], 60)
+    assert held[0].weight_factor == 1.0
 
 
 def test_some_reads_go_on_finding_out_how_it_is() -> None:
-    portions, held = Portions(settings(load_fields=FIELDS)), nodes(10)
-    tell(portions, held, [60_000.0, *[60.0] * 9], 200)
-    assert held[0].portion == LEAST
+    adjustment, held = WeightAdjustment(settings(load_fields=FIELDS)), nodes(10)
+    tell(adjustment, held, [60_000.0, *[60.0] * 9], 200)
+    assert held[0].weight_factor == LEAST
     kept = sum(keeps(held[0], slot) for slot in range(SLOTS))
     assert LEAST * SLOTS * 0.7 < kept < LEAST * SLOTS * 1.4
 
 
 def test_answers_that_were_out_at_a_change_are_one_sign_with_it() -> None:
-    portions, held = Portions(settings(load_fields=FIELDS)), nodes(2)
-    tell(portions, held, [60.0, 60.0], 40)
-    portions.learn(held[0], (600.0, 0.0), AIM, 50 * S, 50 * S)
-    first = held[0].portion
+    adjustment, held = WeightAdjustment(settings(load_fields=FIELDS)), nodes(2)
+    tell(adjustment, held, [60.0, 60.0], 40)
+    adjustment.learn(held[0], (600.0, 0.0), AIM, 50 * S, 50 * S)
+    first = held[0].weight_factor
     for late in range(50):
-        portions.learn(held[0], (600.0, 0.0), AIM, 50 * S, 50 * S + late * MS)
-    assert held[0].portion == first < 1.0
+        adjustment.learn(held[0], (600.0, 0.0), AIM, 50 * S, 50 * S + late * MS)
+    assert held[0].weight_factor == first < 1.0
 
 
 @pytest.mark.parametrize("fields", [(), ("queue",), ("inflight", "util")])
 def test_reports_that_tell_no_time_decide_nothing(fields: tuple[str, ...]) -> None:
-    portions, held = Portions(settings(load_fields=fields)), nodes(2)
-    tell(portions, held, [9_000.0, 1.0], 20)
-    assert held[0].portion == 1.0
+    adjustment, held = WeightAdjustment(settings(load_fields=fields)), nodes(2)
+    tell(adjustment, held, [9_000.0, 1.0], 20)
+    assert held[0].weight_factor == 1.0
 
 
 def test_routers_leave_out_the_same_reads_whatever_else_the_server_holds() -> None:
     one, other = nodes(1)[0], nodes(1)[0]
-    one.portion, other.portion = 0.6, 0.5
+    one.weight_factor, other.weight_factor = 0.6, 0.5
     kept_by_one = {slot for slot in range(SLOTS) if keeps(one, slot)}
     kept_by_other = {slot for slot in range(SLOTS) if keeps(other, slot)}
     assert kept_by_other < kept_by_one
@@ -101,3 +104,10 @@
     world.play(rate, keys, 45)
     assert world.sent[slow] / 45 <= S / (work * node.slow)
     assert world.in_time > 0.85 * world.first_tries
+
+
+def test_the_figure_stands_under_its_old_name_too() -> None:
+    node = nodes(1)[0]
+    node.weight_factor = 0.5
+    shown = views.limit(node)
+    assert shown["weight_factor"] == shown["portion"] == 0.5
--- a/tests/decisions/test_zoned.py
+++ b/tests/decisions/test_zoned.py
@@ -115,7 +115,7 @@
         actions = rig.ask("k")
         held = request[actions[0].request]
         held.sends = 0  # as before its first attempt
-        found = {node.entry.id[0] for node in rig.router.spreading.candidates(held, rig.now)}
+        found = {node.entry.id[0] for node in rig.router.replication.candidates(held, rig.now)}
         assert found == there
 
 
@@ -153,7 +153,7 @@
     assert 0.2 < sum(n for (_, _, refused), n in ends.items() if refused) / 4_000 < 0.3
     assert ends["t", True, True] > 300 > 100 > ends["t", True, False]  # of 400
     assert ends["t", False, True] < 80  # of 1,600
-    evidence = rig.router.spreading.take_evidence()
+    evidence = rig.router.replication.take_evidence()
     assert evidence is not None
     assert (evidence.demand, evidence.refused > 800) == (3_200, True)
     assert isinstance(rig.ask("k", "put")[0], Send)  # a write is never refused for it
@@ -167,7 +167,7 @@
     assert rig.ask("k2", "put")[0].server == "oe"
     again = rig.end(actions, Outcome.RESET)
     assert not any(isinstance(action, Send) and action.server == "oe" for action in again)
-    evidence = rig.router.spreading.take_evidence()
+    evidence = rig.router.replication.take_evidence()
     assert evidence is not None
     assert evidence.origins == [[0, 1], [0, 0]]
 
@@ -177,7 +177,7 @@
     for outcome in (Outcome.OK, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MISS, Outcome.TIMEOUT):
         rig.end(rig.ask("k1"), outcome)
         rig.now += 10 * MS
-    spreading = rig.router.spreading
+    spreading = rig.router.replication
     assert isinstance(spreading, Zoned)
     found = spreading.take_evidence()
     here = found.zones[0]
--- a/tests/hotkeys/test_spread.py
+++ b/tests/hotkeys/test_replicated_key.py
@@ -8,7 +8,7 @@
 
 from saltport.decisions import Server
 from saltport.decisions.health import Node
-from saltport.decisions.hotkeys.spread import COOL, FOR_GOOD, RELEASE, Spread
+from saltport.decisions.hotkeys.replicated_key import COOL, FOR_GOOD, RELEASE, ReplicatedKey
 
 S = 1_000_000_000
 STEP = S // 4
@@ -16,11 +16,11 @@
 
 def played(needs: list[int], copies: int = 1) -> list[int]:
     """The copies after each quarter of a second with this need."""
-    spread, seen = Spread("k", 1, "a", 0), []
-    spread.copies = copies
+    replicated, seen = ReplicatedKey("k", 1, "a", 0), []
+    replicated.copies = copies
     for number, need in enumerate(needs):
-        spread.follow(need, (number + 1) * STEP)
-        seen.append(spread.copies)
+        replicated.follow(need, (number + 1) * STEP)
+        seen.append(replicated.copies)
     return seen
 
 
@@ -51,16 +51,16 @@
 
 def test_members_that_hold_it_are_told_from_those_that_lack_it() -> None:
     nodes = [Node(Server(f"s{i}"), False) for i in range(5)]
-    spread = Spread("k", 1, "a", 0)
-    spread.held["s2"] = 100
-    spread.place(nodes[:4], 50)
-    assert set(spread.ready) == {nodes[0], nodes[2]}  # the slot's own counts always
-    assert set(spread.absent) == {nodes[1], nodes[3]}
-    spread.holds(nodes[1], FOR_GOOD)
-    spread.lacks(nodes[2])
-    spread.lacks(nodes[0])
-    assert set(spread.ready) == {nodes[0], nodes[1]}
-    spread.place(nodes[:4], 200)
-    assert set(spread.ready) == {nodes[0], nodes[1]}
-    spread.holds(nodes[4], FOR_GOOD)  # no member: noted, and not asked
-    assert nodes[4] not in spread.ready
+    replicated = ReplicatedKey("k", 1, "a", 0)
+    replicated.held["s2"] = 100
+    replicated.place(nodes[:4], 50)
+    assert set(replicated.ready) == {nodes[0], nodes[2]}  # the slot's own counts always
+    assert set(replicated.absent) == {nodes[1], nodes[3]}
+    replicated.holds(nodes[1], FOR_GOOD)
+    replicated.lacks(nodes[2])
+    replicated.lacks(nodes[0])
+    assert set(replicated.ready) == {nodes[0], nodes[1]}
+    replicated.place(nodes[:4], 200)
+    assert set(replicated.ready) == {nodes[0], nodes[1]}
+    replicated.holds(nodes[4], FOR_GOOD)  # no member: noted, and not asked
+    assert nodes[4] not in replicated.ready
--- a/tests/hotkeys/test_world.py
+++ b/tests/hotkeys/test_world.py
@@ -33,7 +33,7 @@
 
 def changes(world: World) -> int:
     counts = world.hot_view()["counts"]
-    return int(counts.get("spread", 0)) + int(counts.get("released", 0))
+    return int(counts.get("replicated", 0)) + int(counts.get("released", 0))
 
 
 def neighbour(of: str) -> str:
@@ -105,7 +105,7 @@
     world = spread_world(READS)
     world.run(world.now + 60 * S)
     play(world, mixed(world.rng, 0.0, OTHERS), 1)
-    assert world.hot_view()["spread"] == 0
+    assert world.hot_view()["replicated"] == 0
 
 
 def test_flicker_of_two_seconds_changes_state_at_most_twice_a_minute() -> None:
@@ -236,7 +236,8 @@
     play(world, keys, 3)
     world.clear()
     play(world, keys, 5)
-    assert world.hot_view()["spread"] == 12
+    view = world.hot_view()
+    assert view["replicated"] == view["spread"] == 12  # the second is the old name of the figure
     assert world.busiest() <= 2.0
 
 
@@ -262,7 +263,7 @@
     spread = {entry["key"] for entry in world.hot_view()["top"] if entry["copies"] > 1}
     assert "a's" in spread
     assert len(spread) == 2, "b has its portion of the four: one"
-    assert [line for line in world.logs if "tenant b has 1 spread keys" in line]
+    assert [line for line in world.logs if "tenant b has 1 replicated keys" in line]
 
 
 def test_hotter_key_takes_the_place_of_a_much_cooler_one() -> None:
--- a/tests/router/test_hot_keys.py
+++ b/tests/router/test_hot_keys.py
@@ -71,7 +71,7 @@
     assert kinds["syntax"] == 0
     served = Counter(record["answer"] for record in tries)
     assert served["served"] > 0.9 * len(tries)
-    assert told["hot_keys"]["counts"]["spread"] >= 1
+    assert told["hot_keys"]["counts"]["replicated"] >= 1
     assert {record["node"] for record in fleet if record["kind"] == "copied" and record["key"] == HOT_KEY}
     shown = CliRunner().invoke(cli, ["status", "--json", "127.0.0.1:1"])
     assert shown.exit_code == 1
--- a/tests/router/test_lag.py
+++ b/tests/router/test_lag.py
@@ -28,7 +28,7 @@
     Settings,
 )
 from saltport.decisions.interface import NS_PER_S
-from saltport.decisions.roster import Roster
+from saltport.decisions.server_registry import ServerRegistry
 from saltport.membership.listing import Listing
 from saltport.messages import Request
 from saltport.router.host import RouterHost
@@ -46,7 +46,7 @@
     def __init__(self) -> None:
         self.ends: list[AttemptEnded] = []
         self.ended = asyncio.Event()
-        self.roster = Roster()
+        self.registry = ServerRegistry()
 
     def handle(self, event: Event, now: int) -> list[Action]:
         if isinstance(event, RequestArrived):
