--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -1,4 +1,4 @@
-"""A ready server as this router sees it: pace, own attempts out, and the limit on them.
+"""A ready server as this router sees it: response times, own attempts out, and the limit on them.
 
 Whether it answers at all is judged in outliers.py.
 """
--- a/saltport/decisions/slot_replication.py
+++ b/saltport/decisions/slot_replication.py
@@ -1,4 +1,4 @@
-"""The heat of slots: reads of a popular slot are shared by several owners. seam.py says who asks what."""
+"""Replication of slots by estimated load (interface: replication.py): several owners share a popular slot."""
 
 from __future__ import annotations
 
--- a/saltport/decisions/suppression.py
+++ b/saltport/decisions/suppression.py
@@ -17,7 +17,7 @@
 
 
 class Suppressor:
-    """One tenant's limiter of the origin: sliding-window counts, three regimes, AIMD rate limit."""
+    """One tenant's rate limiter at the origin: sliding-window counts, three regimes, AIMD rate limit."""
 
     def __init__(self, tenant: Tenant, routers: int, rng: random.Random) -> None:
         self.limit = math.inf
--- a/saltport/decisions/zoned.py
+++ b/saltport/decisions/zoned.py
@@ -1,8 +1,8 @@
 """Reads by zones: which zone a slot's reads go to, by a plan or near first, and what was found there.
 
-It is the form of the seam where a topology is told. Within a zone a slot's servers are ranked by the same
-rendezvous hash as everywhere; between zones a hash of the slot alone decides, so that all routers of a zone
-send a slot to the same place, and a share that grows keeps the slots that it had.
+It implements replication.py where a topology is configured. Within a zone a slot's servers are ranked by the
+same rendezvous hash as everywhere; between zones a hash of the slot alone decides, so that all routers of a
+zone send a slot to the same place, and a share that grows keeps the slots that it had.
 """
 
 from __future__ import annotations
