--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -1,4 +1,4 @@
-"""A ready server as this router sees it: pace, own attempts out, and the limit on them.
+"""A ready server as this router sees it: response times, own attempts out, and the limit on them.
 
 Whether it answers at all is judged in outliers.py.
 """
@@ -7,11 +7,10 @@
 
 from hashlib import blake2b
 
-from saltport.decisions import interface as api
-from saltport.decisions.interface import Outcome
+from saltport.decisions.interface import Outcome, Server
 from saltport.decisions.limits import Limit
-from saltport.decisions.promptness import Promptness
-from saltport.structures.pace import Pace
+from saltport.decisions.timeliness import Timeliness
+from saltport.structures.response_time import ResponseTimeEstimate
 
 ANSWERED, UNANSWERED = (Outcome.OK, Outcome.MISS), (Outcome.TIMEOUT, Outcome.RESET)
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.MOOT)  # ends that tell nothing of a server
@@ -20,16 +19,16 @@
 class Node:
     """One ready server."""
 
-    def __init__(self, entry: api.Server, weighted: bool, cold_time: int = 0, known_at: int = 0) -> None:
+    def __init__(self, entry: Server, weighted: bool, cold_time: int = 0, known_at: int = 0) -> None:
         self.entry, self.load = entry, 0
         self.weight = entry.weight if weighted else 1.0
         self.seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
         self.warm_at = entry.started + cold_time if entry.started and cold_time else 0
         self.unheard = 0
-        self.pace = Pace()
+        self.response_time = ResponseTimeEstimate()
         self.limit = Limit(known_at)
-        self.promptness = Promptness()
-        self.portion, self.portion_at = 1.0, 0  # of its reads, and since when (portions.py)
+        self.timeliness = Timeliness()
+        self.weight_factor, self.weight_factor_at = 1.0, 0  # of its reads, and since when (portions.py)
         self._unheard_at = 0
 
     def judge(self, outcome: Outcome, took: int, aim: int, sent_at: int, now: int) -> None:
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -68,6 +68,28 @@
     DRAINING = "draining"
 
 
+class Reason(Enum):
+    """Why a request goes to no server now; figures, logs and refusals share these words."""
+
+    TRIES_SPENT = "tries spent"
+    DEADLINE = "deadline"
+    TOO_LATE = "too little time left"
+    """Less than a server's answers take."""
+    NO_SERVER = "no server"
+    """None that would hold the key is in use: it is a miss."""
+    SERVERS_FULL = "servers overrun"
+    NO_ORIGIN = "no origin"
+    ORIGIN_BUSY = "origin busy"
+    """A write waits until another call to the origin has ended."""
+    ORIGIN_FAILED = "origin failed"
+    FETCH_SUPPRESSED = "fetch suppressed"
+    """By its tenant's rate limit."""
+    FETCH_PAUSED = "its key's fetch failed just now"
+    OUTSIDE_PLAN = "no room by plan"
+    """The plan of zones has no place for it."""
+    ROUTER_OVERLOADED = "router overloaded"
+
+
 class CacheNote(Enum):
     """A cache's remark on an outcome; FETCH_OUT: a miss whose fetch another request was told to do."""
 
@@ -128,7 +150,7 @@
 
     fill: Fill = Fill.READS
     max_keys: int = 64
-    """Spread at a time; a tenant may have its portion of them, one at least."""
+    """ReplicatedKey at a time; a tenant may have its portion of them, one at least."""
     max_copies: int = 16
     """Of one key, its own node among them; with plain writes also the nodes that each write voids."""
     max_bytes: int = 64 << 20
@@ -181,7 +203,7 @@
     overload_target: int = 0
     """For so long, in nanoseconds, what comes may lie unread before the router sheds; 0: it never does."""
     hot_keys: HotKeySettings | None = None
-    """None: slots are spread by their heat, keys are not told apart."""
+    """None: slots are replicated by their estimated load, keys are not told apart."""
     topology: Topology | None = None
     """None: all servers are equally near."""
 
@@ -419,6 +441,7 @@
 
     request: str
     retry_after: int = 0
+    reason: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -426,6 +449,7 @@
     """Final answer: failed. It promises nothing about the effect."""
 
     request: str
+    reason: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/saltport/decisions/outliers.py
+++ b/saltport/decisions/outliers.py
@@ -1,8 +1,7 @@
 """Passive outlier detection: the servers that look broken to this router, by the ends of its own attempts.
 
-Terms and order of things are Envoy's (outlier detection, ejection, panic threshold); docs/design/outliers.md
-tells what differs and why. It judges whether a server answers at all: one that answers late or is full is
-overrun, not broken, and gets less by its limit (limits.py). Times are nanoseconds on the caller's clock.
+Terms and rules are Envoy's, except as docs/design/outliers.md says. A server that answers late or is full is
+overrun and not broken: its limit gives it less (limits.py). Times are nanoseconds on the caller's clock.
 """
 
 from __future__ import annotations
@@ -12,10 +11,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from saltport.decisions import interface as api
 from saltport.decisions.health import NO_EVIDENCE, Node
-from saltport.decisions.interface import NS_PER_S, Outcome
-from saltport.structures.tally import Tally
+from saltport.decisions.interface import NS_PER_S, Outcome, Settings
+from saltport.structures.windowed_counter import WindowedCounter
 
 CONSECUTIVE = 3  # signs in a row: one failure in a hundred by chance makes a wrong ejection one in a million
 INTERVAL = 10 * NS_PER_S  # over which failures are counted
@@ -55,7 +53,7 @@
     """The evidence against one server. Servers without any have no record."""
 
     started: int
-    tally: Tally
+    attempts: WindowedCounter
     row: int = 0
     """Failures in a row."""
     broken: int = 0
@@ -82,7 +80,7 @@
         silent = self.failed_at - self.silent_since
         if self.row >= CONSECUTIVE and silent >= silence:
             return f"{self.row} failures in a row over {silent / NS_PER_S:.1f} s"
-        attempts, failures = self.tally.both()
+        attempts, failures = self.attempts.totals()
         if attempts >= MIN_ATTEMPTS and failures >= attempts * (usual + FAILURE_SHARE):
             return f"{failures} of {attempts} attempts failed"
         return ""
@@ -93,22 +91,22 @@
 
     def clean(self, now: int) -> bool:
         """Whether nothing is held against it any more."""
-        return not (self.row or self.tally.both()[1] or self.until or self.repeated(now))
+        return not (self.row or self.attempts.totals()[1] or self.until or self.repeated(now))
 
 
 class OutlierDetector:
     """Holds the evidence and tells each server's standing."""
 
-    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
         self._rng = rng
         self.follow_settings(settings)
         self.records: dict[str, Record] = {}
         self.ejected: set[str] = set()
         self.suspects: set[str] = set()  # ejected but for the ceiling
         self.listed = 0
-        self._all = Tally(INTERVAL)
+        self._all = WindowedCounter(INTERVAL)
 
-    def follow_settings(self, settings: api.Settings) -> None:
+    def follow_settings(self, settings: Settings) -> None:
         """Take new settings; the evidence stays."""
         # For so long a server that only times out has to be silent, nanoseconds.
         self._silence = max(cls.deadline for cls in settings.classes)
@@ -166,7 +164,7 @@
         if record is None:
             if outcome not in SILENT and outcome not in FAILED:
                 return None
-            record = self.records[server] = Record(node.entry.started, Tally(INTERVAL, now))
+            record = self.records[server] = Record(node.entry.started, WindowedCounter(INTERVAL, now))
         is_trial = record.trial == request
         if is_trial:
             record.trial = None
@@ -178,7 +176,7 @@
             if answered and (is_trial or sent_at >= record.ejected_at):
                 return self._take_back(server, record, now)
             return self._eject(server, record, f"trial: {outcome.value}", now) if is_trial else None
-        attempts, failures = self._all.both()
+        attempts, failures = self._all.totals()
         reason = record.against(failures / attempts, self._silence)
         if reason:
             return self._eject(server, record, reason, now)
@@ -189,17 +187,14 @@
             return News(f"{server}: answers again", is_back=True)
         return None
 
-    def inherit(self, server: str, record: Record, left: int, ejections: int, reason: str, now: int) -> None:
+    def adopt(self, server: str, record: Record) -> None:
         """Take over an ejection that another process made, within the ceiling; it ends with a trial."""
-        if server in self.records or len(self.ejected) >= max(1, int(self.listed * MAX_EJECTED)):
-            return
-        record.ejected_at, record.until = now, now + min(left, 2 * MAX_EJECTION)
-        record.ejections, record.reason = ejections, reason
-        self.records[server] = record
-        self.ejected.add(server)
+        if server not in self.records and len(self.ejected) < max(1, int(self.listed * MAX_EJECTED)):
+            self.records[server] = record
+            self.ejected.add(server)
 
     def _count(self, record: Record, outcome: Outcome, sent_at: int, now: int) -> None:
-        record.tally.count(outcome in FAILED, now)
+        record.attempts.count(outcome in FAILED, now)
         if outcome not in SILENT:
             record.row = record.broken = 0
             return
@@ -230,5 +225,5 @@
         out = (now - record.ejected_at) / NS_PER_S
         record.until, record.returned_at, record.row, record.reason = 0, now, 0, ""
         record.broken = 0
-        record.tally = Tally(INTERVAL, now)
+        record.attempts = WindowedCounter(INTERVAL, now)
         return News(f"{server}: back; it was last ejected {out:.1f} s ago", is_back=True)
--- a/saltport/decisions/zoned.py
+++ b/saltport/decisions/zoned.py
@@ -1,8 +1,8 @@
 """Reads by zones: which zone a slot's reads go to, by a plan or near first, and what was found there.
 
-It is the form of the seam where a topology is told. Within a zone a slot's servers are ranked by the same
-rendezvous hash as everywhere; between zones a hash of the slot alone decides, so that all routers of a zone
-send a slot to the same place, and a share that grows keeps the slots that it had.
+It implements replication.py where a topology is configured. Within a zone a slot's servers are ranked by the
+same rendezvous hash as everywhere; between zones a hash of the slot alone decides, so that all routers of a
+zone send a slot to the same place, and a share that grows keeps the slots that it had.
 """
 
 from __future__ import annotations
@@ -12,13 +12,14 @@
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import ANSWERED, NO_EVIDENCE, Node
-from saltport.decisions.heat import HEAT_SHARE, Heat
 from saltport.decisions.interface import Outcome
 from saltport.decisions.outliers import SILENT, OutlierDetector
-from saltport.decisions.seam import Asked
-from saltport.decisions.table import DEPTH, MAX_ROWS, SlotTable
+from saltport.decisions.request import Request
+from saltport.decisions.slot_replication import LOAD_SHARE, SlotReplication
+from saltport.decisions.table import DEPTH, SlotTable
 from saltport.decisions.topology import Evidence, Topology, ZoneCount
-from saltport.structures.lanes import Lanes, mixed, score_of
+from saltport.structures.rendezvous import RendezvousHash, mixed, score_of
+from saltport.structures.slot_rankings import MAX_ROWS
 
 SEED = 0x5A17  # of the hash that places slots among zones
 FETCH_TRIALS = 0.1  # of the reads' fetches go to an origin that is held silent, to find out
@@ -31,20 +32,25 @@
     return mixed(slot, SEED) / 2**64
 
 
+def _usual_most(node: Node) -> float:
+    """The time within which a server usually answers, nanoseconds."""
+    return node.response_time.mean + 4 * node.response_time.deviation
+
+
 class _Zone:
     """The servers of one zone, ranked slot by slot."""
 
     def __init__(self) -> None:
-        self.lanes = Lanes[Node]()
+        self.hash = RendezvousHash[Node]()
         self._rows: dict[tuple[int, int], list[Node]] = {}
 
     def follow(self, nodes: set[Node]) -> None:
         """Hold just these servers."""
-        held = set(self.lanes.nodes)
+        held = set(self.hash.nodes)
         for node in held - nodes:
-            self.lanes.remove(node)
+            self.hash.remove(node)
         for node in sorted(nodes - held, key=lambda node: node.entry.id):
-            self.lanes.add(node)
+            self.hash.add(node)
         if held != nodes:
             self._rows.clear()
 
@@ -54,14 +60,14 @@
         if row is None:
             if len(self._rows) >= MAX_ROWS:
                 self._rows.clear()
-            best = self.lanes.best(slot, depth, None)
+            best = self.hash.best(slot, depth, None)
             row = self._rows[slot, depth] = sorted(best, key=lambda node: -score_of(slot, node))[:depth]
         if any(now < node.warm_at for node in row):
             return sorted(row, key=lambda node: -score_of(slot, node) * table.warmth(node, now))
         return row
 
 
-class Zoned(Heat):
+class Zoned(SlotReplication):
     """See the module."""
 
     def __init__(
@@ -88,7 +94,7 @@
 
     # The plan
 
-    def told(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
+    def on_event(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
         """Follow a plan."""
         if isinstance(event, api.ZonePlan):
             self._plan = event
@@ -97,7 +103,7 @@
         """Take new portions."""
         self._portions = {tenant.name: tenant.portion for tenant in settings.tenants}
 
-    def _lead(self, request: Asked) -> int:
+    def _lead(self, request: Request) -> int:
         """The zone that a read goes to first."""
         plan = self._plan
         first = not request.write and not request.retry and not request.sends
@@ -112,7 +118,7 @@
 
     # What is asked
 
-    def arrived(self, request: Asked, tenant: str, now: int) -> None:
+    def arrived(self, request: Request, tenant: str, now: int) -> None:
         """Count a read, and turn it away if the plan has no place for it."""
         super().arrived(request, tenant, now)
         if request.write:
@@ -126,7 +132,7 @@
             self._asked_in_all = sum(self._asked.values())
         if self._plan.refused and self._rng.random() < self._chance(rank):
             self._found.refused += 1
-            request.spread = self
+            request.replication = self
 
     def _over(self, tenant: str) -> bool:
         """Whether a tenant asks for more than its portion of what comes."""
@@ -141,17 +147,17 @@
         before = sum(self._ranks[:rank]) / total
         return min(max(self._plan.refused - before, 0.0) / (self._ranks[rank] / total), 1.0)
 
-    def turns_away(self, request: Asked, now: int) -> str:
+    def turns_away(self, request: Request, now: int) -> api.Reason | None:
         """Why a read gets no fetch either."""
-        return "no room by plan" if request.spread is self else ""
+        return api.Reason.OUTSIDE_PLAN if request.replication is self else None
 
-    def candidates(self, request: Asked, now: int) -> list[Node]:
+    def candidates(self, request: Request, now: int) -> list[Node]:
         """The servers of the slot's zone; those of others after a failure, or where none of them is in use.
 
         Danger: a full zone's reads must not spill into others by each router's own choice while a plan
         holds: it knows what room they have.
         """
-        if request.spread is self:
+        if request.replication is self:
             return []
         self._follow()
         plan, lead = self._plan, self._lead(request)
@@ -165,8 +171,8 @@
             found = found + self._ranked(self._zones[zone], request, now)
         return found + self._ranked(self._strangers, request, now)
 
-    def _ranked(self, zone: _Zone, request: Asked, now: int) -> list[Node]:
-        owners = math.ceil(request.share * len(zone.lanes.nodes) / HEAT_SHARE)
+    def _ranked(self, zone: _Zone, request: Request, now: int) -> list[Node]:
+        owners = math.ceil(request.share * len(zone.hash.nodes) / LOAD_SHARE)
         ranking = zone.rank(request.slot, max(owners, DEPTH), self._caches, now)
         self._now = now
         return sorted(ranking[:owners], key=self._draw) + ranking[owners:] if owners > 1 else ranking
@@ -183,7 +189,7 @@
             zone.follow(zones.get(place, set()))
         self._strangers.follow(zones.get(None, set()))
 
-    def origins(self, ranked: list[Node], request: Asked) -> list[Node]:
+    def origins(self, ranked: list[Node], request: Request) -> list[Node]:
         """The origins in the plan's order; a read may try one that is held silent."""
         plan, topology = self._plan, self.topology
         if not topology.origins or len(ranked) < 2:
@@ -203,13 +209,13 @@
         topology = self.topology
         return Evidence([ZoneCount() for _ in topology.zones], [[0, 0] for _ in topology.areas])
 
-    def ended(self, request: Asked, node: Node, event: api.AttemptEnded, fetched: bool, now: int) -> None:
+    def ended(self, request: Request, node: Node, event: api.AttemptEnded, fetched: bool, now: int) -> None:
         """Count what an attempt tells of its zone, or of its origin."""
         outcome = event.outcome
         if outcome in NO_EVIDENCE:
             return
         silent = outcome in SILENT and not (event.kept and outcome is Outcome.RESET)
-        if outcome is Outcome.TIMEOUT and event.latency < node.pace.usual + 4 * node.pace.spread:
+        if outcome is Outcome.TIMEOUT and event.latency < _usual_most(node):
             return  # its client had less time than answers take
         if fetched:
             for area in range(len(self.topology.areas)):
@@ -235,6 +241,6 @@
         found, self._found = self._found, self._empty()
         ejected = self._outliers.ejected
         for count, zone in zip(found.zones, self._zones, strict=True):
-            count.listed = len(zone.lanes.nodes)
-            count.usable = sum(node.entry.id not in ejected for node in zone.lanes.nodes)
+            count.listed = len(zone.hash.nodes)
+            count.usable = sum(node.entry.id not in ejected for node in zone.hash.nodes)
         return found
