--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -150,7 +150,7 @@
         self.server.closed(self)
         self.server.unread.discard(self)
         if self._reserved:
-            self.server.budget.give_back(self._reserved)
+            self.give_back(self._reserved)
         replies, self.replies = self.replies, deque()
         # Danger: from the first on, what waits for its turn behind another would begin for nobody.
         for reply in reversed(replies):
@@ -201,7 +201,7 @@
             if reader.need > LARGE and not self._reserved and not self._starved:
                 self.reserve()
         elif self._reserved:
-            self.server.budget.give_back(self._reserved)
+            self.give_back(self._reserved)
             self._reserved = 0
         if len(self.replies) >= MAX_PIPELINE:
             self._set_reading()
@@ -214,6 +214,10 @@
             self._begun_at = self.server.loop.time()
         self._set_reading()
 
+    def give_back(self, reserved: int) -> None:
+        """See Channel."""
+        self.server.budget.give_back(reserved)
+
     def _break(self) -> None:
         """Tell the client why its stream ends, and end it."""
         self._last = True
--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from collections import deque
+from typing import Protocol
 
 from saltport.downstream.endings import CloseReason, FinalAnswer
 from saltport.handover.choice import Progress
 from saltport.handover.record import Segment, Value
 from saltport.messages import Answers, ValueSource
 
-if TYPE_CHECKING:
-    from saltport.downstream.clients import ClientConnection
-
 
 class Owed(Protocol):
     """What the host knows of a request that is owed an answer."""
@@ -38,6 +36,28 @@
         """Nobody reads it any more."""
 
 
+class Channel(Protocol):
+    """What a reply needs of the connection that it is written to."""
+
+    replies: deque[Reply]
+    """The replies that are owed on it, in the order of their commands."""
+    blocked: bool
+    """Whether the client can't take more now."""
+    closed: bool
+
+    def write(self, data: bytes) -> None:
+        """Write to the client."""
+
+    def flush(self) -> None:
+        """Write the replies whose turn has come."""
+
+    def abort(self, reason: CloseReason) -> None:
+        """Close at once."""
+
+    def give_back(self, reserved: int) -> None:
+        """Free so many bytes that a long command had reserved of the memory."""
+
+
 class Reply:
     """The place of one answer among those of its connection."""
 
@@ -54,7 +74,7 @@
     logged_id: str | None = None
     """The request's id in the access log; None: it is not logged."""
 
-    def __init__(self, connection: ClientConnection, answers: Answers | None = None) -> None:
+    def __init__(self, connection: Channel, answers: Answers | None = None) -> None:
         self._connection = connection
         self._answers = answers
 
@@ -136,7 +156,7 @@
     def forgotten(self) -> None:
         """The host needs the command no longer."""
         if self.reserved:
-            self._connection.server.budget.give_back(self.reserved)
+            self._connection.give_back(self.reserved)
             self.reserved = 0
 
     def its_turn(self) -> None:
