A memcached client gets a long value's last byte only once the answer is whole

Cause: values over 64 KiB are passed on as they come, and the memcached binary wire has no end mark. If the bytes behind the value broke the framing (a wrong end mark, a note that does not fit), the connection was cut, but the client already had every byte that its header named and took the value for whole. A RESP client lacks the value's end mark then and can tell.

Change: `Reply.part` keeps the last byte back where the dialect has no end of its own, and `finish` sends it. A hand-over passes it on with what waits for the answers ahead, so records stay as they are; from a hand-over in that very moment on, the guarantee begins anew with the next byte that comes.

--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -48,6 +48,12 @@
     reserved = 0
     tail = b""
     """What ends an answer that comes in parts, once it has begun."""
+    _kept_back = b""
+    """The last byte that has come of a value, on a wire whose values have no end mark.
+
+    Danger: a client that has every byte of such a value takes it for whole, and the server's answer may yet
+    turn out to be broken. (A hand-over passes the byte on; the next process keeps back only what comes then.)
+    """
 
     def __init__(self, connection: ClientConnection, answers: Answers | None = None) -> None:
         self._connection = connection
@@ -89,16 +95,20 @@
 
     def part(self, data: bytes) -> None:
         """Pass a part of the value on."""
-        self._write(data)
+        if not self.tail:
+            data = self._kept_back + data
+            self._kept_back, data = data[-1:], data[:-1]
+        if data:
+            self._write(data)
 
     def finish(self) -> None:
         """The value is whole."""
-        self.send(self.tail)
+        self.send(self._kept_back + self.tail)
 
     @property
     def held(self) -> bytes:
-        """What waits here for the answers ahead."""
-        return b"".join(self._held or ())
+        """What waits here for the answers ahead, or for the end of the value."""
+        return b"".join([*(self._held or ()), self._kept_back])
 
     def go_on(self, segment: Segment) -> None:
         """Begin with what another process held here; a value behind it gets its source from the host."""
--- a/tests/crossings/test_broken_answers.py
+++ b/tests/crossings/test_broken_answers.py
@@ -18,6 +18,8 @@
 from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import Connection, Exchange, Pool
 from saltport.upstream.resp import CacheConnection
+from saltport.wire.memcached import RESPONSE_MAGIC, Opcode, Packet, encode
+from tests.binary import Binary, Store, front
 from tests.sockets import MISS, PATIENCE_S, Peer, eventually, get, hit, http_answer, reset, routed
 
 VALUE = b"v" * 3000
@@ -270,3 +272,38 @@
         assert answer.startswith(b"cut off" if "long" in how else b"-"), answer
         other = router.client()
         eventually(lambda: other.ask(get("r3", "good")) == b"r3", "another answer")
+
+
+@pytest.mark.parametrize("pause", [False, True])
+def test_memcached_client_never_gets_every_byte_of_a_broken_answer(tmp_path: Path, pause: bool) -> None:
+    """Its wire has no end mark: with the last byte of the value it would take the value for whole."""
+    long = hit(b"v" * 100_000)
+    broken = long.replace(b"v\r\n", b"v\n\r")
+    whole = len(b"*3\r\n$100000\r\n") + 100_000
+
+    def serve(connection: socket.socket, words: list[bytes]) -> bytes | None:
+        if words[1] != b"bad":
+            return long
+        connection.sendall(broken[:whole])
+        if pause:
+            assert read.wait(PATIENCE_S)
+        return broken[whole:]
+
+    read, store = threading.Event(), Store()
+    store.cache.close()
+    store.cache = Peer(serve)
+    with front(tmp_path, store) as (router, _):
+        client, bad = Binary(router.port), Binary(router.port)
+        client.send(Packet(Opcode.GET, b"good", opaque=1))
+        assert client.answers(1)[0].value == b"v" * 100_000
+        bad.send(Packet(Opcode.GET, b"bad", opaque=1))
+        if pause:
+            came = len(bad.socket.recv(1))  # the value has begun, and what there is of it is on its way
+            end = encode(Packet(Opcode.GET, extras=bytes(4), value=b"v" * 100_000, opaque=1), RESPONSE_MAGIC)
+            while came < len(end) - 1:
+                came += len(bad.socket.recv(1 << 20))
+            read.set()
+        with pytest.raises((AssertionError, ConnectionResetError)):
+            bad.answers(1)
+        client.send(Packet(Opcode.GET, b"good", opaque=2))
+        assert client.answers(1)[0].value == b"v" * 100_000
