Messages of the answer reader are named tuples, as a router does not load msgspec

msgspec is otherwise loaded by optional subsystems only. Resident size after importing the router and its service, three runs each: 28.5 MB before the strict reader, 29.3 with msgspec, 28.4 now. A whole hit of 512 bytes in `answer_came`, five interleaved runs of 30,000, mean: 2.71 us (hiredis), 2.37 (msgspec), 2.68 (named tuples); a miss 1.83, 1.93, 1.99.

--- a/saltport/wire/resp_answers.py
+++ b/saltport/wire/resp_answers.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-import msgspec
+from typing import NamedTuple
 
 from saltport.wire.resp import (
     END,
@@ -31,7 +31,7 @@
 _ZERO = ord(b"0")
 
 
-class Answer(msgspec.Struct, frozen=True, gc=False):
+class Answer(NamedTuple):
     """A whole answer to a read or a write; a value of None is a miss."""
 
     value: bytes | None
@@ -41,31 +41,31 @@
     """The load report, not yet taken apart."""
 
 
-class ErrorLine(msgspec.Struct, frozen=True, gc=False):
+class ErrorLine(NamedTuple):
     """A whole answer that begins with `-`, without its mark and end."""
 
     text: bytes
 
 
-class PlainAnswer(msgspec.Struct, frozen=True, gc=False):
+class PlainAnswer(NamedTuple):
     """A whole answer of another kind: the text of a status line, an integer or a lone string."""
 
     text: bytes
 
 
-class ValueStarted(msgspec.Struct, frozen=True, gc=False):
+class ValueStarted(NamedTuple):
     """A value of over 64 KiB begins, which comes in parts."""
 
     length: int
 
 
-class ValuePart(msgspec.Struct, frozen=True, gc=False):
+class ValuePart(NamedTuple):
     """A part of it."""
 
     data: bytes
 
 
-class ValueEnded(msgspec.Struct, frozen=True, gc=False):
+class ValueEnded(NamedTuple):
     """The answer that held it is whole."""
 
     note: bytes | None
