--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -19,7 +19,7 @@
 
 
 class FramingError(Exception):
-    """The stream breaks the protocol's framing; the text is for the client."""
+    """The stream breaks the protocol's framing; the text is for the client, or for the log."""
 
 
 class Unfinished(Exception):  # noqa: N818 - no error: it goes on with the next bytes
