Failover: an evacuation by hand holds whatever the evidence says

Cause: where a zone's routers find every other zone bad or shut, their evidence is doubted and the row of the plan is kept as it stands. The row of an evacuated zone leads to itself then, so the order was answered "done" and moved nothing. Once all was well again, no rule asked for another plan: evacuation is neither news of health nor a reason of demand. Some seconds in which nobody answers, as on a machine that is held up, are enough. The same row was kept by a forced order without room elsewhere, and inherited by the next owner.

Change: a row that is kept loses its shares of evacuated zones: to its other targets, else to the nearest zone that is open. A plan of an earlier release that still leads to an evacuated zone is replaced.

--- a/saltport/failover/decider.py
+++ b/saltport/failover/decider.py
@@ -14,7 +14,7 @@
 from saltport.failover.follower import Follower
 from saltport.failover.health import Claim, PathHealth
 from saltport.failover.messages import PARTS, Order, Ordered, Plan
-from saltport.failover.plans import MS, Matrix, bits, mask_of, parts_of
+from saltport.failover.plans import MS, Matrix, bits, mask_of, nearest_open, parts_of
 from saltport.failover.room import Room
 from saltport.failover.settings import FailoverSettings
 from saltport.failover.waterfall import UNLIMITED, Poured, pour
@@ -195,6 +195,8 @@
         held = Vector(self._follower.end(), tuple(part / PARTS for part in plan.refused))
         moves = worth_changing(held, Vector(end, aim.refused), aim.demand, aim.room, self._settings)
         back = any(end[s][t] - matrix[s][t] > FAINT for t in self._lately() for s in range(len(was)))
+        if self._leads_to_evacuated(aim.out):
+            return self._make(aim, end, DEFAULT_WAY_MS, "evacuate")
         if worse or (back and moves):
             return self._make(aim, end, self._back_ms if back else 0, "better" if back else "worse")
         squeezed = any(room.cut_at >= self._made for room in self.rooms)
@@ -204,6 +206,11 @@
         way = self._back_ms if any(room.tried for room in self.rooms) else OVERFLOW_MS
         return self._make(aim, end, way if moves else 0, "demand" if moves else "trials end")
 
+    def _leads_to_evacuated(self, out: int) -> bool:
+        """Whether the plan that holds sends reads to an evacuated zone, as one of an earlier release may."""
+        zones = bits(out, len(self.topology.zones))
+        return any(row[zone] > FAINT for row in self._follower.end() for zone in zones)
+
     def _lately(self) -> list[int]:
         """Zones that came back not long ago."""
         return [zone for zone, at in self._well_at.items() if self._now - at < LATELY]
@@ -228,9 +235,27 @@
             shut = any(share and aim.shut(source) >> target & 1 for target, share in enumerate(held[source]))
             idle = self.board.quick[source] < self._settings.idle * sum(self.board.quick)
             stays = source in aim.doubted or not total or (idle and not shut)
-            rows.append(held[source] if stays else tuple(share / total for share in shares))
+            kept = self._without_evacuated(source, held[source], aim)
+            rows.append(kept if stays else tuple(share / total for share in shares))
         return tuple(rows)
 
+    def _without_evacuated(self, source: int, row: tuple[float, ...], aim: _Aim) -> tuple[float, ...]:
+        """A row that is kept for want of evidence or room, but for the zones evacuated by hand.
+
+        Danger: an order doesn't hang on evidence. Were the row kept as it is, a zone evacuated while all
+        looked bad would get its reads for ever: once all is well again, nothing asks for another plan.
+        """
+        remaining = [0.0 if aim.out >> target & 1 else share for target, share in enumerate(row)]
+        total = sum(remaining)
+        if total > FAINT:
+            return tuple(share / total for share in remaining)
+        near = self.topology.near(source)
+        closed = aim.out if source in aim.doubted else aim.shut(source)
+        target = next((zone for zone in near if not closed >> zone & 1), None)
+        if target is None:
+            return nearest_open(self.topology, aim.out)[source]
+        return tuple(float(zone == target) for zone in range(len(row)))
+
     def _make(self, aim: _Aim, end: Matrix, way_ms: int, why: str) -> Plan:
         now, zones = self._now, range(len(self.topology.zones))
         begin = [list(row) for row in self._follower.matrix(now)]
