Invalidations and ejection states go by these names: Invalidate, Invalidations, EjectionState

Figures stay under their old names for one version: hot_keys.voids (with voided), the counts `spread` and `writes voided`, outliers.servers.*.standing.

--- a/benchmarks/hot_keys.py
+++ b/benchmarks/hot_keys.py
@@ -1,8 +1,8 @@
 """Hot keys on several nodes, measured: `python -m benchmarks.hot_keys [--real]`, with a picture over time.
 
 By itself the decisions alone in virtual time: half of all reads turn to one key at once, stay there and cool;
-then a key that flickers, and yanks of the spread key while nodes die, are cut off and lose voids. With
-`--real` a router and stand-ins on loopback: the same flash, and yanks with nodes killed, by the ledgers.
+then a key that flickers, and yanks of the replicated key while nodes die, are cut off and lose invalidations.
+With `--real` a router and stand-ins on loopback: the same flash, and yanks with nodes killed, by the ledgers.
 """
 
 from __future__ import annotations
@@ -129,12 +129,12 @@
     return {"counts": dict(counts)}
 
 
-def yanks(count: int, say: Any, voids: bool = True) -> dict[str, Any]:
-    """Yanks of the spread key; a third of them beside a kill, a third beside a cut, a tenth of voids lost."""
+def yanks(count: int, say: Any, invalidations: bool = True) -> dict[str, Any]:
+    """Yanks of a replicated key: a third beside a kill, a third beside a cut, a tenth of invalidations lost."""
     world = World(30, HotKeySettings(Fill.WRITES), origin_drops=False)
     world.play(1_000, mixed(world.rng, 0.5, OTHERS), 2)
     members = list(world.sent_of[HOT])
-    world.on_void = lambda key, server: voids and world.rng.random() > 0.1
+    world.on_invalidate = lambda key, server: invalidations and world.rng.random() > 0.1
     for turn in range(count):
         for node in world.nodes.values():
             node.down = node.down and world.rng.random() > 0.3
@@ -149,7 +149,7 @@
         world.play(1_000, mixed(world.rng, 0.5, OTHERS), 0.3)
     say(
         f"{count} yanks: {world.ends['written']} answered, {world.stale} stale reads "
-        f"of {world.ends['served']}, {world.copied} copies made again, {world.hot_view()['voids']}"
+        f"of {world.ends['served']}, {world.copied} copies made again, {world.hot_view()['invalidations']}"
     )
     return {"yanks": count, "stale": world.stale, "served": world.ends["served"], "copied": world.copied}
 
@@ -290,7 +290,9 @@
         rows.append(cost(say))
         if told.yanks:
             rows += [flicker(say), yanks(told.yanks, say)]
-            rows.append(yanks(20, lambda line: say(f"without voids arriving: {line}"), voids=False))
+            rows.append(
+                yanks(20, lambda line: say(f"without invalidations arriving: {line}"), invalidations=False)
+            )
     if told.json:
         print(orjson.dumps(rows).decode())
     return 0
--- a/benchmarks/hot_world.py
+++ b/benchmarks/hot_world.py
@@ -23,6 +23,8 @@
     Event,
     Fail,
     HotKeySettings,
+    Invalidate,
+    InvalidationEnded,
     ListKind,
     Log,
     Outcome,
@@ -38,8 +40,6 @@
     Settings,
     Tenant,
     TimerFired,
-    Void,
-    VoidEnded,
     views,
 )
 
@@ -149,8 +149,8 @@
         """Between a router and a node, there and back."""
         self.parted: Callable[[int, str], bool] = lambda router, server: False
         """Whether nothing comes of what a router sends to a node."""
-        self.on_void: Callable[[str, str], bool] = lambda key, server: True
-        """Whether a void arrives; a test may lose some."""
+        self.on_invalidate: Callable[[str, str], bool] = lambda key, server: True
+        """Whether an invalidation arrives; a test may lose some."""
         self.list_all()
 
     # Time
@@ -231,8 +231,8 @@
                     self._written(action.request)
                 case Copy():
                     self._copy(router, action)
-                case Void():
-                    self._void(router, action)
+                case Invalidate():
+                    self._invalidate(router, action)
                 case Log():
                     self.logs.append(action.message)
 
@@ -354,14 +354,20 @@
 
         self._plain(router, copy.server, arrive, partial(CopyEnded, copy.key, copy.server))
 
-    def _void(self, router: int, void: Void) -> None:
+    def _invalidate(self, router: int, invalidate: Invalidate) -> None:
         def arrive(node: WorldNode) -> None:
-            node.kept.pop(void.key, None)
+            node.kept.pop(invalidate.key, None)
 
         def told(outcome: Outcome) -> Event:
-            return VoidEnded(void.key, void.server, outcome, void.turn)
+            return InvalidationEnded(invalidate.key, invalidate.server, outcome, invalidate.turn)
 
-        self._plain(router, void.server, arrive, told, lambda: self.on_void(void.key, void.server))
+        self._plain(
+            router,
+            invalidate.server,
+            arrive,
+            told,
+            lambda: self.on_invalidate(invalidate.key, invalidate.server),
+        )
 
     def _plain(
         self, router: int, server: str, arrive: Callable[[WorldNode], None],
--- a/saltport/cli/status.py
+++ b/saltport/cli/status.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 TOP_KEYS = 10
+OLD_COUNTS = ("spread", "writes voided")
+"""Counts under the names of the version before; they stand under their present ones too."""
 
 State = dict[str, Any]
 """A router's answer at /state, or a part of it."""
@@ -87,12 +89,13 @@
     if not hot_keys["on"]:
         yield "hot keys: not told apart"
         return
-    voids = hot_keys["voids"]
-    counts = {what: count for what, count in hot_keys["counts"].items() if what != "spread"}
+    invalidations = hot_keys["invalidations"]
+    counts = {what: count for what, count in hot_keys["counts"].items() if what not in OLD_COUNTS}
     yield (
         f"hot keys: {hot_keys['replicated']} replicated, {hot_keys['watched']} watched, "
         f"{sum(hot_keys['counted'].values())} counted; {hot_keys['copied_bytes']} bytes of further copies, "
-        f"filled by {hot_keys['fill']}; voids {voids['under_way']} under way, {voids['in_doubt']} in doubt; "
+        f"filled by {hot_keys['fill']}; "
+        f"invalidations {invalidations['under_way']} under way, {invalidations['in_doubt']} in doubt; "
         f"{', '.join(f'{count} {what}' for what, count in counts.items()) or 'nothing done yet'}"
     )
     yield from map(_hot_key, hot_keys["top"][:TOP_KEYS])
@@ -113,7 +116,7 @@
     yield f"ejected: {outliers['ejected']} of {outliers['listed']}{panic}"
     for name, server in sorted(outliers["servers"].items()):
         yield (
-            f"  {name}: {server['standing']}{' (kept in)' if server['kept_in'] else ''}"
+            f"  {name}: {server['state']}{' (kept in)' if server['kept_in'] else ''}"
             f"{', ' + server['reason'] if server['reason'] else ''}, {server['failures_in_a_row']} in a row, "
             f"{server['failures']} of {server['attempts']} failed, {server['ejections']} ejections, "
             f"{server['ejected_for_s']:.1f} s to go"
--- a/saltport/decisions/__init__.py
+++ b/saltport/decisions/__init__.py
@@ -14,6 +14,8 @@
     Fill,
     Group,
     HotKeySettings,
+    Invalidate,
+    InvalidationEnded,
     ListKind,
     Log,
     LoopReport,
@@ -36,8 +38,6 @@
     Subscribe,
     Tenant,
     TimerFired,
-    Void,
-    VoidEnded,
     ZonePlan,
 )
 from saltport.decisions.logic import Router
@@ -56,6 +56,8 @@
     "Fill",
     "Group",
     "HotKeySettings",
+    "Invalidate",
+    "InvalidationEnded",
     "ListKind",
     "Log",
     "LoopReport",
@@ -79,7 +81,5 @@
     "Subscribe",
     "Tenant",
     "TimerFired",
-    "Void",
-    "VoidEnded",
     "ZonePlan",
 ]
--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -1,4 +1,4 @@
-"""Replication of single hot keys: finds them, fills further nodes, voids copies, and releases them."""
+"""Replication of single hot keys: finds them, fills further nodes, invalidates copies, and releases them."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 
 from saltport.decisions import interface as api
 from saltport.decisions.health import Node
+from saltport.decisions.hotkeys.invalidation import Invalidations
 from saltport.decisions.hotkeys.meter import KeyMeter, Watched
 from saltport.decisions.hotkeys.need import copies_needed, over_zones, room, threshold
 from saltport.decisions.hotkeys.replicated_key import FILL_PAUSE, FOR_GOOD, ReplicatedKey
-from saltport.decisions.hotkeys.voiding import Voids
 from saltport.decisions.interface import NS_PER_S, Fill, Outcome
 from saltport.decisions.replication import Replication
 from saltport.decisions.request import Request
@@ -36,6 +36,9 @@
 TURNED_DOWN = 60 * NS_PER_S  # for which a node that takes no plain writes gets none
 AT_LIMIT = 60 * NS_PER_S  # between two log lines about one key that had to stay on its node
 
+OLD_COUNTS = {"spread": "replicated", "writes voided": "writes invalidated"}
+"""Old names of counts, shown for one version beside the present ones."""
+
 Usable = Callable[[str, int], bool]
 
 
@@ -54,7 +57,7 @@
         self._most[""] = max(limits.max_keys // 8, 1)
         self._replicated: dict[str, ReplicatedKey] = {}
         self._writes = limits.fill is Fill.WRITES
-        self._voids = Voids(limits.lease, 0)
+        self._invalidations = Invalidations(limits.lease, 0)
         self.follow_settings(settings)
         self._held_writes: dict[str, str] = {}  # writes whose answers wait, with their keys
         self._filling: dict[str, dict[str, int]] = {}  # plain writes under way, by key and server
@@ -78,7 +81,9 @@
 
     def follow_settings(self, settings: api.Settings) -> None:
         """Take new deadlines; tenants' portions of the keys stay as they were at the start."""
-        self._voids.longest = max(c.deadline for c in settings.classes) + min(c.aim for c in settings.classes)
+        self._invalidations.longest = max(c.deadline for c in settings.classes) + min(
+            c.aim for c in settings.classes
+        )
 
     def arrived(self, request: Request, tenant: str, now: int) -> None:
         """Count a read, and note what is known of its key; fence off a write."""
@@ -87,7 +92,7 @@
             return
         if request.write:
             if self._writes:
-                self._voids.write_begins(key)
+                self._invalidations.write_begins(key)
                 self._tick_later()
             return
         if self._version != self._caches.version:
@@ -115,7 +120,7 @@
         self._meter.threshold = threshold(
             own / (sum(node.weight for node in nodes.values()) or 1.0), self._limits.promise
         )
-        self._actions += self._voids.gone(nodes, now)
+        self._actions += self._invalidations.gone(nodes, now)
         for key in list(self._replicated):
             self._replicated[key].look_at = 0
 
@@ -252,7 +257,9 @@
     def candidates(self, request: Request, now: int) -> list[Node]:
         """Copies known to be there, the better of two first; then the others as the ranking has them."""
         replicated = request.replication.replicated if request.replication is not None else None
-        doubts = self._voids.in_doubt(request.key) if self._writes and request.key is not None else None
+        doubts = (
+            self._invalidations.in_doubt(request.key) if self._writes and request.key is not None else None
+        )
         if replicated is None:
             ranking = self._caches.rank(request.slot, now, DEPTH)
             return [node for node in ranking if node.entry.id not in doubts] if doubts else ranking
@@ -326,7 +333,7 @@
     # What attempts tell
 
     def ended(self, request: Request, node: Node, event: api.AttemptEnded, fetched: bool, now: int) -> None:
-        """Learn of copies, fetches, sizes and times; copy an answer that passes by, void after a write."""
+        """Learn of copies, fetches, sizes and times; copy a passing answer, invalidate after a write."""
         if request.write:
             if fetched and self._writes and request.key is not None:
                 self._write_ended(request, event, now)
@@ -358,14 +365,14 @@
             self._copy(request, replicated, event.size, now)
 
     def _copy(self, request: Request, replicated: ReplicatedKey, size: int, now: int) -> None:
-        if size > self._limits.max_value or not self._voids.may_copy(replicated.key, request.sent_at):
+        if size > self._limits.max_value or not self._invalidations.may_copy(replicated.key, request.sent_at):
             return
         # Danger: copies that all run out together leave their readers to the slot's own node.
         due = replicated.renewable(now + self._limits.lease // 2, COPIES_AT_ONCE)
         if not due and not replicated.absent:
             return
         filling = self._filling.setdefault(replicated.key, {})
-        doubts = self._voids.in_doubt(replicated.key)
+        doubts = self._invalidations.in_doubt(replicated.key)
         room = min(COPIES_AT_ONCE, MAX_FILLING - sum(map(len, self._filling.values())))
         for node in (*due, *islice(replicated.absent, len(filling) + COPIES_AT_ONCE)):
             if room <= 0:
@@ -387,8 +394,8 @@
         if request.write:
             if self._writes and request.key is not None:
                 if self._held_writes.pop(request.id, None) is not None:
-                    self._voids.leave(request.key, request.id)
-                self._voids.write_ends(request.key, now)
+                    self._invalidations.leave(request.key, request.id)
+                self._invalidations.write_ends(request.key, now)
             return
         replicated = request.replication.replicated if request.replication is not None else None
         visited = replicated.fillers.pop(request.id, None) if replicated is not None else None
@@ -402,10 +409,10 @@
             if node in replicated.absent:
                 replicated.holds(node, FOR_GOOD)
 
-    def on_event(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
-        """A copy or a void has ended."""
-        if isinstance(event, api.VoidEnded):
-            self._actions += self._voids.void_ended(event, now)
+    def on_event(self, event: api.CopyEnded | api.InvalidationEnded | api.ZonePlan, now: int) -> None:
+        """A copy or an invalidation has ended."""
+        if isinstance(event, api.InvalidationEnded):
+            self._actions += self._invalidations.invalidation_ended(event, now)
         if not isinstance(event, api.CopyEnded):
             return
         key, server = event.key, event.server
@@ -413,7 +420,7 @@
         began = filling.pop(server, now)
         if not filling:
             self._filling.pop(key, None)
-        self._actions += self._voids.copy_ended(key, server, event.outcome, now)
+        self._actions += self._invalidations.copy_ended(key, server, event.outcome, now)
         if event.outcome is not Outcome.OK:
             self.counts["copies failed"] += 1
             self._copy_failed(server, event.outcome, now)
@@ -423,7 +430,7 @@
         replicated, node = self._replicated.get(key), self._caches.nodes.get(server)
         if replicated is None:
             self._withdrawn.setdefault(key, {})[server] = until
-        elif event.outcome is Outcome.OK and node is not None and self._voids.may_copy(key, began):
+        elif event.outcome is Outcome.OK and node is not None and self._invalidations.may_copy(key, began):
             # Renewed while it still holds, so that a wave of reads never meets nodes that all ran out.
             replicated.holds(node, until - self._limits.lease // 4)
         else:
@@ -439,11 +446,11 @@
     # Writes
 
     def holds(self, request: Request) -> bool:
-        """Whether a write's answer has to wait until its copies are void."""
+        """Whether a write's answer has to wait until its copies are invalidated."""
         return self._writes and request.key is not None
 
     def _write_ended(self, request: Request, event: api.AttemptEnded, now: int) -> None:
-        """Void the key wherever it may be, once a write was carried out or may have been."""
+        """Invalidate the key wherever it may be, once a write was carried out or may have been."""
         key = request.key
         if key is None or event.outcome.never_ran:
             return
@@ -461,8 +468,8 @@
             self._held_writes[answer] = key
             left = request.deadline - now
             self._actions.append(api.SetTimer(max(left - left // LATE_SHARE, 0), answer))
-        self.counts["writes voided"] += 1
-        self._actions += self._voids.begin(key, servers, self._filling.get(key, ()), answer, now)
+        self.counts["writes invalidated"] += 1
+        self._actions += self._invalidations.begin(key, servers, self._filling.get(key, ()), answer, now)
 
     def _known(self, key: str, now: int) -> set[str]:
         """The servers that this router knows to hold a key, or to have held it while its lease lasts."""
@@ -476,7 +483,7 @@
             self._ticking = False
             self._tick(now)
         elif token in self._held_writes:
-            self._actions += self._voids.late(self._held_writes[token], token, now)
+            self._actions += self._invalidations.late(self._held_writes[token], token, now)
 
     # Letting go
 
@@ -501,8 +508,8 @@
             del self._no_copies[server]
         for key in [key for key, at in self._told_limit.items() if now - at >= AT_LIMIT]:
             del self._told_limit[key]
-        self._actions += self._voids.sweep(self._caches.nodes, now)
-        if self._replicated or self._meter.watched or self._withdrawn or not self._voids.idle:
+        self._actions += self._invalidations.sweep(self._caches.nodes, now)
+        if self._replicated or self._meter.watched or self._withdrawn or not self._invalidations.idle:
             self._tick_later()
 
     def _count_anew(self, now: int) -> None:
@@ -543,21 +550,26 @@
         ]
         return sorted(held, key=lambda entry: -entry[1])[:most]
 
+    def _counts_view(self) -> dict[str, int]:
+        old = {name: self.counts[now] for name, now in OLD_COUNTS.items()}
+        return {**self.counts, **old}
+
     def view(self, now: int) -> dict[str, Any]:
-        """Its state, for people."""
+        """Its state, for people; `spread` and `voids` are the old names of figures, for one version."""
         top = [self._view_of(tenant, key, count, error, now)
                for tenant, key, count, error in self._meter.top(SHOWN)]  # fmt: skip
         return {
             "on": True,
             "fill": self._limits.fill.value,
             "replicated": len(self._replicated),
-            "spread": len(self._replicated),  # the name until the next version
+            "spread": len(self._replicated),
             "watched": len(self._meter.watched),
             "counted": {tenant or "(none)": held for tenant, held in self._meter.held().items()},
             "copied_bytes": self._copied(),
             "threshold_share": round(self._meter.threshold, 5),
-            "counts": {**self.counts, "spread": self.counts["replicated"]},
-            "voids": self._voids.view(),
+            "counts": self._counts_view(),
+            "invalidations": self._invalidations.view(),
+            "voids": self._invalidations.view(),
             "top": top,
         }
 
--- a/saltport/decisions/hotkeys/voiding.py
+++ b/saltport/decisions/hotkeys/invalidation.py
@@ -1,8 +1,8 @@
-"""What a write has to reach where the router sets copies itself, and what is not known to be void. No I/O.
+"""Invalidation of copies by writes, where the router sets copies itself. No I/O.
 
-A write of any key voids it at the nodes that any router may have given it by rule, and at those that this
-one knows of. Its answer waits until each has said so, or has failed to: that one is in doubt, and this router
-does not ask it for the key before it has said so after all.
+A write of any key invalidates it at the nodes that any router may have given it by rule, and at those that
+this one knows of. Its answer waits until each has confirmed, or has failed to: that one is in doubt, and this
+router does not ask it for the key before it has confirmed after all.
 """
 
 from __future__ import annotations
@@ -22,17 +22,17 @@
 
 @dataclass(slots=True)
 class Job:
-    """The voids of one key under way."""
+    """The invalidations of one key under way."""
 
     turn: int
     waiting: set[str]
-    """Servers that have not said yet that it is void."""
+    """Servers that have not confirmed yet."""
     servers: set[str] = field(default_factory=set)
     """All of them, those that have said so as well."""
     answers: list[str] = field(default_factory=list)
     """Writes whose answers wait for it."""
     behind: set[str] = field(default_factory=set)
-    """Servers to which a copy is under way: the void goes once that has ended."""
+    """Servers to which a copy is under way: the invalidation goes once that has ended."""
 
 
 @dataclass(slots=True)
@@ -44,13 +44,13 @@
     retry_at: int
     pause: int = RETRY
     asked: bool = False
-    """Whether a void is under way."""
+    """Whether an invalidation is under way."""
     sticky_until: int = 0
-    """Until then an old copy may still arrive there, so that no void settles it."""
+    """Until then an old copy may still arrive there, so that no invalidation settles it."""
 
 
-class Voids:
-    """Open writes, voids under way, doubts, and the time before which values may not be copied."""
+class Invalidations:
+    """Open writes, invalidations under way, doubts, and the time before which values may not be copied."""
 
     def __init__(self, lease: int, longest: int) -> None:
         """`longest`: the time that a read and the copy of its answer can take at any router."""
@@ -62,7 +62,7 @@
         self._jobs: dict[str, Job] = {}
         self._doubts: dict[str, dict[str, Doubt]] = {}
         self.forgotten = 0
-        self.voided = 0
+        self.invalidated = 0
         self.unsettled = 0
         """Answers that were given with a node in doubt."""
 
@@ -91,11 +91,11 @@
     def begin(
         self, key: str, servers: Iterable[str], filling: Iterable[str], answer: str | None, now: int
     ) -> list[api.Action]:
-        """Void a key everywhere; returns what to send now. `answer`: the write that waits for it."""
+        """Invalidate a key everywhere; returns what to send now. `answer`: the write that waits for it."""
         behind = set(filling)
         self._turn += 1
         job = self._jobs.setdefault(key, Job(self._turn, set()))
-        # Danger: a void that is out may have been carried out before this write; its answer settles nothing.
+        # Danger: an invalidation that is out may have run before this write; its answer settles nothing.
         job.turn = self._turn
         job.waiting |= set(servers) | behind
         job.servers |= job.waiting
@@ -105,23 +105,23 @@
         self._fences[key] = now
         if not job.waiting:
             return self._settle(key, now)
-        return [api.Void(key, server, job.turn) for server in sorted(job.waiting - job.behind)]
+        return [api.Invalidate(key, server, job.turn) for server in sorted(job.waiting - job.behind)]
 
     def copy_ended(self, key: str, server: str, outcome: Outcome, now: int) -> list[api.Action]:
-        """A copy has ended; a void that waited behind it may go."""
+        """A copy has ended; an invalidation that waited behind it may go."""
         job = self._jobs.get(key)
         if job is None or server not in job.behind:
             return []
         job.behind.discard(server)
         if outcome in (Outcome.TIMEOUT, Outcome.RESET):
-            # Danger: it may be carried out after the void all the same.
+            # Danger: it may be carried out after the invalidation all the same.
             self._doubt(key, server, now).sticky_until = now + self._lease
-        return [api.Void(key, server, job.turn)]
+        return [api.Invalidate(key, server, job.turn)]
 
-    def void_ended(self, event: api.VoidEnded, now: int) -> list[api.Action]:
-        """A node has answered a void, or not."""
+    def invalidation_ended(self, event: api.InvalidationEnded, now: int) -> list[api.Action]:
+        """A node has answered an invalidation, or not."""
         key, server, settled = event.key, event.server, event.outcome is Outcome.OK
-        self.voided += settled
+        self.invalidated += settled
         job = self._jobs.get(key)
         waited = job is not None and server in job.waiting and server not in job.behind
         if waited and job is not None and event.turn < job.turn:
@@ -161,7 +161,7 @@
     def _settle(self, key: str, now: int) -> list[api.Action]:
         job = self._jobs.pop(key)
         self._fences[key] = now
-        # Danger: another router may copy after the void what it had been answered before the write.
+        # Danger: another router may copy after the invalidation what it had been answered before the write.
         self._again.pop(key, None)
         self._again[key] = now + self.longest, job.servers
         if len(self._again) > MAX_DOUBTS:
@@ -171,7 +171,7 @@
         return [api.Answer(request) for request in job.answers]
 
     def late(self, key: str, answer: str, now: int) -> list[api.Action]:
-        """A write's time is nearly over: it is answered, and who has not said that it is void is in doubt."""
+        """A write's time is nearly over: it is answered, and who has not confirmed is in doubt."""
         job = self._jobs.get(key)
         if job is None or answer not in job.answers:
             return []
@@ -204,7 +204,7 @@
         return frozenset(self._doubts[key]) if key in self._doubts else frozenset()
 
     def sweep(self, listed: Iterable[str], now: int) -> list[api.Action]:
-        """Ask again where a void has not been answered, and forget what has run out."""
+        """Ask again where an invalidation has not been answered, and forget what has run out."""
         known = set(listed)
         actions: list[api.Action] = []
         for key, doubts in list(self._doubts.items()):
@@ -213,14 +213,14 @@
                     self._clear(key, server)
                 elif server in known and not doubt.asked and now >= doubt.retry_at:
                     doubt.asked = True
-                    actions.append(api.Void(key, server, doubt.turn))
+                    actions.append(api.Invalidate(key, server, doubt.turn))
         for key, (at, servers) in list(self._again.items()):
             if now < at:
                 break  # in order
             del self._again[key]
             self._turn += 1
             servers = (servers & known) - self._doubts.get(key, {}).keys()
-            actions += [api.Void(key, server, self._turn) for server in sorted(servers)]
+            actions += [api.Invalidate(key, server, self._turn) for server in sorted(servers)]
         for key, at in list(self._fences.items()):
             if now - at > self.longest and key not in self._jobs:
                 del self._fences[key]
@@ -231,7 +231,8 @@
         return {
             "under_way": len(self._jobs),
             "in_doubt": sum(len(doubts) for doubts in self._doubts.values()),
-            "voided": self.voided,
+            "invalidated": self.invalidated,
+            "voided": self.invalidated,  # the name until the next version
             "answered_in_doubt": self.unsettled,
             "forgotten": self.forgotten,
         }
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -152,13 +152,13 @@
     max_keys: int = 64
     """ReplicatedKey at a time; a tenant may have its portion of them, one at least."""
     max_copies: int = 16
-    """Of one key, its own node among them; with plain writes also the nodes that each write voids."""
+    """Of one key, its own node among them; with plain writes also the nodes where each write invalidates."""
     max_bytes: int = 64 << 20
     """Of all further copies together, as far as sizes are known."""
     max_value: int = 64 << 10
     """The longest value that is copied by a plain write."""
     lease: int = 30 * NS_PER_S
-    """After which a copy that was set by a plain write goes void by itself."""
+    """After which a copy that was set by a plain write expires."""
     capacity: int = 1024
     """Keys that are counted, of all tenants together."""
     promise: float = 2.0
@@ -347,8 +347,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class VoidEnded:
-    """The end of a void that was asked for."""
+class InvalidationEnded:
+    """The end of an invalidation that was asked for."""
 
     key: str
     server: str
@@ -388,7 +388,7 @@
     | ProbeEnded
     | LoopReport
     | CopyEnded
-    | VoidEnded
+    | InvalidationEnded
     | ServerOut
     | ServerBack
     | SettingsChanged
@@ -427,8 +427,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Void:
-    """Drop a key at a node; `turn` tells the voids of one key apart."""
+class Invalidate:
+    """Drop a key at a node; `turn` tells the invalidations of one key apart."""
 
     key: str
     server: str
@@ -479,4 +479,4 @@
     message: str
 
 
-Action = Send | Refuse | Fail | SetTimer | Subscribe | Probe | Log | Answer | Copy | Void
+Action = Send | Refuse | Fail | SetTimer | Subscribe | Probe | Log | Answer | Copy | Invalidate
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -81,7 +81,7 @@
                     self._actions.append(api.Log(news))
             case api.ClientGone() if event.request in self.requests:
                 self._finish(self.requests[event.request])
-            case api.CopyEnded() | api.VoidEnded() | api.ZonePlan():
+            case api.CopyEnded() | api.InvalidationEnded() | api.ZonePlan():
                 self.replication.on_event(event, now)
         for action in self.replication.take_actions():
             if isinstance(action, api.Answer):
@@ -263,7 +263,7 @@
             else:
                 self._missed(request)
         elif outcome is Outcome.OK:
-            pass  # a write whose answer is held until its copies are void
+            pass  # a write whose answer is held until its copies are invalidated
         elif fetched:
             self._fetch_failed(request, outcome, late, broke)
         else:
--- a/saltport/decisions/outliers.py
+++ b/saltport/decisions/outliers.py
@@ -29,7 +29,7 @@
 FAILED = (Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.ERROR)
 
 
-class Standing(Enum):
+class EjectionState(Enum):
     """What a server may get."""
 
     HEALTHY = "healthy"
@@ -41,7 +41,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class News:
+class StateChange:
     """What became of a server by an attempt's end."""
 
     message: str
@@ -72,7 +72,7 @@
     """The request that tries it."""
     left_at: int | None = None
 
-    def against(self, usual: float, silence: int) -> str:
+    def reason_to_eject(self, usual: float, silence: int) -> str:
         """Why the server should be ejected, or nothing; `usual`: the share of failures with all servers."""
         if self.broken >= CONSECUTIVE:
             return f"{self.broken} broken or refused connections in a row"
@@ -95,7 +95,7 @@
 
 
 class OutlierDetector:
-    """Holds the evidence and tells each server's standing."""
+    """Holds the evidence and tells each server's state."""
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self._rng = rng
@@ -137,26 +137,26 @@
         """Whether so many look bad that the fault is likelier this router's own."""
         return len(self.ejected) + len(self.suspects) > self.listed * PANIC_SHARE
 
-    def standing(self, server: str, now: int, first: bool = True) -> Standing:
+    def state(self, server: str, now: int, first: bool = True) -> EjectionState:
         """What a server may get now of a request, `first`: that has been nowhere yet.
 
         In panic the slot's holder is asked whatever is held against it, and then only who is not suspect.
         """
         if server not in self.ejected and server not in self.suspects:
-            return Standing.HEALTHY
+            return EjectionState.HEALTHY
         if self.panicking:
-            return Standing.PANIC if first else Standing.EJECTED
+            return EjectionState.PANIC if first else EjectionState.EJECTED
         if server in self.suspects:
-            return Standing.HEALTHY
+            return EjectionState.HEALTHY
         record = self.records[server]
-        return Standing.EJECTED if now < record.until or record.trial else Standing.TRIAL
+        return EjectionState.EJECTED if now < record.until or record.trial else EjectionState.TRIAL
 
     def try_out(self, server: str, request: str) -> None:
         """Let one request find out whether a server is back; nobody else is sent there until it has ended."""
         self.records[server].trial = request
 
-    def judge(self, node: Node, request: str, outcome: Outcome, sent_at: int, now: int) -> News | None:
-        """Take one attempt's end; returns what became of the server by it, if its standing changed."""
+    def judge(self, node: Node, request: str, outcome: Outcome, sent_at: int, now: int) -> StateChange | None:
+        """Take one attempt's end; returns what became of the server by it, if its state changed."""
         server = node.entry.id
         record = self.records.get(server)
         if outcome not in NO_EVIDENCE:
@@ -177,14 +177,14 @@
                 return self._take_back(server, record, now)
             return self._eject(server, record, f"trial: {outcome.value}", now) if is_trial else None
         attempts, failures = self._all.totals()
-        reason = record.against(failures / attempts, self._silence)
+        reason = record.reason_to_eject(failures / attempts, self._silence)
         if reason:
             return self._eject(server, record, reason, now)
         if record.clean(now):
             del self.records[server]
         if server in self.suspects:
             self.suspects.discard(server)
-            return News(f"{server}: answers again", is_back=True)
+            return StateChange(f"{server}: answers again", is_back=True)
         return None
 
     def adopt(self, server: str, record: Record) -> None:
@@ -205,12 +205,12 @@
             # Danger: what was out when one cause struck is one sign, however many attempts it took down.
             record.broken, record.broken_at = record.broken + 1, now
 
-    def _eject(self, server: str, record: Record, reason: str, now: int) -> News | None:
+    def _eject(self, server: str, record: Record, reason: str, now: int) -> StateChange | None:
         record.reason = reason
         if server not in self.ejected and len(self.ejected) >= max(1, int(self.listed * MAX_EJECTED)):
             told = server in self.suspects
             self.suspects.add(server)
-            return None if told else News(f"{server}: {reason}; kept in, as too many are ejected")
+            return None if told else StateChange(f"{server}: {reason}; kept in, as too many are ejected")
         if server not in self.ejected:
             record.ejections = record.repeated(now)
         record.ejections += 1
@@ -218,12 +218,12 @@
         record.ejected_at, record.until = now, now + int(time_out * (1 + self._rng.random() * JITTER))
         self.ejected.add(server)
         self.suspects.discard(server)
-        return News(f"{server}: ejected for {(record.until - now) / NS_PER_S:.1f} s: {reason}")
+        return StateChange(f"{server}: ejected for {(record.until - now) / NS_PER_S:.1f} s: {reason}")
 
-    def _take_back(self, server: str, record: Record, now: int) -> News:
+    def _take_back(self, server: str, record: Record, now: int) -> StateChange:
         self.ejected.discard(server)
         out = (now - record.ejected_at) / NS_PER_S
         record.until, record.returned_at, record.row, record.reason = 0, now, 0, ""
         record.broken = 0
         record.attempts = WindowedCounter(INTERVAL, now)
-        return News(f"{server}: back; it was last ejected {out:.1f} s ago", is_back=True)
+        return StateChange(f"{server}: back; it was last ejected {out:.1f} s ago", is_back=True)
--- a/saltport/decisions/placement.py
+++ b/saltport/decisions/placement.py
@@ -12,7 +12,7 @@
 from saltport.decisions.effects import may_repeat, may_send
 from saltport.decisions.health import ANSWERED, Node
 from saltport.decisions.interface import Outcome, Reason
-from saltport.decisions.outliers import OutlierDetector, Standing
+from saltport.decisions.outliers import EjectionState, OutlierDetector
 from saltport.decisions.replication import Replication
 from saltport.decisions.request import Request
 from saltport.decisions.suppression import IN_USE
@@ -55,9 +55,9 @@
         for node in self._replication.candidates(request, now):
             if node in request.failed or not may_send(request, node, now):
                 continue
-            standing = self._outliers.standing(node.entry.id, now, first=not request.sends)
-            if standing is not Standing.HEALTHY:
-                if self._may_find_out(request, node, standing):
+            state = self._outliers.state(node.entry.id, now, first=not request.sends)
+            if state is not EjectionState.HEALTHY:
+                if self._may_find_out(request, node, state):
                     return Suspected(node)
                 continue
             if not (request.write or self._in_time(request, node, now)):
@@ -81,11 +81,11 @@
         self._count(request, True)
         return Reason.SERVERS_FULL
 
-    def _may_find_out(self, request: Request, node: Node, standing: Standing) -> bool:
+    def _may_find_out(self, request: Request, node: Node, state: EjectionState) -> bool:
         """Whether this request may be sent to a server that is ejected or suspected."""
-        if standing is Standing.EJECTED or not may_repeat(request):
+        if state is EjectionState.EJECTED or not may_repeat(request):
             return False
-        if standing is Standing.TRIAL:
+        if state is EjectionState.TRIAL:
             self._outliers.try_out(node.entry.id, request.id)
         return True
 
--- a/saltport/decisions/replication.py
+++ b/saltport/decisions/replication.py
@@ -51,11 +51,11 @@
         """A request is over."""
 
     def holds(self, request: Request) -> bool:
-        """Whether a write's answer has to wait until its copies are void."""
+        """Whether a write's answer has to wait until its copies are invalidated."""
         return False
 
-    def on_event(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
-        """A copy or a void has ended, or a plan of zones is to be followed."""
+    def on_event(self, event: api.CopyEnded | api.InvalidationEnded | api.ZonePlan, now: int) -> None:
+        """A copy or an invalidation has ended, or a plan of zones is to be followed."""
 
     def on_timer(self, token: str, now: int) -> None:
         """A timer that this set is due."""
--- a/saltport/decisions/replication_factory.py
+++ b/saltport/decisions/replication_factory.py
@@ -5,7 +5,7 @@
 import random
 
 from saltport.decisions import interface as api
-from saltport.decisions.outliers import OutlierDetector, Standing
+from saltport.decisions.outliers import EjectionState, OutlierDetector
 from saltport.decisions.replication import Replication
 from saltport.decisions.slot_replication import SlotReplication
 from saltport.decisions.table import SlotTable
@@ -24,6 +24,6 @@
     from saltport.decisions.hotkeys import HotKeys  # only where it is on
 
     def usable(server: str, now: int) -> bool:
-        return outliers.standing(server, now) in (Standing.HEALTHY, Standing.PANIC)
+        return outliers.state(server, now) in (EjectionState.HEALTHY, EjectionState.PANIC)
 
     return HotKeys(settings, settings.hot_keys, caches, usable, rng)
--- a/saltport/decisions/views.py
+++ b/saltport/decisions/views.py
@@ -87,7 +87,8 @@
     """Its state, for people: the servers with anything against them, and why."""
     servers = {
         server: {
-            "standing": detector.standing(server, now).value,
+            "state": detector.state(server, now).value,
+            "standing": detector.state(server, now).value,  # the name until the next version
             "reason": record.reason,
             "failures_in_a_row": record.row,
             "attempts": record.attempts.totals()[0],
--- a/saltport/decisions/zoned.py
+++ b/saltport/decisions/zoned.py
@@ -94,7 +94,7 @@
 
     # The plan
 
-    def on_event(self, event: api.CopyEnded | api.VoidEnded | api.ZonePlan, now: int) -> None:
+    def on_event(self, event: api.CopyEnded | api.InvalidationEnded | api.ZonePlan, now: int) -> None:
         """Follow a plan."""
         if isinstance(event, api.ZonePlan):
             self._plan = event
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -20,6 +20,8 @@
     CopyEnded,
     Event,
     Fail,
+    Invalidate,
+    InvalidationEnded,
     ListKind,
     Log,
     LoopReport,
@@ -38,8 +40,6 @@
     SettingsChanged,
     Subscribe,
     TimerFired,
-    Void,
-    VoidEnded,
     inheritance,
     trials,
     views,
@@ -362,8 +362,8 @@
                 self._answer(action.request)
             case Copy():
                 self._copy(action)
-            case Void():
-                self._void(action)
+            case Invalidate():
+                self._invalidate(action)
             case Probe():
                 self._pool.submit(action.server, ProbeExchange(self, action.server, self._probe_timeout))
 
@@ -401,9 +401,9 @@
         words = (b"SET", action.key.encode(), self._passing, b"PX", lease)
         self._pool.submit(action.server, PlainExchange(self, words, self._probe_timeout, told))
 
-    def _void(self, action: Void) -> None:
+    def _invalidate(self, action: Invalidate) -> None:
         def told(outcome: Outcome) -> Event:
-            return VoidEnded(action.key, action.server, outcome, action.turn)
+            return InvalidationEnded(action.key, action.server, outcome, action.turn)
 
         words = (b"DEL", action.key.encode())
         self._pool.submit(action.server, PlainExchange(self, words, self._probe_timeout, told))
--- a/tests/decisions/replay/codec.py
+++ b/tests/decisions/replay/codec.py
@@ -69,7 +69,7 @@
     "putBack": lambda fields: api.ServerBack(fields["server"]),
     "settings": lambda fields: api.SettingsChanged(read_widened_settings(fields)),
     "copied": lambda fields: api.CopyEnded(fields["key"], fields["server"], _OUTCOMES[fields["verdict"]]),
-    "dropped": lambda fields: api.VoidEnded(
+    "dropped": lambda fields: api.InvalidationEnded(
         fields["key"], fields["server"], _OUTCOMES[fields["verdict"]], fields["turn"]
     ),
     "plan": _zone_plan,
@@ -92,7 +92,9 @@
             "leaseNs": action.lease,
         }
     },
-    api.Void: lambda action: {"drop": {"key": action.key, "server": action.server, "turn": action.turn}},
+    api.Invalidate: lambda action: {
+        "drop": {"key": action.key, "server": action.server, "turn": action.turn}
+    },
 }
 
 
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -32,9 +32,9 @@
     INTERVAL,
     MAX_EJECTION,
     REMEMBERED,
-    News,
+    EjectionState,
     OutlierDetector,
-    Standing,
+    StateChange,
 )
 from tests.decisions.helpers import (
     MS,
@@ -69,7 +69,7 @@
         self.detector.follow(listed, self.now)
 
     def tell(self, number: int, *outcomes: Outcome, request: str = "r") -> str | None:
-        told: News | None = None
+        told: StateChange | None = None
         for outcome in outcomes:
             sent, self.now = self.now, self.now + (SILENCE // 3 if outcome is Outcome.TIMEOUT else MS)
             told = self.detector.judge(self.node(number), request, outcome, sent, self.now)
@@ -78,17 +78,17 @@
     def node(self, number: int) -> Node:
         return self.nodes[f"10.0.0.{number}:80"]
 
-    def standing(self, number: int, first: bool = True) -> Standing:
-        return self.detector.standing(self.node(number).entry.id, self.now, first)
+    def state(self, number: int, first: bool = True) -> EjectionState:
+        return self.detector.state(self.node(number).entry.id, self.now, first)
 
     def fail_trial(self, number: int) -> int:
         """Wait for the trial and fail it; returns how long the server stays out after that."""
-        while self.standing(number) is not Standing.TRIAL:
+        while self.state(number) is not EjectionState.TRIAL:
             self.now += 100 * MS
         self.detector.try_out(self.node(number).entry.id, "trial")
         self.tell(number, Outcome.CONNECT_FAILED, request="trial")
         begun = self.now
-        while self.standing(number) is not Standing.TRIAL:
+        while self.state(number) is not EjectionState.TRIAL:
             self.now += 10 * MS
         return self.now - begun
 
@@ -100,13 +100,13 @@
 def test_three_failures_in_a_row_eject_and_two_do_not(outcome: Outcome) -> None:
     judged = Judged()
     assert judged.tell(1, outcome, outcome) is None
-    assert judged.standing(1) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.HEALTHY
     told = judged.tell(1, outcome)
     assert told is not None
     assert "3 " in told
     assert "in a row" in told
-    assert judged.standing(1) is Standing.EJECTED
-    assert judged.standing(2) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.EJECTED
+    assert judged.state(2) is EjectionState.HEALTHY
 
 
 def test_time_outs_in_a_row_eject_only_once_the_silence_is_long() -> None:
@@ -121,7 +121,7 @@
 def test_any_answer_ends_the_row(heard: Outcome) -> None:
     judged = Judged()
     judged.tell(1, Outcome.TIMEOUT, Outcome.TIMEOUT, heard, Outcome.TIMEOUT, Outcome.TIMEOUT)
-    assert judged.standing(1) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.HEALTHY
 
 
 @pytest.mark.parametrize("nothing", [Outcome.MOOT, Outcome.CANCELLED])
@@ -130,7 +130,7 @@
     judged.tell(1, nothing, nothing, nothing)
     assert views.outliers(judged.detector, judged.now)["servers"] == {}
     judged.tell(1, Outcome.RESET, Outcome.RESET, nothing, Outcome.RESET)
-    assert judged.standing(1) is Standing.EJECTED
+    assert judged.state(1) is EjectionState.EJECTED
 
 
 @pytest.mark.parametrize("outcome", FAILURES)
@@ -139,7 +139,7 @@
     sent = judged.now
     for at in range(50):
         judged.detector.judge(judged.node(1), f"r{at}", outcome, sent, sent + 80 * MS + at)
-    assert judged.standing(1) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.HEALTHY
     assert views.outliers(judged.detector, sent + S)["servers"]["10.0.0.1:80"]["failures_in_a_row"] == 50  # type: ignore[index]
 
 
@@ -149,7 +149,7 @@
     for _ in range(20):
         judged.tell(1, outcome, outcome)
         judged.now += 2 * INTERVAL
-    assert judged.standing(1) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.HEALTHY
 
 
 def test_half_of_the_attempts_failing_ejects_and_less_does_not() -> None:
@@ -157,7 +157,7 @@
     judged.tell(0, *[Outcome.OK] * 300)
     for _ in range(40):
         judged.tell(1, Outcome.RESET, Outcome.OK, Outcome.OK)
-        assert judged.standing(1) is Standing.HEALTHY
+        assert judged.state(1) is EjectionState.HEALTHY
     judged = Judged()
     judged.tell(0, *[Outcome.OK] * 300)
     for _ in range(5):
@@ -177,14 +177,14 @@
     assert views.outliers(judged.detector, judged.now)["ejected"] == 0
     # among them one that always fails is none worse than they are by half
     judged.tell(3, *[Outcome.ERROR] * 20)
-    assert judged.standing(3) is Standing.HEALTHY
+    assert judged.state(3) is EjectionState.HEALTHY
 
 
 def test_time_outs_of_an_overrun_server_that_answers_do_not_eject_it() -> None:
     judged = Judged()
     for _ in range(50):
         judged.tell(1, Outcome.TIMEOUT, Outcome.TIMEOUT, Outcome.FULL, Outcome.TIMEOUT, Outcome.OK)
-    assert judged.standing(1) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.HEALTHY
 
 
 def test_old_failures_are_forgotten() -> None:
@@ -194,7 +194,7 @@
     judged.now += 2 * INTERVAL
     judged.tell(0, *[Outcome.OK] * 300)
     judged.tell(1, Outcome.ERROR)
-    assert judged.standing(1) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.HEALTHY
     judged.now += 2 * INTERVAL
     judged.tell(1, Outcome.OK)
     judged.now += 2 * INTERVAL
@@ -206,16 +206,16 @@
     judged = Judged()
     judged.tell(1, *[Outcome.RESET] * 3)
     judged.now += BASE_EJECTION * 2
-    assert judged.standing(1) is Standing.TRIAL
+    assert judged.state(1) is EjectionState.TRIAL
     judged.detector.try_out("10.0.0.1:80", "trial")
-    assert judged.standing(1) is Standing.EJECTED
+    assert judged.state(1) is EjectionState.EJECTED
     # an answer to what was sent before it was ejected tells nothing of it now
     assert judged.detector.judge(judged.node(1), "old", Outcome.OK, S, judged.now) is None
-    assert judged.standing(1) is Standing.EJECTED
+    assert judged.state(1) is EjectionState.EJECTED
     told = judged.tell(1, Outcome.FULL, request="trial")
     assert told is not None
     assert "back" in told
-    assert judged.standing(1) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.HEALTHY
 
 
 def test_trial_whose_client_leaves_makes_room_for_the_next() -> None:
@@ -224,7 +224,7 @@
     judged.now += BASE_EJECTION * 2
     judged.detector.try_out("10.0.0.1:80", "trial")
     judged.tell(1, Outcome.CANCELLED, request="trial")
-    assert judged.standing(1) is Standing.TRIAL
+    assert judged.state(1) is EjectionState.TRIAL
 
 
 def test_ejections_grow_to_a_ceiling_and_are_forgiven_with_time() -> None:
@@ -251,25 +251,25 @@
     for number in range(5):
         judged.tell(number, *[Outcome.RESET] * 3)
     assert not judged.detector.panicking
-    assert [judged.standing(number) for number in range(5)] == [Standing.EJECTED] * 5
+    assert [judged.state(number) for number in range(5)] == [EjectionState.EJECTED] * 5
     told = judged.tell(5, *[Outcome.RESET] * 3)
     assert told is not None
     assert "kept in" in told
     assert judged.tell(5, Outcome.RESET) is None  # told once
     assert judged.detector.panicking
     # the holder is asked, whoever it is; a request that failed there only goes to who is above suspicion
-    assert {judged.standing(number) for number in range(10)} == {Standing.HEALTHY, Standing.PANIC}
-    assert [judged.standing(number, first=False) for number in (0, 5, 6)] == [
-        Standing.EJECTED,
-        Standing.EJECTED,
-        Standing.HEALTHY,
+    assert {judged.state(number) for number in range(10)} == {EjectionState.HEALTHY, EjectionState.PANIC}
+    assert [judged.state(number, first=False) for number in (0, 5, 6)] == [
+        EjectionState.EJECTED,
+        EjectionState.EJECTED,
+        EjectionState.HEALTHY,
     ]
     # one answer is enough for a server to be back, and for panic to end
     judged.tell(0, Outcome.MISS)
     assert not judged.detector.panicking
-    assert judged.standing(0) is Standing.HEALTHY
-    assert judged.standing(1) is Standing.EJECTED
-    assert judged.standing(5) is Standing.HEALTHY
+    assert judged.state(0) is EjectionState.HEALTHY
+    assert judged.state(1) is EjectionState.EJECTED
+    assert judged.state(5) is EjectionState.HEALTHY
     judged.tell(5, Outcome.OK)
     assert views.outliers(judged.detector, judged.now)["ejected"] == 4
 
@@ -279,9 +279,9 @@
     judged.tell(1, *[Outcome.CONNECT_FAILED] * 3)
     judged.follow("10.0.0.1:80")
     assert views.outliers(judged.detector, judged.now)["servers"] == {}
-    assert judged.standing(1) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.HEALTHY
     judged.follow()
-    assert judged.standing(1) is Standing.EJECTED
+    assert judged.state(1) is EjectionState.EJECTED
 
 
 def test_server_that_started_anew_or_was_long_away_is_not_held_to_it() -> None:
@@ -290,11 +290,11 @@
     judged.tell(2, *[Outcome.CONNECT_FAILED] * 3)
     judged.nodes["10.0.0.1:80"] = Node(replace(judged.node(1).entry, started=judged.now), False)
     judged.follow("10.0.0.2:80")
-    assert judged.standing(1) is Standing.HEALTHY
+    assert judged.state(1) is EjectionState.HEALTHY
     judged.now += REMEMBERED + S
     judged.follow("10.0.0.2:80")
     judged.follow()
-    assert judged.standing(2) is Standing.HEALTHY
+    assert judged.state(2) is EjectionState.HEALTHY
     assert views.outliers(judged.detector, judged.now)["servers"] == {}
 
 
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from saltport.decisions import Fail, Outcome, Refuse, RequestArrived, Router, Send
+from saltport.decisions import Fail, Outcome, Refuse, RequestArrived, Router, Send, views
 from saltport.decisions.health import Node
 from saltport.decisions.interface import Reason
 from saltport.decisions.placement import CROWDED, OVERFLOW, Suspected
@@ -84,6 +84,8 @@
     router = started(settings(), fleet(6))
     first, second = ranking(router)[:2]
     eject(router, first.entry.id)
+    shown = views.outliers(router.outliers, S // 2)["servers"][first.entry.id]  # type: ignore[index]
+    assert shown["state"] == shown["standing"] == "ejected"  # the second is the old name of the figure
     assert router.placement.place(asked(router), S // 2) is second
     later = 10 * S
     assert router.placement.place(asked(router, "one"), later) == Suspected(first)
@@ -136,6 +138,4 @@
     (failed,) = single.handle(ended(send, Outcome.ERROR), 0)
     assert isinstance(failed, Fail)
     assert failed.reason is Reason.TRIES_SPENT
-    from saltport.decisions import views
-
     assert given_up(views.whole(single, 0)) == {Reason.TRIES_SPENT.value: 1}
--- a/tests/decisions/test_trials.py
+++ b/tests/decisions/test_trials.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from saltport.decisions import Outcome, trials
-from saltport.decisions.outliers import Standing
+from saltport.decisions.outliers import EjectionState
 from tests.decisions.helpers import S
 from tests.decisions.test_outliers import Judged
 
@@ -16,11 +16,11 @@
     assert list(trials.due(detector)) == [server]
     due = trials.due(detector)[server]
     trials.hold(detector, server, due + 9 * S)
-    assert detector.standing(server, due + S) is Standing.EJECTED
+    assert detector.state(server, due + S) is EjectionState.EJECTED
     trials.hold(detector, server, due)  # a hold never brings a trial forward
     assert trials.due(detector)[server] == due + 9 * S
     trials.begin(detector, server, due + S)
-    assert detector.standing(server, due + S) is Standing.TRIAL
+    assert detector.state(server, due + S) is EjectionState.TRIAL
     assert list(trials.due(detector)) == [server]
     judged.now = due + S
     detector.try_out(server, "trial")
@@ -33,4 +33,4 @@
     server = judged.node(2).entry.id
     trials.hold(judged.detector, server, 9 * S)
     trials.begin(judged.detector, server, S)
-    assert judged.standing(2) is Standing.HEALTHY
+    assert judged.state(2) is EjectionState.HEALTHY
--- a/tests/hotkeys/test_world.py
+++ b/tests/hotkeys/test_world.py
@@ -238,6 +238,8 @@
     play(world, keys, 5)
     view = world.hot_view()
     assert view["replicated"] == view["spread"] == 12  # the second is the old name of the figure
+    assert view["invalidations"] == view["voids"]
+    assert view["counts"]["replicated"] == view["counts"]["spread"] >= 12
     assert world.busiest() <= 2.0
 
 
@@ -326,7 +328,7 @@
         elif turn % 3 == 1:
             victim.cut = True  # it keeps what it has, and comes back with it
 
-    world.on_void = lambda key, server: world.rng.random() > 0.1
+    world.on_invalidate = lambda key, server: world.rng.random() > 0.1
     yanked(world, 60, strike)
     assert world.stale == 0
     assert world.ends["written"] > 50
@@ -344,7 +346,7 @@
 
 
 def test_without_voids_reads_would_be_stale() -> None:
-    """The test above can fail: with voids that are said to arrive and do not, old values are read."""
+    """The test above can fail: with invalidations that are said to arrive and do not, old values are read."""
     world = spread_world(WRITES, origin_drops=False)
     drop = world.nodes
     for node in drop.values():
@@ -383,18 +385,18 @@
 def test_client_that_leaves_while_its_write_is_held_harms_nobody() -> None:
     world = spread_world(WRITES)
     name = world.ask(HOT, write=True)
-    world.run(world.now + 51 * S // 1000)  # carried out, voids under way
+    world.run(world.now + 51 * S // 1000)  # carried out, invalidations under way
     world.leave(name)
     play(world, mixed(world.rng, 0.5, OTHERS), 1)
     assert world.ends["written"] == 0
-    assert world.hot_view()["voids"]["under_way"] == 0
+    assert world.hot_view()["invalidations"]["under_way"] == 0
 
 
 def test_writes_with_all_nodes_cut_off_are_answered_in_time() -> None:
     world = spread_world(WRITES)
     for node in world.nodes.values():
         node.cut = True
-    world.on_void = lambda key, server: False
+    world.on_invalidate = lambda key, server: False
     world.ask(HOT, write=True)
     world.run(world.now + S)
     assert world.ends["written"] == 1
--- a/tests/router/test_hot_keys.py
+++ b/tests/router/test_hot_keys.py
@@ -146,7 +146,7 @@
         client = router.client()
         assert client.ask(bulk(b"KV.SET", b"k", b"w1", b"c=put,t=acme,d=1900,k=5c", b"v")) == b"receipt"
         told: Any = ask(router.admin, "/state")
-        assert told["hot_keys"]["voids"]["in_doubt"] == 1
+        assert told["hot_keys"]["invalidations"]["in_doubt"] == 1
         shown = CliRunner().invoke(cli, ["status", "{}:{}".format(*router.admin)])
         assert "1 in doubt" in shown.output
         assert "servers overrun: 0% of reads find their server full, 0 went to another one" in shown.output
@@ -155,7 +155,7 @@
 
         def settled() -> bool:
             now: Any = ask(router.admin, "/state")
-            return bool(now["hot_keys"]["voids"]["in_doubt"] == 0)
+            return bool(now["hot_keys"]["invalidations"]["in_doubt"] == 0)
 
         eventually(settled, "the doubt is settled once the node speaks")
 
--- a/tests/router/test_outliers.py
+++ b/tests/router/test_outliers.py
@@ -38,7 +38,7 @@
 
         def ejected() -> bool:
             read_all(router, f"b{os.urandom(4).hex()}")
-            return bool(outliers(router)["servers"].get("s1", {}).get("standing") == "ejected")
+            return bool(outliers(router)["servers"].get("s1", {}).get("state") == "ejected")
 
         eventually(ejected, "s1 is ejected")
         told = outliers(router)
