--- a/benchmarks/hot_keys.py
+++ b/benchmarks/hot_keys.py
@@ -130,7 +130,7 @@
 
 
 def yanks(count: int, say: Any, invalidations: bool = True) -> dict[str, Any]:
-    """Yanks of a replicated key: a third beside a kill, a third beside a cut, a tenth of invalidations lost."""
+    """Yanks of a replicated key: a third beside a kill, a third beside a cut, a tenth of messages lost."""
     world = World(30, HotKeySettings(Fill.WRITES), origin_drops=False)
     world.play(1_000, mixed(world.rng, 0.5, OTHERS), 2)
     members = list(world.sent_of[HOT])
