--- a/tests/crossings/test_time_told.py
+++ b/tests/crossings/test_time_told.py
@@ -16,7 +16,7 @@
 import pytest
 
 from saltport.deadline import Deadline
-from saltport.decisions import Event, Outcome, VoidEnded
+from saltport.decisions import Event, InvalidationEnded, Outcome
 from saltport.router.errands import CopyExchange, VoidExchange
 from saltport.router.host import RouterHost
 from saltport.upstream.pool import Exchange
@@ -142,7 +142,7 @@
 
     def _told(self, outcome: Outcome) -> Event:
         self.outcomes.append(outcome)
-        return VoidEnded("k", "s1", outcome, 0)
+        return InvalidationEnded("k", "s1", outcome, 0)
 
     def play(self) -> None:
         async def scene(host: RouterHost, dials: HeldDials) -> None:
