Time that a request lay unread is taken off what servers are told

Observed: the router's clock began when it read a request. What had lain in the kernel by then (a held loop, a stopped process, the accept queue, a connection that is not read behind a full pipeline) was told to servers as if the client still had it, and a request whose time had run out there was sent.

`Received` (saltport/deadline.py) holds the two moments between which the last byte came. What servers are told, and whether a request may leave, goes by the earlier; for how long the router itself goes on, by the later, so that doubt about its own lag ends nothing that is in time. `downstream/received.py` finds them: the loop's meter, the moments from which a connection was not read or not accepted, and, where these leave over 5 ms or at a connection's first read, `tcpi_last_data_recv` of the kernel, exact to a tick for a single request. Accepting now opens a turn for the meter too. What can't be known stands in docs/design/crossings.md, "Time".

tests/crossings/test_time_received.py, over real connections. With the clock as before, six tests fail: held loop (one command, three), backlog of a held loop, backlog older than the process, full pipeline, time run out unread. By the later moment alone five fail; without the kernel's word, late_in_a_stall and the older backlog. The test of a stopped process came after and was not run on the code before. `Taken` in test_closing takes the host's new argument.

--- a/saltport/deadline.py
+++ b/saltport/deadline.py
@@ -1,4 +1,9 @@
-"""Deadlines: whole nanoseconds on the process's monotonic clock (`time.monotonic_ns`)."""
+"""Deadlines, and how closely the moment is known from which a client's time runs.
+
+All times are whole nanoseconds on the process's monotonic clock (`time.monotonic_ns`). A client's time begins
+when the last byte of its request comes; a process learns of it once it reads. In between the bytes lie in the
+kernel, for a time that has bounds: docs/design/crossings.md, "Time".
+"""
 
 from __future__ import annotations
 
@@ -9,7 +14,7 @@
 NS_PER_MS = 1_000_000
 
 
-class Deadline(msgspec.Struct, frozen=True, order=True, gc=False):
+class Deadline(msgspec.Struct, frozen=True, gc=False):
     """A moment by which something has to be over."""
 
     at_ns: int
@@ -23,5 +28,27 @@
         """Whether it is over."""
         return now_ns >= self.at_ns
 
+    def no_later_than(self, other: Deadline) -> Deadline:
+        """The earlier of the two."""
+        return self if self.at_ns <= other.at_ns else other
+
 
 NEVER = Deadline(sys.maxsize)
+
+
+class Received(msgspec.Struct, frozen=True, gc=False):
+    """When a message's last byte came: not before `earliest_ns` and not after `latest_ns`."""
+
+    earliest_ns: int
+    latest_ns: int
+
+    def deadline(self, span_ms: int) -> Deadline:
+        """When such a span from then on is over at the latest: for so long the router itself goes on.
+
+        Doubt about its own lag would otherwise end requests that are in time.
+        """
+        return Deadline(self.latest_ns + span_ms * NS_PER_MS)
+
+    def certain_deadline(self, span_ms: int) -> Deadline:
+        """Until when it certainly is not over: what others are told, who may be told too little only."""
+        return Deadline(self.earliest_ns + span_ms * NS_PER_MS)
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -7,15 +7,18 @@
 import os
 import select
 import socket
+import time
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol, cast
 
 from saltport.address import Address
+from saltport.deadline import Received
 from saltport.decisions.ordering import KeyOrder
 from saltport.downstream.budget import Budget
 from saltport.downstream.departure import Arrival, Departure, Successor, may_go
 from saltport.downstream.lingering import Lingering
+from saltport.downstream.received import KernelClock, ReceiveTimes
 from saltport.downstream.replies import LongAnswer, Reply
 from saltport.downstream.taking import STALL_S, waiting_for
 from saltport.downstream.unread import UnreadConnections
@@ -35,6 +38,7 @@
 IDLE_S = 2.0  # after which a connection without an open request may be closed
 SWEEP_S = 0.2
 REFUSERS = 32
+READ_SIZE = 256_000  # of uvloop: a shorter read left nothing in the kernel
 
 log = logging.getLogger("saltport")
 
@@ -47,7 +51,12 @@
     def touched(self) -> None:
         """The kernel had something for a client's connection."""
 
-    def request_arrived(self, request: Request, reply: Reply, order: KeyOrder[Any]) -> None:
+    def unread_since(self, now_ns: int) -> int:
+        """Since when, at the earliest, what is read now may have lain in the kernel."""
+
+    def request_arrived(
+        self, request: Request, reply: Reply, order: KeyOrder[Any], received: Received
+    ) -> None:
         """A request is whole; `order` is that of its connection's commands."""
 
     def request_refused(self, asked: Request) -> None:
@@ -92,12 +101,24 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport, and be counted in."""
+        host = self.server.host
+        host.touched()
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
+        self._receive_times = self._received_from_now()
         self.server.opened(self)
         if self._arrival is not None:
             arrival, self._arrival = self._arrival, None
             self._go_on(arrival)
+            # What the record brought was no read: the kernel may hold more from before.
+            self._receive_times = self._received_from_now()
+            if not self._reading:
+                self._receive_times.stopped(time.monotonic_ns())
+
+    def _received_from_now(self) -> ReceiveTimes:
+        assert self.transport is not None
+        end, server = self.transport.get_extra_info("socket"), self.server
+        return ReceiveTimes(end, server.kernel_clock, server.host.unread_since, time.monotonic_ns())
 
     def _go_on(self, arrival: Arrival) -> None:
         """Owe what another process owed, and read on where it stopped."""
@@ -168,12 +189,15 @@
         self.used_at = self.server.loop.time()
         fresh = not reader.need
         commands = reader.feed(data)
+        received = self._receive_times.read(
+            time.monotonic_ns(), len(data) < READ_SIZE, len(commands) == 1 and not reader.need
+        )
         for message, answers in commands:
             reply = Reply(self, answers)
             if self._reserved:
                 reply.reserved, self._reserved = self._reserved, 0
             self.replies.append(reply)
-            self._take(message, reply)
+            self._take(message, reply, received)
         if reader.broken:
             self._break()
         elif reader.need:
@@ -206,11 +230,11 @@
         self.replies.append(reply)
         reply.send(self._dialect.breaking())
 
-    def _take(self, message: Message, reply: Reply) -> None:
+    def _take(self, message: Message, reply: Reply, received: Received) -> None:
         match message:
             case Request() if not self.refusing:
                 self.carried = True
-                self.server.host.request_arrived(message, reply, self._order)
+                self.server.host.request_arrived(message, reply, self._order, received)
                 return
             case Request():
                 self._last = True
@@ -283,6 +307,7 @@
             self.server.unread.discard(self)
         else:
             self.transport.pause_reading()
+            self._receive_times.stopped(time.monotonic_ns())
             self.server.unread.add(self)
 
     @property
@@ -445,6 +470,7 @@
         self.loop, self.host, self.dialect, self._limit = loop, host, dialect, limit
         self.budget = Budget(budget)
         self.unread, self.lingering = UnreadConnections(loop), Lingering(loop)
+        self.kernel_clock = KernelClock()
         self._connections: dict[ClientConnection, None] = {}
         self._listeners: list[asyncio.Server] = []
         self.emptying = False
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -11,7 +11,7 @@
 
 from saltport.address import Address
 from saltport.admin.figures import Figures
-from saltport.deadline import NEVER, NS_PER_MS, Deadline
+from saltport.deadline import NEVER, NS_PER_MS, Deadline, Received
 from saltport.decisions import (
     Action,
     Answer,
@@ -170,8 +170,26 @@
 
     # Clients
 
-    def request_arrived(self, asked: Request, reply: Reply, order: Order | None = None) -> None:
-        """Take a request: from here on it is owed one final answer. `order`: that of its connection."""
+    def unread_since(self, now_ns: int) -> int:
+        """Since when, at the earliest, what is read now may have lain in the kernel."""
+        return now_ns - self.lag.unread(now_ns)
+
+    def _received_now(self) -> Received:
+        now = time.monotonic_ns()
+        return Received(self.unread_since(now), now)
+
+    def request_arrived(
+        self,
+        asked: Request,
+        reply: Reply,
+        order: Order | None = None,
+        received: Received | None = None,
+    ) -> None:
+        """Take a request: from here on it is owed one final answer.
+
+        `order`: that of its connection; `received`: when its last byte came, where more is known than the
+        loop's lag.
+        """
         request_id = asked.id.decode("ascii")
         if asked.request_class not in self._classes:
             reply.rejected("unknown class")
@@ -183,7 +201,8 @@
             reply.refused()
         else:
             among = KeyOrder() if order is None else order
-            reply.request = request = OpenRequest(self, request_id, asked, reply, among)
+            came = received or self._received_now()
+            reply.request = request = OpenRequest(self, request_id, asked, reply, among, came)
             self._requests[request_id] = request
             self.figures.current += 1
             request.arrived()
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, TypeAlias
 
-from saltport.deadline import NS_PER_MS, Deadline
+from saltport.deadline import NS_PER_MS, Received
 from saltport.decisions import (
     AttemptEnded,
     CacheNote,
@@ -48,16 +48,26 @@
 
     __slots__ = (
         "_host", "_order", "_stage", "_timer", "asked", "attempts", "closed", "counted", "deadline", "held",
-        "id", "most_attempts", "out", "queued", "ran", "reply",
+        "id", "most_attempts", "out", "queued", "ran", "reply", "told_deadline",
     )  # fmt: skip
 
-    def __init__(self, host: RouterHost, request_id: str, asked: Request, reply: Reply, order: Order) -> None:
+    def __init__(
+        self,
+        host: RouterHost,
+        request_id: str,
+        asked: Request,
+        reply: Reply,
+        order: Order,
+        received: Received,
+    ) -> None:
         self._host, self._order = host, order
         self._stage = Stage.WAITING
         self._timer: asyncio.TimerHandle | None = None
         self.id, self.asked, self.reply = request_id, asked, reply
-        ends = Deadline(time.monotonic_ns() + asked.timeout_ms * NS_PER_MS)
-        self.deadline = min(ends, host.ends_at)
+        self.deadline = received.deadline(asked.timeout_ms).no_later_than(host.ends_at)
+        """Until then it may be answered here."""
+        self.told_deadline = received.certain_deadline(asked.timeout_ms).no_later_than(host.ends_at)
+        """What servers are told of; from then on nothing of it leaves."""
         self.attempts = self.out = 0
         self.most_attempts = host.settings.max_attempts
         self.closed = False
@@ -251,7 +261,7 @@
         request, now = self._request, time.monotonic_ns()
         if request.closed or self._number >= request.most_attempts or now >= self._not_after_ns:
             return 0
-        return request.deadline.remaining_ms(now)
+        return request.told_deadline.remaining_ms(now)
 
     def wait_until(self, due: int) -> None:
         """Give up at the time `due`."""
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -40,7 +40,10 @@
     def touched(self) -> None:
         pass
 
-    def request_arrived(self, request: Request, reply: Reply, order: Any) -> None:
+    def unread_since(self, now_ns: int) -> int:
+        return now_ns
+
+    def request_arrived(self, request: Request, reply: Reply, *_: Any) -> None:
         self.requests.append((request, reply))
 
     def request_refused(self, asked: Request) -> None:
--- a/tests/test_deadline.py
+++ b/tests/test_deadline.py
@@ -29,5 +29,6 @@
     assert [Deadline(AT).expired(AT + step) for step in (-1, 0, 1)] == [False, True, True]
 
 
-def test_the_earlier_of_two_is_the_smaller() -> None:
-    assert min(NEVER, Deadline(AT), Deadline(AT + 1)) == Deadline(AT)
+def test_of_two_the_earlier_one_holds() -> None:
+    early, late = Deadline(AT), Deadline(AT + 1)
+    assert early.no_later_than(late) == late.no_later_than(early) == early.no_later_than(NEVER) == early
