What came while a process stood still may be read one turn after its timers

A stopped process is woken without news of the kernel, and its timers make a turn of their own; the request is read in the turn behind that, whose bound began at those timers.

A property of the meter took the begin of such a turn for a look at the kernel, which it is none. It now takes the begin of the wait: as strict where nothing stood still, stricter for the turn that follows a stop.

--- a/saltport/lag.py
+++ b/saltport/lag.py
@@ -25,7 +25,10 @@
 
     def __init__(self) -> None:
         self._begun = 0  # of the turn under way; 0: the loop waits
-        self._begun_before = 0
+        self._looked_before = 0
+        """Since when the kernel had not been looked at, for certain, as the turn before began."""
+        self._stood_still = False
+        """Whether the process stood still in the wait before the turn under way."""
         self._unread_since = 0
         self._waiting_since = 0
         self._least_wait = WAITED_NS
@@ -48,14 +51,15 @@
     def turn_begins(self, now: int) -> None:
         """The first event of a turn is dealt with."""
         waited = now - self._waiting_since if self._waiting_since else 0
-        if waited > HEARTBEAT_NS + HEARTBEAT_SLACK_NS:
-            self._unread_since = self._waiting_since  # the process stood still
+        self._stood_still = waited > HEARTBEAT_NS + HEARTBEAT_SLACK_NS
+        if self._stood_still:
+            self._unread_since = self._waiting_since
             self._squares += waited * waited
         elif waited > self._least_wait or not self._waiting_since:
             self._unread_since = now  # the kernel had nothing before
             self._waited += waited
         else:
-            self._unread_since = self._begun_before or now
+            self._unread_since = self._looked_before or now
         self._begun = now
 
     def turn_ends(self, now: int) -> None:
@@ -66,8 +70,12 @@
         self.stalls += busy > STALL_NS
         if now - self._begun > STALL_NS:
             self._long.append((self._begun, now))
-        self._least_wait = min(max(WAITED_NS, (now - self._begun) // WAITED_PART), STALL_NS)
-        self._begun_before, self._begun, self._waiting_since = self._begun, 0, now
+        turn = STALL_NS * WAITED_PART if self._stood_still else now - self._begun
+        self._least_wait = min(max(WAITED_NS, turn // WAITED_PART), STALL_NS)
+        # Danger: a process that is stopped is woken without news of the kernel, and its timers make a turn of
+        # their own: what came meanwhile is read in the turn after that.
+        self._looked_before = self._unread_since if self._stood_still else self._begun
+        self._begun, self._waiting_since = 0, now
 
     def unread(self, now: int) -> int:
         """For how long, at the most, what is read now may have lain in the kernel."""
--- a/tests/test_lag.py
+++ b/tests/test_lag.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies
 
-from saltport.lag import HEARTBEAT_NS, LagMeter
+from saltport.lag import HEARTBEAT_NS, HEARTBEAT_SLACK_NS, LagMeter
 
 US = 1_000
 MS = 1_000_000
@@ -49,6 +49,19 @@
     assert meter.take_longest() == 0
 
 
+def test_what_came_while_a_process_stood_still_may_be_read_a_turn_after_its_timers() -> None:
+    meter = LagMeter()
+    meter.turn_begins(10 * MS)
+    meter.turn_ends(11 * MS)
+    meter.turn_begins(311 * MS)  # woken without news of the kernel: a timer that was due
+    meter.turn_ends(311 * MS + 20 * US)
+    meter.turn_begins(312 * MS)  # the loop has looked at the kernel, on a busy machine
+    assert meter.unread(312 * MS) == 301 * MS
+    meter.turn_ends(313 * MS)
+    meter.turn_begins(313 * MS + 10 * US)
+    assert meter.unread(313 * MS + 10 * US) == MS + 10 * US  # all that was is read
+
+
 def test_a_wait_up_to_the_heartbeat_is_a_wait() -> None:
     meter = LagMeter()
     meter.turn_begins(10 * MS)
@@ -77,12 +90,14 @@
 
 @given(gaps=strategies.lists(strategies.tuples(strategies.integers(0, 10**8), strategies.integers(0, 10**8))))
 def test_what_is_told_never_reaches_back_before_the_last_look_but_one(gaps: list[tuple[int, int]]) -> None:
+    """A process that stood still has looked at the kernel as its wait began, and not as it ended."""
     meter = LagMeter()
     now, looks = 1, [1, 1]
-    for waited, busy in gaps:
+    for number, (waited, busy) in enumerate(gaps):
+        stood_still = number > 0 and waited > HEARTBEAT_NS + HEARTBEAT_SLACK_NS
+        looks = [now, now] if stood_still else [looks[1], now + waited]
         now += waited
         meter.turn_begins(now)
-        looks = [looks[1], now]
         assert 0 <= meter.unread(now) <= now - looks[0]
         now += busy
         assert busy <= meter.unread(now) <= now - looks[0]
