--- a/saltport/router/errands.py
+++ b/saltport/router/background_requests.py
@@ -1,23 +1,20 @@
-"""What the router asks of servers on its own account: probes, plain writes and voids."""
+"""Background requests, which no client sent: probes, replication writes and invalidations."""
 
 from __future__ import annotations
 
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from saltport.deadline import Deadline
 from saltport.decisions import CacheNote, Event, Outcome, ProbeEnded
+from saltport.router.event_host import EventHost
 from saltport.upstream.pool import Exchange
 
-if TYPE_CHECKING:
-    from saltport.router.host import RouterHost
-
 
 class ProbeExchange(Exchange):
     """One probe of a server."""
 
-    def __init__(self, host: RouterHost, server: str, timeout: int) -> None:
+    def __init__(self, host: EventHost, server: str, timeout: int) -> None:
         self._host, self._server = host, server
         self.wants_load = bool(host.settings.load_fields)
         self._sent_at = time.monotonic_ns()
@@ -32,17 +29,18 @@
         self.give_up(Outcome.TIMEOUT)
 
     def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
-        """Tell the module."""
+        """Tell the decisions."""
         self._timer.cancel()
         latency = time.monotonic_ns() - self._sent_at
         self._host.tell(ProbeEnded(self._server, outcome, latency))
 
 
-class PlainExchange(Exchange):
-    """A plain command for one key at a cache node, which no client asked for."""
+class BackgroundCommand(Exchange):
+    """A plain command for one key at a cache server."""
 
-    def __init__(self, host: RouterHost, timeout: int, told: Callable[[Outcome], Event]) -> None:
-        self._host, self._told = host, told
+    def __init__(self, host: EventHost, timeout: int, ended_event: Callable[[Outcome], Event]) -> None:
+        """`timeout`: nanoseconds; `ended_event`: makes the event that tells the decisions of its end."""
+        self._host, self._ended_event = host, ended_event
         self._deadline = Deadline(time.monotonic_ns() + timeout)
         self._timer = host.call_at(self._deadline.at_ns, self._timed_out)
 
@@ -55,24 +53,24 @@
         self.give_up(Outcome.MOOT if self.connection is None else Outcome.TIMEOUT)
 
     def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheNote | None = None) -> None:
-        """Tell the module."""
+        """Tell the decisions."""
         self._timer.cancel()
-        self._host.tell(self._told(outcome))
+        self._host.tell(self._ended_event(outcome))
 
 
-class CopyExchange(PlainExchange):
-    """A write of a value that passes by, kept by the node until its lease ends."""
+class ReplicationWrite(BackgroundCommand):
+    """A write of a value that passes by, kept by the cache server until its lease ends."""
 
     def __init__(
         self,
-        host: RouterHost,
+        host: EventHost,
         key: bytes,
         value: bytes,
         lease: Deadline,
         timeout: int,
-        told: Callable[[Outcome], Event],
+        ended_event: Callable[[Outcome], Event],
     ) -> None:
-        super().__init__(host, timeout, told)
+        super().__init__(host, timeout, ended_event)
         self._key, self._value, self._lease = key, value, lease
 
     def remaining_ms(self) -> int:
@@ -85,11 +83,13 @@
         return (b"SET", self._key, self._value, b"PX", b"%d" % remaining_ms)
 
 
-class VoidExchange(PlainExchange):
-    """A void of a key."""
+class Invalidation(BackgroundCommand):
+    """The removal of a key's copy."""
 
-    def __init__(self, host: RouterHost, key: bytes, timeout: int, told: Callable[[Outcome], Event]) -> None:
-        super().__init__(host, timeout, told)
+    def __init__(
+        self, host: EventHost, key: bytes, timeout: int, ended_event: Callable[[Outcome], Event]
+    ) -> None:
+        super().__init__(host, timeout, ended_event)
         self._key = key
 
     def plain_command(self, remaining_ms: int) -> tuple[bytes, ...]:
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -51,7 +51,7 @@
 from saltport.lag import HEARTBEAT_NS, LagMeter
 from saltport.membership.listing import Listing
 from saltport.messages import Request
-from saltport.router.errands import CopyExchange, ProbeExchange, VoidExchange
+from saltport.router.background_requests import Invalidation, ProbeExchange, ReplicationWrite
 from saltport.router.requests import Attempt, MovedValue, OpenRequest, Order
 from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import Connection, Pool, Server
@@ -417,15 +417,15 @@
             self.tell(told(Outcome.MOOT))
             return
         key, lease = action.key.encode(), Deadline(time.monotonic_ns() + action.lease)
-        copy = CopyExchange(self, key, self._passing, lease, self._probe_timeout, told)
+        copy = ReplicationWrite(self, key, self._passing, lease, self._probe_timeout, told)
         self._pool.submit(action.server, copy)
 
     def _invalidate(self, action: Invalidate) -> None:
         def told(outcome: Outcome) -> Event:
             return InvalidationEnded(action.key, action.server, outcome, action.turn)
 
-        void = VoidExchange(self, action.key.encode(), self._probe_timeout, told)
-        self._pool.submit(action.server, void)
+        invalidation = Invalidation(self, action.key.encode(), self._probe_timeout, told)
+        self._pool.submit(action.server, invalidation)
 
     def _set_timer(self, due: int, token: str) -> None:
         def fire() -> None:
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import time
+from collections import Counter
 from enum import Enum
-from typing import TYPE_CHECKING, TypeAlias
+from typing import Protocol, TypeAlias
 
-from saltport.deadline import NS_PER_MS, Received
+from saltport.admin.figures import Figures
+from saltport.deadline import NS_PER_MS, Deadline, Received
 from saltport.decisions import (
     AttemptEnded,
     CacheNote,
@@ -21,13 +23,12 @@
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import Progress
 from saltport.handover.record import Value
+from saltport.lag import LagMeter
 from saltport.messages import Request, ValueSource
+from saltport.router.event_host import EventHost
 from saltport.upstream.pool import Exchange
 from saltport.wire.resp import read_report
 
-if TYPE_CHECKING:
-    from saltport.router.host import RouterHost
-
 Order: TypeAlias = "KeyOrder[OpenRequest]"
 
 LOOK_S = 0.001  # in which the loop looks at the kernel once
@@ -35,6 +36,33 @@
 STALL_S = 2.0  # a server pauses a value for 0.1 s at most; one silent for so long has vanished
 
 
+class RequestHost(EventHost, Protocol):
+    """What open requests and their attempts need of the host that runs them."""
+
+    loop: asyncio.AbstractEventLoop
+    lag: LagMeter
+    figures: Figures
+    ends_at: Deadline
+    """By when all must have their final answers, once the process is ending."""
+    late_s: float
+    """For so long a connection waits for an answer that comes too late."""
+
+    def touched(self) -> None:
+        """An event from the kernel or the clock is dealt with."""
+
+    def dialing(self, server_id: str) -> bool:
+        """Whether a connection to this server is coming up."""
+
+    def count(self, request: OpenRequest, ends: Counter[str] | None) -> None:
+        """Count a request's end, the first one only; None: its client has left."""
+
+    def settle(self, request: OpenRequest) -> None:
+        """Forget a request that is answered and has nothing out."""
+
+    def refuse(self, request: OpenRequest) -> None:
+        """Refuse a request that the decisions were never told of."""
+
+
 class Stage(Enum):
     """Where a request stands among its connection's commands for its key."""
 
@@ -53,7 +81,7 @@
 
     def __init__(
         self,
-        host: RouterHost,
+        host: RequestHost,
         request_id: str,
         asked: Request,
         reply: Reply,
@@ -171,7 +199,7 @@
     _given = _size = 0
     _timer: asyncio.TimerHandle | None = None
 
-    def __init__(self, host: RouterHost, reply: Reply, request_class: str) -> None:
+    def __init__(self, host: RequestHost, reply: Reply, request_class: str) -> None:
         self._host, self._reply, self._class = host, reply, request_class
 
     def _relay(self, length: int, source: ValueSource) -> None:
@@ -245,7 +273,7 @@
     _begun_at = 0
     _looked = False
 
-    def __init__(self, host: RouterHost, request: OpenRequest, told: Send) -> None:
+    def __init__(self, host: RequestHost, request: OpenRequest, told: Send) -> None:
         super().__init__(host, request.reply, request.asked.request_class)
         self._request, self._server, self._hold = request, told.server, told.hold
         self._not_after_ns = told.not_after or request.deadline.at_ns
@@ -377,7 +405,7 @@
     Danger: told of its end, the module would count an attempt that it never made.
     """
 
-    def __init__(self, host: RouterHost, value: Value, reply: Reply) -> None:
+    def __init__(self, host: RequestHost, value: Value, reply: Reply) -> None:
         super().__init__(host, reply, value.request_class)
         self._counted = False
         host.figures.current += 1
--- a/tests/crossings/test_time_told.py
+++ b/tests/crossings/test_time_told.py
@@ -17,7 +17,7 @@
 
 from saltport.deadline import Deadline
 from saltport.decisions import Event, InvalidationEnded, Outcome
-from saltport.router.errands import CopyExchange, VoidExchange
+from saltport.router.background_requests import Invalidation, ReplicationWrite
 from saltport.router.host import RouterHost
 from saltport.upstream.pool import Exchange
 from tests.crossings.test_moment_of_sending import HeldDials, ask, play, until
@@ -160,9 +160,9 @@
 
 
 def test_copy_behind_a_dial_is_kept_no_longer_than_its_lease() -> None:
-    def copy(host: RouterHost, told: Callable[[Outcome], Event]) -> CopyExchange:
+    def copy(host: RouterHost, told: Callable[[Outcome], Event]) -> ReplicationWrite:
         lease = Deadline(time.monotonic_ns() + TOTAL_MS * NS_PER_MS)
-        return CopyExchange(host, b"k", b"v", lease, plain_span_ns(PATIENCE_S), told)
+        return ReplicationWrite(host, b"k", b"v", lease, plain_span_ns(PATIENCE_S), told)
 
     behind = Behind(copy)
     behind.play()
@@ -178,8 +178,8 @@
         span = plain_span_ns(HELD_S / 2)
         if is_copy:  # its lease is over, and not the time that it may take
             lease = Deadline(time.monotonic_ns() + span)
-            return CopyExchange(host, b"k", b"v", lease, plain_span_ns(PATIENCE_S), told)
-        return VoidExchange(host, b"k", span, told)
+            return ReplicationWrite(host, b"k", b"v", lease, plain_span_ns(PATIENCE_S), told)
+        return Invalidation(host, b"k", span, told)
 
     behind = Behind(command)
     behind.play()
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,115 @@
+"""Which package may import which: what stands below it in one order, so that no two need one another."""
+
+from __future__ import annotations
+
+import ast
+from collections.abc import Iterator
+from graphlib import CycleError, TopologicalSorter
+from pathlib import Path
+
+import pytest
+
+from tests.sockets import ROOT
+
+ORDER = [
+    "version",
+    "address",
+    "deadline",
+    "lag",
+    "structures",
+    "decisions",
+    "messages",
+    "wire",
+    "handover",
+    "membership",
+    "admin",
+    "downstream",
+    "upstream",
+    "peers",
+    "owners",
+    "failover",
+    "dissemination",
+    "router",
+    "lifecycle",
+    "simulator",
+    "standins",
+    "load",
+    "audit",
+    "harness",
+    "nemesis",
+    "demo",
+    "soak",
+    "cli",
+]
+"""Packages and modules of saltport, the lowest first."""
+ALONE = {"dissemination": {"address", "decisions", "owners", "peers", "structures"}}
+"""Those that may import less than all that stands below."""
+
+
+def modules() -> dict[str, Path]:
+    """Each module of saltport by its full name."""
+    found = {}
+    for path in (ROOT / "saltport").rglob("*.py"):
+        parts = path.relative_to(ROOT).with_suffix("").parts
+        found[".".join(parts[:-1] if parts[-1] == "__init__" else parts)] = path
+    return found
+
+
+def imported(tree: ast.AST, known: dict[str, Path]) -> Iterator[str]:
+    """The modules of saltport that a module imports anywhere, also for its types alone."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names if alias.name in known)
+        elif isinstance(node, ast.ImportFrom) and node.module in known:
+            for alias in node.names:
+                name = f"{node.module}.{alias.name}"
+                yield name if name in known else node.module
+
+
+def graph() -> dict[str, set[str]]:
+    known = modules()
+    return {name: set(imported(ast.parse(path.read_text()), known)) - {name} for name, path in known.items()}
+
+
+def package_of(module: str) -> str:
+    """The name in ORDER: a package, or a module that stands beside the packages."""
+    parts = module.split(".")
+    return parts[1] if len(parts) > 1 else "version"
+
+
+def misplaced(order: list[str], imports: dict[str, set[str]]) -> list[str]:
+    """Imports of what does not stand below; programs (`__main__`) join what they like."""
+    rank = {package: number for number, package in enumerate(order)}
+    return [
+        f"{module} imports {other}"
+        for module, others in sorted(imports.items())
+        if not module.endswith("__main__")
+        for other in sorted(others)
+        if package_of(other) != package_of(module)
+        and (
+            rank[package_of(other)] > rank[package_of(module)]
+            or package_of(other) not in ALONE.get(package_of(module), rank)
+        )
+    ]
+
+
+def test_no_modules_import_one_another() -> None:
+    sorter = TopologicalSorter(graph())
+    try:
+        sorter.prepare()
+    except CycleError as error:
+        pytest.fail(f"a cycle of imports: {' -> '.join(error.args[1])}")
+
+
+def test_packages_import_only_what_stands_below() -> None:
+    imports = graph()
+    assert {package_of(module) for module in imports} - {"__main__"} <= set(ORDER)
+    assert misplaced(ORDER, imports) == []
+
+
+def test_an_import_of_what_stands_above_is_found() -> None:
+    imports = {"saltport.wire.resp": {"saltport.router.host"}, "saltport.router.host": {"saltport.wire.resp"}}
+    assert misplaced(ORDER, imports) == ["saltport.wire.resp imports saltport.router.host"]
+    assert misplaced(ORDER, {"saltport.dissemination.log": {"saltport.wire.resp"}}) == [
+        "saltport.dissemination.log imports saltport.wire.resp"
+    ]
