Harness: routers' ports stay reserved for the whole run

Cause: the harness looked a free port up and let it go, so another process, or the near end of a connection, could have it before the router listened there or while it was down. In one run beside other work (load 14) test_what_does_not_start_is_told_and_leaves_nothing_running found something that answered at the port of a router that had not started, and test_short_soak_under_every_kind_of_fault_is_clean a router that could not be started again (address in use).

Change: each port is kept by a socket that is bound and does not listen, as tests/sockets.py does, until the harness stops.

Shown by: two new tests; tests of the harness, the soak and the command line pass (58 in 39 s with two workers). The collisions themselves were not forced.

--- a/saltport/harness.py
+++ b/saltport/harness.py
@@ -51,6 +51,20 @@
         return int(listener.getsockname()[1])
 
 
+def reserve_port(host: str = "127.0.0.1") -> socket.socket:
+    """A socket that keeps a port for a process that names it, until it is closed.
+
+    Danger: a port that was only looked up may be another process's by the time a router listens there, or
+    the near end of a connection, even of one to that very port; who answers there then passes for the
+    router. Bound and not listening, a socket keeps it from all who ask for any port, and with SO_REUSEADDR
+    on both lets one that names it listen.
+    """
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind((host, 0))
+    return held
+
+
 @dataclass(slots=True)
 class RouterProcess:
     """One router: its configuration stays, its process may be ended and started again."""
@@ -89,6 +103,8 @@
     _fleet: asyncio.subprocess.Process | None = field(init=False, default=None)
     _watchers: set[asyncio.Task[None]] = field(init=False, default_factory=set)
     _ending: set[str] = field(init=False, default_factory=set)
+    _reserved: list[socket.socket] = field(init=False, default_factory=list)
+    """They keep the routers' ports from all others, also while a router is down."""
 
     async def start(self) -> None:
         """Start the fleet and the routers; raises HarnessError, with nothing left running."""
@@ -129,7 +145,7 @@
         folder = self.folder / name
         folder.mkdir()
         for _ in range(TRIES):
-            router = RouterProcess(name, ("127.0.0.1", free_port()), folder, ("127.0.0.1", free_port()))
+            router = RouterProcess(name, self._own_address(), folder, self._own_address())
             told = self.profile.config(
                 name,
                 "{}:{}".format(*router.address),
@@ -146,6 +162,11 @@
                 return
         raise HarnessError(f"router {name} did not start; its log is {folder / 'log'}")
 
+    def _own_address(self) -> Address:
+        self._reserved.append(reserve_port())
+        host, port = self._reserved[-1].getsockname()
+        return host, port
+
     async def start_router(self, router: RouterProcess) -> bool:
         """Start a router's process and wait until it is ready; False: it ended, its port may be taken."""
         environ = {**environment(), "LB_CONFIG": str(router.folder / "config.json")}
@@ -228,6 +249,8 @@
         for task in list(self._watchers):
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        for held in self._reserved:
+            held.close()
         self.ledger.close()
 
     def audit(self, clients: list[Ledger | Path], limits: Limits) -> Verdict:
--- a/tests/test_harness.py
+++ b/tests/test_harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
@@ -12,7 +13,7 @@
 import uvloop
 
 from saltport.audit import Limits, Verdict
-from saltport.harness import Harness, HarnessError, run_load
+from saltport.harness import Harness, HarnessError, reserve_port, run_load
 from saltport.load.plan import LoadPlan, Step
 from saltport.standins.ledger import Ledger, read_ledger
 from saltport.standins.profile import Profile, quick
@@ -101,6 +102,30 @@
     assert "answers" in {violation.rule for violation in verdict.violations}
 
 
+def test_a_reserved_port_is_one_process_s_that_names_it_and_nobody_else_s() -> None:
+    with reserve_port() as held:
+        address = held.getsockname()
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(address)  # as the kernel does for whoever asks for any port, or connects
+        with socket.create_server(address), socket.create_connection(address) as connection:
+            assert connection.getpeername() == address
+
+
+def test_ports_stay_reserved_while_their_router_is_down(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Harness(tmp_path, quick(Profile(), 20), 2, 1) as harness:
+            (router,) = harness.held
+            await harness.kill_router(router)
+            for address in (router.address, router.admin):
+                with socket.socket() as other, pytest.raises(OSError, match="in use"):
+                    other.bind(address)
+            reserved = {held.getsockname() for held in harness._reserved}
+            assert {router.address, router.admin} <= reserved
+            assert await harness.start_router(router)
+
+    uvloop.run(run())
+
+
 def test_what_does_not_start_is_told_and_leaves_nothing_running(tmp_path: Path) -> None:
     async def run() -> None:
         harness = Harness(tmp_path, replace(Profile(), classes=()), 2, 1)
