Test of zones in processes: says what stood when it fails, and waits for states instead of seconds

Cause: a failure gave one line, from which neither the decision nor its way could be told. The stopped owner stood for 9 s whatever was seen; the lost origin was tried again by the few reads that missed, of 300 keys.

Change: a failure carries who followed which plan from when on, the owners by epoch and what each router says at the end. The owner goes on once its successor has decided. 3,000 keys, so that more reads miss and an origin that is back is found out sooner. All waits and assertions stay.

--- a/tests/nemesis/test_zone_processes.py
+++ b/tests/nemesis/test_zone_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -12,14 +13,16 @@
 
 from saltport.audit import Limits, Verdict
 from saltport.cli import cli
+from saltport.failover.settings import PIECE
 from saltport.harness import run_load
 from saltport.load.plan import LoadPlan, Step
 from saltport.nemesis.history import Course, History
-from saltport.nemesis.runner import Nemesis
+from saltport.nemesis.runner import Nemesis, NemesisError
 from tests.nemesis.test_owner_processes import until
 
 PATIENCE_S = 200.0
 RATE = 90.0
+KEYS = 3_000  # many: misses are what tells that an origin is back
 
 
 def play(folder: Path, scene: Callable[[Nemesis], Awaitable[None]]) -> tuple[Nemesis, Verdict]:
@@ -33,12 +36,15 @@
                     "all follow one plan", lambda: len(plans(nemesis)) == 1 and following(nemesis) == 9
                 )
                 stop = asyncio.Event()
-                plan = LoadPlan((Step(0.0, RATE),), 3_600, seed=7, keys=300)
+                plan = LoadPlan((Step(0.0, RATE),), 3_600, seed=7, keys=KEYS)
                 load = asyncio.get_running_loop().create_task(run_load(nemesis.harness, plan, stop=stop))
                 try:
                     await scene(nemesis)
                     await nemesis.until_agreed()
                     await until("all follow one plan", lambda: len(plans(nemesis)) == 1)
+                except (NemesisError, AssertionError) as error:
+                    error.add_note(story(nemesis))
+                    raise
                 finally:
                     stop.set()
                     _, ledger = await load
@@ -55,6 +61,23 @@
     return set(last.values())
 
 
+def story(nemesis: Nemesis) -> str:
+    """Who followed which plan from when on, who held the plans, and what all say now."""
+    lines, followed = [], dict[str, tuple[int, int]]()
+    for course in nemesis.history.courses:
+        age = (course.epoch, course.number)
+        if followed.get(course.by) != age:
+            lines.append(
+                f"{course.at:6.1f} s {course.by} follows {age} of {course.maker}, which leads to {course.end}"
+            )
+            followed[course.by] = age
+    holders = dict.fromkeys((hold.epoch, hold.by) for hold in nemesis.history.holds if hold.piece == PIECE)
+    lines.append(f"epochs and their owners: {list(holders)}")
+    for name, told in sorted(nemesis.zones.items()):
+        lines.append(f"{name}: {told['state']}, shares {told['shares']}, deciding {told['deciding']}")
+    return "\n".join(lines)
+
+
 def following(nemesis: Nemesis) -> int:
     return sum(told["state"] == "by plan" for told in nemesis.zones.values())
 
@@ -96,9 +119,11 @@
         async with nemesis.zone_lost(["b"]):
             await until("reads of b go elsewhere", lambda: share(nemesis, "b", "b") == {0.0})
             # The owner stands still for longer than its lease.
-            stopped = asyncio.get_running_loop().create_task(nemesis.stop_for(old, 9.0))
+            stopped = asyncio.get_running_loop().create_task(nemesis.stop_for(old, PATIENCE_S))
             await until("another decides", lambda: max(plans(nemesis))[0] > epoch)
-            await stopped
+            stopped.cancel()  # it goes on once its successor has decided, however long that took
+            with contextlib.suppress(asyncio.CancelledError):
+                await stopped
             await nemesis.until_agreed()
             await until("the old owner follows", lambda: len(plans(nemesis)) == 1)
             assert max(plans(nemesis))[0] > epoch
