Peers go by the field's names: suspicions, probes, gossip queue, send queue, local health, quorum state

accusations -> suspicions, questions -> probes, rumours -> gossip queue, outbox -> send queue, patience -> local health (Lifeguard), chronicle -> event log, words.py -> formatting.py, jurors -> indirect probers, Mood -> MemberState, Standing -> QuorumState, Told -> MembershipEvent; figures, log lines, pages and tests with them. The figures `mood` and `standing` stay for one version beside `state` and `quorum`. A warning in the log says `quorum:` in place of `standing:`. Datagrams are the same.

Left: `accuser` (a field of messages and a figure), `patience` in PeerSettings, and the private _Rumour.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -5,7 +5,7 @@
 cuts    partitions, a swinging cut, mass deaths and pauses: what is believed, and how long healing takes
 
 Forms: ours; swim (random targets, one suspicion time, no witnesses, no patience); heartbeats and phi (each to
-all, a fixed time of silence or phi accrual at 8), by a model of their own without any rumours.
+all, a fixed time of silence or phi accrual at 8), by a model of their own without any gossip.
 """
 
 from __future__ import annotations
@@ -36,11 +36,11 @@
     """SWIM as its paper has it, at the same number of questions."""
 
     def _watch(self, now: int) -> None:
-        self.patience.score = self.patience.lag = 0
+        self.local_health.score = self.local_health.lag = 0
         if now >= self._next_watch:
             self._next_watch = now + self.settings.period // self.settings.rings
             for name in self.members.some(1, self._rng, (self.name,)):
-                self.questions.ask(name, now)
+                self.probes.ask(name, now)
 
 
 Pause = tuple[float, int]
@@ -149,7 +149,7 @@
         since = world.now
         begin()
         world.run(seconds)
-        stand = dict(Counter(str(agent.views.standing) for agent in world.agents.values()))
+        stand = dict(Counter(str(agent.views.quorum) for agent in world.agents.values()))
         died, sent = len(world.told("died", since)), world.sent
         world.cuts.clear()
         agreed = world.until_agreed(60)
--- a/benchmarks/peers_world.py
+++ b/benchmarks/peers_world.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from saltport.peers.agent import Agent, Told
+from saltport.peers.agent import Agent, MembershipEvent
 from saltport.peers.messages import Packet
-from saltport.peers.outbox import Identity
+from saltport.peers.send_queue import Identity
 from saltport.peers.settings import NS_PER_MS, NS_PER_S, PeerSettings
 from saltport.standins.fleet import ZONES
 
@@ -25,7 +25,7 @@
 
     at: int
     by: str
-    told: Told
+    told: MembershipEvent
 
 
 class World:
@@ -96,7 +96,7 @@
             lost = not isinstance(to, int) or rng.random() < self.loss
             if isinstance(to, int) and not lost and not any(cut(place, to, now) for cut in self.cuts):
                 self._push(now + rng.randrange(*DELAY), to, place, packet)
-        for told in agent.take_told():
+        for told in agent.take_events():
             self.seen.append(Seen(now, agent.name, told))
 
     def run(self, seconds: float = 0.0, until: int | None = None) -> None:
@@ -144,7 +144,7 @@
     @property
     def sent(self) -> int:
         """Bytes that all have sent."""
-        return sum(agent.outbox.bytes for agent in self.agents.values())
+        return sum(agent.send_queue.bytes for agent in self.agents.values())
 
     def bytes_per_s(self, seconds: float) -> float:
         """Bytes that a router sends, the mean over all while so long passes."""
--- a/saltport/cli/operating.py
+++ b/saltport/cli/operating.py
@@ -73,7 +73,7 @@
 @AS_JSON
 def peers(router: Address, settle: bool, as_json: bool) -> None:
     """Show what a router believes of the other routers: who is alive, who is heard, where it stands."""
-    from saltport.peers.words import lines
+    from saltport.peers.formatting import lines
 
     if settle:
         ask(router, "/peers/settle", "PUT")
--- a/saltport/cli/status.py
+++ b/saltport/cli/status.py
@@ -78,9 +78,9 @@
 
 
 def _peers(peers: State) -> str:
-    standing, view = peers["standing"], peers["view"]
+    quorum, view = peers["quorum"], peers["view"]
     return (
-        f"peers: {standing['state']} for {standing['for_s']:.0f} s, {view['members']} routers in view "
+        f"peers: {quorum['state']} for {quorum['for_s']:.0f} s, {view['members']} routers in view "
         f"{view['number']} ({view['digest']}); see saltport peers"
     )
 
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -38,7 +38,7 @@
 if TYPE_CHECKING:
     from saltport.failover.link import FailoverLink
     from saltport.owners.link import OwnersLink, OwnersPlan
-    from saltport.peers.agent import Told
+    from saltport.peers.agent import MembershipEvent
     from saltport.peers.link import PeerLink
 
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
@@ -391,16 +391,16 @@
 
 
 def _peer_link(loop: asyncio.AbstractEventLoop, config: Config, host: RouterHost) -> PeerLink:
-    from saltport.peers.chronicle import Chronicle  # only where it is on
+    from saltport.peers.event_log import EventLog  # only where it is on
     from saltport.peers.link import PeerLink
 
     def lag() -> int:
         return host.lag.longest_since(time.monotonic_ns() - LAG_WINDOW_NS)
 
-    chronicle = Chronicle()
+    event_log = EventLog()
 
-    def told(news: Told) -> None:
-        for grave, line in chronicle.take(news):
+    def told(event: MembershipEvent) -> None:
+        for grave, line in event_log.take(event):
             log.log(logging.WARNING if grave else logging.INFO, "peers: %s", line)
 
     assert config.peers is not None
--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -157,7 +157,7 @@
             name: Member(held["state"], held["start"], held["incarnation"])
             for name, held in told["members"].items()
         }
-        standing = told["standing"]["state"] if told["mood"] == "member" else told["mood"]
+        standing = told["quorum"]["state"] if told["state"] == "member" else told["state"]
         sample = Sample(self.now(), router.name, process.pid, told["view"]["digest"], standing, members)
         self.history.samples.append(sample)
         owned = await _told(router, "/owners") if self.voters else None
--- a/saltport/owners/link.py
+++ b/saltport/owners/link.py
@@ -19,7 +19,7 @@
 from saltport.owners.settings import OwnerSettings
 from saltport.owners.storage import Storage, StorageBusyError, StorageError
 from saltport.owners.trials import Trials
-from saltport.peers.agent import Mood
+from saltport.peers.agent import MemberState
 from saltport.peers.link import PeerLink
 
 TRIALS_NS = 250_000_000  # between two looks at ejected servers
@@ -120,7 +120,7 @@
         try:
             now = boot_clock()
             member = self.member
-            if member is None and self._peers.agent.mood is Mood.MEMBER and now >= self._begin_at:
+            if member is None and self._peers.agent.state is MemberState.MEMBER and now >= self._begin_at:
                 self._begin_at = now + BEGIN_EVERY
                 if self._open():
                     member = self.member = self._begin(now)
--- a/saltport/peers/chronicle.py
+++ b/saltport/peers/event_log.py
@@ -4,27 +4,27 @@
 
 from collections.abc import Iterator
 
-from saltport.peers.agent import Told
+from saltport.peers.agent import MembershipEvent
 
-_AT_ONCE = ("paused", "displaced", "standing")
+_AT_ONCE = ("paused", "displaced", "quorum")
 _MOST_NAMES = 5
 
 
-class Chronicle:
+class EventLog:
     """Holds what happened until the view that it makes."""
 
     def __init__(self) -> None:
         self._held: dict[str, list[str]] = {}
 
-    def take(self, told: Told) -> Iterator[tuple[bool, str]]:
+    def take(self, event: MembershipEvent) -> Iterator[tuple[bool, str]]:
         """Take a change; yields lines, and whether each is a warning."""
-        if told.what in _AT_ONCE:
-            yield True, f"{told.what}: {told.detail}"
-        elif told.what == "view":
-            yield False, "; ".join([f"view {told.detail}", *map(self._words, self._held)])
+        if event.what in _AT_ONCE:
+            yield True, f"{event.what}: {event.detail}"
+        elif event.what == "view":
+            yield False, "; ".join([f"view {event.detail}", *map(self._words, self._held)])
             self._held.clear()
         else:
-            self._held.setdefault(told.what, []).append(told.name)
+            self._held.setdefault(event.what, []).append(event.name)
 
     def _words(self, what: str) -> str:
         names = self._held[what]
--- a/saltport/peers/words.py
+++ b/saltport/peers/formatting.py
@@ -8,13 +8,14 @@
 _MOST = 40  # members shown, those in trouble first
 
 
-def lines(told: dict[str, Any]) -> Iterator[str]:
+def lines(report: dict[str, Any]) -> Iterator[str]:
     """The report of one router."""
-    view, standing, health = told["view"], told["standing"], told["health"]
+    view, quorum, health = report["view"], report["quorum"], report["health"]
     yield (
-        f"{told['name']} ({told['mood']}, start {told['start']}, incarnation {told['incarnation']}): "
-        f"{standing['state']} for {standing['for_s']:.0f} s, "
-        f"{standing['present']} of {standing['yardstick']} in view {standing['yardstick_view']}"
+        f"{report['name']} ({report['state']}, start {report['start']}, "
+        f"incarnation {report['incarnation']}): "
+        f"{quorum['state']} for {quorum['for_s']:.0f} s, "
+        f"{quorum['present']} of {quorum['yardstick']} in view {quorum['yardstick_view']}"
     )
     yield f"view {view['number']} ({view['digest']}), {view['members']} routers, for {view['for_s']:.1f} s"
     yield (
@@ -22,19 +23,19 @@
         f"{health['pauses']} pauses (longest {health['longest_pause_ms']:.0f} ms), "
         f"{health['false_alarms']} false alarms"
     )
-    dropped = ", ".join(f"{count} {why}" for why, count in told["dropped"].items()) or "none"
-    sent = told["datagrams"]
+    dropped = ", ".join(f"{count} {why}" for why, count in report["dropped"].items()) or "none"
+    sent = report["datagrams"]
     yield (
         f"datagrams: {sent['sent']} sent ({sent['bytes_sent']} bytes), {sent['received']} taken; "
         f"dropped: {dropped}"
     )
-    for zone, reach in told["zones"].items():
+    for zone, reach in report["zones"].items():
         cut = f"; no longer heard by {', '.join(reach['cut_by'])}" if reach["cut_by"] else ""
         yield (
             f"zone {zone or '-'}: {reach['direct']} heard, {reach['relayed']} by others, "
             f"{reach['unheard']} not, {reach['unknown']} not asked{cut}"
         )
-    members = sorted(told["members"].items(), key=lambda entry: (entry[1]["state"] == "alive", entry[0]))
+    members = sorted(report["members"].items(), key=lambda entry: (entry[1]["state"] == "alive", entry[0]))
     for name, member in members[:_MOST]:
         accusers = f", accused by {', '.join(member['accusers'])}" if member["accusers"] else ""
         ago = "never" if member["heard_s_ago"] is None else f"{member['heard_s_ago']:.1f} s ago"
--- a/saltport/peers/rumours.py
+++ b/saltport/peers/gossip_queue.py
@@ -30,7 +30,7 @@
     return update
 
 
-class Rumours:
+class GossipQueue:
     """Updates by what they are about: a newer one of a router takes the place of the older."""
 
     def __init__(self) -> None:
@@ -54,7 +54,7 @@
         elif isinstance(update, Row):
             key = ("row", update.name)
         else:
-            self.drop_accusations(update.name)
+            self.drop_suspicions(update.name)
         self._remove(key)
         if len(self._level_of) < MOST:
             size = len(encode(update)) + (2 if isinstance(update, Suspect) else 0)
@@ -66,13 +66,13 @@
         if level is not None:
             del self._levels[level][key]
 
-    def drop_accusations(self, name: str) -> None:
+    def drop_suspicions(self, name: str) -> None:
         """Whatever is said against a router is out of date."""
         for key in [key for key in self._level_of if isinstance(key, tuple) and key[:2] == ("suspect", name)]:
             self._remove(key)
 
     def drop_judgements(self) -> None:
-        """Spread no accusation and no death any more: they are old news."""
+        """Spread no suspicion and no death any more: they are old news."""
         for level in self._levels:
             for key in [key for key, held in level.items() if isinstance(held.update, Suspect | Dead)]:
                 self._remove(key)
--- a/saltport/peers/link.py
+++ b/saltport/peers/link.py
@@ -12,11 +12,11 @@
 from typing import Any, cast
 
 from saltport.address import Address
-from saltport.peers.agent import Agent, Told
+from saltport.peers.agent import Agent, MembershipEvent
 from saltport.peers.envelope import Envelope
 from saltport.peers.messages import Carried, Place
-from saltport.peers.outbox import Identity
 from saltport.peers.report import report
+from saltport.peers.send_queue import Identity
 from saltport.peers.settings import NS_PER_S, PeerSettings
 
 BIND_EVERY_S = 0.1
@@ -62,7 +62,7 @@
         plan: PeerPlan,
         seed: int,
         lag: Callable[[], int],
-        told: Callable[[Told], None],
+        told: Callable[[MembershipEvent], None],
         settings: PeerSettings | None = None,
     ) -> None:
         self._loop, self._plan, self._lag, self._tell = loop, plan, lag, told
@@ -128,11 +128,11 @@
 
     def send_to(self, name: str, data: bytes) -> None:
         """Send something of another part to a router, if it is known; at most `MOST_CARRIED` bytes."""
-        self.agent.outbox.send_to(name, Carried(data), time.monotonic_ns())
+        self.agent.send_queue.send_to(name, Carried(data), time.monotonic_ns())
         self._carry()
 
     def error_received(self, exc: Exception) -> None:
-        """Nobody listens there just now: the questions tell as much."""
+        """Nobody listens there just now: the probes tell as much."""
 
     def use_keys(self, keys: tuple[bytes, ...]) -> None:
         """Go on with these keys."""
@@ -149,10 +149,10 @@
 
     def _turn(self) -> None:
         now = time.monotonic_ns()
-        patience = self.agent.patience
+        health = self.agent.local_health
         late = max(now - self.agent.due, 0) if self._timer is not None else 0
         most = self.agent.settings.gap // 2  # longer is a pause, which the agent notices by itself
-        patience.lag = min(max(late, self._lag(), int(patience.lag * LAG_DECAY)), most)
+        health.lag = min(max(late, self._lag(), int(health.lag * LAG_DECAY)), most)
         try:
             self.agent.turn(now)
             self._carry()
@@ -172,8 +172,8 @@
                 continue  # a later list has more peers than this router's
             if transport is not None and address[1]:
                 transport.sendto(self._envelope.seal(packet), address)
-        for told in self.agent.take_told():
-            self._tell(told)
+        for event in self.agent.take_events():
+            self._tell(event)
 
     async def close(self, replaced: bool) -> None:
         """End; `replaced`: another process goes on under this name, and nobody needs to hear of it."""
--- a/saltport/peers/patience.py
+++ b/saltport/peers/local_health.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 MOST_SCORE = 4
-LAG_FACTOR = 2  # of the loop's longest turn: a question and its answer may each wait for one
+LAG_FACTOR = 2  # of the loop's longest turn: a probe and its answer may each wait for one
 
 
-class Patience:
-    """Lengthens this router's questions while it does badly itself (Lifeguard, section 3.1)."""
+class LocalHealth:
+    """Lengthens this router's probes while it does badly itself (Lifeguard, section 3.1)."""
 
     def __init__(self, gap: int) -> None:
         self._gap = gap
@@ -36,7 +36,7 @@
         return 0
 
     def went_well(self) -> None:
-        """A question was answered."""
+        """A probe was answered."""
         self.score = max(self.score - 1, 0)
 
     def went_badly(self) -> None:
--- a/saltport/peers/messages.py
+++ b/saltport/peers/messages.py
@@ -81,7 +81,7 @@
 
 
 class Ping(Struct, frozen=True, array_like=True, tag=0):
-    """Are you there? `bare`: with no rumours, and so the answer, for paths that lose long datagrams."""
+    """Are you there? `bare`: with no gossip, and so the answer, for paths that lose long datagrams."""
 
     seq: int
     bare: bool = False
--- a/saltport/peers/report.py
+++ b/saltport/peers/report.py
@@ -14,12 +14,20 @@
 
 
 def report(agent: Agent, now: int) -> dict[str, Any]:
-    """Members, views, standing and reach; ages are seconds."""
+    """Members, views, quorum and reach; ages are seconds. `mood`, `standing`: old names, for one version."""
     views, reach, me = agent.views, agent.reach, agent.me
     cut_by = reach.cut_by(agent.members.live())
+    quorum = {
+        "state": str(views.quorum),
+        "for_s": _ago(views.quorum_since, now),
+        "yardstick": len(views.yardstick),
+        "yardstick_view": views.yardstick_number,
+        "present": len(views.yardstick & views.view.members),
+    }
     return {
         "name": me.name,
-        "mood": str(agent.mood),
+        "state": str(agent.state),
+        "mood": str(agent.state),  # the name until the next version
         "start": me.start,
         "incarnation": me.incarnation,
         "zone": me.zone,
@@ -29,24 +37,19 @@
             "members": len(views.view.members),
             "for_s": _ago(views.view.since, now),
         },
-        "standing": {
-            "state": str(views.standing),
-            "for_s": _ago(views.standing_since, now),
-            "yardstick": len(views.yardstick),
-            "yardstick_view": views.yardstick_number,
-            "present": len(views.yardstick & views.view.members),
-        },
+        "quorum": quorum,
+        "standing": quorum,
         "health": {
-            "score": agent.patience.score,
-            "lag_ms": agent.patience.lag / NS_PER_MS,
-            "pauses": agent.patience.pauses,
-            "longest_pause_ms": agent.patience.longest_pause / NS_PER_MS,
+            "score": agent.local_health.score,
+            "lag_ms": agent.local_health.lag / NS_PER_MS,
+            "pauses": agent.local_health.pauses,
+            "longest_pause_ms": agent.local_health.longest_pause / NS_PER_MS,
             "false_alarms": agent.false_alarms,
         },
         "datagrams": {
-            "sent": agent.outbox.sent,
-            "bytes_sent": agent.outbox.bytes,
-            "over_budget": agent.outbox.over_budget,
+            "sent": agent.send_queue.sent,
+            "bytes_sent": agent.send_queue.bytes,
+            "over_budget": agent.send_queue.over_budget,
             "received": agent.received,
         },
         "turned_away": agent.members.turned_away,
@@ -65,7 +68,7 @@
                 "heard": "self" if name == me.name else reach.kind(record, now),
                 "heard_s_ago": _ago(reach.heard_at(name), now),
                 "accusers": sorted(held.accusers)
-                if record.live and (held := agent.accusations.held.get(name))
+                if record.live and (held := agent.suspicions.held.get(name))
                 else [],
             }
             for name, record in sorted(agent.members.records.items())
--- a/saltport/peers/outbox.py
+++ b/saltport/peers/send_queue.py
@@ -1,13 +1,13 @@
-"""What this router sends: datagrams filled up with rumours, within the bytes that it may spend. No I/O."""
+"""What this router sends: datagrams filled up with gossip, within the bytes that it may spend. No I/O."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from saltport.peers.gossip_queue import GossipQueue
 from saltport.peers.members import Members
 from saltport.peers.messages import Alive, Body, Packet, Ping, Place, State, Update, encode
-from saltport.peers.rumours import Rumours
 from saltport.peers.settings import DATAGRAM, NS_PER_S, PeerSettings
 from saltport.peers.suspicion import Suspicion
 from saltport.peers.views import Views
@@ -31,7 +31,7 @@
         return Alive(self.name, self.start, self.incarnation, self.place, self.zone)
 
 
-class Outbox:
+class SendQueue:
     """Datagrams that wait to be taken."""
 
     def __init__(
@@ -45,14 +45,14 @@
     ) -> None:
         self._me, self._members, self._suspicions = me, members, suspicions
         self._views, self._settings = views, settings
-        self.rumours = Rumours()
+        self.gossip = GossipQueue()
         self.waiting: list[tuple[Place, Packet]] = []
         self.sent = self.bytes = self.over_budget = 0
         self._counter = self._seq = 0
         self._tokens, self._tokens_at = float(settings.bytes_per_s), now
 
     def next_seq(self) -> int:
-        """A number for a question."""
+        """A number for a probe."""
         self._seq += 1
         return self._seq
 
@@ -80,9 +80,9 @@
         spare: bool = False,
         bare: bool = False,
     ) -> None:
-        """Send a datagram filled up with rumours; takes what fits from `first`, which goes before them.
+        """Send a datagram filled up with gossip; takes what fits from `first`, which goes before them.
 
-        `spare`: only if the budget has room for it; `bare`: without rumours.
+        `spare`: only if the budget has room for it; `bare`: without gossip.
         """
         if spare and not self._affords(DATAGRAM, now):
             self.over_budget += 1
@@ -96,7 +96,7 @@
             room -= size
             said.append(first.pop(0))
         if not bare:
-            said += self.rumours.pick(room, len(self._members), now)
+            said += self.gossip.pick(room, len(self._members), now)
         packet = Packet(me.name, me.start, self._counter, number, digest, body, tuple(said))
         size = len(encode(packet)) + ENVELOPE
         self.sent += 1
--- a/saltport/peers/settings.py
+++ b/saltport/peers/settings.py
@@ -24,15 +24,15 @@
     period: int = 500 * NS_PER_MS
     """In which each watched router is asked once."""
     retry: int = 100 * NS_PER_MS
-    """Between two tries of one question that has no answer."""
+    """Between two tries of one probe that has no answer."""
     direct_tries: int = 2
     """Tries before helpers are asked as well."""
     patience: int = 700 * NS_PER_MS
-    """After which a question has failed."""
+    """After which a probe has failed."""
     helpers: int = 3
     """Asked at each further try."""
     explore: int = NS_PER_S
-    """Between two questions to somebody who is not watched."""
+    """Between two probes to somebody who is not watched."""
     least_silence: int = 2_600 * NS_PER_MS
     """From the last time heard to a death, of which several are sure, in fleets of up to 30."""
     lone_factor: float = 4.0
--- a/saltport/peers/suspicion.py
+++ b/saltport/peers/suspicion.py
@@ -1,4 +1,4 @@
-"""Accusations against one router, and when they amount to its death.
+"""Suspicions against one router, and when they amount to its death.
 
 A death is dated from the last time that any accuser or witness heard the subject, not from when the first one
 noticed: late accusers do not lengthen it. How long it must have been silent falls with the number of accusers
@@ -37,11 +37,11 @@
         return (self.start, self.incarnation) == (record.start, record.incarnation)
 
     def told(self, name: str, accuser: str, now: int) -> Suspect:
-        """The accusation of one of its accusers, with the latest word that is known of anybody's."""
+        """The suspicion of one of its accusers, with the latest word that is known of anybody's."""
         return Suspect(name, self.start, self.incarnation, accuser, in_ms(now - self.heard))
 
-    def accuse(self, accuser: str, heard: int) -> bool:
-        """Take an accusation, by who heard it last then; whether it is a new one."""
+    def suspect(self, accuser: str, heard: int) -> bool:
+        """Take an suspicion, by who heard it last then; whether it is a new one."""
         self.heard = max(self.heard, heard)
         known = accuser in self.accusers or len(self.accusers) >= MOST_ACCUSERS
         if known or heard + TRANSIT < self.witnesses.get(accuser, 0):
--- a/saltport/peers/accusations.py
+++ b/saltport/peers/suspicions.py
@@ -1,4 +1,4 @@
-"""Accusations and witnesses among routers, and who may declare a death. No I/O."""
+"""Suspicions and witnesses among routers, and who may declare a death. No I/O."""
 
 from __future__ import annotations
 
@@ -6,18 +6,18 @@
 
 from saltport.peers.members import Members, Record
 from saltport.peers.messages import Dead, Gossip, Heard, State, Suspect
-from saltport.peers.outbox import Outbox
 from saltport.peers.reach import Reach
+from saltport.peers.send_queue import SendQueue
 from saltport.peers.settings import NS_PER_MS, PeerSettings, in_ms
 from saltport.peers.suspicion import Suspicion
 
 WITNESS_EVERY = 250 * NS_PER_MS
-JURORS = 5
-CROWDED_SHARE = 0.1  # of all members, in doubt at once
+INDIRECT_PROBERS = 5
+CROWDED_SHARE = 0.1  # of all members, suspected at once
 LEAST_CROWD = 3  # suspects at a time that may be one matter
 
 
-class Accusations:
+class Suspicions:
     """All suspicions that this router knows of."""
 
     def __init__(
@@ -25,12 +25,12 @@
         me: str,
         suspicions: dict[str, Suspicion],
         members: Members,
-        outbox: Outbox,
+        send_queue: SendQueue,
         reach: Reach,
         settings: PeerSettings,
     ) -> None:
         self._me, self.held, self._members = me, suspicions, members
-        self._outbox, self._reach, self._settings = outbox, reach, settings
+        self._send_queue, self._reach, self._settings = send_queue, reach, settings
         self._crowd_until = 0
 
     @property
@@ -40,11 +40,11 @@
 
     @property
     def crowded(self) -> bool:
-        """Whether so many are in doubt that it is likelier a cut or a host's pause than so many deaths."""
+        """Whether so many are suspected that it is likelier a cut or a host's pause than so many deaths."""
         return len(self.held) >= max(LEAST_CROWD, CROWDED_SHARE * len(self._members))
 
     def mine(self) -> list[str]:
-        """Whom this router accuses: it goes on asking them."""
+        """Whom this router suspects: it goes on probing them."""
         return [name for name, held in self.held.items() if self._me in held.accusers]
 
     def pardon_all(self, now: int) -> None:
@@ -59,7 +59,7 @@
             not record.live or (record.start, record.incarnation) > (held.start, held.incarnation)
         ):
             del self.held[record.name]
-            self._outbox.rumours.drop_accusations(record.name)
+            self._send_queue.gossip.drop_suspicions(record.name)
 
     def _of(self, record: Record, heard: int, now: int) -> Suspicion:
         held = self.held.get(record.name)
@@ -67,43 +67,43 @@
             held = self.held[record.name] = Suspicion(record.start, record.incarnation, now, heard)
         return held
 
-    def accuse(self, record: Record, begun: int, now: int) -> None:
-        """A question of this router's own, begun at this time, had no answer."""
+    def suspect(self, record: Record, begun: int, now: int) -> None:
+        """A probe of this router's own, begun at this time, had no answer."""
         heard = self._reach.heard_at(record.name)
         held = self.held.get(record.name)
         if held is None or not held.is_of(record):
             # Danger: who was not asked for long must not count as silent from its last word on.
             heard = max(heard, begun - self._settings.period)
         suspicion = self._of(record, heard, now)
-        if suspicion.accuse(self._me, heard) or record.state is State.ALIVE:
-            # Nor is it to be told by a juror's own last word, but by the latest that is known of anybody's.
+        if suspicion.suspect(self._me, heard) or record.state is State.ALIVE:
+            # Nor is it to be told by a prober's own last word, but by the latest that is known of anybody's.
             update = suspicion.told(record.name, self._me, now)
             self._members.merge(update, now)
-            self._outbox.rumours.tell(update, now)
+            self._send_queue.gossip.tell(update, now)
 
     def take(self, update: Suspect, record: Record, now: int) -> None:
-        """Another router accuses one of the same start and incarnation as is held, or a later one."""
+        """Another router suspects one of the same start and incarnation as is held, or a later one."""
         heard = now - update.silent_ms * NS_PER_MS
         self._members.merge(update, now)
         suspicion = self._of(record, heard, now)
-        new = suspicion.accuse(update.accuser, heard)
+        new = suspicion.suspect(update.accuser, heard)
         direct = self._reach.direct.get(update.name, 0)
         if direct > heard and self._settings.refutes:
             suspicion.vouch(self._me, direct)
             if direct > now - self._settings.least_silence:
                 self._witness(suspicion, update.name, update.accuser, now)
         if new and len(suspicion.accusers) <= self._settings.confirmations + 1:
-            self._outbox.rumours.tell(update, now)
+            self._send_queue.gossip.tell(update, now)
 
     def told_of(self, name: str, now: int) -> list[Suspect]:
         """What is held against a router, for whoever is told of it; empty: nothing."""
         held = self.held.get(name)
         return [held.told(name, next(iter(held.accusers)), now)] if held is not None and held.accusers else []
 
-    def is_juror(self, name: str) -> bool:
-        """Whether this router is one of the few that ask too, once somebody is accused.
+    def is_indirect_prober(self, name: str) -> bool:
+        """Whether this router is one of the few that ask too, once somebody is suspected.
 
-        They are drawn by hash from those in no doubt, so that each side of a cut has some: a side with
+        They are drawn by hash from those not suspected, so that each side of a cut has some: a side with
         one watcher would otherwise wait for as long as a lone accuser must.
         """
         mine = zlib.crc32(f"{name}/{self._me}".encode())
@@ -111,7 +111,7 @@
         for record in self._members.live():
             if record.state is State.ALIVE and record.name not in (name, self._me):
                 before += zlib.crc32(f"{name}/{record.name}".encode()) > mine
-                if before >= JURORS:
+                if before >= INDIRECT_PROBERS:
                     return False
         return True
 
@@ -138,7 +138,7 @@
         if accuser != self._me:
             ago = in_ms(now - self._reach.direct.get(name, 0))
             heard = Heard(name, held.start, held.incarnation, ago)
-            self._outbox.send_to(accuser, Gossip(), now, [heard])
+            self._send_queue.send_to(accuser, Gossip(), now, [heard])
 
     def judge(self, answered_at: int, now: int) -> list[Dead]:
         """Who is dead: silent for long enough, by the word of who asked in vain itself.
@@ -171,6 +171,6 @@
         )
 
     def _sound(self, suspicion: Suspicion) -> int:
-        """How many accusers count: who is in doubt itself is no witness."""
+        """How many accusers count: who is suspected itself is no witness."""
         records = (self._members.records.get(name) for name in suspicion.accusers)
         return sum(record is not None and record.state is State.ALIVE for record in records)
--- a/saltport/peers/views.py
+++ b/saltport/peers/views.py
@@ -14,7 +14,7 @@
 from saltport.peers.settings import PeerSettings
 
 
-class Standing(StrEnum):
+class QuorumState(StrEnum):
     """Where a router stands among those last agreed on."""
 
     ALONE = "alone"
@@ -36,7 +36,7 @@
 
 
 class Views:
-    """The view, the yardstick and the standing of one router."""
+    """The view, the yardstick and the quorum state of one router."""
 
     def __init__(self, settings: PeerSettings, me: str, expected: int, now: int) -> None:
         self._settings, self._me = settings, me
@@ -46,8 +46,8 @@
         self.yardstick = frozenset((me,))
         """Until a view has settled: this router only, and so many are expected as the list of peers has."""
         self.yardstick_number = 0
-        self.standing = Standing.ALONE
-        self.standing_since = now
+        self.quorum = QuorumState.ALONE
+        self.quorum_since = now
 
     def look(self, digest: int, live: frozenset[str] | None, unsettled: bool, now: int) -> bool:
         """Compare with who is live; whether a new view begins. `unsettled`: more deaths may follow at once.
@@ -83,28 +83,28 @@
         self.yardstick, self.yardstick_number = self.view.members, self.view.number
         self._expected = 0
 
-    def stand(self, deaf: bool, fresh: bool, doubted: Set[str], now: int) -> bool:
-        """Judge the standing; `deaf`: nobody is heard; `fresh`: it just came. Returns whether it changed.
+    def stand(self, deaf: bool, fresh: bool, suspected: Set[str], now: int) -> bool:
+        """Judge the quorum state; `deaf`: nobody is heard; `fresh`: it just came. Returns whether it changed.
 
-        Danger: were the doubted counted as present, a side that is cut off would call itself the majority for
-        as long as deaths take, which is longest where few are left to accuse.
+        Danger: were the suspected counted as present, a side that is cut off would call itself the majority
+        for as long as deaths take, which is longest where few are left to suspect.
         """
         view, held = self.view, self.yardstick
-        sure = view.members - doubted
+        sure = view.members - suspected
         present, wanted = len(held & sure), len(held)
         if self._expected:
             present, wanted = len(sure), self._expected
         if deaf and len(view.members | held) > 1:
-            standing = Standing.ISOLATED
+            state = QuorumState.ISOLATED
         elif len(view.members | held) == 1:
-            standing = Standing.ALONE
+            state = QuorumState.ALONE
         else:
-            standing = Standing.MAJORITY if 2 * present > wanted and not fresh else Standing.MINORITY
-        changed = standing is not self.standing
+            state = QuorumState.MAJORITY if 2 * present > wanted and not fresh else QuorumState.MINORITY
+        changed = state is not self.quorum
         if changed:
-            self.standing, self.standing_since = standing, now
+            self.quorum, self.quorum_since = state, now
         if (
-            standing in (Standing.MAJORITY, Standing.ALONE)
+            state in (QuorumState.MAJORITY, QuorumState.ALONE)
             and held != view.members
             and now - view.since >= self._settings.settle
         ):
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -18,9 +18,9 @@
 from saltport.address import Address
 from saltport.admin.client import call
 from saltport.cli import cli
-from saltport.peers.agent import Told
+from saltport.peers.agent import MembershipEvent
+from saltport.peers.formatting import lines
 from saltport.peers.link import PeerLink, PeerPlan
-from saltport.peers.words import lines
 from saltport.router.check import check_file
 from saltport.router.config import ConfigError, load_config
 from saltport.standins.profile import Profile
@@ -42,7 +42,7 @@
 
     def __init__(self) -> None:
         self.addresses = tuple(udp_address() for _ in range(3))
-        self.told: dict[str, list[Told]] = {}
+        self.told: dict[str, list[MembershipEvent]] = {}
         self.links: dict[str, PeerLink] = {}
 
     def link(self, number: int, keys: tuple[bytes, ...] = (KEY,)) -> PeerLink:
--- a/tests/peers/test_model.py
+++ b/tests/peers/test_model.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule, run_state_machine_as_test
 
 from benchmarks.peers_world import World
-from saltport.peers.agent import Agent, Mood
+from saltport.peers.agent import Agent, MemberState
 from saltport.peers.messages import Dead, Suspect
 from saltport.peers.settings import NS_PER_S
 
@@ -89,7 +89,11 @@
         for agent in self.world.agents.values() if hasattr(self, "world") else ():
             for other in self.world.agents.values():
                 record = other.members.records.get(agent.name)
-                if record is not None and record.start == agent.me.start and agent.mood is Mood.MEMBER:
+                if (
+                    record is not None
+                    and record.start == agent.me.start
+                    and agent.state is MemberState.MEMBER
+                ):
                     assert record.incarnation <= agent.me.incarnation
 
     def teardown(self) -> None:
@@ -102,7 +106,7 @@
             return  # who hears nobody declares nobody dead
         assert self.world.until_agreed(30) < 30
         for agent in self.world.agents.values():
-            assert not any(held.accusers for held in agent.accusations.held.values())
+            assert not any(held.accusers for held in agent.suspicions.held.values())
 
 
 def play(machine: type[Fleet], examples: int) -> None:
@@ -120,7 +124,7 @@
 
 
 class _Meek(Agent):
-    def _accused(self, update: Suspect | Dead, sender: str, now: int) -> None:
+    def _suspected(self, update: Suspect | Dead, sender: str, now: int) -> None:
         """A planted defect: it never says that it lives."""
 
 
--- a/tests/peers/test_rules.py
+++ b/tests/peers/test_rules.py
@@ -1,4 +1,4 @@
-"""The parts of membership one by one: records, suspicion, views, rumours, patience, reach, messages."""
+"""The parts of membership one by one: records, suspicion, views, gossip, patience, reach, messages."""
 
 from __future__ import annotations
 
@@ -9,8 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from saltport.peers.agent import Told
-from saltport.peers.chronicle import Chronicle
+from saltport.peers.agent import MembershipEvent
+from saltport.peers.event_log import EventLog
+from saltport.peers.gossip_queue import GossipQueue
+from saltport.peers.local_health import LocalHealth
 from saltport.peers.members import Members
 from saltport.peers.messages import (
     Ack,
@@ -27,12 +29,10 @@
     decode,
     encode,
 )
-from saltport.peers.patience import Patience
 from saltport.peers.reach import Reach
-from saltport.peers.rumours import Rumours
 from saltport.peers.settings import DATAGRAM, NS_PER_MS, NS_PER_S, PeerSettings
 from saltport.peers.suspicion import Suspicion
-from saltport.peers.views import Standing, Views
+from saltport.peers.views import QuorumState, Views
 
 SETTINGS = PeerSettings()
 
@@ -113,23 +113,23 @@
 
 def test_death_is_dated_from_the_last_word_and_needs_more_of_a_lone_accuser() -> None:
     suspicion = Suspicion(1, 0, since=5 * NS_PER_S, heard=5 * NS_PER_S)
-    suspicion.accuse("a", 5 * NS_PER_S)
+    suspicion.suspect("a", 5 * NS_PER_S)
     lone = suspicion.due(SETTINGS, 30, 1)
     assert lone == 5 * NS_PER_S + 4 * SETTINGS.silence(30, 3)
     assert suspicion.due(SETTINGS, 30, 2) < lone
     assert suspicion.due(SETTINGS, 30, 3) == suspicion.due(SETTINGS, 30, 7)
     assert suspicion.due(SETTINGS, 30, 3, crowd=True) > suspicion.due(SETTINGS, 30, 3)
-    suspicion.accuse("b", 6 * NS_PER_S)  # heard it later: the silence is shorter
+    suspicion.suspect("b", 6 * NS_PER_S)  # heard it later: the silence is shorter
     assert suspicion.due(SETTINGS, 30, 3) == 6 * NS_PER_S + SETTINGS.silence(30, 3)
 
 
 def test_a_witness_is_no_accuser_by_what_it_said_before() -> None:
     suspicion = Suspicion(1, 0, 0, 0)
-    suspicion.accuse("a", 1 * NS_PER_S)
+    suspicion.suspect("a", 1 * NS_PER_S)
     suspicion.vouch("a", 3 * NS_PER_S)
-    assert not suspicion.accuse("a", 1 * NS_PER_S)  # the old accusation comes round again
+    assert not suspicion.suspect("a", 1 * NS_PER_S)  # the old accusation comes round again
     assert suspicion.accusers == {}
-    assert suspicion.accuse("a", 3 * NS_PER_S)
+    assert suspicion.suspect("a", 3 * NS_PER_S)
 
 
 @pytest.mark.parametrize(("count", "least"), [(3, 2.6), (30, 2.6), (300, 4.36)])
@@ -151,17 +151,17 @@
     views.look(99, frozenset(names), False, NS_PER_S)
     for second in range(1, 13):
         views.stand(False, False, set(), second * NS_PER_S)
-    assert (views.standing, len(views.yardstick)) == (Standing.MAJORITY, 10)
+    assert (views.quorum, len(views.yardstick)) == (QuorumState.MAJORITY, 10)
     now = 20 * NS_PER_S
     for gone in range(1, 7):
         now += NS_PER_S
         views.look(99 - gone, frozenset(names[:-gone]), False, now)
         views.stand(False, False, set(), now)
-    assert views.standing is Standing.MINORITY
+    assert views.quorum is QuorumState.MINORITY
     for _ in range(60):
         now += NS_PER_S
         views.stand(False, False, set(), now)
-    assert (views.standing, len(views.yardstick)) == (Standing.MINORITY, 10)
+    assert (views.quorum, len(views.yardstick)) == (QuorumState.MINORITY, 10)
 
 
 def test_who_just_came_claims_no_majority_and_the_doubted_are_not_present() -> None:
@@ -169,20 +169,20 @@
     views, names = Views(SETTINGS, "r0", 4, 0), frozenset(["r0", "r1", "r2", "r3"])
     views.look(7, names, False, 1)
     views.stand(False, True, set(), 2)
-    assert str(views.standing) == "minority"
+    assert str(views.quorum) == "minority"
     views.stand(False, False, set(), 3)
-    assert str(views.standing) == "majority"
+    assert str(views.quorum) == "majority"
     views.stand(False, False, {"r2", "r3"}, 4)
-    assert str(views.standing) == "minority"
+    assert str(views.quorum) == "minority"
 
 
 def test_a_fresh_router_is_in_a_majority_only_of_as_many_as_it_was_told_of() -> None:
     views = Views(SETTINGS, "r0", 10, 0)
     views.look(7, frozenset(["r0", "r1", "r2"]), False, 1)
     views.stand(False, False, set(), 60 * NS_PER_S)
-    assert views.standing is Standing.MINORITY
+    assert views.quorum is QuorumState.MINORITY
     assert views.stand(True, False, set(), 60 * NS_PER_S)
-    assert str(views.standing) == "isolated"
+    assert str(views.quorum) == "isolated"
 
 
 def test_changes_that_come_together_make_one_view() -> None:
@@ -198,39 +198,39 @@
 
 
 def test_rumours_fit_their_room_are_told_so_often_and_age() -> None:
-    rumours = Rumours()
+    gossip = GossipQueue()
     for number in range(20):
-        rumours.tell(Suspect(f"router-{number}", 1, 0, "z", 100), 0)
+        gossip.tell(Suspect(f"router-{number}", 1, 0, "z", 100), 0)
     told: dict[str, int] = {}
     for _ in range(200):
-        picked = list(rumours.pick(80, 30, 500 * NS_PER_MS))
+        picked = list(gossip.pick(80, 30, 500 * NS_PER_MS))
         assert sum(len(encode(update)) for update in picked) <= 80
         for update in picked:
             assert isinstance(update, Suspect)
             assert update.silent_ms == 600
             told[update.name] = told.get(update.name, 0) + 1
-    assert len(rumours) == 0
+    assert len(gossip) == 0
     assert set(told.values()) == {8}
-    rumours.tell(Suspect("x", 1, 0, "z", 1), 0)
-    rumours.tell(alive("x", 1, 1), 0)
-    assert [type(update) for update in rumours.pick(200, 30, 0)] == [Alive]
-    rumours.tell(Dead("y", 1, 0, "z"), 0)
-    rumours.drop_judgements()
-    assert [update.name for update in rumours.pick(200, 30, 0)] == ["x"]
+    gossip.tell(Suspect("x", 1, 0, "z", 1), 0)
+    gossip.tell(alive("x", 1, 1), 0)
+    assert [type(update) for update in gossip.pick(200, 30, 0)] == [Alive]
+    gossip.tell(Dead("y", 1, 0, "z"), 0)
+    gossip.drop_judgements()
+    assert [update.name for update in gossip.pick(200, 30, 0)] == ["x"]
 
 
 def test_a_pause_is_noticed_and_a_bad_ear_is_given_time() -> None:
-    patience = Patience(NS_PER_S)
-    assert patience.turn(0) == 0
-    assert patience.turn(NS_PER_S) == 0
-    assert patience.turn(11 * NS_PER_S) == 10 * NS_PER_S
-    assert (patience.pauses, patience.awake_since) == (1, 11 * NS_PER_S)
+    health = LocalHealth(NS_PER_S)
+    assert health.turn(0) == 0
+    assert health.turn(NS_PER_S) == 0
+    assert health.turn(11 * NS_PER_S) == 10 * NS_PER_S
+    assert (health.pauses, health.awake_since) == (1, 11 * NS_PER_S)
     for _ in range(9):
-        patience.went_badly()
-    patience.lag = NS_PER_MS
-    assert patience.stretch(100) == 500 + 2 * NS_PER_MS
-    patience.went_well()
-    assert patience.stretch(100) == 400 + 2 * NS_PER_MS
+        health.went_badly()
+    health.lag = NS_PER_MS
+    assert health.stretch(100) == 500 + 2 * NS_PER_MS
+    health.went_well()
+    assert health.stretch(100) == 400 + 2 * NS_PER_MS
 
 
 def test_reach_tells_direct_from_relayed_and_rows_go_forward() -> None:
@@ -279,15 +279,15 @@
 
 
 def test_what_comes_together_is_one_line() -> None:
-    chronicle = Chronicle()
+    event_log = EventLog()
     lines: list[tuple[bool, str]] = []
     for number in range(8):
-        lines += chronicle.take(Told("died", f"r{number}", "incarnation 0"))
-    lines += chronicle.take(Told("standing", "me", "minority (4 of 12)"))
-    lines += chronicle.take(Told("view", "me", "7: 4 routers"))
-    lines += chronicle.take(Told("view", "me", "8: 4 routers"))
+        lines += event_log.take(MembershipEvent("died", f"r{number}", "incarnation 0"))
+    lines += event_log.take(MembershipEvent("quorum", "me", "minority (4 of 12)"))
+    lines += event_log.take(MembershipEvent("view", "me", "7: 4 routers"))
+    lines += event_log.take(MembershipEvent("view", "me", "8: 4 routers"))
     assert lines == [
-        (True, "standing: minority (4 of 12)"),
+        (True, "quorum: minority (4 of 12)"),
         (False, "view 7: 4 routers; died r0, r1, r2, r3, r4 and 3 more"),
         (False, "view 8: 4 routers"),
     ]
--- a/tests/peers/test_world.py
+++ b/tests/peers/test_world.py
@@ -8,10 +8,10 @@
 import pytest
 
 from benchmarks.peers_world import World
-from saltport.peers.agent import Mood
+from saltport.peers.agent import MemberState
 from saltport.peers.messages import Ack, Alive, Gossip, Packet, Ping, Suspect, encode
 from saltport.peers.settings import NS_PER_MS, NS_PER_S, PeerSettings
-from saltport.peers.views import Standing
+from saltport.peers.views import QuorumState
 
 NARROW = 100  # bytes of a packet that gets through where long ones are lost
 
@@ -25,7 +25,7 @@
 
 
 def standings(world: World) -> Counter[str]:
-    return Counter(str(agent.views.standing) for agent in world.agents.values())
+    return Counter(str(agent.views.quorum) for agent in world.agents.values())
 
 
 def died(world: World, since: int) -> list[tuple[str, str]]:
@@ -39,7 +39,7 @@
     if bound is None:
         # Who hears nobody can't tell whose fault that is.
         world.run(20)
-        assert world.agents[0].views.standing is Standing.ISOLATED
+        assert world.agents[0].views.quorum is QuorumState.ISOLATED
         assert world.agents[0].members.is_live("r1")
         return
     assert world.until_agreed(10) <= bound
@@ -90,7 +90,7 @@
     since = world.now
     world.cuts.append(lambda here, there, _: (here < 4) != (there < 4))
     world.run(30)  # longer than a view needs to settle: the smaller side must not become its own yardstick
-    assert {place: str(agent.views.standing) for place, agent in world.agents.items()} == {
+    assert {place: str(agent.views.quorum) for place, agent in world.agents.items()} == {
         place: "minority" if place < 4 else "majority" for place in range(12)
     }
     views = Counter(seen.by for seen in world.told("view", since))
@@ -104,11 +104,11 @@
     asker, asked = world.agents[0], world.agents[1]
     for number in range(40):
         for agent in (asker, asked):
-            agent.outbox.rumours.tell(Alive(f"other-{number}", 1, 0, number, "a"), world.now)
-    asker.questions.clear()
+            agent.send_queue.gossip.tell(Alive(f"other-{number}", 1, 0, number, "a"), world.now)
+    asker.probes.clear()
     asker.take()
-    asker.questions.ask("r1", world.now)
-    asker.questions.turn(world.now + 150 * NS_PER_MS)
+    asker.probes.ask("r1", world.now)
+    asker.probes.turn(world.now + 150 * NS_PER_MS)
     first, second = [packet for to, packet in asker.take() if to == 1 and isinstance(packet.body, Ping)]
     assert len(encode(first)) > 200 > NARROW > len(encode(second))
     for question, long in ((first, True), (second, False)):
@@ -123,8 +123,8 @@
     world = running(count)
     world.cuts.append(lambda here, there, _: (here < small) != (there < small))
     world.run(3.5)
-    assert {str(world.agents[place].views.standing) for place in range(small)} <= {"minority", "isolated"}
-    assert {str(world.agents[place].views.standing) for place in range(small, count)} == {"majority"}
+    assert {str(world.agents[place].views.quorum) for place in range(small)} <= {"minority", "isolated"}
+    assert {str(world.agents[place].views.quorum) for place in range(small, count)} == {"majority"}
 
 
 @pytest.mark.parametrize("seed", [2, 3, 7])
@@ -139,7 +139,7 @@
     world.run(3)
     for _ in range(30):
         world.run(0.1)
-        assert "majority" not in {str(world.agents[place].views.standing) for place in small}
+        assert "majority" not in {str(world.agents[place].views.quorum) for place in small}
 
 
 def test_three_parts_and_a_cut_that_swings() -> None:
@@ -171,7 +171,7 @@
     world = running(6)
     world.kill(2)
     world.run(1.4)  # it is accused, and not dead yet
-    accuser = next(a for a in world.agents.values() if a.name in a.accusations.held["r2"].accusers)
+    accuser = next(a for a in world.agents.values() if a.name in a.suspicions.held["r2"].accusers)
     place = accuser.me.place
     assert isinstance(place, int)
     since = world.now
@@ -191,7 +191,7 @@
     world.run(30)
     mute = world.agents[1]
     assert {name for _, name in died(world, since)} == (set() if heard_by else {"r1"})
-    assert mute.views.standing is (Standing.MAJORITY if heard_by else Standing.ISOLATED)
+    assert mute.views.quorum is (QuorumState.MAJORITY if heard_by else QuorumState.ISOLATED)
     assert len(mute.members) == 8  # who is cut off itself declares nobody dead
     world.cuts.clear()
     healed = world.now
@@ -229,7 +229,7 @@
     world.until_agreed(10)
     twin = world.start(4, clock=500, name="r1")  # its clock is far behind: it still counts as the later one
     world.run(8)
-    assert world.agents[1].mood is Mood.DISPLACED
+    assert world.agents[1].state is MemberState.DISPLACED
     assert world.told("displaced")
     assert twin.me.start > 1_000
     assert {agent.members.records["r1"].place for place, agent in world.agents.items() if place != 1} == {4}
@@ -243,7 +243,7 @@
     assert world.until_agreed(10) < 3
     world.run(5)
     assert agent.me.start == 1_001
-    assert agent.mood is Mood.MEMBER
+    assert agent.state is MemberState.MEMBER
     assert died(world, 0) == []
 
 
@@ -264,7 +264,7 @@
     since = world.now
     world.pause(3, 1_500 * NS_PER_MS)
     world.run(1.45)
-    assert any("r3" in agent.accusations.held for agent in world.agents.values())
+    assert any("r3" in agent.suspicions.held for agent in world.agents.values())
     world.leave(3)
     assert world.until_agreed(10) < 2
     world.run(10)
@@ -277,7 +277,7 @@
     world = World(60, 3)
     world.start_all(NS_PER_S)
     assert world.until_agreed(10) < 2
-    sent = max(agent.outbox.bytes for agent in world.agents.values())
+    sent = max(agent.send_queue.bytes for agent in world.agents.values())
     assert sent < world.settings.bytes_per_s * 2
     world.run(12)
     since = world.now
@@ -303,7 +303,7 @@
     assert standings(world) == {"minority": 4}
     world.agents[5].views.settle(world.now)
     world.run(1)
-    assert world.agents[5].views.standing is Standing.MAJORITY
+    assert world.agents[5].views.quorum is QuorumState.MAJORITY
     assert len({agent.views.view.number for agent in world.agents.values()}) == 1
 
 
@@ -318,7 +318,7 @@
     other.receive(Packet("r2", 1_000, 1 << 40, 0, other.members.digest, Gossip(), (old,)), 2, world.now)
     told = [update for _, packet in other.take() for update in packet.said]
     assert Alive("r0", 1_000, 5, 0, "a") in told
-    assert "r0" not in other.accusations.held
+    assert "r0" not in other.suspicions.held
 
 
 def test_a_full_table_turns_others_away_and_counts_them() -> None:
