An attempt's end in short steps; rule 2's window is set where rule 2 stands

Change: what is learnt from an end is a step of its own; effects.may_have_run notes the first attempt that may have run and the end of the window, with a test of it. OutlierDetector.follow clears what left or restarted in one place; OriginFetches.ended says which outcomes are no fault of the origin. Last uses of the earlier names in comments and benchmarks are gone. No change of behaviour.

--- a/benchmarks/hot_keys.py
+++ b/benchmarks/hot_keys.py
@@ -108,7 +108,7 @@
         "busiest_second": max(busiest[CALM_S + 1 : CALM_S + HOT_S]), "wall_s": time.perf_counter() - begun,
         "log": world.logs,
     }  # fmt: skip
-    kind = told.fill.value if told else "slots' heat"
+    kind = told.fill.value if told else "slots' load"
     say(
         f"{kind:12} {nodes:6} nodes {rate:7.0f}/s: {held:.0f} nodes hold it (least {row['least']}), "
         f"busiest {row['busiest_over_14_s']:.2f} fair shares over the 14 s after the first "
@@ -155,7 +155,7 @@
 
 
 def cost(say: Any) -> dict[str, float]:
-    """Microseconds that a read costs where it is counted, by slots' heat and by keys."""
+    """Microseconds that a read costs where it is counted, by slots' load and by keys."""
     caches = SlotTable(Settings(classes=(RequestClass("read", 1, 1),)))
     caches.update([Server(f"s{number}") for number in range(130)], [])
     rng, weights = random.Random(1), list(accumulate(1 / (rank + 1) for rank in range(OTHERS)))
@@ -164,7 +164,7 @@
     classes = (RequestClass("read", S, S),)
     settings = Settings(classes=classes, tenants=(Tenant("a", 0.7), Tenant("b", 0.3)))
     kinds: dict[str, Replication] = {
-        "slots' heat": SlotReplication(caches, rng, False),
+        "slots' load": SlotReplication(caches, rng, False),
         "hot keys": HotKeys(settings, HotKeySettings(), caches, lambda server, now: True, rng),
     }
     took = {}
--- a/benchmarks/sketches.py
+++ b/benchmarks/sketches.py
@@ -67,7 +67,7 @@
 
 
 class Halved(Counting):
-    """As the heat of slots is counted: all halved each 1,024 requests, single counts dropped."""
+    """As the load of slots is counted: all halved each 1,024 requests, single counts dropped."""
 
     def __init__(self, capacity: int) -> None:
         self._counts: dict[str, float] = {}
--- a/benchmarks/zones_world.py
+++ b/benchmarks/zones_world.py
@@ -110,9 +110,9 @@
             self.at(max(wakes - self.now, 250 * MS), lambda: self._turn(place))
             return
         agent.turn([f"r{other}" for other in range(len(self.routers)) if other not in self.dead], self.now)
-        spreading = self.routers[place].replication
-        if agent.report_due(self.now) and isinstance(spreading, Zoned):
-            agent.report(spreading.take_evidence(), self.now)
+        replication = self.routers[place].replication
+        if agent.report_due(self.now) and isinstance(replication, Zoned):
+            agent.report(replication.take_evidence(), self.now)
         self._carry(place)
         self.at(100 * MS, lambda: self._turn(place))
 
--- a/saltport/decisions/effects.py
+++ b/saltport/decisions/effects.py
@@ -7,6 +7,13 @@
 from saltport.decisions.request import Request
 
 
+def may_have_run(request: Request, node: Node) -> None:
+    """Note where the first attempt was sent that may have run, and until when its repeats are dropped."""
+    request.ran = node
+    if request.cls.effect is Effect.KEYED:
+        request.not_after = min(request.deadline, request.sent_at + request.cls.dedup_window)
+
+
 def may_send(request: Request, node: Node, now: int) -> bool:
     """What may have run goes out again only where and while its repeat is dropped."""
     if request.ran is None or request.cls.effect is Effect.SAFE:
--- a/saltport/decisions/health.py
+++ b/saltport/decisions/health.py
@@ -28,7 +28,10 @@
         self.response_time = ResponseTimeEstimate()
         self.limit = Limit(known_at)
         self.timeliness = Timeliness()
-        self.weight_factor, self.weight_factor_at = 1.0, 0  # of its reads, and since when (portions.py)
+        self.weight_factor, self.weight_factor_at = (
+            1.0,
+            0,
+        )  # see weight_adjustment.py
         self._unheard_at = 0
 
     def judge(self, outcome: Outcome, took: int, aim: int, sent_at: int, now: int) -> None:
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -1,8 +1,7 @@
-"""Every decision, without I/O; the settings, events and actions are in interface.py.
+"""Requests and their ends, without I/O; settings, events and actions are in interface.py.
 
-Ordinary path: key -> slot -> the ready cache server with the highest weighted hash of (slot, server id);
-a read that misses there -> the origin, if its tenant's Suppressor admits the fetch; a write -> the origin.
-Router keeps requests and their ends. placement.py chooses servers, origin.py admits fetches.
+Ordinary path: key -> slot -> the ready cache server with the highest weighted hash of (slot, server id)
+(placement.py); a read that misses there, and every write -> the origin (origin.py).
 """
 
 from __future__ import annotations
@@ -11,9 +10,9 @@
 from zlib import crc32
 
 from saltport.decisions import interface as api
-from saltport.decisions.effects import may_refuse, may_repeat, may_send
+from saltport.decisions.effects import may_have_run, may_refuse, may_repeat, may_send
 from saltport.decisions.health import ANSWERED, UNANSWERED, Node
-from saltport.decisions.interface import NS_PER_S, Effect, ListKind, Outcome, Reason
+from saltport.decisions.interface import NS_PER_S, ListKind, Outcome, Reason
 from saltport.decisions.limits import Limit
 from saltport.decisions.origin import OriginFetches
 from saltport.decisions.outliers import OutlierDetector
@@ -76,8 +75,7 @@
             case api.StreamStarted() if event.request in self.requests:
                 self._stream_started(self.requests[event.request])
             case api.LoopReport():
-                news = self.overload.report(event)
-                if news is not None:
+                if news := self.overload.report(event):
                     self._actions.append(api.Log(news))
             case api.ClientGone() if event.request in self.requests:
                 self._finish(self.requests[event.request])
@@ -100,9 +98,8 @@
     def _servers_changed(self, event: api.ServersChanged) -> None:
         if self.settings.must_subscribe:
             self._keep_subscribed(event.kind)
-        if event.kind is ListKind.FAILED:
-            return
-        self._update(*self.registry.follow(event))
+        if event.kind is not ListKind.FAILED:
+            self._update(*self.registry.follow(event))
 
     def _update(self, ready: list[api.Server], left: list[str]) -> None:
         for table, is_origin in ((self.caches, False), (self.origins, True)):
@@ -234,26 +231,15 @@
         # Danger: servers may close what they keep at any time; counted, that would eject healthy ones.
         broke = event.kept and outcome is Outcome.RESET
         self.replication.ended(request, node, event, fetched, self._now)
-        if outcome in TELLING and not request.write:
-            busy = request.rate_limiter.in_use(self._now) if fetched else node.limit.busy
-            node.timeliness.learn(took, outcome in ANSWERED, busy, self._now)
-            if not fetched:
-                self.placement.learn(took, outcome, self._now)
-        if event.load and not fetched:
-            self._weights.learn(node, event.load, request.cls.aim, request.sent_at, self._now)
+        self._learn(request, node, event, fetched, took)
         if fetched:
             self.fetches.ended(node, event, late, self._now)
             for waiter in self.fetches.released(node):
                 self._fetch(waiter)
         elif not broke:
-            self._judge(request, node, event, late, took)
-            if outcome in ANSWERED:
-                node.response_time.learn(event.latency)
-                self._response_time.learn(event.latency)
+            self._judge(request, node, event, took)
         if not outcome.never_ran and request.ran is None:
-            request.ran = node
-            if request.cls.effect is Effect.KEYED:
-                request.not_after = min(request.deadline, request.sent_at + request.cls.dedup_window)
+            may_have_run(request, node)
         if event.closed or request.done:
             self._finish(request, stored=fetched and outcome is Outcome.OK)
         elif outcome is Outcome.MISS and not fetched and self.settings.origin_kind is not None:
@@ -272,7 +258,20 @@
                 request.failed = (*request.failed, node)
             self._route(request)
 
-    def _judge(self, request: Request, node: Node, event: api.AttemptEnded, late: bool, took: int) -> None:
+    def _learn(self, request: Request, node: Node, event: api.AttemptEnded, fetched: bool, took: int) -> None:
+        """Learn how timely answers are, and what a server reports of itself."""
+        if event.outcome in TELLING and not request.write:
+            busy = request.rate_limiter.in_use(self._now) if fetched else node.limit.busy
+            node.timeliness.learn(took, event.outcome in ANSWERED, busy, self._now)
+            if not fetched:
+                self.placement.learn(took, event.outcome, self._now)
+        if event.load and not fetched:
+            self._weights.learn(node, event.load, request.cls.aim, request.sent_at, self._now)
+
+    def _judge(self, request: Request, node: Node, event: api.AttemptEnded, took: int) -> None:
+        if event.outcome in ANSWERED:
+            node.response_time.learn(event.latency)
+            self._response_time.learn(event.latency)
         # Danger: counted, clients with little time left would make every server look silent, and a router
         # whose loop has no rest would take its own lateness for theirs.
         cut_short = event.outcome is Outcome.TIMEOUT and took < request.lost_after
@@ -280,10 +279,10 @@
         node.judge(outcome, took, request.cls.aim, request.sent_at, self._now)
         if self.caches.nodes.get(node.entry.id) is not node:
             return
-        news = self.outliers.judge(node, request.id, outcome, request.sent_at, self._now)
-        if news is not None:
-            self._actions.append(api.Log(news.message))
-            if news.is_back:
+        change = self.outliers.judge(node, request.id, outcome, request.sent_at, self._now)
+        if change is not None:
+            self._actions.append(api.Log(change.message))
+            if change.is_back:
                 node.limit = Limit(self._now)
 
     def _fetch_failed(self, request: Request, outcome: Outcome, late: bool, broke: bool) -> None:
--- a/saltport/decisions/origin.py
+++ b/saltport/decisions/origin.py
@@ -1,8 +1,7 @@
 """Fetches from the origin: who may ask it now, who joins a fetch that is under way, and how many it bears.
 
-Each tenant has a rate limit (suppression.py). All together have a concurrency limit for writes, with additive
-rise and multiplicative cut; a write that finds it reached waits for the end of another call. Reads of one key
-share one fetch, that of their leader. Times are nanoseconds.
+Each tenant has a rate limit (suppression.py). A concurrency limit with additive rise and multiplicative cut
+holds writes back until another call has ended. Reads of one key share their leader's fetch. Times in ns.
 """
 
 from __future__ import annotations
@@ -18,6 +17,8 @@
 from saltport.structures.response_time import ResponseTimeEstimate
 
 BAD_SAMPLES, BAD_SHARE = 8, 0.2
+# Of the origin, unless they are late: a time-out that is not had too little time left.
+NO_FAULT = (Outcome.MOOT, Outcome.CANCELLED, Outcome.TIMEOUT)
 
 
 class OriginFetches:
@@ -82,10 +83,7 @@
             self._width += 1 / self._width
             for limiter in self.rate_limiters.values():
                 limiter.rise(now)
-        elif event.kept and event.outcome is Outcome.RESET:
-            pass  # no sign of the origin's health
-        elif late or event.outcome not in (Outcome.MOOT, Outcome.CANCELLED, Outcome.TIMEOUT):
-            # A time-out that is not late had too little time left: not the origin's fault.
+        elif (late or event.outcome not in NO_FAULT) and not (event.kept and event.outcome is Outcome.RESET):
             self._bad += (1 - self._bad) / BAD_SAMPLES
             # A lone bad fetch is chance (a heavy tail), and one round-trip's bad fetches are one sign.
             if self._bad >= BAD_SHARE and now - self._last_cut >= self.response_time.mean:
--- a/saltport/decisions/outliers.py
+++ b/saltport/decisions/outliers.py
@@ -116,18 +116,15 @@
         self.listed = len(nodes)
         for server, record in list(self.records.items()):
             node = nodes.get(server)
-            if node is None and record.left_at is None:
-                record.left_at, record.trial = now, None
+            restarted = node is not None and node.entry.started != record.started
+            if node is None or restarted:
                 self.ejected.discard(server)
                 self.suspects.discard(server)
-            elif node is None:
-                if now - (record.left_at or 0) > REMEMBERED:
-                    del self.records[server]
-            elif node.entry.started != record.started:
+            if node is None and record.left_at is None:
+                record.left_at, record.trial = now, None
+            elif restarted or (node is None and now - (record.left_at or 0) > REMEMBERED):
                 del self.records[server]
-                self.ejected.discard(server)
-                self.suspects.discard(server)
-            elif record.left_at is not None:
+            elif node is not None and record.left_at is not None:
                 record.left_at = None
                 if record.until:
                     self.ejected.add(server)
--- a/saltport/decisions/placement.py
+++ b/saltport/decisions/placement.py
@@ -1,8 +1,7 @@
 """Placement: which cache server a request goes to next, or the reason why it goes to none.
 
-Candidates come best first, and each passes the rules in this order: not tried before and allowed by rule 2;
-not ejected; the time left suffices; it has room, else the next few are asked, unless all are crowded; it
-keeps this slot's reads. Times are nanoseconds.
+Candidates come best first and pass rules in this order: not tried before, and allowed by rule 2; not ejected;
+the time left suffices; has room, else the next few are asked; keeps this slot's reads. Times: nanoseconds.
 """
 
 from __future__ import annotations
--- a/saltport/decisions/replication_factory.py
+++ b/saltport/decisions/replication_factory.py
@@ -1,4 +1,4 @@
-"""Makes the form of the seam that the settings ask for: the platform runs heat.py."""
+"""Makes the replication that the settings ask for: the platform runs slot_replication.py."""
 
 from __future__ import annotations
 
--- a/tests/decisions/test_effects.py
+++ b/tests/decisions/test_effects.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from saltport.decisions.effects import may_refuse, may_repeat, may_send
+from saltport.decisions.effects import may_have_run, may_refuse, may_repeat, may_send
 from saltport.decisions.health import Node
 from saltport.decisions.interface import Effect, Group, RequestArrived, RequestClass, Server, Tenant
 from saltport.decisions.request import Request
@@ -35,11 +35,20 @@
     limiter = Suppressor(Tenant("t", 1.0), 1, random.Random(1))
     made = Request(RequestArrived("r", "c", 4 * S), cls, limiter, 4)
     if ran:
-        made.ran = Node(FIRST, False)
-        made.not_after = WINDOW_END if effect is Effect.KEYED else made.deadline
+        may_have_run(made, Node(FIRST, False))
     return made
 
 
+@pytest.mark.parametrize("sent_at", [0, S, 3 * S])
+def test_repeats_are_dropped_from_the_first_send_on_and_never_past_the_deadline(sent_at: int) -> None:
+    made = request(Effect.KEYED, Group.ALL, ran=False)
+    made.sent_at = sent_at
+    may_have_run(made, Node(FIRST, False))
+    assert made.not_after == min(sent_at + WINDOW_END, made.deadline)
+    safe = request(Effect.SAFE, Group.ALL, ran=True)
+    assert safe.not_after == safe.deadline
+
+
 @pytest.mark.parametrize(("effect", "group", "ran"), list(product(Effect, Group, (False, True))))
 def test_attempts_and_refusals(effect: Effect, group: Group, ran: bool) -> None:
     asked = request(effect, group, ran)
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -217,7 +217,7 @@
 
 def test_read_of_an_overrun_server_goes_to_the_next_one_always_the_same() -> None:
     router = started(settings(), fleet(8))
-    for i in range(600):  # else one key is all there is, and its slot is spread by its heat
+    for i in range(600):  # else one key is all there is, and its slot is replicated by its load
         router.handle(ended(only_send(router.handle(request(f"w{i}", key=f"w{i}"), 0)), Outcome.OK), 0)
     holder = overrun(router, "k")
     others = {only_send(router.handle(request(f"r{i}"), 0)).server for i in range(3)}
--- a/tests/decisions/test_zoned.py
+++ b/tests/decisions/test_zoned.py
@@ -177,14 +177,14 @@
     for outcome in (Outcome.OK, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MISS, Outcome.TIMEOUT):
         rig.end(rig.ask("k1"), outcome)
         rig.now += 10 * MS
-    spreading = rig.router.replication
-    assert isinstance(spreading, Zoned)
-    found = spreading.take_evidence()
+    replication = rig.router.replication
+    assert isinstance(replication, Zoned)
+    found = replication.take_evidence()
     here = found.zones[0]
     assert (here.listed, here.usable) == (4, 4)
     assert (here.answered, here.full, here.missed) == (2, 1, 1)
     assert here.silent in (1, 2)
-    assert spreading.take_evidence().zones[0].attempts == 0
+    assert replication.take_evidence().zones[0].attempts == 0
 
 
 def test_servers_of_no_zone_are_the_last_resort() -> None:
