--- a/saltport/peers/gossip_queue.py
+++ b/saltport/peers/gossip_queue.py
@@ -12,11 +12,11 @@
 from saltport.peers.settings import MOST_MEMBERS, NS_PER_MS
 
 TELLINGS = 4  # times log10 of the members
-MOST = MOST_MEMBERS  # rumours held: as many as updates of a full table
+MOST = MOST_MEMBERS  # updates held: as many as a full table makes
 
 
 @dataclass(slots=True)
-class _Rumour:
+class _QueuedUpdate:
     update: Update
     size: int
     made: int
@@ -34,11 +34,11 @@
     """Updates by what they are about: a newer one of a router takes the place of the older."""
 
     def __init__(self) -> None:
-        self._levels: list[dict[Hashable, _Rumour]] = [{}]
+        self._levels: list[dict[Hashable, _QueuedUpdate]] = [{}]
         """By how often they were told."""
         self._level_of: dict[Hashable, int] = {}
-        self._accusers: dict[str, set[str]] = {}
-        """By subject, whose accusations are among them."""
+        self._suspected_by: dict[str, set[str]] = {}
+        """By the suspected router, who suspects it."""
 
     def __len__(self) -> int:
         return len(self._level_of)
@@ -61,20 +61,20 @@
         if len(self._level_of) >= MOST:
             self._make_room()
         size = len(encode(update)) + (2 if isinstance(update, Suspect) else 0)
-        self._put(key, _Rumour(update, size, now), 0)
+        self._put(key, _QueuedUpdate(update, size, now), 0)
 
     def _make_room(self) -> None:
         """Drop the oldest of those told most often: news goes before what nearly all have heard."""
         told_most = next(level for level in reversed(self._levels) if level)
         self._remove(next(iter(told_most)))
 
-    def _put(self, key: Hashable, rumour: _Rumour, level: int) -> None:
+    def _put(self, key: Hashable, queued: _QueuedUpdate, level: int) -> None:
         while len(self._levels) <= level:
             self._levels.append({})
-        self._levels[level][key] = rumour
+        self._levels[level][key] = queued
         self._level_of[key] = level
-        if isinstance(rumour.update, Suspect):
-            self._accusers.setdefault(rumour.update.name, set()).add(rumour.update.accuser)
+        if isinstance(queued.update, Suspect):
+            self._suspected_by.setdefault(queued.update.name, set()).add(queued.update.accuser)
 
     def _remove(self, key: Hashable) -> None:
         level = self._level_of.pop(key, None)
@@ -82,14 +82,14 @@
             return
         update = self._levels[level].pop(key).update
         if isinstance(update, Suspect):
-            accusers = self._accusers[update.name]
-            accusers.discard(update.accuser)
-            if not accusers:
-                del self._accusers[update.name]
+            suspected_by = self._suspected_by[update.name]
+            suspected_by.discard(update.accuser)
+            if not suspected_by:
+                del self._suspected_by[update.name]
 
     def drop_suspicions(self, name: str) -> None:
         """Whatever is said against a router is out of date."""
-        for accuser in list(self._accusers.get(name, ())):
+        for accuser in list(self._suspected_by.get(name, ())):
             self._remove(("suspect", name, accuser))
 
     def drop_judgements(self) -> None:
@@ -101,7 +101,7 @@
     def pick(self, room: int, members: int, now: int) -> Iterator[Update]:
         """As much as fits in so many bytes; each counts as told once more."""
         most = TELLINGS * math.ceil(math.log10(members + 2))
-        taken: list[tuple[Hashable, _Rumour]] = []
+        taken: list[tuple[Hashable, _QueuedUpdate]] = []
         for number, level in enumerate(self._levels):
             for key, held in level.items():
                 if held.size <= room:
--- a/tests/peers/test_size.py
+++ b/tests/peers/test_size.py
@@ -9,14 +9,14 @@
 
 import pytest
 
-from saltport.peers import rumours
+from saltport.peers import gossip_queue
 from saltport.peers.agent import SYNC_EVERY, Agent
 from saltport.peers.envelope import Envelope
+from saltport.peers.gossip_queue import GossipQueue
 from saltport.peers.members import Members
 from saltport.peers.messages import Alive, Dead, Gossip, Packet, State, Suspect
-from saltport.peers.outbox import Identity
 from saltport.peers.report import report
-from saltport.peers.rumours import Rumours
+from saltport.peers.send_queue import Identity
 from saltport.peers.settings import MOST_MEMBERS, NS_PER_S, PeerSettings
 
 FLEET = 1_600
@@ -40,12 +40,12 @@
     knowing, coming = agent_of(0, 1), agent_of(1, 2)
     for number in range(FLEET):
         knowing.members.merge(alive(number), NS_PER_S)
-    # Only what answers a question for differences: the rumours of 1,600 would bring them at another pace.
+    # Only what answers a question for differences: what 1,600 gossip would bring them at another pace.
     now, asked = NS_PER_S, 0
     while len(coming.members) < FLEET and asked < 1_000:
         asked += 1
         now += max(SYNC_EVERY, NS_PER_S)
-        knowing.outbox.send(1, Gossip(), now, bare=True)
+        knowing.send_queue.send(1, Gossip(), now, bare=True)
         for _, packet in knowing.take():
             coming.receive(packet, 0, now)
         for place, packet in coming.take():
@@ -94,8 +94,8 @@
 
 
 def test_more_news_than_are_held_push_out_what_was_told_most(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(rumours, "MOST", 8)
-    held = Rumours()
+    monkeypatch.setattr(gossip_queue, "MOST", 8)
+    held = GossipQueue()
     for number in range(8):
         held.tell(alive(number), 0)
     told = list(held.pick(100, FLEET, 0))
@@ -109,14 +109,14 @@
 
 
 def test_all_that_happens_in_a_fleet_at_once_is_held_as_news() -> None:
-    held = Rumours()
+    held = GossipQueue()
     for number in range(FLEET):
         for accuser in range(3):
             held.tell(Suspect(f"router-{number:05d}", 1_000, 0, f"router-{accuser:05d}", 2_000), 0)
     assert len(held) == 3 * FLEET
     for number in range(FLEET):
         held.tell(Dead(f"router-{number:05d}", 1_000, 0, "router-00000"), 0)
-    assert len(held) == FLEET, "an accusation goes with the death"
+    assert len(held) == FLEET, "a suspicion goes with the death"
     held.drop_judgements()
     assert len(held) == 0
 
