--- a/saltport/deadline.py
+++ b/saltport/deadline.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import sys
-
-import msgspec
+from dataclasses import dataclass
 
 NS_PER_MS = 1_000_000
 
 
-class Deadline(msgspec.Struct, frozen=True, gc=False):
+@dataclass(slots=True)  # not frozen: that takes twice as long to make, and each request has two
+class Deadline:
     """A moment by which something has to be over."""
 
     at_ns: int
@@ -36,19 +36,21 @@
 NEVER = Deadline(sys.maxsize)
 
 
-class Received(msgspec.Struct, frozen=True, gc=False):
+@dataclass(slots=True)  # not frozen, as above
+class Received:
     """When a message's last byte came: not before `earliest_ns` and not after `latest_ns`."""
 
     earliest_ns: int
     latest_ns: int
 
+    @property
+    def doubt_ns(self) -> int:
+        """How much later than it came it may seem to have come: others are told so much less."""
+        return self.latest_ns - self.earliest_ns
+
     def deadline(self, span_ms: int) -> Deadline:
         """When such a span from then on is over at the latest: for so long the router itself goes on.
 
         Doubt about its own lag would otherwise end requests that are in time.
         """
         return Deadline(self.latest_ns + span_ms * NS_PER_MS)
-
-    def certain_deadline(self, span_ms: int) -> Deadline:
-        """Until when it certainly is not over: what others are told, who may be told too little only."""
-        return Deadline(self.earliest_ns + span_ms * NS_PER_MS)
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -189,9 +189,11 @@
         self.used_at = self.server.loop.time()
         fresh = not reader.need
         commands = reader.feed(data)
-        received = self._receive_times.read(
-            time.monotonic_ns(), len(data) < READ_SIZE, len(commands) == 1 and not reader.need
-        )
+        now, times = time.monotonic_ns(), self._receive_times
+        received = times.prompt(now)
+        if received is None:
+            is_last = len(commands) == 1 and not reader.need
+            received = times.read(now, emptied=len(data) < READ_SIZE, is_last=is_last)
         for message, answers in commands:
             reply = Reply(self, answers)
             if self._reserved:
--- a/saltport/downstream/received.py
+++ b/saltport/downstream/received.py
@@ -85,8 +85,15 @@
         self._unread_since_ns = self._unread_since_ns or self._unread_since(now_ns)
         self._stopped = True
 
+    def prompt(self, now_ns: int) -> Received | None:
+        """When the commands of this read came, if only the loop has had them waiting, and not for long."""
+        earliest_ns = self._unread_since(now_ns)
+        if self._unread_since_ns or now_ns - earliest_ns > HELD_UP_NS:
+            return None
+        return Received(earliest_ns, now_ns)
+
     def read(self, now_ns: int, emptied: bool, is_last: bool) -> Received:
-        """When the commands of this read came.
+        """When the commands of any read came.
 
         `emptied`: the kernel had no more; `is_last`: there is one, and it ends with the last byte read.
         """
--- a/saltport/lag.py
+++ b/saltport/lag.py
@@ -71,7 +71,11 @@
 
     def unread(self, now: int) -> int:
         """For how long, at the most, what is read now may have lain in the kernel."""
-        return now - self._unread_since if self._begun else 0
+        return now - self.unread_since(now)
+
+    def unread_since(self, now: int) -> int:
+        """Since when, at the earliest, what is read now may have lain in the kernel."""
+        return self._unread_since if self._begun else now
 
     def longest_since(self, then: int) -> int:
         """The longest turn that ended since this time, of those over 5 ms; 0: none."""
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -89,6 +89,7 @@
         self._passing: bytes | None = None  # the value that came with the event being handled
         self._handling = False
         self.lag = LagMeter()
+        self.unread_since = self.lag.unread_since
         self._beat()
 
     # The router's own lag
@@ -170,10 +171,6 @@
 
     # Clients
 
-    def unread_since(self, now_ns: int) -> int:
-        """Since when, at the earliest, what is read now may have lain in the kernel."""
-        return now_ns - self.lag.unread(now_ns)
-
     def _received_now(self) -> Received:
         now = time.monotonic_ns()
         return Received(self.unread_since(now), now)
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -47,8 +47,8 @@
     """A request that is owed an answer, or has attempts out still."""
 
     __slots__ = (
-        "_host", "_order", "_stage", "_timer", "asked", "attempts", "closed", "counted", "deadline", "held",
-        "id", "most_attempts", "out", "queued", "ran", "reply", "told_deadline",
+        "_host", "_order", "_stage", "_timer", "asked", "attempts", "closed", "counted", "deadline",
+        "doubt_ns", "held", "id", "most_attempts", "out", "queued", "ran", "reply",
     )  # fmt: skip
 
     def __init__(
@@ -66,8 +66,8 @@
         self.id, self.asked, self.reply = request_id, asked, reply
         self.deadline = received.deadline(asked.timeout_ms).no_later_than(host.ends_at)
         """Until then it may be answered here."""
-        self.told_deadline = received.certain_deadline(asked.timeout_ms).no_later_than(host.ends_at)
-        """What servers are told of; from then on nothing of it leaves."""
+        self.doubt_ns = received.doubt_ns
+        """By so much sooner its client's time may be over."""
         self.attempts = self.out = 0
         self.most_attempts = host.settings.max_attempts
         self.closed = False
@@ -261,7 +261,7 @@
         request, now = self._request, time.monotonic_ns()
         if request.closed or self._number >= request.most_attempts or now >= self._not_after_ns:
             return 0
-        return request.told_deadline.remaining_ms(now)
+        return request.deadline.remaining_ms(now + request.doubt_ns)
 
     def wait_until(self, due: int) -> None:
         """Give up at the time `due`."""
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -373,27 +373,20 @@
         if server is None or not server.open:
             exchange.end(Outcome.CONNECT_FAILED)
             return
-        connection = self._take_idle(server)
-        if connection is not None:
-            if not connection.start(exchange):
-                server.idle.append(connection)
-                exchange.end(Outcome.MOOT)
-            return
-        if not exchange.remaining_ms():
-            exchange.end(Outcome.MOOT)
-            return
-        server.waiting.append(exchange)
-        self._dial_for(server)
-
-    def _take_idle(self, server: Server) -> Connection | None:
-        """The connection that was used last, closing those that can't be used again."""
         oldest = self.loop.time() - self._idle_limit
         while server.idle:
             connection = server.idle.pop()
             if connection.reusable and connection.idle_since >= oldest:
-                return connection
+                if not connection.start(exchange):
+                    server.idle.append(connection)
+                    exchange.end(Outcome.MOOT)
+                return
             connection.close()
-        return None
+        if not exchange.remaining_ms():
+            exchange.end(Outcome.MOOT)
+            return
+        server.waiting.append(exchange)
+        self._dial_for(server)
 
     def adopt(
         self, flow: Flow, descriptor: int, connect: Callable[[Server], Connection], exchange: Exchange
--- a/tests/crossings/test_time_received.py
+++ b/tests/crossings/test_time_received.py
@@ -257,7 +257,7 @@
     assert [received.latest_ns - now for received in told] == [3, 4, 5]
 
 
-def test_the_router_s_own_time_ends_no_sooner_than_what_it_tells() -> None:
+def test_the_router_s_own_time_ends_later_than_what_it_tells_by_the_doubt() -> None:
     received = Received(5 * NS_PER_MS, 8 * NS_PER_MS)
     assert received.deadline(100).at_ns == 108 * NS_PER_MS
-    assert received.certain_deadline(100).at_ns == 105 * NS_PER_MS
+    assert received.doubt_ns == 3 * NS_PER_MS
