Nemesis: a sampler that failed is told, and nothing is left running then

Cause: an unexpected error in a sample ended the sampler, and all readings stood still from then on; a wait then told only that a state had not come. On leaving, the error was raised before the routers were stopped, which left them running.

Change: all is stopped in any case, and the sampler's error is raised after that.

Shown by: a new test, which failed before with both routers left running.

--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -101,14 +101,20 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        try:
+            await self._end_sampler()
+        finally:
+            for router in self.harness.held:
+                self._signal(router, signal.SIGCONT)  # a stopped process can't end in good order
+            await self.harness.stop()
+            self._relay.close()
+
+    async def _end_sampler(self) -> None:
+        """Danger: had it failed, all readings stood still since; its error says so, once all is stopped."""
         if self._sampler is not None:
             self._sampler.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._sampler
-        for router in self.harness.held:
-            self._signal(router, signal.SIGCONT)  # a stopped process can't end in good order
-        await self.harness.stop()
-        self._relay.close()
 
     def _features(self) -> str:
         if not self.voters:
--- a/tests/nemesis/test_processes.py
+++ b/tests/nemesis/test_processes.py
@@ -96,3 +96,19 @@
     assert {violation.rule for violation in nemesis.history.check()} == {"agreed_at_last"}
     assert nemesis.history.last()["r3"].live == {"r3"}
     assert nemesis.history.last()["r1"].live == {"r1", "r2"}
+
+
+def test_readings_that_fail_are_told_and_leave_nothing_running(tmp_path: Path) -> None:
+    class Blind(Nemesis):
+        async def sample(self) -> None:
+            raise KeyError("standing")
+
+    nemesis = Blind(tmp_path, 2, seed=4)
+
+    async def run() -> None:
+        async with nemesis:
+            await asyncio.sleep(0)
+
+    with pytest.raises(KeyError, match="standing"):
+        uvloop.run(run())
+    assert not any(router.alive for router in nemesis.harness.held)
