Scale: measurements of the data path, connections, the slot table and shared limits

Cause: the size that decides the design (1,600 routers, 680 cache servers) had no figures for the data path.

--- /dev/null
+++ b/tests/scale/test_data_path.py
@@ -0,0 +1,91 @@
+"""The data path's measurements in small: every read is answered whole, and their arithmetic is exact."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from pathlib import Path
+
+import numpy
+import pytest
+
+from benchmarks.scale.connections import expected, fleet, overflow
+from benchmarks.scale.connections import measure as measure_connections
+from benchmarks.scale.data_path import busiest, fit, measure, skew, zipf_shares
+from saltport.upstream.pool import PER_SERVER
+from saltport.wire.resp import MAX_VALUE
+from tests.sockets import Peer, bulk, get, hit, http_answer, routed
+
+
+def test_reads_of_short_and_long_values_are_answered_whole() -> None:
+    costs = asyncio.run(measure(1, [4_096, 737_000], most=100))  # raises on any other answer
+    assert [len(rounds) for rounds in costs.values()] == [1, 1]
+
+
+def test_a_value_over_the_limit_is_failed_and_none_of_it_passed_on(tmp_path: Path) -> None:
+    caches = {f"s{number}": Peer(lambda _, words: hit(b"v" * (MAX_VALUE + 1))) for number in range(2)}
+    with routed(tmp_path, caches) as router:
+        client = router.client()
+        answer = client.ask(get("a1", "long"))
+        assert answer[:1] == b"-"
+        assert not answer.startswith(b"$")
+        client.send(bulk(b"PING"))  # and the connection goes on
+        assert client.answer() == b"+PONG"
+
+
+def test_a_value_over_the_limit_at_the_origin_is_failed(tmp_path: Path) -> None:
+    cache = Peer(lambda _, words: b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n")
+    origin = Peer(lambda _, message: http_answer(200, b"v" * (MAX_VALUE + 1)), is_http=True)
+    with routed(tmp_path, {"s1": cache}, origin=origin) as router:
+        assert router.client().ask(get("a1", "long"))[:1] == b"-"
+        assert len(origin.seen) >= 1
+
+
+def test_connections_stay_within_the_pool_s_limits() -> None:
+    row = asyncio.run(measure_connections(servers=10, seconds=0.5, rate_per_s=100.0, warm_s=0.5))
+    assert row.others == 0
+    assert row.served > 0
+    assert 1 <= row.most_at_a_server <= PER_SERVER
+    assert row.first_handshakes >= row.most_at_a_server
+
+
+def test_overflow_is_erlang_s_loss_formula() -> None:
+    assert [overflow(stage, 1.0) for stage in (0, 1, 2)] == pytest.approx([1.0, 1 / 2, 1 / 5])
+    assert overflow(3, 2.0) == pytest.approx((8 / 6) / (1 + 2 + 2 + 8 / 6))
+
+
+def test_a_busy_server_keeps_its_connections_and_an_idle_one_has_a_handshake_each_time() -> None:
+    busy = expected(servers=1, rate_per_s=1000.0, answer_s=0.001, idle_s=6.0)
+    assert 1.0 <= busy.open <= PER_SERVER
+    idle = expected(servers=1000, rate_per_s=1.0, answer_s=0.001, idle_s=6.0)
+    assert idle.handshakes_per_s == pytest.approx(1.0, rel=0.01)
+    assert idle.open == pytest.approx(6.0, rel=0.01)
+
+
+def test_the_fleet_s_connections_add_up() -> None:
+    told = fleet(routers=1_600, servers=680, requests_per_s=950_000, answer_s=0.05, reached=680)
+    assert told["open_at_a_router"] * 1_600 == pytest.approx(told["open_at_a_server"] * 680, rel=0.001)
+
+
+def test_a_fit_finds_a_line_and_tells_of_a_bend() -> None:
+    straight = fit({size: 100 + 0.5 * size for size in (10, 100, 1_000, 10_000)})
+    assert (straight.base, straight.slope) == pytest.approx((100, 0.5))
+    assert straight.residual < 1e-9
+    assert fit({10: 100.0, 100: 100.0, 1_000: 100.0, 10_000: 10_000.0}).residual > 0.1
+
+
+@pytest.mark.parametrize("exponent", [0.8, 1.0, 1.2])
+def test_shares_beyond_those_that_are_listed_are_as_an_exact_sum_has_them(exponent: float) -> None:
+    objects = 20_000
+    weights = [rank**-exponent for rank in range(1, objects + 1)]
+    exact = [weight / math.fsum(weights) for weight in weights[:100]]
+    assert zipf_shares(exponent, objects, 100) == pytest.approx(exact, rel=1e-4)
+
+
+def test_the_busiest_router_has_at_least_the_hottest_object_and_an_even_share() -> None:
+    rng = numpy.random.default_rng(1)
+    shares = zipf_shares(1.0, 100_000, 1_000)
+    assert busiest(shares, 50, rng) >= max(shares[0], 1 / 50)
+    assert busiest(shares, 1, rng) == pytest.approx(1.0)
+    small = [skew(exponent, objects=100_000, trials=3) for exponent in (0.8, 1.0, 1.2)]
+    assert sorted(small, key=lambda told: told.by_key_fleet) == small
