--- a/tests/scale/test_data_path.py
+++ b/tests/scale/test_data_path.py
@@ -11,7 +11,7 @@
 
 from benchmarks.scale.connections import expected, fleet, overflow
 from benchmarks.scale.connections import measure as measure_connections
-from benchmarks.scale.data_path import busiest, fit, measure, skew, zipf_shares
+from benchmarks.scale.data_path import busiest, fit, measure, share_over, skew, zipf_shares
 from saltport.upstream.pool import PER_SERVER
 from saltport.wire.resp import MAX_VALUE
 from tests.sockets import Peer, bulk, get, hit, http_answer, routed
@@ -82,6 +82,12 @@
     assert zipf_shares(exponent, objects, 100) == pytest.approx(exact, rel=1e-4)
 
 
+def test_the_share_of_long_values_is_that_of_a_sample() -> None:
+    sigma, mean = 1.0, 737_000.0
+    sample = numpy.random.default_rng(1).lognormal(math.log(mean) - sigma**2 / 2, sigma, 200_000)
+    assert share_over(MAX_VALUE, mean, sigma) == pytest.approx((sample > MAX_VALUE).mean(), rel=0.05)
+
+
 def test_the_busiest_router_has_at_least_the_hottest_object_and_an_even_share() -> None:
     rng = numpy.random.default_rng(1)
     shares = zipf_shares(1.0, 100_000, 1_000)
