--- a/benchmarks/scale/data_path.py
+++ b/benchmarks/scale/data_path.py
@@ -102,6 +102,11 @@
     return int(Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[12]) / TICKS
 
 
+def minor_faults(pid: int) -> int:
+    """Pages that the kernel has given a process without reading them from anywhere."""
+    return int(Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[7])
+
+
 async def profiled(size: int, requests: int) -> list[dict[str, Any]]:
     """Where the router's Python spends its time at one length, the dearest functions first.
 
@@ -151,16 +156,21 @@
     }  # fmt: skip
 
 
-async def paced(size: int, per_s: float, seconds: float) -> dict[str, Any]:
+async def paced(
+    size: int, per_s: float, seconds: float, environ: dict[str, str] | None = None
+) -> dict[str, Any]:
     """A constant rate of reads: the part of a core that they take."""
     with tempfile.TemporaryDirectory(prefix="saltport-data-path-") as folder:
-        async with servers_apart(SERVERS) as registry, router(Path(folder), registry) as (process, address):
+        async with (
+            servers_apart(SERVERS) as registry,
+            router(Path(folder), registry, environ=environ) as (process, address),
+        ):
             load = Load(address, _keys(size))
             rest = memory_kb(process.pid)
             await load.paced(per_s, 1.0)
             load.forget()
             before, begun = cpu_s(process.pid), asyncio.get_running_loop().time()
-            kernel = kernel_s(process.pid)
+            kernel, faults = kernel_s(process.pid), minor_faults(process.pid)
             await load.paced(per_s, seconds)
             took = asyncio.get_running_loop().time() - begun
             used, kernel = cpu_s(process.pid) - before, kernel_s(process.pid) - kernel
@@ -169,6 +179,7 @@
                 "size": size, "asked_per_s": per_s, "served_per_s": round(load.served / took, 1),
                 "others": dict(load.others), "mib_per_s": round(load.bytes / took / MIB, 1),
                 "cores": round(used / took, 3), "kernel_share": round(kernel / used, 2),
+                "faults": round((minor_faults(process.pid) - faults) / load.served, 1),
                 "cpu_us": round(used * 1e6 / load.served),
                 "cpu_ms_per_mib": round(used * 1000 * MIB / load.bytes, 3),
                 "p50_ms": round(times[49] * 1000, 2), "p99_ms": round(times[98] * 1000, 2),
@@ -245,12 +256,14 @@
     }
 
 
-def paced_rates(rates: Sequence[float], size: int, seconds: float, rounds: int) -> None:
+def paced_rates(
+    rates: Sequence[float], size: int, seconds: float, rounds: int, environ: dict[str, str]
+) -> None:
     """Print a row for each rate and round, and the line through the medians of the cores in use."""
     cores: dict[float, list[float]] = {rate: [] for rate in rates}
     for _ in range(rounds):
         for rate in rates:
-            row = uvloop.run(paced(size, rate, seconds))
+            row = uvloop.run(paced(size, rate, seconds, environ))
             print(orjson.dumps(row).decode(), flush=True)
             cores[rate].append(row["cores"])
     medians = {round(rate): statistics.median(rounds) for rate, rounds in cores.items()}
@@ -271,7 +284,9 @@
     parser.add_argument("--size", type=int, default=737_000)
     parser.add_argument("--per-s", type=float, action="append")
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--environ", action="append", default=[], help="NAME=VALUE for the router only")
     told = parser.parse_args()
+    environ = dict(pair.split("=", 1) for pair in told.environ)
     if told.skew:
         for exponent in (0.8, 1.0, 1.2):
             print(orjson.dumps(asdict(skew(exponent))).decode())
@@ -286,7 +301,7 @@
         for row in uvloop.run(profiled(told.size, 2_000)):
             print(orjson.dumps(row).decode())
     elif told.paced:
-        paced_rates(told.per_s or [RATE_PER_S], told.size, told.seconds, told.rounds)
+        paced_rates(told.per_s or [RATE_PER_S], told.size, told.seconds, told.rounds, environ)
     else:
         costs = uvloop.run(measure(told.rounds, SHORT + LONG))
         print(orjson.dumps(report(costs), option=orjson.OPT_INDENT_2).decode())
--- a/benchmarks/scale/stand_ins.py
+++ b/benchmarks/scale/stand_ins.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from collections import Counter, deque
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from functools import lru_cache
@@ -216,11 +216,17 @@
 
 @asynccontextmanager
 async def router(
-    folder: Path, registry: str, sockets: int = 8192, profile: Path | None = None, log: Path | None = None
+    folder: Path,
+    registry: str,
+    sockets: int = 8192,
+    profile: Path | None = None,
+    log: Path | None = None,
+    environ: Mapping[str, str] | None = None,
 ) -> AsyncIterator[tuple[Any, Address]]:
     """A router as the platform starts it; yields its process and its address.
 
     `profile`: it runs under cProfile, and leaves the figures there when it ends. `log`: what it logs.
+    `environ`: variables that only it gets.
     """
     listen = ("127.0.0.1", free_port())
     told = Profile().config("r1", "{}:{}".format(*listen), registry, 1)
@@ -231,7 +237,8 @@
     with open(log or os.devnull, "wb") as kept:
         process = await asyncio.create_subprocess_exec(
             sys.executable, *words, "-m", "saltport.router",
-            env={**environment(), "LB_CONFIG": str(config)}, stderr=kept if log else None,
+            env={**environment(), **(environ or {}), "LB_CONFIG": str(config)},
+            stderr=kept if log else None,
         )  # fmt: skip
     try:
         if not await wait_ready(listen, START_S):
