--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -169,6 +169,7 @@
         """Wait for an answer that nobody wants any more, to carry others after it."""
         self.exchange, late.connection = late, self
         self.server.late[self] = None
+        self.server.pool.descriptor_freed()
         self._late_timer = self.server.pool.loop.call_later(wait_s, self.close)
 
     def flow(self) -> Flow | None:
@@ -319,6 +320,8 @@
         self.sends = 0
         """Attempts whose last byte the kernel has taken."""
         self._held = 0
+        self._short: dict[Server, None] = {}
+        """Servers that could not be dialed for want of a descriptor, the first one first."""
         self._attaching: set[asyncio.Task[None]] = set()
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
 
@@ -422,6 +425,10 @@
                 connection.start(exchange)
                 return
             exchange.end(Outcome.MOOT)
+        if self._held >= self.limit and (short := self._next_short()) is not None:
+            self._drop(connection)
+            self._dial_for(short)
+            return
         # Danger: without the time every connection counts as too old, and each request dials anew.
         connection.idle_since = self.loop.time()
         server.idle.append(connection)
@@ -437,6 +444,27 @@
             server.idle.remove(connection)
         self._dial_for(server)
         self._forget(server)
+        self.descriptor_freed()
+
+    def descriptor_freed(self) -> None:
+        """A descriptor is free, or can be had: a server that is short of one is dialed.
+
+        Danger: left to the sweep, a router whose share is full would dial so many times in each SWEEP_S, and
+        the rest of its requests would run out of time.
+        """
+        if self._short and (short := self._next_short()) is not None:
+            self._dial_for(short)
+
+    def _next_short(self) -> Server | None:
+        """The first server that is short of a descriptor and still wanted."""
+        while self._short:
+            server = next(iter(self._short))
+            del self._short[server]
+            while server.waiting and server.waiting[0].over:
+                server.waiting.popleft()
+            if len(server.waiting) > len(server.dials):
+                return server
+        return None
 
     @property
     def late(self) -> int:
@@ -466,6 +494,7 @@
             if server.held >= PER_SERVER and not self._drop_late(server):
                 return
             if self._held >= self.limit and not self._evict():
+                self._short[server] = None
                 return
             self._held += 1
             dial = self.loop.create_task(self._dial(server))
@@ -537,6 +566,7 @@
                 break
         self._dial_for(server)
         self._forget(server)
+        self.descriptor_freed()
 
     def _forget(self, server: Server) -> None:
         if not server.open and not server.held:
