--- a/tests/handover/test_model.py
+++ b/tests/handover/test_model.py
@@ -176,6 +176,22 @@
     assert set(ends) == {"['new']", "['old']"}, "with both alive one may always still die"
 
 
+def test_link_that_ends_before_a_receipt_closes_what_was_sent_and_thaws_what_was_not() -> None:
+    released: list[Sequence[int]] = []
+    thawed: list[str] = []
+    giver = Giver(released.append)
+    giver.offer(Parcel(b"sent", [7, 8], lambda: thawed.append("sent")))
+    giver.offer(Parcel(b"x" * (PIECE + 1), [9], lambda: thawed.append("half sent")))
+    giver.offer(Parcel(b"waits", [10], lambda: thawed.append("waits")))
+    for _ in range(2):
+        assert giver.outgoing() is not None
+        giver.sent()
+    giver.ended()
+    assert released == [[7, 8]], "the taker may have gone on with it: nobody here may"
+    assert thawed == ["half sent", "waits"]
+    assert not giver.busy
+
+
 def test_window_bounds_what_is_frozen_or_under_way() -> None:
     giver = Giver(lambda _: None)
     for left in range(WINDOW, 0, -1):
