--- a/tests/handover/test_processes.py
+++ b/tests/handover/test_processes.py
@@ -192,14 +192,14 @@
 
 def test_client_that_reads_nothing_gets_all_it_is_owed(tmp_path: Path) -> None:
     gate = Gate()
-    gate.goes.set()
     with platform(tmp_path, {"s1": gate.peer}) as held:
         old = held.start().ready()
         client = held.client()
         names = [f"long{i}" for i in range(8)]
         client.send(b"".join(get(name, name) for name in names))
-        # The first is stuck in the router: its client's kernel takes far less than eight of them.
         under_way(old, 8)
+        gate.goes.set()
+        # They are stuck in the router: its client's kernel takes far less than eight of them.
         new = moved(held, old)
         time.sleep(STALL_S + 1)
         assert [client.answer() for _ in names] == [LONG] * len(names)
