--- a/saltport/downstream/access_report.py
+++ b/saltport/downstream/access_report.py
@@ -36,6 +36,7 @@
     FORGOTTEN = "no final answer although the process ended by itself"
     OVERDUE = "no final answer although its time was over while the process went on"
     KILLED = "no final answer when the process was killed"
+    CUT = "its value had begun, and was cut off so that the client can tell"
     LATE = "answered too late"
     UNSENT = "answered, but the router closed before its bytes had left"
     ANSWERED_TWICE = "answered twice"
@@ -43,7 +44,7 @@
     @property
     def expected(self) -> bool:
         """Whether it can be no fault of the router's."""
-        return self is Finding.KILLED
+        return self in (Finding.KILLED, Finding.CUT)
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,14 +120,16 @@
             self._suspect(Finding.LATE, request, detail)
 
     def _closed(self, entry: ConnectionClosed) -> None:
-        for request_id in entry.unanswered:
+        for place, request_id in enumerate(entry.unanswered):
             request = self._take_open(entry.connection, request_id)
             if request is None:
                 continue
             if entry.reason is CloseReason.MOVED:
                 self.report.moved += 1
             elif entry.reason.by_router:
-                self._suspect(Finding.UNANSWERED, request, entry.reason.value)
+                is_cut = entry.reason is CloseReason.VALUE_CUT and place == 0
+                finding = Finding.CUT if is_cut else Finding.UNANSWERED
+                self._suspect(finding, request, entry.reason.value)
             else:
                 self.report.left += 1
         last = self._last_answer.pop(entry.connection, None)
