Tests: clients of the rig of upgrades leave as its processes end, and none is kept beyond its use

Cause: benchmarks/platform.py ended its processes with clients connected, as routed() did. And routed() held each client in a list since, so that one that a test dropped stayed connected.

Change: both hold their clients weakly and let those that remain leave after the signal.

--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -13,6 +13,7 @@
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
+from weakref import WeakSet
 
 from saltport.admin.client import call
 from tests.sockets import (
@@ -77,6 +78,7 @@
         self.port = int(self.listener.getsockname()[1])
         self.discovery = DiscoveryPeer([entry(peer, name) for name, peer in caches.items()])
         self.processes: list[Process] = []
+        self.clients: WeakSet[Client] = WeakSet()
         self.told = configuration(self.port, self.discovery, sockets=sockets, facts=facts)
 
     def start(self, **environ: str) -> Process:
@@ -105,7 +107,9 @@
 
     def client(self) -> Client:
         """A new connection."""
-        return Client(self.port)
+        client = Client(self.port)
+        self.clients.add(client)
+        return client
 
 
 @contextmanager
@@ -118,6 +122,8 @@
         for process in held.processes:
             if process.process.poll() is None:
                 process.terminate()
+        for client in list(held.clients):
+            client.leave()  # a drain lingers on each that stays
         for process in held.processes:
             if not process.process.stderr or not process.process.stderr.closed:
                 process.end()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -14,6 +14,7 @@
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
+from weakref import WeakSet
 
 from saltport.address import Address, parse_address
 from saltport.admin.client import ask, call, server_path
@@ -310,19 +311,19 @@
         self, process: subprocess.Popen[str], port: int, discovery: DiscoveryPeer, folder: Path
     ) -> None:
         self.port, self.discovery, self.folder = port, discovery, folder
-        self._clients: list[Client] = []
+        self._clients: WeakSet[Client] = WeakSet()
         super().__init__(process, parse_address("admin_addr", self.told()["admin_addr"]))
 
     def client(self) -> Client:
         client = Client(self.port)
-        self._clients.append(client)
+        self._clients.add(client)
         return client
 
     def end(self) -> None:
         """Terminate the router, and let the clients leave: a drain lingers on each that stays."""
         if self.process.poll() is None:
             self.process.terminate()
-        for client in self._clients:
+        for client in list(self._clients):
             client.leave()
 
     def reload(self, text: str) -> None:
