--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/mypy
-	$(VENV)/bin/pytest -q -n 4 --dist loadfile
+	$(VENV)/bin/pytest -q -n 8 --dist loadfile --no-loadscope-reorder
 
 soak: $(MADE)
 	$(VENV)/bin/python -m benchmarks.soak $(ARGS)
