Membership at fleet size: hollow routers, fits, and what a member costs at four sizes

Cause: the figures of membership came from 3, 30 and 300 members, without IP and UDP heads, and none from a fit. benchmarks/scale/ gets the shared fit, bytes as on the wire and tables; hollow routers (the real links on loopback, without a data path, if need be on a slowed clock); and the agents in virtual time.

--- /dev/null
+++ b/benchmarks/scale/membership.py
@@ -0,0 +1,339 @@
+"""Membership at fleet size: `python -m benchmarks.scale.membership WHAT [options]`.
+
+calm     bytes, datagrams, CPU and memory of a member at each size, in virtual time, with fits
+sockets  the same for hollow routers on loopback, at smaller sizes; joining and a death with it
+deaths   time until 50%, 99% and all know of a death, at no loss, 5% and 30%
+faults   half stopped for 3 s, a region apart for two minutes, restarts, a site started at once
+"""
+
+from __future__ import annotations
+
+import gc
+import math
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import click
+import msgspec
+import uvloop
+
+from benchmarks.peers_world import World
+from benchmarks.scale import fit
+from benchmarks.scale.hollow import SETTINGS, Hollows, WireAgent, slowed
+from saltport.peers.messages import Alive, encode
+from saltport.peers.settings import NS_PER_S
+from saltport.router.__main__ import GC_THRESHOLD
+
+SETTLE_S, CALM_S = 4, 8
+REGIONS, SITES = 11, 81
+SOCKET_SIZES = ((25, 1.0), (50, 1.0), (100, 2.0), (200, 2.0), (400, 5.0))  # with the clock's factor
+_alive: msgspec.msgpack.Decoder[Alive] = msgspec.msgpack.Decoder(Alive)
+
+
+@dataclass(frozen=True, slots=True)
+class Calm:
+    """What a member costs while nothing happens; bytes as on the wire, one way."""
+
+    members: int
+    bytes_sent_per_s: float
+    datagrams_sent_per_s: float
+    busiest_bytes_per_s: float
+    cpu_percent: float
+    memory_kb: float
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """How long until a death is known; seconds, the mean of some deaths; and what it cost beyond calm."""
+
+    members: int
+    loss: float
+    deaths: int
+    half: float
+    most: float
+    """99%."""
+    all: float
+    longest: float
+    false_deaths: int
+    extra_bytes_each: float
+
+
+@dataclass(frozen=True, slots=True)
+class Joined:
+    """Hollow routers on sockets, started together, and the death of one."""
+
+    members: int
+    slowed_by: float
+    join_s: float
+    join_kb_each: float
+    bytes_sent_per_s: float
+    datagrams_sent_per_s: float
+    cpu_percent: float
+    memory_kb: float
+    death_half: float
+    death_most: float
+    death_all: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault's price for a member, over so many seconds; false deaths are counted by each believer."""
+
+    what: str
+    members: int
+    seconds: float
+    agreed_s: float
+    bytes_per_s: float
+    busiest_bytes_per_s: float
+    cpu_percent: float
+    false_deaths: int
+
+
+class Fleet(World):
+    """Members that know each other from the beginning, in virtual time."""
+
+    def __init__(self, count: int, seed: int = 1) -> None:
+        super().__init__(count, seed, SETTINGS, WireAgent)
+        for place in self.places:
+            self.start(place)
+        records = [encode(agent.me.alive()) for agent in self.agents.values()]
+        for agent in self.agents.values():
+            for record in records:
+                agent.members.merge(_alive.decode(record), self.now)
+
+    def wire(self) -> dict[int, int]:
+        """Bytes that each has sent, with their heads."""
+        return {
+            place: fit.udp_bytes(agent.outbox.bytes, agent.outbox.sent)
+            for place, agent in self.agents.items()
+        }
+
+    def agrees(self) -> bool:
+        """Whether all that run hold the same members, by digests and counts."""
+        held = {(agent.members.digest, len(agent.members)) for agent in self.agents.values()}
+        return len(held) == 1 and held.pop()[1] == len(self.agents)
+
+    def until(self, holds: Callable[[], bool], seconds: float) -> float:
+        """Seconds until something holds; infinite if it doesn't in time."""
+        begun = self.now
+        while not holds():
+            if self.now - begun >= seconds * NS_PER_S:
+                return math.inf
+            self.run(0.05)
+        return (self.now - begun) / NS_PER_S
+
+
+def _quiet() -> None:
+    """One heap holds all members here: a full collection of it is no cost of any router."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD, 1_000, 1_000)
+
+
+def calm(members: int, seed: int = 1, seconds: float = CALM_S) -> Calm:
+    """Measure one size."""
+    before = fit.resident_bytes()
+    fleet = Fleet(members, seed)
+    _quiet()
+    fleet.run(SETTLE_S)
+    sent, datagrams = fleet.wire(), sum(agent.outbox.sent for agent in fleet.agents.values())
+    cpu = time.process_time()
+    fleet.run(seconds)
+    cpu = time.process_time() - cpu
+    each = [(after - sent[place]) / seconds for place, after in fleet.wire().items()]
+    datagrams = sum(agent.outbox.sent for agent in fleet.agents.values()) - datagrams
+    memory = (fit.resident_bytes() - before) / members / 1024
+    return Calm(
+        members, sum(each) / members, datagrams / members / seconds, max(each),
+        cpu / members / seconds * 100, memory,
+    )  # fmt: skip
+
+
+def deaths(members: int, loss: float, count: int, seed: int = 1) -> Known:
+    """Kill some, one after the other."""
+    fleet = Fleet(members, seed)
+    _quiet()
+    fleet.run(SETTLE_S)
+    fleet.loss = loss
+    fleet.run(SETTLE_S)
+    sent = sum(fleet.wire().values())
+    fleet.run(CALM_S)
+    calm_each = (sum(fleet.wire().values()) - sent) / members / CALM_S
+    known: list[list[float]] = []
+    victims: set[str] = set()
+    extra = 0.0
+    since = fleet.now
+    for place in fleet.rng.sample(fleet.places, count):
+        victim, begun = fleet.agents[place].name, fleet.now
+        fleet.kill(place)
+        victims.add(victim)
+        sent = sum(fleet.wire().values())
+        fleet.until(lambda: all(not a.members.is_live(victim) for a in fleet.agents.values()), 60)  # noqa: B023
+        spent = (fleet.now - begun) / NS_PER_S
+        extra += (sum(fleet.wire().values()) - sent) / len(fleet.agents) - calm_each * spent
+        known.append([(seen.at - begun) / NS_PER_S for seen in fleet.told("died", begun)
+                      if seen.told.name == victim])  # fmt: skip
+    false = sum(seen.told.name not in victims for seen in fleet.told("died", since))
+
+    def mean(share: float) -> float:
+        return sum(fit.share_of(times, share) for times in known) / count
+
+    longest = max(max(times, default=math.inf) for times in known)
+    return Known(members, loss, count, mean(0.5), mean(0.99), mean(1.0), longest, false, extra / count)
+
+
+def _fault(
+    what: str, members: int, begin: Callable[[Fleet], object], seconds: float, end: Callable[[Fleet], object]
+) -> Fault:
+    """Begin it, let it last, end it, and wait until all agree."""
+    fleet = Fleet(members)
+    _quiet()
+    fleet.run(SETTLE_S + 12)
+    since, sent, cpu = fleet.now, fleet.wire(), time.process_time()
+    begin(fleet)
+    fleet.run(until=since + int(seconds * NS_PER_S))
+    end(fleet)
+    agreed = fleet.until(fleet.agrees, 120)
+    spent = (fleet.now - since) / NS_PER_S
+    cpu = time.process_time() - cpu
+    each = [(after - sent.get(place, 0)) / spent for place, after in fleet.wire().items()]
+    died = len(fleet.told("died", since))
+    return Fault(
+        what, members, spent, agreed, sum(each) / members, max(each), cpu / members / spent * 100, died
+    )
+
+
+def half_stopped(members: int) -> Fault:
+    """Every other member stands still for 3 s."""
+
+    def stop(fleet: Fleet) -> None:
+        for place in fleet.places[::2]:
+            fleet.pause(place, 3 * NS_PER_S)
+
+    return _fault("half stopped for 3 s", members, stop, 10, lambda fleet: None)
+
+
+def region_apart(members: int, seconds: float = 120) -> Fault:
+    """One region of eleven hears none of the others, and comes back: each side believes the other dead."""
+
+    def cut(here: int, there: int, _: int) -> bool:
+        return (here % REGIONS == 0) != (there % REGIONS == 0)
+
+    return _fault(
+        f"a region apart for {seconds:.0f} s", members,
+        lambda fleet: fleet.cuts.append(cut), seconds, lambda fleet: fleet.cuts.clear(),
+    )  # fmt: skip
+
+
+def restarts(members: int, seconds: float = 60) -> Fault:
+    """Members go in good order and come back 2 s later, at 680 an hour."""
+    every = 3_600 / 680
+
+    def roll(fleet: Fleet) -> None:
+        begun, turn = fleet.now, 0
+        while turn * every + 2 < seconds:
+            fleet.run(until=begun + int(turn * every * NS_PER_S))
+            fleet.leave(turn % members)
+            fleet.run(2)
+            fleet.start(turn % members, 2_000 + turn)
+            turn += 1
+
+    return _fault("680 restarts an hour", members, roll, seconds, lambda fleet: None)
+
+
+def site_started(members: int) -> Fault:
+    """All routers of one site end at once, and start again together 10 s later."""
+    site = max(members // SITES, 2)
+
+    def strike(fleet: Fleet) -> None:
+        for place in range(site):
+            fleet.kill(place)
+
+    def back(fleet: Fleet) -> None:
+        for place in range(site):
+            fleet.start(place, 3_000)
+
+    return _fault(f"a site of {site} dead for 10 s", members, strike, 10, back)
+
+
+def zone_lost(members: int) -> Fault:
+    """A zone of 36 dies while restarts go on."""
+    zone = max(members // 36, 1)
+
+    def strike(fleet: Fleet) -> None:
+        fleet.leave(members - 1)
+        for place in range(zone):
+            fleet.kill(place)
+        fleet.run(2)
+        fleet.start(members - 1, 2_000)
+
+    return _fault(f"a zone of {zone} lost in a rolling restart", members, strike, 2, lambda fleet: None)
+
+
+FAULTS = (half_stopped, site_started, zone_lost, restarts, region_apart)
+
+
+async def _on_sockets(members: int, factor: float, seconds: float) -> Joined:
+    with slowed(factor) as clock:
+        before = fit.resident_bytes()
+        fleet = Hollows(members, clock)
+        begun = clock.monotonic_ns()
+        await fleet.open()
+        joined = await fleet.until(fleet.agree, 60)
+        join_s = (clock.monotonic_ns() - begun) / NS_PER_S if joined else math.inf
+        datagrams, payload = fleet.sent()
+        join_kb = fit.udp_bytes(payload, datagrams) / members / 1024
+        await fleet.run(SETTLE_S + 6)
+        _quiet()
+        datagrams, payload = fleet.sent()
+        begun, cpu = clock.monotonic_ns(), time.process_time()
+        await fleet.run(seconds)
+        spent, cpu = (clock.monotonic_ns() - begun) / NS_PER_S, time.process_time() - cpu
+        after_datagrams, after_payload = fleet.sent()
+        datagrams, payload = after_datagrams - datagrams, after_payload - payload
+        memory = (fit.resident_bytes() - before) / members / 1024
+        begun = clock.monotonic_ns()
+        await fleet.kill("r0")
+        links = fleet.links.values()
+        await fleet.until(lambda: all(not link.agent.members.is_live("r0") for link in links), 60)
+        times = [
+            (at - begun) / NS_PER_S for at, _, told in fleet.told if told.what == "died" and told.name == "r0"
+        ]
+        await fleet.close()
+    each, half, most, longest = members * spent, *(fit.share_of(times, share) for share in (0.5, 0.99, 1.0))
+    return Joined(
+        members, factor, join_s, join_kb, fit.udp_bytes(payload, datagrams) / each, datagrams / each,
+        cpu / each * 100, memory, half, most, longest,
+    )  # fmt: skip
+
+
+def on_sockets(members: int, factor: float = 1.0, seconds: float = CALM_S) -> Joined:
+    """Hollow routers join, rest, and lose one."""
+    return uvloop.run(_on_sockets(members, factor, seconds))
+
+
+@click.command()
+@click.argument("what", type=click.Choice(["calm", "sockets", "deaths", "faults", "all"]), default="all")
+@click.option("--size", "sizes", type=int, multiple=True, default=fit.SIZES, show_default=True)
+@click.option("--count", default=3, show_default=True, help="Of deaths at each size.")
+def main(what: str, sizes: tuple[int, ...], count: int) -> None:
+    """Measure."""
+    if what in ("calm", "all"):
+        rows = [fit.apart(calm, size) for size in sizes]
+        names = ("bytes_sent_per_s", "datagrams_sent_per_s", "cpu_percent", "memory_kb")
+        click.echo(f"calm, virtual time\n{fit.table(rows)}\n{fit.fits(rows, 'members', names)}")
+    if what in ("sockets", "all"):
+        told = [fit.apart(on_sockets, *size) for size in SOCKET_SIZES if size[0] <= max(sizes)]
+        names = ("bytes_sent_per_s", "cpu_percent", "memory_kb", "join_kb_each")
+        click.echo(f"loopback sockets\n{fit.table(told)}\n{fit.fits(told, 'members', names)}")
+    if what in ("deaths", "all"):
+        found = [fit.apart(deaths, size, loss, count) for loss in (0.0, 0.05, 0.3) for size in sizes]
+        click.echo(f"deaths, virtual time\n{fit.table(found)}")
+    if what in ("faults", "all"):
+        faults = [fit.apart(fault, size) for fault in FAULTS for size in sizes if size <= 400]
+        click.echo(f"faults, virtual time\n{fit.table(faults)}")
+
+
+if __name__ == "__main__":
+    main()
