Scale: a hollow router with a process to itself, what a join leaves to be told, a long answer's hold

Cause: at 400 members on sockets a member sent 4,666 bytes a second ten seconds after all had joined, against 1,204 in virtual time, where members know each other from the beginning: what was learnt by the join was still being passed on. The command now tells how long that lasts and measures calm after it.

--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -9,7 +9,7 @@
 import asyncio
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from typing import Any
@@ -116,15 +116,23 @@
 
 
 class Hollows:
-    """A fleet of them in this process; use within `slowed`."""
-
-    def __init__(self, count: int, clock: SlowClock, settings: PeerSettings = SETTINGS) -> None:
-        self.clock = clock
+    """A fleet of them, or some of its places, in this process; use within `slowed`."""
+
+    def __init__(
+        self,
+        count: int,
+        clock: SlowClock,
+        settings: PeerSettings = SETTINGS,
+        addresses: tuple[Address, ...] = (),
+        places: Sequence[int] = (),
+    ) -> None:
+        """`addresses`: of the whole fleet, where some of its places are in another process."""
+        self.clock, self.count = clock, count
         self.loop: Any = SlowLoop(asyncio.get_running_loop(), clock.factor)
-        self.addresses = free_ports(count)
+        self.addresses = addresses or free_ports(count)
         self.told: list[tuple[int, str, Told]] = []
         """When, by whom, and what."""
-        self.links = {f"r{place}": self._link(place, settings) for place in range(count)}
+        self.links = {f"r{place}": self._link(place, settings) for place in places or range(count)}
 
     def _link(self, place: int, settings: PeerSettings) -> HollowLink:
         name = f"r{place}"
@@ -153,14 +161,19 @@
             await self.run(0.05)
         return True
 
+    def agents(self) -> list[Agent]:
+        """Of all that run here."""
+        return [link.agent for link in self.links.values()]
+
     def agree(self) -> bool:
         """Whether all hold the same, and know all."""
-        agents = [link.agent for link in self.links.values()]
-        return len({a.members.digest for a in agents}) == 1 and len(agents[0].members) == len(agents)
+        agents = self.agents()
+        return len({a.members.digest for a in agents}) == 1 and len(agents[0].members) == self.count
 
     async def kill(self, name: str) -> None:
         """End one without a word."""
         await self.links.pop(name).close(replaced=True)
+        self.count -= 1
 
     async def close(self) -> None:
         """End all."""
--- a/benchmarks/scale/membership.py
+++ b/benchmarks/scale/membership.py
@@ -1,5 +1,7 @@
 """Membership at fleet size: `python -m benchmarks.scale.membership WHAT [options]`.
 
+alone    CPU of one hollow router with a process to itself, as a real one has, the others in another process
+sync     how long one question for all that differs holds the loop
 calm     bytes, datagrams, CPU and memory of a member at each size, in virtual time, with fits
 sockets  the same for hollow routers on loopback, at smaller sizes; joining and a death with it
 deaths   time until 50%, 99% and all know of a death, at no loss, 5% and 30%
@@ -10,9 +12,11 @@
 
 import gc
 import math
+import multiprocessing
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
 
 import click
 import msgspec
@@ -20,14 +24,18 @@
 
 from benchmarks.peers_world import World
 from benchmarks.scale import fit
-from benchmarks.scale.hollow import SETTINGS, Hollows, WireAgent, slowed
-from saltport.peers.messages import Alive, encode
+from benchmarks.scale.hollow import SETTINGS, Hollows, WireAgent, free_ports, slowed
+from saltport.address import Address
+from saltport.peers.members import PARTS
+from saltport.peers.messages import Alive, Packet, encode
+from saltport.peers.messages import Sync as SyncBody
 from saltport.peers.settings import NS_PER_S
 from saltport.router.__main__ import GC_THRESHOLD
 
+WHAT = ("alone", "sync", "calm", "sockets", "deaths", "faults", "all")
 SETTLE_S, CALM_S = 4, 8
 REGIONS, SITES = 11, 81
-SOCKET_SIZES = ((25, 1.0), (50, 1.0), (100, 2.0), (200, 2.0), (400, 5.0))  # with the clock's factor
+SOCKET_SIZES = ((25, 1.0), (50, 1.0), (100, 2.0), (200, 2.0), (400, 4.0))  # with the clock's factor
 _alive: msgspec.msgpack.Decoder[Alive] = msgspec.msgpack.Decoder(Alive)
 
 
@@ -67,6 +75,10 @@
     slowed_by: float
     join_s: float
     join_kb_each: float
+    told_s: float
+    """From then until nobody has anything of it to pass on."""
+    told_bytes_per_s: float
+    """Of each member, meanwhile."""
     bytes_sent_per_s: float
     datagrams_sent_per_s: float
     cpu_percent: float
@@ -90,6 +102,26 @@
     false_deaths: int
 
 
+@dataclass(frozen=True, slots=True)
+class Alone:
+    """One hollow router in its own process."""
+
+    members: int
+    cpu_percent: float
+    memory_kb: float
+    """Of the process, from before the router was made."""
+    shared_cpu_percent: float
+    """Of each of the others, which share a process."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sync:
+    """An answer to a router that knows nothing."""
+
+    members: int
+    hold_ms: float
+
+
 class Fleet(World):
     """Members that know each other from the beginning, in virtual time."""
 
@@ -284,7 +316,12 @@
         join_s = (clock.monotonic_ns() - begun) / NS_PER_S if joined else math.inf
         datagrams, payload = fleet.sent()
         join_kb = fit.udp_bytes(payload, datagrams) / members / 1024
-        await fleet.run(SETTLE_S + 6)
+        begun = clock.monotonic_ns()
+        told = await fleet.until(lambda: not any(len(a.outbox.rumours) for a in fleet.agents()), 300)
+        told_s = (clock.monotonic_ns() - begun) / NS_PER_S
+        after = fit.udp_bytes(*reversed(fleet.sent()))
+        told_bytes = (after / members - join_kb * 1024) / told_s
+        await fleet.run(SETTLE_S)
         _quiet()
         datagrams, payload = fleet.sent()
         begun, cpu = clock.monotonic_ns(), time.process_time()
@@ -295,16 +332,16 @@
         memory = (fit.resident_bytes() - before) / members / 1024
         begun = clock.monotonic_ns()
         await fleet.kill("r0")
-        links = fleet.links.values()
-        await fleet.until(lambda: all(not link.agent.members.is_live("r0") for link in links), 60)
+        await fleet.until(lambda: all(not agent.members.is_live("r0") for agent in fleet.agents()), 60)
         times = [
             (at - begun) / NS_PER_S for at, _, told in fleet.told if told.what == "died" and told.name == "r0"
         ]
         await fleet.close()
     each, half, most, longest = members * spent, *(fit.share_of(times, share) for share in (0.5, 0.99, 1.0))
     return Joined(
-        members, factor, join_s, join_kb, fit.udp_bytes(payload, datagrams) / each, datagrams / each,
-        cpu / each * 100, memory, half, most, longest,
+        members, factor, join_s, join_kb, told_s if told else math.inf, told_bytes,
+        fit.udp_bytes(payload, datagrams) / each, datagrams / each, cpu / each * 100, memory,
+        half, most, longest,
     )  # fmt: skip
 
 
@@ -313,8 +350,65 @@
     return uvloop.run(_on_sockets(members, factor, seconds))
 
 
+async def _some(members: int, addresses: tuple[Address, ...], places: range, seconds: float) -> Alone:
+    with slowed(1.0) as clock:
+        memory = fit.resident_bytes()
+        fleet = Hollows(members, clock, SETTINGS, addresses, places)
+        await fleet.open()
+        if not await fleet.until(fleet.agree, 60):
+            raise RuntimeError("the members do not agree")
+        await fleet.run(SETTLE_S + 6)
+        _quiet()
+        cpu = time.process_time()
+        await fleet.run(seconds)
+        cpu = time.process_time() - cpu
+        memory = fit.resident_bytes() - memory
+        await fleet.run(2)  # the others measure too
+        await fleet.close()
+    each = cpu / len(places) / seconds * 100
+    return Alone(members, each, memory / len(places) / 1024, each)
+
+
+def some(members: int, addresses: tuple[Address, ...], places: range, seconds: float) -> Alone:
+    """These places of a fleet, in this process."""
+    return uvloop.run(_some(members, addresses, places, seconds))
+
+
+def alone(members: int, seconds: float = 15) -> Alone:
+    """The first place in one process, all others in another."""
+    addresses = free_ports(members)
+    with ProcessPoolExecutor(2, multiprocessing.get_context("spawn")) as pool:
+        one, rest = (
+            pool.submit(some, members, addresses, places, seconds) for places in (range(1), range(1, members))
+        )
+        return replace(one.result(), shared_cpu_percent=rest.result().cpu_percent)
+
+
+def sync(members: int, times: int = 5) -> Sync:
+    """Ask one member of so many, as a router does that knows nobody."""
+    fleet = Fleet(members)
+    agent = fleet.agents[0]
+    counter = 0
+
+    def held() -> float:
+        nonlocal counter
+        counter += 1
+        fleet.now += 2 * NS_PER_S  # answers are bounded by the second
+        question = Packet("new", 1_000, counter, 0, 0, SyncBody((1,) * PARTS))
+        sent, begun = agent.outbox.sent, time.process_time()
+        agent.receive(question, 0, fleet.now)
+        spent = (time.process_time() - begun) * 1e3
+        if agent.outbox.sent == sent:
+            raise RuntimeError("the question was not answered")
+        return spent
+
+    return Sync(members, sum(held() for _ in range(times)) / times)
+
+
 @click.command()
-@click.argument("what", type=click.Choice(["calm", "sockets", "deaths", "faults", "all"]), default="all")
+@click.argument(
+    "what", type=click.Choice(["alone", "sync", "calm", "sockets", "deaths", "faults", "all"]), default="all"
+)
 @click.option("--size", "sizes", type=int, multiple=True, default=fit.SIZES, show_default=True)
 @click.option("--count", default=3, show_default=True, help="Of deaths at each size.")
 def main(what: str, sizes: tuple[int, ...], count: int) -> None:
@@ -323,10 +417,18 @@
         rows = [fit.apart(calm, size) for size in sizes]
         names = ("bytes_sent_per_s", "datagrams_sent_per_s", "cpu_percent", "memory_kb")
         click.echo(f"calm, virtual time\n{fit.table(rows)}\n{fit.fits(rows, 'members', names)}")
+    if what in ("alone", "all"):
+        click.echo(f"a process to itself\n{fit.table([alone(size) for size in (25, 50)])}")
+    if what in ("sync", "all"):
+        asked = [fit.apart(sync, size) for size in sizes]
+        told = fit.fits(asked, "members", ("hold_ms",))
+        click.echo(f"a question for all\n{fit.table(asked)}\n{told}")
     if what in ("sockets", "all"):
-        told = [fit.apart(on_sockets, *size) for size in SOCKET_SIZES if size[0] <= max(sizes)]
-        names = ("bytes_sent_per_s", "cpu_percent", "memory_kb", "join_kb_each")
-        click.echo(f"loopback sockets\n{fit.table(told)}\n{fit.fits(told, 'members', names)}")
+        joined = [fit.apart(on_sockets, *size) for size in SOCKET_SIZES if size[0] <= max(sizes)]
+        lines = fit.fits(
+            joined, "members", ("bytes_sent_per_s", "cpu_percent", "memory_kb", "join_kb_each", "told_s")
+        )
+        click.echo(f"loopback sockets\n{fit.table(joined)}\n{lines}")
     if what in ("deaths", "all"):
         found = [fit.apart(deaths, size, loss, count) for loss in (0.0, 0.05, 0.3) for size in sizes]
         click.echo(f"deaths, virtual time\n{fit.table(found)}")
