--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -165,6 +165,10 @@
         """Of all that run here."""
         return [link.agent for link in self.links.values()]
 
+    def quiet(self) -> bool:
+        """Whether nobody has anything to pass on."""
+        return not any(len(agent.outbox.rumours) for agent in self.agents())
+
     def agree(self) -> bool:
         """Whether all hold the same, and know all."""
         agents = self.agents()
--- a/benchmarks/scale/owners.py
+++ b/benchmarks/scale/owners.py
@@ -203,6 +203,8 @@
             return {name: fleet.links[name].spent + link.spent for name, link in held.items()}
 
         await fleet.run(SETTLE_S)
+        if not await fleet.until(fleet.quiet, 120):
+            raise RuntimeError("the members have not told all of their join")
         leader = next(n for n, link in held.items() if link.member is not None and link.member.steward)
         before, worked, begun = (
             {name: fleet.links[name].wire() for name in names},
