--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -19,11 +19,11 @@
 from saltport.address import Address
 from saltport.owners import link as owners_link
 from saltport.peers import link as peers_link
-from saltport.peers.agent import Agent, Told
+from saltport.peers.agent import Agent, MembershipEvent
 from saltport.peers.envelope import Envelope
 from saltport.peers.link import PeerLink, PeerPlan
 from saltport.peers.messages import Carried, Packet, Place, encode
-from saltport.peers.outbox import ENVELOPE
+from saltport.peers.send_queue import ENVELOPE
 from saltport.peers.settings import PeerSettings
 
 KEY = bytes(range(32))
@@ -110,7 +110,7 @@
 
     def wire(self) -> Wire:
         """So far."""
-        box = self.agent.outbox
+        box = self.agent.send_queue
         datagrams = box.sent + self.came
         return Wire(datagrams, fit.udp_bytes(box.bytes + self.came_bytes, datagrams))
 
@@ -130,7 +130,7 @@
         self.clock, self.count = clock, count
         self.loop: Any = SlowLoop(asyncio.get_running_loop(), clock.factor)
         self.addresses = addresses or free_ports(count)
-        self.told: list[tuple[int, str, Told]] = []
+        self.told: list[tuple[int, str, MembershipEvent]] = []
         """When, by whom, and what."""
         self.links = {f"r{place}": self._link(place, settings) for place in places or range(count)}
 
@@ -138,7 +138,7 @@
         name = f"r{place}"
         plan = PeerPlan(self.addresses[place], self.addresses, f"z{place % 36}", (KEY,))
 
-        def tell(told: Told) -> None:
+        def tell(told: MembershipEvent) -> None:
             self.told.append((self.clock.monotonic_ns(), name, told))
 
         return HollowLink(self.loop, name, plan, place, lambda: 0, tell, settings)
@@ -167,7 +167,7 @@
 
     def quiet(self) -> bool:
         """Whether nobody has anything to pass on."""
-        return not any(len(agent.outbox.rumours) for agent in self.agents())
+        return not any(len(agent.send_queue.gossip) for agent in self.agents())
 
     def agree(self) -> bool:
         """Whether all hold the same, and know all."""
@@ -186,7 +186,7 @@
 
     def sent(self) -> tuple[int, int]:
         """Datagrams, and bytes in them, that all have sent."""
-        boxes = [link.agent.outbox for link in self.links.values()]
+        boxes = [link.agent.send_queue for link in self.links.values()]
         return sum(box.sent for box in boxes), sum(box.bytes for box in boxes)
 
 
--- a/benchmarks/scale/membership.py
+++ b/benchmarks/scale/membership.py
@@ -174,7 +174,7 @@
 
 
 def _sent(agent: Agent) -> int:
-    return fit.udp_bytes(agent.outbox.bytes, agent.outbox.sent)
+    return fit.udp_bytes(agent.send_queue.bytes, agent.send_queue.sent)
 
 
 def _quiet() -> None:
@@ -190,12 +190,12 @@
     fleet = Fleet(members, seed)
     _quiet()
     fleet.run(SETTLE_S)
-    sent, datagrams = fleet.wire(), sum(agent.outbox.sent for agent in fleet.agents.values())
+    sent, datagrams = fleet.wire(), sum(agent.send_queue.sent for agent in fleet.agents.values())
     cpu = time.process_time()
     fleet.run(seconds)
     cpu = time.process_time() - cpu
     each = [(after - sent[place]) / seconds for place, after in fleet.wire().items()]
-    datagrams = sum(agent.outbox.sent for agent in fleet.agents.values()) - datagrams
+    datagrams = sum(agent.send_queue.sent for agent in fleet.agents.values()) - datagrams
     memory = (fit.resident_bytes() - before) / members / 1024
     return Calm(
         members, sum(each) / members, datagrams / members / seconds, max(each),
@@ -422,10 +422,10 @@
         counter += 1
         fleet.now += 2 * NS_PER_S  # answers are bounded by the second
         question = Packet("new", 1_000, counter, 0, 0, SyncBody((1,) * PARTS))
-        sent, begun = agent.outbox.sent, time.process_time()
+        sent, begun = agent.send_queue.sent, time.process_time()
         agent.receive(question, 0, fleet.now)
         spent = (time.process_time() - begun) * 1e3
-        if agent.outbox.sent == sent:
+        if agent.send_queue.sent == sent:
             raise RuntimeError("the question was not answered")
         return spent
 
--- a/benchmarks/scale/operators.py
+++ b/benchmarks/scale/operators.py
@@ -17,8 +17,8 @@
 from benchmarks.scale.hollow import SETTINGS
 from saltport.peers.agent import Agent
 from saltport.peers.messages import Alive
-from saltport.peers.outbox import Identity
 from saltport.peers.report import report
+from saltport.peers.send_queue import Identity
 from saltport.peers.settings import NS_PER_S
 
 CALLS = 10
--- a/tests/scale/test_membership.py
+++ b/tests/scale/test_membership.py
@@ -83,7 +83,7 @@
         for _ in range(5):
             counted += fit.udp_bytes(len(await asyncio.wait_for(loop.sock_recv(ours, 2_048), 30)), 1)
         await link.close(replaced=True)
-        box = link.agent.outbox
+        box = link.agent.send_queue
         while counted < fit.udp_bytes(box.bytes, box.sent):
             counted += fit.udp_bytes(len(await asyncio.wait_for(loop.sock_recv(ours, 2_048), 30)), 1)
         return fit.udp_bytes(box.bytes, box.sent), counted
