--- /dev/null
+++ b/tests/dissemination/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of dissemination in levels."""
--- /dev/null
+++ b/tests/dissemination/test_messages.py
@@ -0,0 +1,91 @@
+"""Messages fit a datagram; an older and a newer release read each other's."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from msgspec import Struct
+
+from saltport.dissemination.acknowledgements import fitted
+from saltport.dissemination.messages import (
+    Acknowledgement,
+    Entry,
+    Fetch,
+    Head,
+    Level,
+    Push,
+    Rejection,
+    Row,
+    decode,
+    encode,
+)
+from saltport.dissemination.settings import MESSAGE
+from saltport.dissemination.voter import ENTRY, ENTRY_HEAD, MOST_HEADS
+
+LARGE = 2**31
+
+
+class NewerPush(Struct, frozen=True, array_like=True, tag=100):
+    """A push of a later release, with one more field."""
+
+    epoch: int
+    by: int
+    beat: int
+    level: Level
+    heads: tuple[Head, ...]
+    entry: Entry | None = None
+    priority: int = 7
+
+
+class OlderAcknowledgement(Struct, frozen=True, array_like=True, tag=105):
+    """Before rejections and versions were told."""
+
+    round: int
+    level: Level
+    counted: int
+    rows: tuple[Row, ...]
+
+
+def test_a_newer_message_is_read_without_what_is_new() -> None:
+    told = NewerPush(3, 1, 9, Level.SITE, (Head(1, 4),), Entry(1, 3, 4, 3, (b"key",)))
+    read = decode(msgspec.msgpack.encode(told))
+    assert read == Push(3, 1, 9, Level.SITE, (Head(1, 4),), Entry(1, 3, 4, 3, (b"key",)))
+
+
+def test_an_older_message_is_filled_in() -> None:
+    read = decode(msgspec.msgpack.encode(OlderAcknowledgement(4, Level.REGION, 20, (Row(1, 7, 3),))))
+    assert read == Acknowledgement(4, Level.REGION, 20, (Row(1, 7, 3),))
+
+
+def test_an_older_release_reads_a_newer_acknowledgement() -> None:
+    told = Acknowledgement(4, Level.SITE, 1, (), (Rejection(2, 5, 0, "no"),), version=2)
+    read = msgspec.msgpack.decode(encode(told), type=OlderAcknowledgement)
+    assert read == OlderAcknowledgement(4, Level.SITE, 1, ())
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xc1", msgspec.msgpack.encode([100]), msgspec.msgpack.encode([109, 1])]
+)
+def test_anything_else_is_refused(data: bytes) -> None:
+    with pytest.raises(msgspec.DecodeError):
+        decode(data)
+
+
+ROOM = ENTRY - ENTRY_HEAD
+
+
+@pytest.mark.parametrize("records", [(b"x" * (ROOM - 2),), (b"",) * (ROOM // 2), (b"x" * 40,) * (ROOM // 42)])
+def test_the_longest_push_fits(records: tuple[bytes, ...]) -> None:
+    entry = Entry(200, LARGE, LARGE, LARGE, records)
+    assert len(encode(entry)) <= ENTRY
+    heads = tuple(Head(topic, LARGE) for topic in range(1, MOST_HEADS + 1))
+    assert len(encode(Push(LARGE, 1_604, LARGE, Level.VOTERS, heads, entry))) <= MESSAGE
+
+
+def test_the_longest_fetch_and_acknowledgement_fit() -> None:
+    assert len(encode(Fetch(200, Level.VOTERS, tuple(range(LARGE, LARGE + 16))))) <= MESSAGE
+    rows = tuple(Row(topic, LARGE, 1_604) for topic in range(1, 5))
+    rejections = tuple(Rejection(2, LARGE + n, 3, "r" * 60, 1_600) for n in range(4))
+    told = fitted(Acknowledgement(LARGE, Level.VOTERS, 1_600, rows, rejections))
+    assert len(encode(told)) <= MESSAGE
+    assert told.rejections
