--- a/saltport/dissemination/freshness.py
+++ b/saltport/dissemination/freshness.py
@@ -13,9 +13,8 @@
 
 from saltport.dissemination.messages import Head
 
-MOST_WAITING = (
-    64  # beats that wait for entries, by topic; later ones are left out, which errs towards refusal
-)
+DRIFT = 1_000  # clocks don't run alike: the yardstick rises by a part in so many of the time passed
+MOST_WAITING = 64  # beats that wait for entries, by topic; later ones are left out, which errs to refusal
 
 
 class Verdict(Enum):
