--- /dev/null
+++ b/saltport/dissemination/silence.py
@@ -0,0 +1,43 @@
+"""When a router that hears no new beat polls others for it. No I/O.
+
+Without it, a router that loses several pushes in a row would see its gap only with the next one that arrives.
+"""
+
+from __future__ import annotations
+
+from saltport.dissemination.messages import Level
+from saltport.dissemination.settings import DisseminationSettings
+
+BACKOFF = 1.5
+TRIES_IN_SITE = 4
+"""Polls before each second one goes to the region, and each fourth one to the voters."""
+
+
+class Silence:
+    """The latest beat, and when to ask for a later one."""
+
+    def __init__(self, settings: DisseminationSettings, now: int) -> None:
+        self._settings = settings
+        self.latest = (0, 0)
+        """Epoch and beat."""
+        self.due = now
+        self._tries = 0
+
+    def heard(self, epoch: int, beat: int, now: int) -> bool:
+        """A push came; returns whether its beat is new."""
+        if (epoch, beat) <= self.latest:
+            return False
+        self.latest = (epoch, beat)
+        self.due = now + self._settings.silence
+        self._tries = 0
+        return True
+
+    def poll(self, now: int) -> Level:
+        """Whom to poll now; the next poll is put off."""
+        settings = self._settings
+        wait = settings.poll_retry * BACKOFF ** min(self._tries, 16)
+        self.due = now + min(int(wait), settings.most_poll_retry)
+        self._tries += 1
+        if self._tries <= TRIES_IN_SITE or self._tries % 2:
+            return Level.SITE
+        return Level.VOTERS if not self._tries % 4 else Level.REGION
--- /dev/null
+++ b/saltport/dissemination/submissions.py
@@ -0,0 +1,122 @@
+"""What a router wants changed, until the voters have decided it. No I/O.
+
+Undecided submissions are sent again, in their order and from the first one on, so that the coordinator
+never takes a later one before an earlier one. A refusal is final only if no other voter ever got the
+submission.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from saltport.dissemination.messages import Decision, Submission, Submit, encode
+from saltport.dissemination.settings import MESSAGE, DisseminationSettings
+
+MOST_BODY = 144  # bytes of one record
+
+
+class Outcome(Enum):
+    """What became of a submission."""
+
+    COMMITTED = "committed"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    """No voter answered in time; it may be committed or not."""
+    REJECTED = "rejected by routers"
+    """Committed, and refused by those that should apply it: what was in force before stays."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcomes:
+    """Of one submission."""
+
+    sequence: int
+    outcome: Outcome
+    reason: str = ""
+
+
+class SubmissionError(ValueError):
+    """A change can't be submitted."""
+
+
+@dataclass(slots=True)
+class _Pending:
+    submission: Submission
+    begun: int
+    voters: set[int] = field(default_factory=set)
+
+
+class Submissions:
+    """Undecided submissions of one router, at most `most_submissions`."""
+
+    def __init__(self, first_sequence: int, voters: tuple[int, ...], settings: DisseminationSettings) -> None:
+        self._next, self._voters, self._settings = first_sequence, voters, settings
+        self._pending: deque[_Pending] = deque()
+        self._tries = 0
+        self.due: int | None = None
+        self.coordinator: int | None = None
+        self.outcomes: list[Outcomes] = []
+
+    def submit(self, topic: int, body: bytes, now: int) -> int:
+        """Ask for a change; returns its number; raises SubmissionError."""
+        if len(body) > MOST_BODY:
+            raise SubmissionError(f"a record has at most {MOST_BODY} bytes, this one {len(body)}")
+        if len(self._pending) >= self._settings.most_submissions:
+            raise SubmissionError("too many undecided submissions")
+        sequence, self._next = self._next, self._next + 1
+        self._pending.append(_Pending(Submission(sequence, topic, body), now))
+        self.due = now
+        return sequence
+
+    def turn(self, now: int) -> list[tuple[int, Submit]]:
+        """What to send to which voters."""
+        while self._pending and now - self._pending[0].begun >= self._settings.submit_give_up:
+            given_up = self._pending.popleft()
+            self.outcomes.append(Outcomes(given_up.submission.sequence, Outcome.UNKNOWN, "no voter answered"))
+        if not self._pending:
+            self.due = None
+            return []
+        self.due = now + self._settings.submit_retry
+        chosen: list[Submission] = []
+        size = 8
+        for pending in self._pending:
+            size += len(encode(pending.submission))
+            if size > MESSAGE:
+                break
+            chosen.append(pending.submission)
+        targets = self._targets()
+        for pending, _ in zip(self._pending, chosen, strict=False):
+            pending.voters.update(targets)
+        self._tries += 1
+        message = Submit(tuple(chosen))
+        return [(target, message) for target in targets]
+
+    def _targets(self) -> list[int]:
+        """The coordinator as long as it answers, else it and one voter after the other."""
+        copies = self._settings.submit_copies
+        if self.coordinator is not None and self._tries < 4:
+            return [self.coordinator] * copies
+        turn = self._voters[self._tries % len(self._voters)]
+        return [turn if self.coordinator is None else self.coordinator] + [turn] * (copies - 1)
+
+    def decided(self, decision: Decision) -> None:
+        """A coordinator answered."""
+        refused = {refusal.sequence: refusal.reason for refusal in decision.refusals}
+        committed = set(decision.committed)
+        left: deque[_Pending] = deque()
+        for pending in self._pending:
+            sequence = pending.submission.sequence
+            if sequence in committed:
+                self.outcomes.append(Outcomes(sequence, Outcome.COMMITTED))
+                self._tries = 0
+            elif sequence in refused and len(pending.voters) <= 1:
+                self.outcomes.append(Outcomes(sequence, Outcome.REFUSED, refused[sequence]))
+            else:
+                left.append(pending)
+        for told in decision.rejections:
+            self.outcomes.append(Outcomes(told.sequence, Outcome.REJECTED, told.reason))
+        self._pending = left
+        if not left:
+            self.due = None
