Relays: each region's relay tells one of a site's, and a relay of both does both

A router that was relay of its region and of its site in one marked the push as passed on by the first of both, so that its share of the site waited for repair: the test of coverage found it.

--- a/saltport/dissemination/relay.py
+++ b/saltport/dissemination/relay.py
@@ -1,7 +1,7 @@
 """To whom a relay passes a push on. No I/O.
 
-A region's relay tells the relays of each site; a site's relay tells its fellow relays and its share of the
-other routers. Each entry has its own relays by its turn.
+A region's relay tells one of the relays of each site; a site's relay tells its fellow relays and its share
+of the other routers. Each entry has its own relays by its turn.
 """
 
 from __future__ import annotations
@@ -31,37 +31,45 @@
 
 
 class Forwarded:
-    """Which pushes were passed on, and as what: a router may be a relay of its region and of its site."""
+    """As what pushes were passed on: a router may be a relay of its region and of its site."""
 
     def __init__(self) -> None:
-        self._levels: OrderedDict[tuple[int, int, int], Level] = OrderedDict()
+        self._levels: OrderedDict[tuple[int, int, int], set[Level]] = OrderedDict()
 
-    def admit(self, push: Push) -> Level:
-        """Remember as what it is passed on now; returns as what it was before, `SITE`: not at all."""
+    def levels(self, push: Push) -> set[Level]:
+        """Of this push; whoever passes it on adds to them."""
         entry = push.entry
         key = (entry.topic, entry.number, 0) if entry is not None else (0, push.beat, push.epoch)
-        before = self._levels.get(key, Level.SITE)
-        self._levels[key] = max(before, push.level)
-        if len(self._levels) > MOST_REMEMBERED:
-            self._levels.popitem(last=False)
-        return before
+        levels = self._levels.get(key)
+        if levels is None:
+            levels = self._levels[key] = set()
+            if len(self._levels) > MOST_REMEMBERED:
+                self._levels.popitem(last=False)
+        return levels
 
 
-def forwards(
-    me: int, site: Site, push: Push, placement: Placement, before: Level = Level.SITE
-) -> Iterator[Forward]:
-    """What a router does with a push; `before`: as what it passed the same one on already."""
+def forwards(me: int, site: Site, push: Push, placement: Placement, done: set[Level]) -> Iterator[Forward]:
+    """What a router does with a push; `done`: as what it passed the same one on already, and does now."""
     turn = turn_of(placement, push)
-    if push.level is Level.VOTERS and before < Level.VOTERS:
+    if push.level is Level.VOTERS and Level.VOTERS not in done:
+        done.add(Level.VOTERS)
         for told in placement.regions.get(site.region, ()):
-            relays = placement.site_relays(told, turn)
-            yield Forward(Level.REGION, tuple(node for node in relays if node != me))
-            if me in relays and before < Level.REGION:
-                yield from within_site(me, told, turn, placement)
-    elif push.level is Level.REGION and before < Level.REGION:
+            chosen = _chosen(me, told, turn, placement)
+            yield Forward(Level.REGION, tuple(node for node in chosen if node != me))
+    relays = push.level is Level.REGION or (
+        push.level is Level.VOTERS and me in placement.site_relays(site, turn)
+    )
+    if relays and Level.REGION not in done:
+        done.add(Level.REGION)
         yield from within_site(me, site, turn, placement)
 
 
+def _chosen(me: int, site: Site, turn: int, placement: Placement) -> tuple[int, ...]:
+    """One of a site's relays for each of the region's, in turn; all of them, if my view doesn't choose me."""
+    relays, mine = placement.site_relays(site, turn), placement.region_relays(site.region, turn)
+    return (relays[mine.index(me) % len(relays)],) if me in mine else relays
+
+
 def within_site(me: int, site: Site, turn: int, placement: Placement) -> Iterator[Forward]:
     """What a site's relay passes on: all to its fellows, and to each other router by one of them."""
     relays = placement.site_relays(site, turn)
--- a/saltport/dissemination/router.py
+++ b/saltport/dissemination/router.py
@@ -184,8 +184,8 @@
         site = self.placement.site(self.node)
         if site is None or push.level is Level.SITE:
             return
-        before = self._forwarded.admit(push)
-        for forward in forwards(self.node, site, push, self.placement, before):
+        done = self._forwarded.levels(push)
+        for forward in forwards(self.node, site, push, self.placement, done):
             if forward.targets:
                 told = Push(push.epoch, push.by, push.beat, forward.level, push.heads, push.entry)
                 self._queue.send(Work.PUSH, forward.targets, told, now)
--- a/saltport/dissemination/settings.py
+++ b/saltport/dissemination/settings.py
@@ -18,7 +18,7 @@
 
     batch: int = 250 * NS_PER_MS
     """Between two batches of the coordinator; an interval without a record sends a heartbeat."""
-    region_relays: int = 3
+    region_relays: int = 4
     """Of each entry, in each region."""
     site_relays: int = 2
     """Of each entry, in each site."""
