--- /dev/null
+++ b/benchmarks/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Scale measurements: what each part costs at fleet size."""
--- /dev/null
+++ b/tests/dissemination/test_history.py
@@ -0,0 +1,200 @@
+"""The checker finds planted defects: in a history by hand, and in a world whose program was spoilt."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import pytest
+
+from benchmarks.scale.dissemination_history import History
+from benchmarks.scale.dissemination_world import Fleet, World
+from saltport.dissemination.archive import Archive
+from saltport.dissemination.freshness import Freshness, Verdict
+from saltport.dissemination.log import Offer, TopicLog
+from saltport.dissemination.messages import Entry
+from saltport.dissemination.voter import Voter
+from saltport.owners.fence import Fence
+
+
+class One(NamedTuple):
+    topic: int
+    record: bytes
+
+
+def records(text: str) -> list[One]:
+    return [One(1, letter.encode()) for letter in text]
+
+
+def checked(*told: str, at: int = 10) -> list[str]:
+    history = History()
+    for letter in "abcd":
+        history.made(1, letter.encode(), 1)
+    history.start(0, 0)
+    history.committed(1, 1, [b"a", b"b"], 2)
+    history.committed(1, 2, [b"c"], 3)
+    history.committed(1, 3, [b"d"], 4)
+    for text in told:
+        history.applied(0, records(text), at)
+    return history.finish()
+
+
+def test_a_good_history_has_no_fault() -> None:
+    assert checked("ab", "cd") == []
+
+
+@pytest.mark.parametrize(
+    ("told", "fault"),
+    [
+        (("abc",), "lacks the last 1"),
+        (("ab", "d"), "before 1 others"),
+        (("abb", "cd"), "twice or late"),
+        (("ba", "cd"), "before 1 others"),
+        (("abcd", "a"), "twice or late"),
+        (("abx", "cd"), "never committed"),
+    ],
+)
+def test_each_defect_is_named(told: tuple[str, ...], fault: str) -> None:
+    assert any(fault in found for found in checked(*told))
+
+
+def test_a_restart_and_a_snapshot_are_followed() -> None:
+    history = History()
+    history.committed(1, 1, [b"a", b"b"], 2)
+    history.committed(1, 2, [b"c"], 3)
+    history.start(0, 5)
+    history.loaded(0, 1, 1)
+    history.applied(0, records("c"), 9)
+    assert history.finish() == []
+    history.loaded(0, 1, 1)
+    assert "went back" in history.faults[0]
+    history.loaded(0, 1, 7)
+    assert "isn't committed" in history.faults[1]
+
+
+def test_serving_without_an_old_record_is_a_fault() -> None:
+    history = History()
+    history.start(0, 0)
+    history.committed(1, 1, [b"a"], 100)
+    history.serves(0, 1, 150, 50)
+    assert history.faults == []
+    history.serves(0, 1, 151, 50)
+    assert "serves topic 1 without 1" in history.faults[0]
+
+
+def test_delays_are_counted_from_the_making_or_the_return() -> None:
+    history = History()
+    history.start(0, 0)
+    history.start(1, 0)
+    history.excuse(1, 5_000_000_000)
+    history.made(1, b"a", 1_000_000_000)
+    history.committed(1, 1, [b"a"], 1_100_000_000)
+    history.applied(0, records("a"), 2_000_000_000)
+    history.applied(1, records("a"), 5_400_000_000)
+    assert history.slowest() == 1.0
+    assert (history.delays.total, history.late.percentile(1)) == (1, 0.4)
+
+
+# Spoilt programs
+
+
+def skips_gaps(self: TopicLog, entry: Entry) -> Offer:
+    if entry.number <= self.last:
+        return Offer.DUPLICATE
+    self.last, self.last_epoch, self.head = entry.number, entry.epoch, max(entry.number, self.head)
+    self._ready.append(entry)
+    return Offer.APPENDED
+
+
+def takes_twice(self: TopicLog, entry: Entry) -> Offer:
+    if entry.number == self.last + 1:
+        self.last, self.last_epoch = entry.number, entry.epoch
+    self.head = max(self.head, entry.number)
+    if entry.number > self.last:
+        return Offer.OVER
+    self._retained[entry.number] = entry
+    self._ready.append(entry)
+    return Offer.APPENDED
+
+
+def always_fresh(self: Freshness, topic: int, now: int) -> Verdict:
+    return Verdict.FRESH
+
+
+def always_leased(self: Voter, term: object, now: int) -> bool:
+    return True
+
+
+def world(seconds: float = 20) -> World:
+    """A region is apart for a while, with the coordinator in it; purges are made outside and inside."""
+    made = World(Fleet(40, 4, 5), seed=3, loss=0.1)
+    made.start_all()
+    made.run(2)
+    for turn in range(int(seconds * 5)):
+        if turn == 25:
+            made.part(0, 6_000_000_000)
+        made.submit(1 + turn % 3, 1, b"purge %d" % turn)
+        if 25 < turn < 40:
+            made.submit(4 * (turn % 3), 1, b"apart %d" % turn)
+        made.run(0.2)
+    made.run(5)
+    return made
+
+
+def faults(made: World) -> list[str]:
+    """Purges that were made apart may be committed or not; all others must be."""
+    return [fault for fault in made.history.finish() if not fault.startswith("never committed: b'apart")]
+
+
+def test_the_program_as_it_is_has_no_fault() -> None:
+    made = world()
+    assert faults(made) == []
+    assert made.epoch == 2
+    assert made.history.delays.total > 2_000
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "defect", "fault"),
+    [
+        (TopicLog, "offer", skips_gaps, "others"),
+        (TopicLog, "offer", takes_twice, "twice or late"),
+        (Freshness, "verdict", always_fresh, "serves topic"),
+        (Voter, "_leased", always_leased, "serves topic"),
+    ],
+)
+def test_a_spoilt_program_is_found(
+    owner: type, name: str, defect: Callable[..., object], fault: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(owner, name, defect)
+    assert any(fault in found for found in faults(world()))
+
+
+def test_an_old_owner_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A coordinator that pushes before commitment, without a lease, and routers without the fence."""
+    propose = Voter._propose_entry
+
+    def pushes_at_once(self: Voter, term: object, topic: int, *rest: object) -> None:
+        propose(self, term, topic, *rest)  # type: ignore[arg-type]
+        self._push(term, self._proposals[-1].entry, self._now)  # type: ignore[arg-type,attr-defined]
+
+    def turn(self: Voter, now: int) -> None:
+        self._now = now  # type: ignore[attr-defined]
+        plain_turn(self, now)
+
+    plain_turn = Voter.turn
+    monkeypatch.setattr(Voter, "turn", turn)
+    monkeypatch.setattr(Voter, "_propose_entry", pushes_at_once)
+    monkeypatch.setattr(Voter, "_leased", lambda *_: True)
+    monkeypatch.setattr(Fence, "admit", lambda *_: True)
+    assert any("never committed" in found and "applied" in found for found in faults(world()))
+
+
+def test_a_reordered_pair_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    apply = Archive._apply
+
+    def swaps(self: Archive, log: TopicLog) -> object:
+        log._ready[-2:] = log._ready[-2:][::-1]
+        return apply(self, log)
+
+    monkeypatch.setattr(Archive, "_apply", swaps)
+    assert any("before" in found for found in faults(world()))
