Freshness by the coordinator's answered clock; terms, ledger and hard cases in virtual time

Now a router dates the coordinator's clock by a poll that the coordinator itself answers under its lease; until then nothing is fresh. The tests of the old yardstick are replaced by stricter ones: an age is never too low, and an answer to an earlier poll dates nothing.

Outcomes of submissions are remembered one by one (a refused one before a committed one was told as committed), and streams are those of a process, so that a clock set back does no harm. Voter and router are split: term, ledger, acknowledger.

--- a/benchmarks/scale/dissemination.py
+++ b/benchmarks/scale/dissemination.py
@@ -33,6 +33,7 @@
 RESTART_AFTER = 5.0
 KEYS = 200
 SETTLE = 5.0
+LIMIT = 2.6
 DRAIN = 15.0
 
 
@@ -49,6 +50,8 @@
     half: float
     most: float
     all: float
+    over_limit: int
+    """Arrivals of records later than 2.6 s, at routers that were there."""
     back_half: float
     back_all: float
     """From a router's return until it had what it missed."""
@@ -104,6 +107,7 @@
         return Report(
             count, world.loss, seconds, changes, len(faults), faults[0] if faults else "",
             history.delays.percentile(0.5), history.delays.percentile(0.99), history.slowest(),
+            history.delays.above(LIMIT),
             history.late.percentile(0.5), history.late.percentile(1),
             median(both), max(both), max(sent[:count]), self.peak, median(messages), max(messages),
             coordinator, cpu / count / seconds * 1e6,
--- a/benchmarks/scale/dissemination_history.py
+++ b/benchmarks/scale/dissemination_history.py
@@ -40,6 +40,10 @@
         self.counts[bucket] = self.counts.get(bucket, 0) + 1
         self.total += 1
 
+    def above(self, seconds: float) -> int:
+        """How many were longer."""
+        return sum(count for bucket, count in self.counts.items() if bucket > seconds * 1_000)
+
     def percentile(self, share: float) -> float:
         """Seconds within which this share was."""
         left = share * self.total
@@ -158,9 +162,7 @@
         owed = bisect_left(log.times, now - bound)
         held = self._positions[node].get(topic, 0)
         if held < owed:
-            self._fault(
-                f"router {node} serves topic {topic} without {owed - held} records older than the bound"
-            )
+            self._fault(f"router {node} serves topic {topic} without {owed - held} old records")
 
     def arrived(self, topic: int, record: bytes, now: int) -> None:
         """Of a form without order: a record came to one more router."""
--- a/benchmarks/scale/dissemination_world.py
+++ b/benchmarks/scale/dissemination_world.py
@@ -16,6 +16,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from benchmarks.scale.dissemination_history import History
+from saltport.dissemination.archive import States
 from saltport.dissemination.freshness import Verdict
 from saltport.dissemination.messages import Proposal, Topic
 from saltport.dissemination.outbox import Outgoing
@@ -130,10 +131,10 @@
         self.watch_leader()
         self.sample_verdicts()
 
-    def start(self, node: int) -> Router:
-        """A router's process comes up, knowing nothing."""
+    def start(self, node: int, states: States | None = None) -> Router:
+        """A router's process comes up, knowing nothing; `states`: of another release."""
         rng = random.Random(self.rng.getrandbits(32))
-        router = Router(node, self.placement, self.settings, self.states, rng, self.now)
+        router = Router(node, self.placement, self.settings, states or self.states, rng, self.now, self.now)
         self.nodes[node] = router
         self.stopped.pop(node, None)
         self.history.start(node, self.now)
@@ -246,16 +247,19 @@
 
     def watch_leader(self) -> None:
         """Called every 100 ms: a leader that is cut from a majority is replaced after a while."""
-        reached = [node for node in self.voters if not self._is_cut(self.leader, node)]
+        awake = self.stopped.get(self.leader, 0) <= self.now
+        reached = [node for node in self.voters if awake and not self._is_cut(self.leader, node)]
         if len(reached) > VOTERS // 2:
             self._majority_lost = 0
             self.voter().confirmed(self.now - CONFIRMATION)
             for node in reached:
+                if node != self.leader:
+                    self.voter(node).step_down()
                 self._catch_up(node)
         elif not self._majority_lost:
             self._majority_lost = self.now
         elif self.now - self._majority_lost >= TAKEOVER:
-            others = [node for node in self.voters if node not in reached]
+            others = [node for node in self.voters if node not in reached and node != self.leader]
             self._majority_lost = 0
             self._lead(others[0])
         self._at(self.now + 100 * NS_PER_MS, self.watch_leader)
@@ -317,12 +321,12 @@
         held = self.nodes[node]
         now, rng, loss, events = self.now, self.rng, self.loss, self._events
         if isinstance(held, Router):
-            if held.applied:
-                self.history.applied(node, held.applied, now)
-                held.applied = []
             for topic, number in held.loaded:
                 self.history.loaded(node, topic, number)
             held.loaded.clear()
+            if held.applied:
+                self.history.applied(node, held.applied, now)
+                held.applied = []
         elif isinstance(held, Voter):
             self._replicate(node)
         extra = self.slow.get(node, 0)
--- a/saltport/dissemination/acknowledgements.py
+++ b/saltport/dissemination/acknowledgements.py
@@ -16,7 +16,6 @@
 MOST_REJECTIONS = 4  # in one acknowledgement
 MOST_CHILDREN = 2_048  # at a collector
 ROUNDS_HELD = 4  # for which a child's last word counts, while nothing newer came
-ROTATION = 16  # rounds after which another router collects
 MOST_REASON = 60  # characters
 
 RejectionKey = tuple[int, int, int, str]
--- a/saltport/dissemination/archive.py
+++ b/saltport/dissemination/archive.py
@@ -20,7 +20,7 @@
 
 PART = 160  # bytes of a snapshot in one message
 MOST_PARTS = 4_096
-SNAPSHOT_AGE = 64  # entries after which a snapshot that is kept for askers is made anew
+SNAPSHOT_AGE = 64  # entries after which one of several parts is made anew: its parts belong together
 
 States = Callable[[int], TopicState | None]
 """Makes a topic's state; None: this release doesn't know the topic."""
@@ -117,7 +117,8 @@
 
     def _first_part(self, topic: int, log: TopicLog) -> SnapshotPart | None:
         kept = self._snapshots.get(topic)
-        if kept is None or kept.number + SNAPSHOT_AGE < log.last:
+        age = SNAPSHOT_AGE if kept is not None and kept.parts > 1 else 0
+        if kept is None or kept.number + age < log.last:
             try:
                 kept = _Snapshot(log.last, log.last_epoch, self.states[topic].save())
             except NotImplementedError:
--- a/saltport/dissemination/freshness.py
+++ b/saltport/dissemination/freshness.py
@@ -1,20 +1,25 @@
 """How old a router's knowledge of a topic may be: the verdict that the data path asks for. No wall clock.
 
-The coordinator counts its batch intervals. The earliest arrival of a beat, against that count, is the
-yardstick for all later ones: a beat that was held up on its way counts as sent when it should have come,
-not when it came. A router is caught up as of a beat once it has applied all entries that the beat tells of.
+Pushes tell when they were sent by the coordinator's own clock. A router dates that clock by polling the
+coordinator: what it answers was sent after the poll left. So a push that was held up on its way, or is told
+again by somebody who was cut off himself, counts as sent when it was, and at the latest then. A router is
+caught up as of a push once it has applied all entries that the push tells of. Nothing is fresh before the
+coordinator itself answered.
 """
 
 from __future__ import annotations
 
+import random
 from collections import deque
-from collections.abc import Iterable
 from enum import Enum
 
-from saltport.dissemination.messages import Head
+from saltport.dissemination.messages import Push
+from saltport.dissemination.settings import NS_PER_MS, DisseminationSettings
 
-DRIFT = 1_000  # clocks don't run alike: the yardstick rises by a part in so many of the time passed
-MOST_WAITING = 64  # beats that wait for entries, by topic; later ones are left out, which errs to refusal
+DRIFT = 1_000  # clocks don't run alike: by so much a part of the time passed a date may be off
+MOST_WAITING = 64  # pushes that wait for entries, by topic; later ones are left out, which errs to refusal
+BACKOFF = 1.5
+MOST_RETRIES = 6  # after which polls get no rarer
 
 
 class Verdict(Enum):
@@ -28,32 +33,51 @@
 class Freshness:
     """As of when a router was provably caught up, by topic."""
 
-    def __init__(self, interval: int, fresh_for: int, settle_beats: int) -> None:
-        self._interval, self._fresh_for, self._settle = interval, fresh_for, settle_beats
-        self._epoch = self._heard = 0
-        self._offset = self._at = 0
+    def __init__(self, settings: DisseminationSettings, rng: random.Random) -> None:
+        self._settings, self._rng = settings, rng
+        self.due: int | None = None
+        """When to poll the coordinator's clock; None: no coordinator is known."""
+        self._epoch = self._polls = self._asked = self._tries = 0
+        self._began: int | None = None
+        """When the coordinator began, by this router's clock, at the latest then; None: not known."""
+        self._dated = 0
         self._caught_up: dict[int, int] = {}
         self._waiting: dict[int, deque[tuple[int, int]]] = {}
 
-    def heard(self, epoch: int, beat: int, heads: Iterable[Head], now: int) -> None:
-        """A beat came; entries that came with it are counted by `applied` afterwards."""
-        offset = now - beat * self._interval
-        if epoch != self._epoch:
-            self._epoch, self._heard, self._offset, self._at = epoch, 0, offset, now
+    def poll(self, now: int) -> int:
+        """The number of a poll that leaves now."""
+        self._polls += 1
+        self._asked = now
+        self.due = now + int(self._settings.clock_retry * BACKOFF ** min(self._tries, MOST_RETRIES))
+        self._tries += 1
+        return self._polls
+
+    def heard(self, push: Push, now: int) -> None:
+        """A push came; entries that came with it are counted by `applied` afterwards."""
+        if push.epoch != self._epoch:
+            self._epoch, self._began, self._tries = push.epoch, None, 0
             self._waiting.clear()
-        self._heard += 1
-        self._offset = min(offset, self._offset + (now - self._at) // DRIFT)
-        self._at = now
-        if self._heard < self._settle:
+            self.due = now + self._rng.randrange(self._settings.clock_spread)
+        if push.answers and push.answers == self._polls:
+            self._date(push.sent, now)
+        if self._began is None:
             return
-        sent = beat * self._interval + self._offset
-        for head in heads:
+        sent = self._began - (now - self._dated) // DRIFT + push.sent * NS_PER_MS
+        for head in push.heads:
             waiting = self._waiting.get(head.topic)
             if waiting is None:
                 waiting = self._waiting[head.topic] = deque()
             if len(waiting) < MOST_WAITING:
                 waiting.append((head.number, sent))
 
+    def _date(self, sent: int, now: int) -> None:
+        """The answer to the latest poll was sent no earlier than the poll left."""
+        began = self._asked - (sent + 1) * NS_PER_MS
+        if self._began is None or began > self._began - (now - self._dated) // DRIFT:
+            self._began, self._dated = began, now
+        self._tries = 0
+        self.due = now + self._settings.clock_poll
+
     def applied(self, topic: int, number: int) -> None:
         """All entries up to this one are applied."""
         waiting = self._waiting.get(topic)
@@ -63,11 +87,11 @@
                 self._caught_up[topic] = sent
 
     def age(self, topic: int, now: int) -> int | None:
-        """Nanoseconds since the router was provably caught up; None: never yet."""
+        """Nanoseconds since the router was provably caught up, rather too many; None: never yet."""
         caught_up = self._caught_up.get(topic)
         return None if caught_up is None else now - caught_up
 
     def verdict(self, topic: int, now: int) -> Verdict:
         """Whether the topic may be served from."""
         age = self.age(topic, now)
-        return Verdict.FRESH if age is not None and age <= self._fresh_for else Verdict.STALE
+        return Verdict.FRESH if age is not None and age <= self._settings.fresh_for else Verdict.STALE
--- a/saltport/dissemination/messages.py
+++ b/saltport/dissemination/messages.py
@@ -60,12 +60,14 @@
     """Of the coordinator: the fence."""
     by: int
     """The coordinator's node number."""
-    beat: int
-    """Batch intervals of this coordinator, for freshness."""
+    sent: int
+    """Milliseconds from when this coordinator began until it sent this, for freshness."""
     level: Level
     """`VOTERS`: to a region's relay; `REGION`: to a site's relay; `SITE`: to the other routers."""
     heads: tuple[Head, ...]
     entry: Entry | None = None
+    answers: int = 0
+    """The number of the poll that the coordinator itself answers with this."""
 
 
 class Fetch(Struct, frozen=True, array_like=True, tag=101):
@@ -78,7 +80,10 @@
 
 
 class Poll(Struct, frozen=True, array_like=True, tag=108):
-    """Asks for the latest beat, because none was heard for too long; answered by a push without entry."""
+    """Asks for the latest heartbeat; answered by a push without entry."""
+
+    number: int = 0
+    """Asks the coordinator itself: its answer dates its clock."""
 
 
 class Repair(Struct, frozen=True, array_like=True, tag=102):
@@ -140,7 +145,7 @@
 
 
 class Submission(Struct, frozen=True, array_like=True):
-    """A change that a router wants; its numbers rise over restarts of the router."""
+    """A change that a router wants; its process numbers them from one."""
 
     sequence: int
     topic: int
@@ -150,6 +155,8 @@
 class Submit(Struct, frozen=True, array_like=True, tag=106):
     """Undecided submissions of a router in their order, from the first one on."""
 
+    start: int
+    """Of the router's process: each process has another one."""
     submissions: tuple[Submission, ...]
 
 
@@ -163,6 +170,7 @@
 class Decision(Struct, frozen=True, array_like=True, tag=107):
     """What became of submissions, each named; the others are undecided."""
 
+    start: int
     committed: tuple[int, ...]
     refusals: tuple[Refusal, ...] = ()
     rejections: tuple[Refusal, ...] = ()
@@ -173,6 +181,7 @@
     """Which submission a record came from; kept by the voters alone."""
 
     router: int
+    start: int
     sequence: int
 
 
--- a/saltport/dissemination/relay.py
+++ b/saltport/dissemination/relay.py
@@ -14,6 +14,7 @@
 from saltport.dissemination.placement import Placement, Site
 
 MOST_REMEMBERED = 256  # pushes
+HEARTBEAT_STEP = 101  # milliseconds after which a heartbeat has other relays
 
 
 class Forward(NamedTuple):
@@ -24,9 +25,9 @@
 
 
 def turn_of(placement: Placement, push: Push) -> int:
-    """Of its entry; of its beat, if it is a heartbeat."""
+    """Of its entry; of its time, if it is a heartbeat."""
     if push.entry is None:
-        return placement.turn(0, push.beat)
+        return placement.turn(0, push.sent // HEARTBEAT_STEP)
     return placement.turn(push.entry.topic, push.entry.number)
 
 
@@ -39,7 +40,7 @@
     def levels(self, push: Push) -> set[Level]:
         """Of this push; whoever passes it on adds to them."""
         entry = push.entry
-        key = (entry.topic, entry.number, 0) if entry is not None else (0, push.beat, push.epoch)
+        key = (entry.topic, entry.number, 0) if entry is not None else (0, push.sent, push.epoch)
         levels = self._levels.get(key)
         if levels is None:
             levels = self._levels[key] = set()
--- a/saltport/dissemination/router.py
+++ b/saltport/dissemination/router.py
@@ -7,9 +7,8 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 
-from saltport.dissemination.acknowledgements import ROTATION, Collector, fitted
+from saltport.dissemination.acknowledger import Acknowledger
 from saltport.dissemination.archive import Applied, Archive, States
 from saltport.dissemination.budget import Budget, Work
 from saltport.dissemination.freshness import Freshness, Verdict
@@ -25,16 +24,14 @@
     Message,
     Poll,
     Push,
-    Rejection,
     Repair,
-    Row,
     SnapshotPart,
 )
 from saltport.dissemination.outbox import Outgoing, SendQueue
 from saltport.dissemination.placement import Placement
 from saltport.dissemination.relay import Forwarded, forwards, within_site
 from saltport.dissemination.repair import GapRepair
-from saltport.dissemination.settings import NS_PER_MS, DisseminationSettings
+from saltport.dissemination.settings import DisseminationSettings
 from saltport.dissemination.silence import Silence
 from saltport.dissemination.snapshot import SnapshotTransfer
 from saltport.dissemination.submissions import Submissions
@@ -42,13 +39,10 @@
 
 TASK = "dissemination"
 """The task whose owner is the coordinator."""
-ROUNDS_TOLD = 6  # rounds in which a rejection is told: datagrams get lost
-MOST_REJECTIONS = 16  # waiting to be told
-ACKNOWLEDGE_SPREAD = 200 * NS_PER_MS
 
 
 class Router:
-    """What one router knows and does."""
+    """What one router knows and does; `start` differs for each process."""
 
     def __init__(
         self,
@@ -57,13 +51,14 @@
         settings: DisseminationSettings,
         states: States,
         rng: random.Random,
+        start: int,
         now: int,
     ) -> None:
         self.node, self.placement, self.settings = node, placement, settings
         self.archive = Archive(settings, states)
-        self.freshness = Freshness(settings.batch, settings.fresh_for, settings.settle_beats)
+        self.freshness = Freshness(settings, rng)
         self.fence = Fence()
-        self.submissions = Submissions(now // NS_PER_MS, placement.voters, settings)
+        self.submissions = Submissions(start, placement.voters, settings)
         self.applied: list[Applied] = []
         """Since the last look; the host takes them."""
         self.loaded: list[tuple[int, int]] = []
@@ -76,9 +71,7 @@
         self._queue = SendQueue(settings.bytes_per_s, settings.burst_bytes, now)
         self._repairs: dict[int, GapRepair] = {}
         self._transfers: dict[int, SnapshotTransfer] = {}
-        self._collector = Collector(settings.site_collect, settings.region_collect)
-        self._rejections: deque[tuple[int, Rejection]] = deque(maxlen=MOST_REJECTIONS)
-        self._round = self._acknowledge_at = 0
+        self._acknowledger = Acknowledger(node, settings, rng)
         self._coordinator = placement.voters[0]
         self._forwarded = Forwarded()
 
@@ -99,7 +92,7 @@
         """When `turn` has something to do; None: nothing waits."""
         times = [repair.due for topic, repair in self._repairs.items() if topic not in self._transfers]
         times += [transfer.due for transfer in self._transfers.values()]
-        times += [self._silence.due, self.submissions.due, self._collector.due, self._acknowledge_at or None]
+        times += [self._silence.due, self.freshness.due, self.submissions.due, self._acknowledger.due]
         return min((time for time in times if time is not None), default=None)
 
     def take(self) -> list[Outgoing]:
@@ -129,7 +122,7 @@
         elif isinstance(message, Poll):
             self._polled(source, now)
         elif isinstance(message, Acknowledgement):
-            self._collect(source, message, now)
+            self._acknowledger.collect(source, message, self.placement, now)
         elif isinstance(message, Decision):
             self.submissions.decided(message)
 
@@ -145,28 +138,37 @@
                 self._queue.send(Work.FETCH, (transfer.source,), transfer.ask(now), now)
         if self._silence.due <= now:
             self._poll(now)
-        if self._acknowledge_at and self._acknowledge_at <= now:
-            self._acknowledge(now)
-        for told in self._collector.take(now):
-            self._pass_on(told, now)
+        if self.freshness.due is not None and self.freshness.due <= now:
+            poll = Poll(self.freshness.poll(now))
+            self._queue.send(Work.FETCH, (self._coordinator,), poll, now)
+        self._acknowledge(now)
         if self.submissions.due is not None and self.submissions.due <= now:
             for target, submit in self.submissions.turn(now):
                 self._queue.send(Work.PUSH, (target,), submit, now)
 
+    def _acknowledge(self, now: int) -> None:
+        due = self._acknowledger.due
+        if due is None or due > now:
+            return
+        for target, told in self._acknowledger.turn(
+            self.archive.logs, self.placement, self._coordinator, now
+        ):
+            self._queue.send(Work.ACKNOWLEDGE, (target,), told, now)
+
     # Pushes
 
     def _pushed(self, push: Push, now: int) -> None:
         if not self.fence.admit(TASK, push.epoch):
             return
         self._coordinator = self.submissions.coordinator = push.by
-        if self._silence.heard(push.epoch, push.beat, now):
+        if self._silence.heard(push.epoch, push.sent, now):
             self._latest = push
-        self.freshness.heard(push.epoch, push.beat, push.heads, now)
+            self._acknowledger.heard(push.epoch, push.sent, now)
+        self.freshness.heard(push, now)
         if push.entry is None or self._offer(push.entry, now) is not Offer.DIVERGED:
             self._forward(push, now)
         for head in push.heads:
             self._learn(head, now)
-        self._begin_round(push.beat // self.settings.acknowledge_beats, now)
 
     def _poll(self, now: int) -> None:
         level = self._silence.poll(now)
@@ -174,10 +176,10 @@
         self._queue.send(Work.FETCH, (target,), Poll(), now)
 
     def _polled(self, source: int, now: int) -> None:
-        """Tell the latest beat again, with its own heads: they are what it vouches for."""
+        """Tell the latest push again, with its own heads: they are what it vouches for."""
         latest = self._latest
         if latest is not None:
-            told = Push(latest.epoch, latest.by, latest.beat, Level.SITE, latest.heads)
+            told = Push(latest.epoch, latest.by, latest.sent, Level.SITE, latest.heads)
             self._queue.send(Work.REPAIR, (source,), told, now)
 
     def _forward(self, push: Push, now: int) -> None:
@@ -187,7 +189,7 @@
         done = self._forwarded.levels(push)
         for forward in forwards(self.node, site, push, self.placement, done):
             if forward.targets:
-                told = Push(push.epoch, push.by, push.beat, forward.level, push.heads, push.entry)
+                told = Push(push.epoch, push.by, push.sent, forward.level, push.heads, push.entry)
                 self._queue.send(Work.PUSH, forward.targets, told, now)
 
     def _repaired(self, repair: Repair, now: int) -> None:
@@ -211,10 +213,7 @@
 
     def _record(self, applied: list[Applied]) -> None:
         self.applied += applied
-        for one in applied:
-            if one.reason:
-                rejection = Rejection(one.topic, one.number, one.index, one.reason)
-                self._rejections.append((ROUNDS_TOLD, rejection))
+        self._acknowledger.applied(applied)
 
     def _after(self, topic: int, number: int, now: int) -> None:
         """The log of a topic moved, or a gap in it was seen."""
@@ -310,45 +309,6 @@
         self._record(applied)
         self._after(transfer.topic, transfer.number, now)
 
-    # Acknowledgements
-
-    def _begin_round(self, number: int, now: int) -> None:
-        if number == self._round:
-            return
-        self._round = number
-        if not self._acknowledge_at:
-            self._acknowledge_at = now + self._rng.randrange(ACKNOWLEDGE_SPREAD)
-
-    def _acknowledge(self, now: int) -> None:
-        self._acknowledge_at = 0
-        rows = tuple(Row(topic, log.last, self.node) for topic, log in sorted(self.archive.logs.items()))
-        rejections = tuple(rejection for _, rejection in self._rejections)
-        self._rejections = deque(
-            ((left - 1, rejection) for left, rejection in self._rejections if left > 1),
-            maxlen=MOST_REJECTIONS,
-        )
-        self._pass_on(fitted(Acknowledgement(self._round, Level.SITE, 1, rows, rejections)), now)
-
-    def _collect(self, source: int, told: Acknowledgement, now: int) -> None:
-        """By router or by site: a site's collectors take turns, and its last word counts."""
-        site = self.placement.site(source)
-        if site is not None:
-            child = str(source) if told.level is Level.SITE else site.name
-            self._collector.add(child, told, now)
-
-    def _pass_on(self, told: Acknowledgement, now: int) -> None:
-        site = self.placement.site(self.node)
-        turn = self.placement.turn(0, told.round // ROTATION)
-        target = self._coordinator
-        if site is not None and told.level is Level.SITE:
-            target = self.placement.site_order(site, turn)[0]
-        elif site is not None and told.level is Level.REGION:
-            target = self.placement.region_order(site.region, turn)[0]
-        if target == self.node:
-            self._collect(self.node, told, now)
-        else:
-            self._queue.send(Work.ACKNOWLEDGE, (target,), told, now)
-
 
 def _work(message: Message) -> Work:
     if isinstance(message, Acknowledgement):
--- a/saltport/dissemination/settings.py
+++ b/saltport/dissemination/settings.py
@@ -25,7 +25,7 @@
     pass_on_repaired: int = 8
     """A relay that had to fetch one of so many latest entries passes it on like a pushed one."""
     silence: int = 350 * NS_PER_MS
-    """Without a new beat, after which a router polls others; more and more slowly."""
+    """Without a later push, after which a router polls others; more and more slowly."""
     poll_retry: int = 40 * NS_PER_MS
     most_poll_retry: int = 1_000 * NS_PER_MS
     gap_grace: int = 10 * NS_PER_MS
@@ -46,14 +46,14 @@
     most_submissions: int = 256
     """Undecided ones of one router."""
     lease: int = NS_PER_S
-    """Since a majority last confirmed a coordinator, for which it sends beats and accepts submissions.
+    """Since a majority last confirmed a coordinator, for which it sends heartbeats and accepts submissions.
 
     Shorter than the time after which the voters choose another one.
     """
     submissions_per_s: int = 100
     """The coordinator accepts, with two seconds' worth at once."""
-    acknowledge_beats: int = 8
-    """Batches between two rounds of acknowledgement."""
+    acknowledge: int = 2_000 * NS_PER_MS
+    """Between two rounds of acknowledgement."""
     site_collect: int = 500 * NS_PER_MS
     """From the round's begin until a site's collector passes its sum on."""
     region_collect: int = 1_000 * NS_PER_MS
@@ -64,8 +64,10 @@
     most_topics: int = 16
     fresh_for: int = 2_500 * NS_PER_MS
     """From the last time at which a router was provably caught up until it must not serve the topic."""
-    settle_beats: int = 4
-    """Heard from a new coordinator before its heartbeats count as punctual."""
+    clock_poll: int = 60 * NS_PER_S
+    """Between two polls of a coordinator's clock; the first one is spread over `clock_spread`."""
+    clock_spread: int = 300 * NS_PER_MS
+    clock_retry: int = 300 * NS_PER_MS
     bytes_per_s: int = 16_000
     """A router's own sending, at the most."""
     burst_bytes: int = 48_000
--- a/saltport/dissemination/silence.py
+++ b/saltport/dissemination/silence.py
@@ -1,4 +1,4 @@
-"""When a router that hears no new beat polls others for it. No I/O.
+"""When a router that hears no new push polls others for one. No I/O.
 
 Without it, a router that loses several pushes in a row would see its gap only with the next one that arrives.
 """
@@ -14,20 +14,20 @@
 
 
 class Silence:
-    """The latest beat, and when to ask for a later one."""
+    """The latest push, and when to ask for a later one."""
 
     def __init__(self, settings: DisseminationSettings, now: int) -> None:
         self._settings = settings
         self.latest = (0, 0)
-        """Epoch and beat."""
+        """Epoch, and when it was sent."""
         self.due = now
         self._tries = 0
 
-    def heard(self, epoch: int, beat: int, now: int) -> bool:
-        """A push came; returns whether its beat is new."""
-        if (epoch, beat) <= self.latest:
+    def heard(self, epoch: int, sent: int, now: int) -> bool:
+        """A push came; returns whether it is later than all before."""
+        if (epoch, sent) <= self.latest:
             return False
-        self.latest = (epoch, beat)
+        self.latest = (epoch, sent)
         self.due = now + self._settings.silence
         self._tries = 0
         return True
--- a/saltport/dissemination/submissions.py
+++ b/saltport/dissemination/submissions.py
@@ -15,6 +15,7 @@
 from saltport.dissemination.settings import MESSAGE, DisseminationSettings
 
 MOST_BODY = 144  # bytes of one record
+SUBMIT_HEAD = 16  # bytes of a message around its submissions
 
 
 class Outcome(Enum):
@@ -51,8 +52,9 @@
 class Submissions:
     """Undecided submissions of one router, at most `most_submissions`."""
 
-    def __init__(self, first_sequence: int, voters: tuple[int, ...], settings: DisseminationSettings) -> None:
-        self._next, self._voters, self._settings = first_sequence, voters, settings
+    def __init__(self, start: int, voters: tuple[int, ...], settings: DisseminationSettings) -> None:
+        self._start, self._voters, self._settings = start, voters, settings
+        self._next = 1
         self._pending: deque[_Pending] = deque()
         self._tries = 0
         self.due: int | None = None
@@ -80,7 +82,7 @@
             return []
         self.due = now + self._settings.submit_retry
         chosen: list[Submission] = []
-        size = 8
+        size = SUBMIT_HEAD
         for pending in self._pending:
             size += len(encode(pending.submission))
             if size > MESSAGE:
@@ -90,7 +92,7 @@
         for pending, _ in zip(self._pending, chosen, strict=False):
             pending.voters.update(targets)
         self._tries += 1
-        message = Submit(tuple(chosen))
+        message = Submit(self._start, tuple(chosen))
         return [(target, message) for target in targets]
 
     def _targets(self) -> list[int]:
@@ -102,7 +104,9 @@
         return [turn if self.coordinator is None else self.coordinator] + [turn] * (copies - 1)
 
     def decided(self, decision: Decision) -> None:
-        """A coordinator answered."""
+        """A coordinator answered; what was meant for an earlier process is left."""
+        if decision.start != self._start:
+            return
         refused = {refusal.sequence: refusal.reason for refusal in decision.refusals}
         committed = set(decision.committed)
         left: deque[_Pending] = deque()
--- a/tests/dissemination/test_bounds.py
+++ b/tests/dissemination/test_bounds.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from saltport.dissemination.budget import Budget, TokenBucket, Work
 from saltport.dissemination.freshness import MOST_WAITING, Freshness, Verdict
-from saltport.dissemination.messages import Head, Topic
+from saltport.dissemination.messages import Head, Level, Push, Topic
 from saltport.dissemination.settings import NS_PER_MS, NS_PER_S, DisseminationSettings
 from saltport.dissemination.states import Configuration, Purges, pack_change
 
 SETTINGS = DisseminationSettings()
-BATCH = SETTINGS.batch
 
 
 def test_a_bucket_never_gives_more_than_its_rate_and_burst() -> None:
@@ -31,75 +32,110 @@
     assert all(budget.refused[work] for work in Work)
 
 
-def fresh_after(beats: int, delay: int = 0) -> tuple[Freshness, int]:
-    freshness = Freshness(BATCH, SETTINGS.fresh_for, SETTINGS.settle_beats)
-    now = 0
-    for beat in range(1, beats + 1):
-        now = beat * BATCH + delay
-        freshness.heard(1, beat, (Head(Topic.PURGES, 3),), now)
-        freshness.applied(Topic.PURGES, 3)
-    return freshness, now
+def at(milliseconds: int, head: int = 3, answers: int = 0, epoch: int = 1) -> Push:
+    return Push(epoch, 90, milliseconds, Level.SITE, (Head(Topic.PURGES, head),), None, answers)
+
+
+def dated(round_trip: int = 0) -> Freshness:
+    """Caught up as of 1 s; the coordinator began at 0 by this router's clock."""
+    freshness = Freshness(SETTINGS, random.Random(1))
+    freshness.heard(at(900), 900 * NS_PER_MS)
+    number = freshness.poll(1_000 * NS_PER_MS)
+    freshness.heard(at(1_000 + round_trip // 2, answers=number), (1_000 + round_trip) * NS_PER_MS)
+    freshness.applied(Topic.PURGES, 3)
+    return freshness
+
+
+SECOND = NS_PER_S
 
 
 def test_silence_makes_stale() -> None:
-    freshness, now = fresh_after(10)
-    assert freshness.verdict(Topic.PURGES, now) is Verdict.FRESH
-    assert freshness.verdict(Topic.PURGES, now + SETTINGS.fresh_for) is Verdict.FRESH
-    assert freshness.verdict(Topic.PURGES, now + SETTINGS.fresh_for + 1) is Verdict.STALE
+    freshness = dated()
+    assert freshness.verdict(Topic.PURGES, SECOND) is Verdict.FRESH
+    assert freshness.verdict(Topic.PURGES, SECOND + SETTINGS.fresh_for - 2 * NS_PER_MS) is Verdict.FRESH
+    assert freshness.verdict(Topic.PURGES, SECOND + SETTINGS.fresh_for + 1) is Verdict.STALE
 
 
-def test_nothing_heard_is_stale() -> None:
-    freshness = Freshness(BATCH, SETTINGS.fresh_for, SETTINGS.settle_beats)
+def test_nothing_is_fresh_before_the_coordinator_answered() -> None:
+    freshness = Freshness(SETTINGS, random.Random(1))
     assert freshness.verdict(Topic.PURGES, 0) is Verdict.STALE
-    assert freshness.age(Topic.PURGES, 0) is None
+    for number in range(1, 100):
+        freshness.heard(at(250 * number), 250 * number * NS_PER_MS)
+        freshness.applied(Topic.PURGES, 3)
+    assert freshness.age(Topic.PURGES, 25 * SECOND) is None
+
+
+def test_the_answer_to_an_earlier_poll_dates_nothing() -> None:
+    freshness = Freshness(SETTINGS, random.Random(1))
+    freshness.heard(at(900), 900 * NS_PER_MS)
+    first = freshness.poll(SECOND)
+    freshness.poll(9 * SECOND)
+    freshness.heard(at(1_001, answers=first), 9 * SECOND)
+    freshness.applied(Topic.PURGES, 3)
+    assert freshness.verdict(Topic.PURGES, 9 * SECOND) is Verdict.STALE
+
+
+@pytest.mark.parametrize("round_trip", [2, 300, 2_000])
+def test_an_age_is_never_too_low(round_trip: int) -> None:
+    freshness = dated(round_trip)
+    for sent in range(2_000, 60_000, 250):
+        now = (sent + round_trip) * NS_PER_MS
+        freshness.heard(at(sent), now)
+        freshness.applied(Topic.PURGES, 3)
+        age = freshness.age(Topic.PURGES, now)
+        assert age is not None
+        assert age >= round_trip * NS_PER_MS
 
 
 def test_a_known_gap_makes_stale_until_it_is_filled() -> None:
-    freshness, now = fresh_after(10)
-    for beat in range(11, 31):
-        now = beat * BATCH
-        freshness.heard(1, beat, (Head(Topic.PURGES, 4),), now)
+    freshness = dated()
+    for number in range(5, 20):
+        freshness.heard(at(250 * number, head=4), 250 * number * NS_PER_MS)
         freshness.applied(Topic.PURGES, 3)
+    now = 250 * 19 * NS_PER_MS
     assert freshness.verdict(Topic.PURGES, now) is Verdict.STALE
     freshness.applied(Topic.PURGES, 4)
     assert freshness.verdict(Topic.PURGES, now) is Verdict.FRESH
 
 
-def test_a_held_up_beat_counts_from_when_it_should_have_come() -> None:
-    """A slow relay that tells old heads late doesn't make its site fresh."""
-    freshness, now = fresh_after(10)
-    late = now + 10 * NS_PER_S
-    freshness.heard(1, 11, (Head(Topic.PURGES, 3),), late)
-    freshness.applied(Topic.PURGES, 3)
-    assert freshness.verdict(Topic.PURGES, late) is Verdict.STALE
+def test_a_push_that_was_held_up_or_told_again_counts_from_when_it_was_sent() -> None:
+    freshness = dated()
+    for late in range(4, 12):
+        freshness.heard(at(1_100), late * SECOND)
+        freshness.applied(Topic.PURGES, 3)
+        assert freshness.verdict(Topic.PURGES, late * SECOND) is Verdict.STALE
 
 
-def test_waiting_beats_are_bounded_and_leave_it_stale() -> None:
-    freshness, now = fresh_after(10)
-    for beat in range(11, 11 + 3 * MOST_WAITING):
-        now = beat * BATCH
-        freshness.heard(1, beat, (Head(Topic.PURGES, beat),), now)
+def test_waiting_pushes_are_bounded_and_leave_it_stale() -> None:
+    freshness = dated()
+    for number in range(11, 11 + 3 * MOST_WAITING):
+        freshness.heard(at(250 * number, head=number), 250 * number * NS_PER_MS)
     freshness.applied(Topic.PURGES, 10 + MOST_WAITING)
-    assert freshness.verdict(Topic.PURGES, now) is Verdict.STALE
+    assert freshness.verdict(Topic.PURGES, 250 * (11 + 3 * MOST_WAITING) * NS_PER_MS) is Verdict.STALE
 
 
-def test_a_new_coordinator_starts_another_count() -> None:
-    freshness, now = fresh_after(10)
-    for beat in range(1, SETTINGS.settle_beats + 1):
-        now += BATCH
-        freshness.heard(2, beat, (Head(Topic.PURGES, 3),), now)
-        freshness.applied(Topic.PURGES, 3)
-    assert freshness.age(Topic.PURGES, now) == 0
+def test_a_new_coordinators_clock_is_dated_anew() -> None:
+    freshness = dated()
+    freshness.heard(at(5, epoch=2), 2 * SECOND)
+    freshness.applied(Topic.PURGES, 3)
+    assert freshness.age(Topic.PURGES, 2 * SECOND) == SECOND + NS_PER_MS
+    assert freshness.due is not None
+    assert freshness.due <= 2 * SECOND + SETTINGS.clock_spread
+    number = freshness.poll(freshness.due)
+    freshness.heard(at(400, answers=number, epoch=2), 3 * SECOND)
+    freshness.applied(Topic.PURGES, 3)
+    assert freshness.verdict(Topic.PURGES, 3 * SECOND) is Verdict.FRESH
 
 
 @pytest.mark.parametrize("fast", [1.0003, 0.9997])
-def test_a_clock_that_drifts_stays_fresh(fast: float) -> None:
-    freshness = Freshness(BATCH, SETTINGS.fresh_for, SETTINGS.settle_beats)
-    for beat in range(1, 4 * 20_000):
-        now = int(beat * BATCH * fast)
-        freshness.heard(1, beat, (Head(Topic.PURGES, 3),), now)
+def test_a_clock_that_drifts_stays_fresh_and_safe(fast: float) -> None:
+    freshness = dated()
+    for sent in range(1_000, 3 * 3_600_000, 250):
+        now = int((SECOND + (sent - 1_000) * NS_PER_MS) * fast)
+        answers = freshness.poll(now) if freshness.due is not None and freshness.due <= now else 0
+        freshness.heard(at(sent, answers=answers), now)
         freshness.applied(Topic.PURGES, 3)
-    assert freshness.verdict(Topic.PURGES, now) is Verdict.FRESH
+        assert freshness.verdict(Topic.PURGES, now) is Verdict.FRESH
 
 
 class Cache:
--- a/tests/dissemination/test_history.py
+++ b/tests/dissemination/test_history.py
@@ -13,6 +13,7 @@
 from saltport.dissemination.freshness import Freshness, Verdict
 from saltport.dissemination.log import Offer, TopicLog
 from saltport.dissemination.messages import Entry
+from saltport.dissemination.term import Term
 from saltport.dissemination.voter import Voter
 from saltport.owners.fence import Fence
 
@@ -121,7 +122,7 @@
     return Verdict.FRESH
 
 
-def always_leased(self: Voter, term: object, now: int) -> bool:
+def always_leased(self: Term, now: int) -> bool:
     return True
 
 
@@ -159,7 +160,7 @@
         (TopicLog, "offer", skips_gaps, "others"),
         (TopicLog, "offer", takes_twice, "twice or late"),
         (Freshness, "verdict", always_fresh, "serves topic"),
-        (Voter, "_leased", always_leased, "serves topic"),
+        (Term, "leased", always_leased, "serves topic"),
     ],
 )
 def test_a_spoilt_program_is_found(
@@ -171,20 +172,16 @@
 
 def test_an_old_owner_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     """A coordinator that pushes before commitment, without a lease, and routers without the fence."""
-    propose = Voter._propose_entry
+    turn = Voter.turn
 
-    def pushes_at_once(self: Voter, term: object, topic: int, *rest: object) -> None:
-        propose(self, term, topic, *rest)  # type: ignore[arg-type]
-        self._push(term, self._proposals[-1].entry, self._now)  # type: ignore[arg-type,attr-defined]
+    def pushes_at_once(self: Voter, now: int) -> None:
+        turn(self, now)
+        for proposal in self._proposals:
+            assert self._term is not None
+            self._push(self._term, proposal.entry, now)
 
-    def turn(self: Voter, now: int) -> None:
-        self._now = now  # type: ignore[attr-defined]
-        plain_turn(self, now)
-
-    plain_turn = Voter.turn
-    monkeypatch.setattr(Voter, "turn", turn)
-    monkeypatch.setattr(Voter, "_propose_entry", pushes_at_once)
-    monkeypatch.setattr(Voter, "_leased", lambda *_: True)
+    monkeypatch.setattr(Voter, "turn", pushes_at_once)
+    monkeypatch.setattr(Term, "leased", always_leased)
     monkeypatch.setattr(Fence, "admit", lambda *_: True)
     assert any("never committed" in found and "applied" in found for found in faults(world()))
 
--- a/tests/dissemination/test_messages.py
+++ b/tests/dissemination/test_messages.py
@@ -20,7 +20,8 @@
     encode,
 )
 from saltport.dissemination.settings import MESSAGE
-from saltport.dissemination.voter import ENTRY, ENTRY_HEAD, MOST_HEADS
+from saltport.dissemination.term import ENTRY, ENTRY_HEAD
+from saltport.dissemination.voter import MOST_HEADS
 
 LARGE = 2**31
 
@@ -30,10 +31,11 @@
 
     epoch: int
     by: int
-    beat: int
+    sent: int
     level: Level
     heads: tuple[Head, ...]
     entry: Entry | None = None
+    answers: int = 0
     priority: int = 7
 
 
--- a/tests/dissemination/test_relays.py
+++ b/tests/dissemination/test_relays.py
@@ -8,6 +8,7 @@
 import pytest
 
 from saltport.dissemination.acknowledgements import ROUNDS_HELD, Collector
+from saltport.dissemination.budget import Work
 from saltport.dissemination.log import TopicLog
 from saltport.dissemination.messages import (
     Acknowledgement,
@@ -50,7 +51,7 @@
 
 
 def router(node: int, placement: Placement = PLACEMENT) -> Router:
-    return Router(node, placement, SETTINGS, nothing, random.Random(node), 0)
+    return Router(node, placement, SETTINGS, nothing, random.Random(node), 77, 0)
 
 
 @pytest.mark.parametrize("number", range(1, 25))
@@ -188,6 +189,32 @@
     assert node.archive.logs[1].head == 0
 
 
+def test_a_storm_of_fetches_gives_way_to_pushes() -> None:
+    """Answers are dropped first and bounded; what is pushed on still goes out."""
+    relay = router(PLACEMENT.site_relays(SITES[0], PLACEMENT.turn(1, 30))[0])
+    for number in range(1, 30):
+        relay.receive(3, push(number, Level.SITE), 0)
+    relay.take()
+    for _ in range(SETTINGS.burst_messages):
+        relay.receive(7, Fetch(1, Level.SITE, tuple(range(1, 17))), 0)
+    answered = sum(out.size for out in relay.take())
+    assert answered <= SETTINGS.burst_bytes * 2 / 3
+    assert relay.refused[Work.REPAIR]
+    assert relay.incoming.refused[Work.REPAIR]
+    relay.receive(3, push(30, Level.REGION), 0)
+    assert len(sent(relay, Push)) == 1 + 9
+    assert not relay.refused.get(Work.PUSH)
+
+
+def test_a_stranger_is_no_relay() -> None:
+    """A router that the view doesn't have takes what it is told, and asks the voters."""
+    node = router(555)
+    node.receive(3, push(3, Level.REGION), 0)
+    assert node.take() == []
+    node.turn(SETTINGS.gap_grace)
+    assert {target for target, _ in sent(node, Fetch)} <= set(VOTERS)
+
+
 def test_silence_is_polled_more_and_more_slowly() -> None:
     silence = Silence(SETTINGS, 0)
     silence.heard(1, 1, 0)
@@ -251,9 +278,11 @@
 
 # Submissions
 
+START = 1_000
+
 
 def submissions() -> Submissions:
-    held = Submissions(1_000, VOTERS, SETTINGS)
+    held = Submissions(START, VOTERS, SETTINGS)
     held.coordinator = VOTERS[0]
     return held
 
@@ -265,7 +294,7 @@
         for target, submit in held.turn(now):
             assert target == VOTERS[0]
             assert [one.sequence for one in submit.submissions] == [first, second]
-    held.decided(Decision((first,)))
+    held.decided(Decision(START, (first,)))
     ((_, submit), _) = held.turn(2 * SETTINGS.submit_retry)
     assert [one.sequence for one in submit.submissions] == [second]
     assert [(one.sequence, one.outcome) for one in held.outcomes] == [(first, Outcome.COMMITTED)]
@@ -275,13 +304,13 @@
     held = submissions()
     sequence = held.submit(1, b"a", 0)
     held.turn(0)
-    held.decided(Decision((), (Refusal(sequence, "no majority"),)))
+    held.decided(Decision(START, (), (Refusal(sequence, "no majority"),)))
     assert [one.outcome for one in held.outcomes] == [Outcome.REFUSED]
     held = submissions()
     sequence = held.submit(1, b"a", 0)
     for retry in range(8):
         held.turn(retry * SETTINGS.submit_retry)
-    held.decided(Decision((), (Refusal(sequence, "no majority"),)))
+    held.decided(Decision(START, (), (Refusal(sequence, "no majority"),)))
     assert held.outcomes == []
     held.turn(SETTINGS.submit_give_up)
     assert [one.outcome for one in held.outcomes] == [Outcome.UNKNOWN]
--- a/tests/dissemination/test_voter.py
+++ b/tests/dissemination/test_voter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from saltport.dissemination.ledger import MOST_OUTCOMES, MOST_STREAMS, Ledger
 from saltport.dissemination.messages import (
     Acknowledgement,
     Decision,
@@ -9,6 +10,7 @@
     Fetch,
     Level,
     Message,
+    Origin,
     Poll,
     Proposal,
     Push,
@@ -23,10 +25,12 @@
 from saltport.dissemination.settings import NS_PER_S, DisseminationSettings
 from saltport.dissemination.states import TopicState
 from saltport.dissemination.submissions import MOST_BODY
-from saltport.dissemination.voter import NO_MAJORITY, OVERLOADED, TOO_LARGE, Voter
+from saltport.dissemination.term import NO_MAJORITY, OVERLOADED, TOO_LARGE
+from saltport.dissemination.voter import Voter
 
 SETTINGS = DisseminationSettings()
 BATCH = SETTINGS.batch
+START = 1_000
 SITES = [Site("s0", "g0", tuple(range(10))), Site("s1", "g1", tuple(range(10, 20)))]
 PLACEMENT = Placement(SITES, (90, 91, 92), SETTINGS)
 
@@ -46,7 +50,7 @@
 
 
 def submit(*sequences: int, topic: int = 1, body: bytes = b"") -> Submit:
-    return Submit(tuple(Submission(one, topic, body or b"r%d" % one) for one in sequences))
+    return Submit(START, tuple(Submission(one, topic, body or b"r%d" % one) for one in sequences))
 
 
 def sent(held: Voter, kind: type[Message]) -> list[Message]:
@@ -67,7 +71,7 @@
         held.receive(3, told, 0)
     assert committed(held, BATCH) == [b"r5", b"r6", b"r7"]
     held.receive(3, submit(6, 7), BATCH)
-    assert sent(held, Decision)[-1] == Decision((6, 7))
+    assert sent(held, Decision)[-1] == Decision(START, (6, 7))
     assert committed(held, 2 * BATCH) == []
 
 
@@ -120,20 +124,20 @@
     held = leader()
     late = SETTINGS.lease + BATCH
     held.receive(3, submit(5), late)
-    assert sent(held, Decision) == [Decision((), (Refusal(5, NO_MAJORITY),))]
+    assert sent(held, Decision) == [Decision(START, (), (Refusal(5, NO_MAJORITY),))]
     held.receive(3, Poll(), late)
     held.turn(late)
     assert held.take() == []
     held.confirmed(late)
     held.receive(3, submit(5, 6), late)
-    assert sent(held, Decision) == [Decision((), (Refusal(5, NO_MAJORITY),))]
+    assert sent(held, Decision) == [Decision(START, (), (Refusal(5, NO_MAJORITY),))]
     assert committed(held, late + BATCH) == [b"r6"]
 
 
 def test_bounds_are_told() -> None:
     held = leader()
     held.receive(3, submit(5, body=b"x" * (MOST_BODY + 1)), 0)
-    assert sent(held, Decision) == [Decision((), (Refusal(5, TOO_LARGE),))]
+    assert sent(held, Decision) == [Decision(START, (), (Refusal(5, TOO_LARGE),))]
     refused = 0
     for router in range(3 * SETTINGS.submissions_per_s):
         held.receive(router, submit(9), 0)
@@ -175,6 +179,38 @@
             number, Level.VOTERS, 10, (Row(2, 1, node),), (Rejection(2, 1, 1, "not a number", count),)
         )
         held.receive(node, told, NS_PER_S)
-    assert sent(held, Decision) == [Decision((), (), (Refusal(6, "not a number"),))]
+    assert sent(held, Decision) == [Decision(START, (), (), (Refusal(6, "not a number"),))]
     assert held.rejections == {(2, 1, 1, "not a number"): 20}
     assert held.progress.counted == 20
+
+
+def test_a_new_process_begins_anew_even_with_a_lower_start() -> None:
+    """Clocks are set back: its first change isn't taken for an old one of the process before it."""
+    held = leader()
+    held.receive(3, submit(1, 2), 0)
+    assert committed(held, BATCH) == [b"r1", b"r2"]
+    held.take()
+    held.receive(3, Submit(START - 9, (Submission(1, 1, b"new"),)), BATCH)
+    assert committed(held, 2 * BATCH) == [b"new"]
+    assert sent(held, Decision) == [Decision(START - 9, (1,))]
+
+
+def test_what_is_remembered_is_bounded_and_nothing_is_said_of_the_rest() -> None:
+    ledger = Ledger()
+    for router in range(MOST_OUTCOMES + 10):
+        ledger.commit(Origin(router, START, 1), 1)
+    assert ledger.outcome(Origin(3, START, 1)) is None
+    assert ledger.outcome(Origin(MOST_OUTCOMES, START, 1)) == ""
+    assert len(ledger.last()) == MOST_STREAMS
+
+
+def test_a_refused_one_before_a_committed_one_stays_refused() -> None:
+    held = leader()
+    late = SETTINGS.lease + BATCH
+    held.receive(3, submit(5), late)
+    held.confirmed(late)
+    held.receive(3, submit(6), late)
+    assert committed(held, late + BATCH) == [b"r6"]
+    held.take()
+    held.receive(3, submit(5, 6), late + BATCH)
+    assert sent(held, Decision) == [Decision(START, (6,), (Refusal(5, NO_MAJORITY),))]
