--- a/benchmarks/scale/dissemination.py
+++ b/benchmarks/scale/dissemination.py
@@ -118,7 +118,8 @@
 class Storm:
     """Faults over a run; routers of place 0 modulo 5 are spared, and make the changes."""
 
-    def __init__(self, world: World, until: int, apart: int, seed: int) -> None:
+    def __init__(self, world: World, topic: int, until: int, apart: int, seed: int) -> None:
+        self._topic = topic
         self._world, self._until, self._rng = world, until, random.Random(seed)
         self._apart = apart
 
@@ -131,12 +132,12 @@
                 return node
 
     def kill_relay(self) -> None:
-        """The relay of the next purge in some region or site dies, and is back after a while."""
+        """A relay of the next entry in some region or site dies, and is back after a while."""
         world = self._world
         if world.now >= self._until:
             return
-        number = world.voter().archive.logs[Topic.PURGES].last + 1
-        turn = world.placement.turn(Topic.PURGES, number)
+        log = world.voter().archive.log(self._topic)
+        turn = world.placement.turn(self._topic, log.last + 1 if log else 1)
         region = self._rng.choice(list(world.placement.regions))
         site = self._rng.choice(world.placement.regions[region])
         relays = [*world.placement.region_relays(region, turn), *world.placement.site_relays(site, turn)]
@@ -178,7 +179,7 @@
     """Changes at a steady rate, with faults if wanted; a region is apart for a fifth of it, at most 120 s."""
     world.run(SETTLE)
     rng, until = random.Random(seed), world.now + int(seconds * NS_PER_S)
-    faults = Storm(world, until, min(9, world.fleet.regions - 1), seed)
+    faults = Storm(world, topic, until, min(9, world.fleet.regions - 1), seed)
     meter = Meter(world)
     begun, made = world.now, 0
     if storm:
--- /dev/null
+++ b/saltport/dissemination/config.py
@@ -0,0 +1,71 @@
+"""The `[dissemination]` table of a configuration file: its settings, or one plain line of error. No I/O."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from saltport.dissemination.settings import NS_PER_MS, DisseminationSettings
+
+Milliseconds = Annotated[int, Meta(ge=10, le=60_000)]
+Count = Annotated[int, Meta(ge=1, le=65_536)]
+Relays = Annotated[int, Meta(ge=1, le=16)]
+Rate = Annotated[int, Meta(ge=1_000, le=100_000_000)]
+
+DEFAULT = DisseminationSettings()
+
+
+class DisseminationConfigError(ValueError):
+    """The table can't be used; the text is one plain line."""
+
+
+class DisseminationTable(Struct, frozen=True, forbid_unknown_fields=True):
+    """What a file may say; times in milliseconds, rates in bytes a second."""
+
+    on: bool = False
+    batch_ms: Milliseconds = DEFAULT.batch // NS_PER_MS
+    fresh_for_ms: Milliseconds = DEFAULT.fresh_for // NS_PER_MS
+    lease_ms: Milliseconds = DEFAULT.lease // NS_PER_MS
+    region_relays: Relays = DEFAULT.region_relays
+    site_relays: Relays = DEFAULT.site_relays
+    retained_entries: Count = DEFAULT.retained_entries
+    pending_entries: Count = DEFAULT.pending_entries
+    bytes_per_s: Rate = DEFAULT.bytes_per_s
+    burst_bytes: Rate = DEFAULT.burst_bytes
+    messages_per_s: Count = DEFAULT.messages_per_s
+
+    def settings(self) -> DisseminationSettings:
+        """For the routers and voters of a fleet."""
+        return DisseminationSettings(
+            batch=self.batch_ms * NS_PER_MS,
+            silence=self.batch_ms * NS_PER_MS * 7 // 5,
+            fresh_for=self.fresh_for_ms * NS_PER_MS,
+            lease=self.lease_ms * NS_PER_MS,
+            region_relays=self.region_relays,
+            site_relays=self.site_relays,
+            retained_entries=self.retained_entries,
+            pending_entries=self.pending_entries,
+            bytes_per_s=self.bytes_per_s,
+            burst_bytes=self.burst_bytes,
+            messages_per_s=self.messages_per_s,
+        )
+
+
+class _File(Struct, frozen=True):
+    dissemination: DisseminationTable = DisseminationTable()
+
+
+def read_table(text: str) -> DisseminationTable:
+    """Read a file's text; other tables in it are left; raises DisseminationConfigError."""
+    try:
+        table = msgspec.convert(tomllib.loads(text), _File).dissemination
+    except tomllib.TOMLDecodeError as error:
+        raise DisseminationConfigError(f"not TOML: {error}") from None
+    except msgspec.ValidationError as error:
+        raise DisseminationConfigError(f"dissemination: {error}") from None
+    if table.fresh_for_ms <= table.lease_ms + table.batch_ms:
+        raise DisseminationConfigError("fresh_for_ms must be longer than lease_ms and batch_ms")
+    return table
