--- a/benchmarks/scale/dissemination.py
+++ b/benchmarks/scale/dissemination.py
@@ -3,6 +3,7 @@
     python -m benchmarks.scale.dissemination purges --loss 0.05 --seconds 600
     python -m benchmarks.scale.dissemination changes --loss 0.05 --seconds 3600
     python -m benchmarks.scale.dissemination calm
+    python -m benchmarks.scale.dissemination takeover --routers 400
     python -m benchmarks.scale.dissemination compare --seconds 30
 
 Bytes are those on the wire: message, envelope, UDP and IP heads; sent and received are added up.
@@ -68,6 +69,8 @@
     megabytes: float
     """Resident, of the whole simulation."""
     acknowledged: int
+    stale: float
+    """The share of sampled verdicts that refused, over the whole run."""
 
 
 class Meter:
@@ -112,6 +115,7 @@
             median(both), max(both), max(sent[:count]), self.peak, median(messages), max(messages),
             coordinator, cpu / count / seconds * 1e6,
             resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, acknowledged,
+            1 - world.fresh / max(world.asked, 1),
         )  # fmt: skip
 
 
@@ -204,7 +208,7 @@
 def main() -> None:
     """One scenario, as a line of JSON."""
     parser = argparse.ArgumentParser(description="Dissemination in virtual time.")
-    parser.add_argument("scenario", choices=["purges", "changes", "calm", "compare"])
+    parser.add_argument("scenario", choices=["purges", "changes", "calm", "takeover", "compare"])
     parser.add_argument("--routers", type=int, default=1_600)
     parser.add_argument("--loss", type=float, default=0.05)
     parser.add_argument("--seconds", type=float, default=60)
@@ -231,6 +235,8 @@
         else:
             rate = 0.0 if options.scenario == "calm" else PURGES_PER_S
             storm = options.scenario == "purges" and not options.no_storm
+            if options.scenario == "takeover":
+                world.later(SETTLE + options.seconds / 2, partial(world.stop, world.leader, 10 * NS_PER_S))
             report = run(world, Topic.PURGES, rate, options.seconds, purge, storm)
         print(json.dumps({"scenario": name} | asdict(report)), flush=True)
 
--- a/saltport/dissemination/states.py
+++ b/saltport/dissemination/states.py
@@ -85,7 +85,8 @@
 
     def load(self, number: int, data: bytes) -> None:
         """Purges up to `number` aren't known one by one: nothing stored before may be served."""
-        self._applied = self._floor = number
+        self._floor = max(self._floor, self._applied, number)
+        self._applied = number
         self._latest.clear()
         self._void_all()
 
--- a/tests/dissemination/test_bounds.py
+++ b/tests/dissemination/test_bounds.py
@@ -180,6 +180,19 @@
     assert not purges.overtaken(b"x", purges.begin_fetch())
 
 
+def test_a_snapshot_from_before_what_was_applied_trusts_no_fetch_until_past_it() -> None:
+    """Only a log that diverged goes back: what was fetched under its purges isn't trusted either."""
+    purges = Purges(8, lambda _: None, lambda: None)
+    purges.apply(9, b"a")
+    token = purges.begin_fetch()
+    purges.load(5, b"")
+    assert purges.overtaken(b"x", token) is False
+    assert purges.overtaken(b"x", purges.begin_fetch())
+    for number in range(6, 10):
+        purges.apply(number, b"b")
+    assert not purges.overtaken(b"x", purges.begin_fetch())
+
+
 def test_a_second_purge_of_a_key_overtakes_a_fetch_after_the_first() -> None:
     purges = Purges(8, lambda _: None, lambda: None)
     purges.apply(1, b"a")
