--- a/tests/dissemination/test_history.py
+++ b/tests/dissemination/test_history.py
@@ -96,6 +96,20 @@
     assert (history.delays.total, history.late.percentile(1)) == (1, 0.4)
 
 
+def test_until_it_is_caught_up_a_router_that_came_back_counts_as_late() -> None:
+    history = History()
+    history.start(0, 0)
+    history.excuse(0, 5_000_000_000)
+    for number, (name, made) in enumerate([(b"a", 4), (b"b", 6), (b"c", 9)], 1):
+        history.made(1, name, made * 1_000_000_000)
+        history.committed(1, number, [name], made * 1_000_000_000)
+    history.applied(0, records("a"), 8_000_000_000)
+    history.applied(0, records("b"), 8_500_000_000)
+    history.applied(0, records("c"), 9_100_000_000)
+    assert (history.delays.total, history.slowest()) == (1, 0.1)
+    assert (history.late.total, history.late.percentile(1)) == (2, 3.5)
+
+
 # Spoilt programs
 
 
