--- a/tests/dissemination/test_log.py
+++ b/tests/dissemination/test_log.py
@@ -10,7 +10,7 @@
 
 from saltport.dissemination.archive import Archive
 from saltport.dissemination.log import Offer, TopicLog
-from saltport.dissemination.messages import Entry, Fetch, Repair, SnapshotPart, Topic
+from saltport.dissemination.messages import Entry, Fetch, Level, Repair, SnapshotPart, Topic
 from saltport.dissemination.settings import DisseminationSettings
 from saltport.dissemination.states import Configuration, pack_change
 
@@ -92,10 +92,10 @@
         offer, applied = archive.offer(Entry(2, 1, number, 1 if number > 1 else 0, (record,)))
         assert offer is Offer.APPENDED
         assert [one.reason for one in applied] == [""]
-    answer = archive.answer(Fetch(2, 0, (9, 11)))  # type: ignore[arg-type]
+    answer = archive.answer(Fetch(2, Level.SITE, (9, 11)))
     assert [type(message) for message in answer.messages] == [Repair]
     assert answer.lacking == (11,)
-    (part,) = archive.answer(Fetch(2, 0, (3,))).messages  # type: ignore[arg-type]
+    (part,) = archive.answer(Fetch(2, Level.SITE, (3,))).messages
     assert isinstance(part, SnapshotPart)
     other = Archive(settings, lambda _: Configuration(lambda *_: ""))
     other.load(2, part.number, part.epoch, part.data)
@@ -113,8 +113,8 @@
     archive = Archive(DisseminationSettings(), lambda _: None)
     _, applied = archive.offer(Entry(99, 1, 1, 0, (b"x",)))
     assert [one.reason for one in applied] == ["unknown topic"]
-    assert archive.answer(Fetch(99, 0, (1,))).messages  # type: ignore[arg-type]
-    assert not archive.answer(Fetch(99, 0, ())).messages  # type: ignore[arg-type]
+    assert archive.answer(Fetch(99, Level.SITE, (1,))).messages
+    assert not archive.answer(Fetch(99, Level.SITE, ())).messages
 
 
 def test_a_spoilt_snapshot_changes_nothing() -> None:
--- a/tests/dissemination/test_world.py
+++ b/tests/dissemination/test_world.py
@@ -307,6 +307,10 @@
     assert made.history.finish() == []
 
 
+def restart(made: World, node: int) -> None:
+    made.start(node)
+
+
 def chaos(seed: int, seconds: int = 20) -> World:
     """Deaths, stops, cuts both ways and one way, slow nodes and coordinators that stand still, at random."""
     rng = random.Random(seed)
@@ -318,7 +322,7 @@
             what = rng.randrange(6)
             if what == 0 and node in made.nodes:
                 made.kill(node)
-                made.later(rng.random() * 5, partial(made.start, node))  # type: ignore[arg-type]
+                made.later(rng.random() * 5, partial(restart, made, node))
             elif what == 1:
                 made.stop(node, int(rng.random() * 4 * NS_PER_S))
             elif what == 2 and not made.cuts:
