--- a/tests/dissemination/test_messages.py
+++ b/tests/dissemination/test_messages.py
@@ -19,7 +19,7 @@
     decode,
     encode,
 )
-from saltport.dissemination.settings import MESSAGE
+from saltport.dissemination.settings import MESSAGE, DisseminationSettings
 from saltport.dissemination.term import ENTRY, ENTRY_HEAD
 from saltport.dissemination.voter import MOST_HEADS
 
@@ -91,3 +91,5 @@
     told = fitted(Acknowledgement(LARGE, Level.VOTERS, 1_600, rows, rejections))
     assert len(encode(told)) <= MESSAGE
     assert told.rejections
+    most = tuple(Row(200 + topic, LARGE, 1_604) for topic in range(DisseminationSettings().most_topics))
+    assert len(encode(fitted(Acknowledgement(2**60, Level.VOTERS, 1_600, most)))) <= MESSAGE
