Freshness: a topic without entries is vouched for by a full list of heads

Runs without purges reported all verdicts as refused: a topic that had no entry yet was in no list of heads, so that nothing ever vouched for it. A list with fewer heads than fit is complete: what isn't in it is empty as of then.

--- a/saltport/dissemination/freshness.py
+++ b/saltport/dissemination/freshness.py
@@ -13,7 +13,7 @@
 from collections import deque
 from enum import Enum
 
-from saltport.dissemination.messages import Push
+from saltport.dissemination.messages import MOST_HEADS, Push
 from saltport.dissemination.settings import NS_PER_MS, DisseminationSettings
 
 DRIFT = 1_000  # clocks don't run alike: by so much a part of the time passed a date may be off
@@ -41,6 +41,8 @@
         self._began: int | None = None
         """When the coordinator began, by this router's clock, at the latest then; None: not known."""
         self._dated = 0
+        self._complete: int | None = None
+        """As of when a topic that wasn't told of had no entries."""
         self._caught_up: dict[int, int] = {}
         self._waiting: dict[int, deque[tuple[int, int]]] = {}
 
@@ -64,11 +66,15 @@
             return
         sent = self._began - (now - self._dated) // DRIFT + push.sent * NS_PER_MS
         for head in push.heads:
+            if self._complete is not None:
+                self._caught_up.setdefault(head.topic, self._complete)
             waiting = self._waiting.get(head.topic)
             if waiting is None:
                 waiting = self._waiting[head.topic] = deque()
             if len(waiting) < MOST_WAITING:
                 waiting.append((head.number, sent))
+        if len(push.heads) < MOST_HEADS and (self._complete is None or sent > self._complete):
+            self._complete = sent
 
     def _date(self, sent: int, now: int) -> None:
         """The answer to the latest poll was sent no earlier than the poll left."""
@@ -88,7 +94,7 @@
 
     def age(self, topic: int, now: int) -> int | None:
         """Nanoseconds since the router was provably caught up, rather too many; None: never yet."""
-        caught_up = self._caught_up.get(topic)
+        caught_up = self._caught_up.get(topic, self._complete)
         return None if caught_up is None else now - caught_up
 
     def verdict(self, topic: int, now: int) -> Verdict:
--- a/saltport/dissemination/messages.py
+++ b/saltport/dissemination/messages.py
@@ -15,6 +15,8 @@
 VERSION = 1
 """Of the records that this release can apply; told upward with acknowledgements."""
 TAGS = range(100, 110)
+MOST_HEADS = 4
+"""Topics told of in one push, in turn if there are more; with fewer, all that have entries are there."""
 
 
 class Topic(IntEnum):
--- a/saltport/dissemination/voter.py
+++ b/saltport/dissemination/voter.py
@@ -14,6 +14,7 @@
 from saltport.dissemination.budget import Budget, Work
 from saltport.dissemination.ledger import Ledger
 from saltport.dissemination.messages import (
+    MOST_HEADS,
     Acknowledgement,
     Decision,
     Entry,
@@ -34,7 +35,6 @@
 from saltport.dissemination.settings import DisseminationSettings
 from saltport.dissemination.term import Term
 
-MOST_HEADS = 4  # topics told of in one push, in turn if there are more
 HEADS_STEP = 250  # milliseconds after which the next topics are told of
 MOST_REJECTIONS = 256
 BYTES_PER_S = 4_000_000  # a voter isn't a router: its sending is bounded against storms of fetches only
--- a/tests/dissemination/test_bounds.py
+++ b/tests/dissemination/test_bounds.py
@@ -8,7 +8,7 @@
 
 from saltport.dissemination.budget import Budget, TokenBucket, Work
 from saltport.dissemination.freshness import MOST_WAITING, Freshness, Verdict
-from saltport.dissemination.messages import Head, Level, Push, Topic
+from saltport.dissemination.messages import MOST_HEADS, Head, Level, Push, Topic
 from saltport.dissemination.settings import NS_PER_MS, NS_PER_S, DisseminationSettings
 from saltport.dissemination.states import Configuration, Purges, pack_change
 
@@ -114,6 +114,27 @@
     assert freshness.verdict(Topic.PURGES, 250 * (11 + 3 * MOST_WAITING) * NS_PER_MS) is Verdict.STALE
 
 
+def test_a_topic_without_entries_is_fresh_until_its_first_entry_is_missing() -> None:
+    freshness = dated()
+    assert freshness.verdict(Topic.CONFIGURATION, SECOND) is Verdict.FRESH
+    both = (Head(Topic.PURGES, 3), Head(Topic.CONFIGURATION, 1))
+    for sent in range(1_250, 4_000, 250):
+        freshness.heard(Push(1, 90, sent, Level.SITE, both), sent * NS_PER_MS)
+    assert freshness.age(Topic.CONFIGURATION, 2 * SECOND) == SECOND + NS_PER_MS
+    assert freshness.verdict(Topic.CONFIGURATION, 4 * SECOND) is Verdict.STALE
+    freshness.applied(Topic.CONFIGURATION, 1)
+    assert freshness.verdict(Topic.CONFIGURATION, 4 * SECOND) is Verdict.FRESH
+
+
+def test_a_list_of_heads_that_may_be_a_part_says_nothing_of_other_topics() -> None:
+    freshness = Freshness(SETTINGS, random.Random(1))
+    heads = tuple(Head(topic, 3) for topic in range(11, 11 + MOST_HEADS))
+    freshness.heard(Push(1, 90, 900, Level.SITE, heads), 900 * NS_PER_MS)
+    number = freshness.poll(SECOND)
+    freshness.heard(Push(1, 90, 1_000, Level.SITE, heads, None, number), SECOND)
+    assert freshness.verdict(Topic.PURGES, SECOND) is Verdict.STALE
+
+
 def test_a_new_coordinators_clock_is_dated_anew() -> None:
     freshness = dated()
     freshness.heard(at(5, epoch=2), 2 * SECOND)
--- a/tests/dissemination/test_messages.py
+++ b/tests/dissemination/test_messages.py
@@ -8,6 +8,7 @@
 
 from saltport.dissemination.acknowledgements import fitted
 from saltport.dissemination.messages import (
+    MOST_HEADS,
     Acknowledgement,
     Entry,
     Fetch,
@@ -21,7 +22,6 @@
 )
 from saltport.dissemination.settings import MESSAGE, DisseminationSettings
 from saltport.dissemination.term import ENTRY, ENTRY_HEAD
-from saltport.dissemination.voter import MOST_HEADS
 
 LARGE = 2**31
 
--- a/tests/dissemination/test_world.py
+++ b/tests/dissemination/test_world.py
@@ -63,6 +63,11 @@
     assert {made.router(node).verdict(Topic.PURGES, made.now) for node in range(60)} == {Verdict.FRESH}
 
 
+def test_without_any_change_all_routers_are_fresh() -> None:
+    made = world()
+    assert {made.router(node).verdict(Topic.PURGES, made.now) for node in range(60)} == {Verdict.FRESH}
+
+
 def test_dead_relays_cost_under_a_second() -> None:
     """All relays of the next entry in a site, and of its region, die at once."""
     made = world(loss=0.0)
