--- /dev/null
+++ b/saltport/dissemination/voter.py
@@ -0,0 +1,215 @@
+"""A voter's part: as coordinator it orders submissions and pushes what is committed; all answer fetches.
+
+Whoever replicates (the owners' log) is the caller: `take_proposals` hands out what to commit, and
+`committed` is called at every voter for each committed proposal, in the log's order. Nothing is pushed
+before it is committed, so that no record of a coordinator that lost its majority ever reaches a router.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from saltport.dissemination.acknowledgements import Collector, RejectionKey
+from saltport.dissemination.archive import Archive, States
+from saltport.dissemination.budget import Budget, Work
+from saltport.dissemination.ledger import Ledger
+from saltport.dissemination.messages import (
+    MOST_HEADS,
+    Acknowledgement,
+    Decision,
+    Entry,
+    Fetch,
+    FetchParts,
+    Level,
+    Message,
+    Origin,
+    Poll,
+    Proposal,
+    Push,
+    Refusal,
+    Submit,
+)
+from saltport.dissemination.outbox import Outgoing, SendQueue
+from saltport.dissemination.placement import Placement
+from saltport.dissemination.relay import turn_of
+from saltport.dissemination.settings import DisseminationSettings
+from saltport.dissemination.term import Term
+
+HEADS_STEP = 250  # milliseconds after which the next topics are told of
+MOST_REJECTIONS = 256
+BYTES_PER_S = 4_000_000  # a voter isn't a router: its sending is bounded against storms of fetches only
+BURST_BYTES = 8_000_000
+MESSAGES_PER_S = 50_000
+
+
+class Voter:
+    """One of those that hold the committed logs; one of them coordinates at a time."""
+
+    def __init__(
+        self, node: int, placement: Placement, settings: DisseminationSettings, states: States, now: int
+    ) -> None:
+        self.node, self.placement, self.settings = node, placement, settings
+        self.archive = Archive(settings, states)
+        self.rejections: OrderedDict[RejectionKey, int] = OrderedDict()
+        """How many routers refused a record, at the most told at a time."""
+        self._collector = Collector(0, 0)
+        self._queue = SendQueue(BYTES_PER_S, BURST_BYTES, now)
+        self._incoming = Budget(MESSAGES_PER_S, MESSAGES_PER_S, now)
+        self._ledger = Ledger()
+        self._term: Term | None = None
+        self._origins: OrderedDict[tuple[int, int], tuple[Origin, ...]] = OrderedDict()
+        self._proposals: list[Proposal] = []
+
+    # Leading
+
+    @property
+    def epoch(self) -> int | None:
+        """Of its own term as coordinator; None: another one leads."""
+        return None if self._term is None else self._term.epoch
+
+    def lead(self, epoch: int, now: int) -> None:
+        """It is coordinator from now on, and knows all that was committed before."""
+        self._term = Term(epoch, self.archive, self._ledger, self.settings, now)
+
+    def confirmed(self, asked: int) -> None:
+        """A majority of voters answered a question that left at this time: the lease counts from then."""
+        if self._term is not None:
+            self._term.confirmed = max(asked, self._term.confirmed)
+
+    def step_down(self) -> None:
+        """It isn't coordinator any more: what wasn't committed is forgotten."""
+        self._term = None
+        self._proposals.clear()
+
+    def take_proposals(self) -> list[Proposal]:
+        """What to commit, in this order."""
+        proposals, self._proposals = self._proposals, []
+        return proposals
+
+    @property
+    def due(self) -> int | None:
+        """When `turn` has something to do."""
+        return None if self._term is None else self._term.next_batch
+
+    def take(self) -> list[Outgoing]:
+        """Datagrams to be sent."""
+        return self._queue.take()
+
+    def turn(self, now: int) -> None:
+        """Propose the batch that is due, or send a heartbeat."""
+        term = self._term
+        if term is None or now < term.next_batch:
+            return
+        self._proposals += term.batch(now)
+        if now - term.last_push >= self.settings.batch and term.leased(now):
+            self._push(term, None, now)
+
+    def committed(self, proposal: Proposal, now: int) -> None:
+        """A majority holds this; called at each voter, in the order of the log.
+
+        Danger: a deposed coordinator may learn of its successor's entries one by one before it knows that
+        it is deposed. Its pushes would vouch for old heads with the time of now.
+        """
+        entry = proposal.entry
+        self.archive.offer(entry)
+        for origin in proposal.origins:
+            self._ledger.commit(origin, entry.topic)
+        self._origins[entry.topic, entry.number] = proposal.origins
+        if len(self._origins) > self.settings.retained_entries:
+            self._origins.popitem(last=False)
+        if self._term is not None and entry.epoch > self._term.epoch:
+            self.step_down()
+        term = self._term
+        if term is None or not term.leased(now):
+            return
+        self._push(term, entry, now)
+        by_process: dict[tuple[int, int], list[int]] = {}
+        for origin in proposal.origins:
+            by_process.setdefault((origin.router, origin.start), []).append(origin.sequence)
+        for (router, start), sequences in by_process.items():
+            self._queue.send(Work.PUSH, (router,), Decision(start, tuple(sequences)), now)
+
+    def _push(self, term: Term, entry: Entry | None, now: int) -> None:
+        term.last_push = now
+        push = self._heartbeat(term, Level.VOTERS, now, entry)
+        turn = turn_of(self.placement, push)
+        for region in self.placement.regions:
+            relays = self.placement.region_relays(region, turn)
+            self._queue.send(Work.PUSH, relays, push, now)
+
+    def _heartbeat(
+        self, term: Term, level: Level, now: int, entry: Entry | None = None, answers: int = 0
+    ) -> Push:
+        """The heads of topics, of some in turn if there are many."""
+        sent = term.clock(now)
+        heads = self.archive.heads()
+        if len(heads) > MOST_HEADS:
+            first = sent // HEADS_STEP % len(heads)
+            heads = (heads[first:] + heads[:first])[:MOST_HEADS]
+        return Push(term.epoch, self.node, sent, level, heads, entry, answers)
+
+    # Datagrams
+
+    def receive(self, source: int, message: Message, now: int) -> None:
+        """Take a datagram."""
+        if not self._incoming.admit(Work.PUSH, 1.0, now):
+            return
+        if isinstance(message, Fetch):
+            for answer in self.archive.answer(message).messages:
+                self._queue.send(Work.REPAIR, (source,), answer, now)
+        elif isinstance(message, FetchParts):
+            for part in self.archive.parts(message):
+                self._queue.send(Work.REPAIR, (source,), part, now)
+        elif isinstance(message, Poll):
+            if self._term is not None and self._term.leased(now):
+                told = self._heartbeat(self._term, Level.SITE, now, answers=message.number)
+                self._queue.send(Work.REPAIR, (source,), told, now)
+        elif isinstance(message, Submit):
+            self._submitted(source, message, now)
+        elif isinstance(message, Acknowledgement):
+            self._acknowledged(source, message, now)
+
+    def _submitted(self, router: int, submit: Submit, now: int) -> None:
+        term = self._term
+        if term is None:
+            return
+        committed: list[int] = []
+        refusals: list[Refusal] = []
+        for submission in submit.submissions:
+            origin = Origin(router, submit.start, submission.sequence)
+            if self._ledger.outcome(origin) is None:
+                term.submit(origin, submission, now)
+            outcome = self._ledger.outcome(origin)
+            if outcome:
+                refusals.append(Refusal(submission.sequence, outcome))
+            elif outcome is not None:
+                committed.append(submission.sequence)
+        if committed or refusals:
+            answer = Decision(submit.start, tuple(committed), tuple(refusals))
+            self._queue.send(Work.PUSH, (router,), answer, now)
+
+    def _acknowledged(self, source: int, told: Acknowledgement, now: int) -> None:
+        site = self.placement.site(source)
+        if site is None:
+            return
+        self._collector.add(site.region, told, now)
+        for rejection in self.progress.rejections:
+            key = (rejection.topic, rejection.number, rejection.index, rejection.reason)
+            if key not in self.rejections:
+                self._tell_origin(key, now)
+            self.rejections[key] = max(self.rejections.get(key, 0), rejection.count)
+            if len(self.rejections) > MOST_REJECTIONS:
+                self.rejections.popitem(last=False)
+
+    @property
+    def progress(self) -> Acknowledgement:
+        """How many routers were heard in the last rounds, and how far the last of them is with each topic."""
+        return self._collector.sum(Level.VOTERS)
+
+    def _tell_origin(self, key: RejectionKey, now: int) -> None:
+        topic, number, index, reason = key
+        origins = self._origins.get((topic, number), ())
+        if index < len(origins):
+            origin = origins[index]
+            told = Decision(origin.start, (), (), (Refusal(origin.sequence, reason),))
+            self._queue.send(Work.PUSH, (origin.router,), told, now)
--- /dev/null
+++ b/tests/dissemination/test_bounds.py
@@ -0,0 +1,253 @@
+"""Budgets give way in the stated order; freshness errs towards refusal; states refuse what is bad."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from saltport.dissemination.budget import Budget, TokenBucket, Work
+from saltport.dissemination.freshness import MOST_WAITING, Freshness, Verdict
+from saltport.dissemination.messages import MOST_HEADS, Head, Level, Push, Topic
+from saltport.dissemination.settings import NS_PER_MS, NS_PER_S, DisseminationSettings
+from saltport.dissemination.states import Configuration, Purges, pack_change
+
+SETTINGS = DisseminationSettings()
+
+
+def test_a_bucket_never_gives_more_than_its_rate_and_burst() -> None:
+    bucket = TokenBucket(100, 50, 0)
+    given = sum(bucket.spend(1, now, 0.0) for now in range(0, 10 * NS_PER_S, NS_PER_MS))
+    assert 1_000 <= given <= 1_050
+
+
+def test_work_gives_way_in_the_stated_order() -> None:
+    budget = Budget(0.001, 1_000, 0)
+    order: list[Work] = []
+    for _ in range(200):
+        for work in Work:
+            if not budget.admit(work, 10, 0) and work not in order:
+                order.append(work)
+    assert order == [Work.ACKNOWLEDGE, Work.REPAIR, Work.FETCH, Work.PUSH]
+    assert all(budget.refused[work] for work in Work)
+
+
+def at(milliseconds: int, head: int = 3, answers: int = 0, epoch: int = 1) -> Push:
+    return Push(epoch, 90, milliseconds, Level.SITE, (Head(Topic.PURGES, head),), None, answers)
+
+
+def dated(round_trip: int = 0) -> Freshness:
+    """Caught up as of 1 s; the coordinator began at 0 by this router's clock."""
+    freshness = Freshness(SETTINGS, random.Random(1))
+    freshness.heard(at(900), 900 * NS_PER_MS)
+    number = freshness.poll(1_000 * NS_PER_MS)
+    freshness.heard(at(1_000 + round_trip // 2, answers=number), (1_000 + round_trip) * NS_PER_MS)
+    freshness.applied(Topic.PURGES, 3)
+    return freshness
+
+
+SECOND = NS_PER_S
+
+
+def test_silence_makes_stale() -> None:
+    freshness = dated()
+    assert freshness.verdict(Topic.PURGES, SECOND) is Verdict.FRESH
+    assert freshness.verdict(Topic.PURGES, SECOND + SETTINGS.fresh_for - 2 * NS_PER_MS) is Verdict.FRESH
+    assert freshness.verdict(Topic.PURGES, SECOND + SETTINGS.fresh_for + 1) is Verdict.STALE
+
+
+def test_nothing_is_fresh_before_the_coordinator_answered() -> None:
+    freshness = Freshness(SETTINGS, random.Random(1))
+    assert freshness.verdict(Topic.PURGES, 0) is Verdict.STALE
+    for number in range(1, 100):
+        freshness.heard(at(250 * number), 250 * number * NS_PER_MS)
+        freshness.applied(Topic.PURGES, 3)
+    assert freshness.age(Topic.PURGES, 25 * SECOND) is None
+
+
+def test_the_answer_to_an_earlier_poll_dates_nothing() -> None:
+    freshness = Freshness(SETTINGS, random.Random(1))
+    freshness.heard(at(900), 900 * NS_PER_MS)
+    first = freshness.poll(SECOND)
+    freshness.poll(9 * SECOND)
+    freshness.heard(at(1_001, answers=first), 9 * SECOND)
+    freshness.applied(Topic.PURGES, 3)
+    assert freshness.verdict(Topic.PURGES, 9 * SECOND) is Verdict.STALE
+
+
+@pytest.mark.parametrize("round_trip", [2, 300, 2_000])
+def test_an_age_is_never_too_low(round_trip: int) -> None:
+    freshness = dated(round_trip)
+    for sent in range(2_000, 60_000, 250):
+        now = (sent + round_trip) * NS_PER_MS
+        freshness.heard(at(sent), now)
+        freshness.applied(Topic.PURGES, 3)
+        age = freshness.age(Topic.PURGES, now)
+        assert age is not None
+        assert age >= round_trip * NS_PER_MS
+
+
+def test_a_known_gap_makes_stale_until_it_is_filled() -> None:
+    freshness = dated()
+    for number in range(5, 20):
+        freshness.heard(at(250 * number, head=4), 250 * number * NS_PER_MS)
+        freshness.applied(Topic.PURGES, 3)
+    now = 250 * 19 * NS_PER_MS
+    assert freshness.verdict(Topic.PURGES, now) is Verdict.STALE
+    freshness.applied(Topic.PURGES, 4)
+    assert freshness.verdict(Topic.PURGES, now) is Verdict.FRESH
+
+
+def test_a_push_that_was_held_up_or_told_again_counts_from_when_it_was_sent() -> None:
+    freshness = dated()
+    for late in range(4, 12):
+        freshness.heard(at(1_100), late * SECOND)
+        freshness.applied(Topic.PURGES, 3)
+        assert freshness.verdict(Topic.PURGES, late * SECOND) is Verdict.STALE
+
+
+def test_waiting_pushes_are_bounded_and_leave_it_stale() -> None:
+    freshness = dated()
+    for number in range(11, 11 + 3 * MOST_WAITING):
+        freshness.heard(at(250 * number, head=number), 250 * number * NS_PER_MS)
+    freshness.applied(Topic.PURGES, 10 + MOST_WAITING)
+    assert freshness.verdict(Topic.PURGES, 250 * (11 + 3 * MOST_WAITING) * NS_PER_MS) is Verdict.STALE
+
+
+def test_a_topic_without_entries_is_fresh_until_its_first_entry_is_missing() -> None:
+    freshness = dated()
+    assert freshness.verdict(Topic.CONFIGURATION, SECOND) is Verdict.FRESH
+    both = (Head(Topic.PURGES, 3), Head(Topic.CONFIGURATION, 1))
+    for sent in range(1_250, 4_000, 250):
+        freshness.heard(Push(1, 90, sent, Level.SITE, both), sent * NS_PER_MS)
+    assert freshness.age(Topic.CONFIGURATION, 2 * SECOND) == SECOND + NS_PER_MS
+    assert freshness.verdict(Topic.CONFIGURATION, 4 * SECOND) is Verdict.STALE
+    freshness.applied(Topic.CONFIGURATION, 1)
+    assert freshness.verdict(Topic.CONFIGURATION, 4 * SECOND) is Verdict.FRESH
+
+
+def test_a_topic_that_was_told_of_before_the_clock_was_dated_isnt_taken_for_empty() -> None:
+    freshness = Freshness(SETTINGS, random.Random(1))
+    freshness.heard(at(900), 900 * NS_PER_MS)
+    number = freshness.poll(SECOND)
+    freshness.heard(Push(1, 90, 1_000, Level.SITE, (), None, number), SECOND)
+    for sent in range(1_250, 4_000, 250):
+        freshness.heard(at(sent), sent * NS_PER_MS)
+        assert freshness.verdict(Topic.PURGES, sent * NS_PER_MS) is Verdict.STALE
+    freshness.applied(Topic.PURGES, 3)
+    assert freshness.verdict(Topic.PURGES, 4 * SECOND) is Verdict.FRESH
+
+
+def test_a_list_of_heads_that_may_be_a_part_says_nothing_of_other_topics() -> None:
+    freshness = Freshness(SETTINGS, random.Random(1))
+    heads = tuple(Head(topic, 3) for topic in range(11, 11 + MOST_HEADS))
+    freshness.heard(Push(1, 90, 900, Level.SITE, heads), 900 * NS_PER_MS)
+    number = freshness.poll(SECOND)
+    freshness.heard(Push(1, 90, 1_000, Level.SITE, heads, None, number), SECOND)
+    assert freshness.verdict(Topic.PURGES, SECOND) is Verdict.STALE
+
+
+def test_a_new_coordinators_clock_is_dated_anew() -> None:
+    freshness = dated()
+    freshness.heard(at(5, epoch=2), 2 * SECOND)
+    freshness.applied(Topic.PURGES, 3)
+    assert freshness.age(Topic.PURGES, 2 * SECOND) == SECOND + NS_PER_MS
+    assert freshness.due is not None
+    assert freshness.due <= 2 * SECOND + SETTINGS.clock_spread
+    number = freshness.poll(freshness.due)
+    freshness.heard(at(400, answers=number, epoch=2), 3 * SECOND)
+    freshness.applied(Topic.PURGES, 3)
+    assert freshness.verdict(Topic.PURGES, 3 * SECOND) is Verdict.FRESH
+
+
+@pytest.mark.parametrize("fast", [1.0003, 0.9997])
+def test_a_clock_that_drifts_stays_fresh_and_safe(fast: float) -> None:
+    freshness = dated()
+    for sent in range(1_000, 3 * 3_600_000, 250):
+        now = int((SECOND + (sent - 1_000) * NS_PER_MS) * fast)
+        answers = freshness.poll(now) if freshness.due is not None and freshness.due <= now else 0
+        freshness.heard(at(sent, answers=answers), now)
+        freshness.applied(Topic.PURGES, 3)
+        assert freshness.verdict(Topic.PURGES, now) is Verdict.FRESH
+
+
+class Cache:
+    """What a router stored."""
+
+    def __init__(self) -> None:
+        self.dropped: list[bytes] = []
+        self.voided = 0
+
+    def void(self) -> None:
+        self.voided += 1
+
+
+def test_a_purge_overtakes_a_fetch() -> None:
+    cache = Cache()
+    purges = Purges(2, cache.dropped.append, cache.void)
+    before = purges.begin_fetch()
+    purges.apply(1, b"a")
+    after = purges.begin_fetch()
+    assert purges.overtaken(b"a", before)
+    assert not purges.overtaken(b"b", before)
+    assert not purges.overtaken(b"a", after)
+    assert cache.dropped == [b"a"]
+
+
+def test_a_purge_that_is_forgotten_voids_all_older_fetches() -> None:
+    purges = Purges(2, lambda _: None, lambda: None)
+    before = purges.begin_fetch()
+    for number, key in enumerate([b"a", b"b", b"c"], 1):
+        purges.apply(number, key)
+    assert purges.overtaken(b"never purged", before)
+    assert not purges.overtaken(b"never purged", purges.begin_fetch())
+
+
+def test_a_snapshot_of_purges_voids_what_was_stored_and_fetched_before() -> None:
+    cache = Cache()
+    purges = Purges(8, cache.dropped.append, cache.void)
+    before = purges.begin_fetch()
+    purges.load(500, b"")
+    assert cache.voided == 1
+    assert purges.overtaken(b"x", before)
+    assert not purges.overtaken(b"x", purges.begin_fetch())
+
+
+def test_a_snapshot_from_before_what_was_applied_trusts_no_fetch_until_past_it() -> None:
+    """Only a log that diverged goes back: what was fetched under its purges isn't trusted either."""
+    purges = Purges(8, lambda _: None, lambda: None)
+    purges.apply(9, b"a")
+    token = purges.begin_fetch()
+    purges.load(5, b"")
+    assert purges.overtaken(b"x", token) is False
+    assert purges.overtaken(b"x", purges.begin_fetch())
+    for number in range(6, 10):
+        purges.apply(number, b"b")
+    assert not purges.overtaken(b"x", purges.begin_fetch())
+
+
+def test_a_second_purge_of_a_key_overtakes_a_fetch_after_the_first() -> None:
+    purges = Purges(8, lambda _: None, lambda: None)
+    purges.apply(1, b"a")
+    token = purges.begin_fetch()
+    purges.apply(2, b"a")
+    assert purges.overtaken(b"a", token)
+
+
+@pytest.mark.parametrize(
+    ("record", "reason"),
+    [
+        (b"\xc1", "unreadable change"),
+        (pack_change("limit", b"bad"), "not a number"),
+        (pack_change("third", b"1"), "too many keys"),
+    ],
+)
+def test_a_bad_change_is_refused_and_the_old_one_stays(record: bytes, reason: str) -> None:
+    check = {b"bad": "not a number"}
+    state = Configuration(lambda _, value: check.get(value, ""), most_keys=2)
+    assert state.apply(1, pack_change("limit", b"5")) == ""
+    assert state.apply(2, pack_change("other", b"6")) == ""
+    assert state.apply(3, record) == reason
+    assert state.values == {"limit": b"5", "other": b"6"}
+    assert state.apply(4, pack_change("other", b"")) == ""
+    assert state.values == {"limit": b"5"}
