Scale: a start of all members in virtual time, until nobody passes on any of it

Cause: on sockets the larger starts did not come to rest on a loaded machine, which left open whether the code does.

--- a/benchmarks/scale/membership.py
+++ b/benchmarks/scale/membership.py
@@ -2,6 +2,7 @@
 
 alone    CPU of one hollow router with a process to itself, as a real one has, the others in another process
 sync     how long one question for all that differs holds the loop
+joins    all start together, in virtual time: until all know all, and until nobody passes on any of it
 calm     bytes, datagrams, CPU and memory of a member at each size, in virtual time, with fits
 sockets  the same for hollow routers on loopback, at smaller sizes; joining and a death with it
 deaths   time until 50%, 99% and all know of a death, at no loss, 5% and 30%
@@ -34,9 +35,10 @@
 from saltport.peers.settings import NS_PER_S
 from saltport.router.__main__ import GC_THRESHOLD
 
-WHAT = ("alone", "sync", "calm", "sockets", "deaths", "faults", "all")
+WHAT = ("alone", "sync", "joins", "calm", "sockets", "deaths", "faults", "all")
 SETTLE_S, CALM_S = 4, 8
 REGIONS, SITES = 11, 81
+MOST_JOINING = 800
 MOST_FAULTY = 400
 """Members up to which all faults are played: half of them stopped cost far more than calm."""
 SOCKET_SIZES = ((25, 1.0), (50, 1.0), (100, 2.0), (200, 4.0), (400, 8.0))  # with the clock's factor
@@ -126,6 +128,18 @@
     hold_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Start:
+    """All members started together, knowing only where the others are; bytes are what a member sent."""
+
+    members: int
+    agreed_s: float
+    agreed_kb: float
+    told_s: float
+    """From then until nobody passes on any of it."""
+    told_bytes_per_s: float
+
+
 class Fleet(World):
     """Members that know each other from the beginning, in virtual time."""
 
@@ -411,6 +425,32 @@
         return replace(one.result(), shared_cpu_percent=rest.result().cpu_percent)
 
 
+def joins(members: int, seed: int = 1) -> Start:
+    """Start all together."""
+    world = World(members, seed, SETTINGS, WireAgent)
+    _quiet()
+    begun = world.now
+    world.start_all(NS_PER_S)
+
+    def wire() -> float:
+        return sum(map(_sent, world.agents.values())) / members
+
+    def until(holds: Callable[[], bool]) -> float:
+        while not holds() and world.now - begun < 300 * NS_PER_S:
+            world.run(0.1)
+        return (world.now - begun) / NS_PER_S if holds() else math.inf
+
+    def all_known() -> bool:
+        return all(len(agent.members) == members for agent in world.agents.values())
+
+    def all_told() -> bool:
+        return not any(len(agent.outbox.rumours) for agent in world.agents.values())
+
+    agreed, sent = until(all_known), wire()
+    told = until(all_told) - agreed
+    return Start(members, agreed, sent / 1024, told, (wire() - sent) / max(told, 0.1))
+
+
 def sync(members: int, times: int = 5) -> Sync:
     """Ask one member of so many, as a router does that knows nobody."""
     fleet = Fleet(members)
@@ -434,7 +474,9 @@
 
 @click.command()
 @click.argument(
-    "what", type=click.Choice(["alone", "sync", "calm", "sockets", "deaths", "faults", "all"]), default="all"
+    "what",
+    type=click.Choice(["alone", "sync", "joins", "calm", "sockets", "deaths", "faults", "all"]),
+    default="all",
 )
 @click.option("--size", "sizes", type=int, multiple=True, default=fit.SIZES, show_default=True)
 @click.option("--count", default=3, show_default=True, help="Of deaths at each size.")
@@ -451,6 +493,10 @@
         asked = [fit.apart(sync, size) for size in sizes]
         told = fit.fits(asked, "members", ("hold_ms",))
         click.echo(f"a question for all\n{fit.table(asked)}\n{told}")
+    if what in ("joins", "all"):
+        begun = [fit.apart(joins, size) for size in sizes if size <= MOST_JOINING]
+        lines = fit.fits(begun, "members", ("agreed_kb", "told_s"))
+        click.echo(f"started together, virtual time\n{fit.table(begun)}\n{lines}")
     if what in ("sockets", "all"):
         joined = []
         for size, factor in SOCKET_SIZES:
--- a/tests/scale/test_membership.py
+++ b/tests/scale/test_membership.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 
 from benchmarks.scale import fit
 from benchmarks.scale.hollow import KEY, SETTINGS, HollowLink, Hollows, slowed
-from benchmarks.scale.membership import Fleet, calm, deaths, half_stopped, region_apart
+from benchmarks.scale.membership import Fleet, calm, deaths, half_stopped, joins, region_apart
 from saltport.peers.link import PeerPlan
 
 MEMBERS = 25
@@ -37,6 +38,12 @@
         assert known.false_deaths == 0
 
 
+def test_all_who_start_together_know_each_other_and_come_to_rest() -> None:
+    found = joins(MEMBERS)
+    assert 0 < found.agreed_s < math.inf
+    assert 0 <= found.told_s < math.inf
+
+
 def test_half_stopped_for_three_seconds_are_not_believed_dead() -> None:
     found = half_stopped(MEMBERS)
     assert found.deaths_believed == 0
