--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -112,6 +112,8 @@
 
 def fits(rows: Sequence[Any], size: str, names: Sequence[str], at: int = FLEET) -> str:
     """A line for each named figure: its fit, its exponent, and what it says at fleet size."""
+    if len({getattr(row, size) for row in rows}) < 2:
+        return "one size gives no slope"
     told = []
     for name in names:
         points = [(float(getattr(row, size)), float(getattr(row, name))) for row in rows]
--- a/tests/scale/test_fit.py
+++ b/tests/scale/test_fit.py
@@ -31,6 +31,7 @@
 def test_one_size_gives_no_slope() -> None:
     with pytest.raises(ValueError, match="two sizes"):
         fit.fit([(25, 1.0), (25, 2.0)])
+    assert fit.fits([Row(25, 1.0)], "routers", ("cpu_percent",)) == "one size gives no slope"
 
 
 def test_shares_of_times() -> None:
