--- a/benchmarks/scale/membership.py
+++ b/benchmarks/scale/membership.py
@@ -443,7 +443,7 @@
         return all(len(agent.members) == members for agent in world.agents.values())
 
     def all_told() -> bool:
-        return not any(len(agent.send_queue.rumours) for agent in world.agents.values())
+        return not any(len(agent.send_queue.gossip) for agent in world.agents.values())
 
     agreed, sent = until(all_known), wire()
     told = until(all_told) - agreed
