Owners: a leading voter finds a router's latest session by name, not among all

Change: owners/sessions.py keeps sessions by name beside the times of their renewals.

A property holds the index to a search through all; tests/owners pass.

--- a/saltport/owners/steward.py
+++ b/saltport/owners/steward.py
@@ -12,6 +12,7 @@
 from saltport.owners.messages import Renew, Renewed, Resign, Rows
 from saltport.owners.raft import NS_PER_S
 from saltport.owners.record import MOST_NAME, MOST_PIECES, Command, Drop, Give, Record, Session
+from saltport.owners.sessions import Sessions
 from saltport.owners.settings import OwnerSettings
 
 COMMAND_ROOM = 110  # bytes of rows in a command
@@ -33,8 +34,7 @@
     def __init__(self, record: Record, settings: OwnerSettings, now: int) -> None:
         self.record, self.settings = record, settings
         self._since = now
-        self._sessions: dict[Session, int] = {}
-        """When each last asked for its lease."""
+        self._sessions = Sessions()
         self._wanted: dict[str, int] = {}
         self._asked_back: dict[str, None] = {}
         """In the order in which they were asked back: a set's order would differ from process to process."""
@@ -60,15 +60,15 @@
 
     def over(self, session: Session, now: int) -> bool:
         """Whether a session's lease has ended for certain, by this clock."""
-        return now - self._sessions.get(session, self._since) > self.settings.lease
+        return now - self._sessions.renewed_at(session, self._since) > self.settings.lease
 
     def renew(self, asked: Renew, now: int) -> list[Renewed | Rows]:
         """Take a renewal; the answers. Danger: only while the lead is certain, at this very moment."""
         session = asked.session
-        latest = max((held for held in self._sessions if held.name == session.name), default=session)
-        if session < latest:
+        latest = self._sessions.latest(session.name)
+        if latest is not None and session < latest:
             return []  # a process before this one, or a session that it let lapse
-        self._sessions[session] = now
+        self._sessions.renew(session, now)
         for piece in asked.wants:
             if 0 < len(piece) <= MOST_NAME and (piece in self._wanted or len(self._wanted) < MOST_PIECES):
                 self._wanted[piece] = now
@@ -102,7 +102,7 @@
     def resign(self, told: Resign) -> None:
         """A session has ended by itself: its lease is over now."""
         if told.session in self._sessions or self.record.of(told.session):
-            self._sessions[told.session] = -self.settings.lease - 1
+            self._sessions.renew(told.session, -self.settings.lease - 1)
 
     def applied(self, changed: list[str]) -> None:
         """The record went on: what was proposed for these is decided."""
@@ -120,7 +120,7 @@
         """The commands that are due: deaths, new pieces, those given back, those nobody wants."""
         live = self.live(now)
         for session in [s for s in self._sessions if self.over(s, now) and not self.record.of(s)]:
-            del self._sessions[session]
+            self._sessions.forget(session)
         gives: _Gives = {}
         drops: list[tuple[str, int]] = []
         names = sorted(live)
--- /dev/null
+++ b/tests/owners/test_sessions.py
@@ -0,0 +1,55 @@
+"""Sessions by their router's name: the latest is found without a look at the others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from saltport.owners.messages import Renew
+from saltport.owners.record import Record, Session
+from saltport.owners.sessions import Sessions
+from saltport.owners.settings import OwnerSettings
+from saltport.owners.steward import Steward
+
+FLEET = 1_600
+STEPS = st.lists(st.tuples(st.sampled_from("ab"), st.integers(0, 3), st.booleans()), max_size=30)
+
+
+@given(steps=STEPS)
+def test_the_latest_of_a_name_is_what_a_search_through_all_finds(steps: list[tuple[str, int, bool]]) -> None:
+    sessions = Sessions()
+    held: dict[Session, int] = {}
+    for at, (name, start, stays) in enumerate(steps):
+        session = Session(name, start)
+        if stays:
+            sessions.renew(session, at)
+            held[session] = at
+        elif session in held:
+            sessions.forget(session)
+            del held[session]
+        assert dict(sessions.items()) == held
+        assert list(sessions) == list(held)
+        for known in "ab":
+            assert sessions.latest(known) == max((s for s in held if s.name == known), default=None)
+        assert sessions.renewed_at(session, -1) == held.get(session, -1)
+
+
+class Unsearchable(Sessions):
+    """Sessions that nobody may look through."""
+
+    def __iter__(self) -> Iterator[Session]:
+        raise AssertionError("all sessions are looked through")
+
+    def items(self) -> Iterator[tuple[Session, int]]:
+        raise AssertionError("all sessions are looked through")
+
+
+def test_a_renewal_looks_at_the_sessions_of_its_own_router_only() -> None:
+    steward = Steward(Record.empty(), OwnerSettings(), 0)
+    steward._sessions = Unsearchable()
+    for number in range(FLEET):
+        assert steward.renew(Renew(Session(f"r{number}", 1), 0, 0), 1)
+    assert steward.renew(Renew(Session("r7", 2), 0, 0), 3)
+    assert steward.renew(Renew(Session("r7", 1), 0, 0), 4) == [], "a process before the latest"
