--- a/saltport/nemesis/runner.py
+++ b/saltport/nemesis/runner.py
@@ -192,7 +192,20 @@
             if fresh and holds(fresh):
                 return
             await asyncio.sleep(0.05)
-        raise NemesisError(f"{what}: not within {seconds:g} s")
+        raise NemesisError(f"{what}: not within {seconds:g} s; {self._last_told()}")
+
+    def _last_told(self) -> str:
+        """What each router said last, for a failure that has to be understood without the run."""
+        last = self.history.last()
+        told = []
+        for name in sorted(held.name for held in self.harness.held):
+            sample = last.get(name)
+            if sample is None:
+                told.append(f"{name} never answered")
+                continue
+            states = ", ".join(f"{other} {held.state}" for other, held in sorted(sample.members.items()))
+            told.append(f"{name} {self.now() - sample.at:.1f} s ago {sample.standing} ({states})")
+        return "; ".join(told)
 
     async def until_agreed(self, seconds: float = 30.0) -> None:
         """Wait until all that run hold the same view, just those that run."""
