A server that is silent through a stall is not excused for one more turn

The two are told apart: unread (judging attempts) is as it was before, unread_since (what servers are told) keeps the bound. The former property of unread is back as it was, and the other one has its own.

--- a/saltport/lag.py
+++ b/saltport/lag.py
@@ -25,11 +25,12 @@
 
     def __init__(self) -> None:
         self._begun = 0  # of the turn under way; 0: the loop waits
-        self._looked_before = 0
-        """Since when the kernel had not been looked at, for certain, as the turn before began."""
-        self._stood_still = False
-        """Whether the process stood still in the wait before the turn under way."""
+        self._begun_before = 0
         self._unread_since = 0
+        self._stood_still_since = 0
+        """When the wait began in which the process stood still, ahead of this turn or the one before; or 0."""
+        self._read_after_stop = True
+        """Whether the turn under way, or the last one, is not one that a stop ended."""
         self._waiting_since = 0
         self._least_wait = WAITED_NS
         self._long: deque[tuple[int, int]] = deque(maxlen=REMEMBERED)  # the latest long turns
@@ -51,15 +52,18 @@
     def turn_begins(self, now: int) -> None:
         """The first event of a turn is dealt with."""
         waited = now - self._waiting_since if self._waiting_since else 0
-        self._stood_still = waited > HEARTBEAT_NS + HEARTBEAT_SLACK_NS
-        if self._stood_still:
-            self._unread_since = self._waiting_since
+        stood_still = waited > HEARTBEAT_NS + HEARTBEAT_SLACK_NS
+        if stood_still:
+            self._unread_since = self._stood_still_since = self._waiting_since
             self._squares += waited * waited
         elif waited > self._least_wait or not self._waiting_since:
             self._unread_since = now  # the kernel had nothing before
             self._waited += waited
         else:
-            self._unread_since = self._looked_before or now
+            self._unread_since = self._begun_before or now
+        if not stood_still and (self._read_after_stop or waited > STALL_NS):
+            self._stood_still_since = 0
+        self._read_after_stop = not stood_still
         self._begun = now
 
     def turn_ends(self, now: int) -> None:
@@ -70,20 +74,23 @@
         self.stalls += busy > STALL_NS
         if now - self._begun > STALL_NS:
             self._long.append((self._begun, now))
-        turn = STALL_NS * WAITED_PART if self._stood_still else now - self._begun
-        self._least_wait = min(max(WAITED_NS, turn // WAITED_PART), STALL_NS)
-        # Danger: a process that is stopped is woken without news of the kernel, and its timers make a turn of
-        # their own: what came meanwhile is read in the turn after that.
-        self._looked_before = self._unread_since if self._stood_still else self._begun
-        self._begun, self._waiting_since = 0, now
+        self._least_wait = min(max(WAITED_NS, (now - self._begun) // WAITED_PART), STALL_NS)
+        self._begun_before, self._begun, self._waiting_since = self._begun, 0, now
 
     def unread(self, now: int) -> int:
-        """For how long, at the most, what is read now may have lain in the kernel."""
-        return now - self.unread_since(now)
+        """For how long, at the most, an answer that is judged now may have lain in the kernel."""
+        return now - self._unread_since if self._begun else 0
 
     def unread_since(self, now: int) -> int:
-        """Since when, at the earliest, what is read now may have lain in the kernel."""
-        return self._unread_since if self._begun else now
+        """Since when, at the earliest, what is read now may have lain in the kernel.
+
+        Danger: a process that was stopped is woken without news of the kernel, and its timers make a turn of
+        their own: what came meanwhile is read in the turn after that. Not so in `unread`: a server whose
+        answer was not found by then has been silent, and is not excused for one more turn.
+        """
+        if not self._begun:
+            return now
+        return self._stood_still_since or self._unread_since
 
     def longest_since(self, then: int) -> int:
         """The longest turn that ended since this time, of those over 5 ms; 0: none."""
--- a/tests/test_lag.py
+++ b/tests/test_lag.py
@@ -56,10 +56,22 @@
     meter.turn_begins(311 * MS)  # woken without news of the kernel: a timer that was due
     meter.turn_ends(311 * MS + 20 * US)
     meter.turn_begins(312 * MS)  # the loop has looked at the kernel, on a busy machine
-    assert meter.unread(312 * MS) == 301 * MS
+    assert 312 * MS - meter.unread_since(312 * MS) == 301 * MS
+    assert meter.unread(312 * MS) <= MS  # a server that is silent still is not excused for the stop
     meter.turn_ends(313 * MS)
     meter.turn_begins(313 * MS + 10 * US)
-    assert meter.unread(313 * MS + 10 * US) == MS + 10 * US  # all that was is read
+    now = 313 * MS + 10 * US
+    assert now - meter.unread_since(now) == meter.unread(now) == MS + 10 * US  # all that was is read
+
+
+def test_a_stop_is_over_for_what_is_read_after_a_wait() -> None:
+    meter = LagMeter()
+    meter.turn_begins(10 * MS)
+    meter.turn_ends(11 * MS)
+    meter.turn_begins(311 * MS)
+    meter.turn_ends(312 * MS)
+    meter.turn_begins(320 * MS)  # the kernel was looked at, and had nothing for 8 ms
+    assert meter.unread_since(320 * MS) == 320 * MS
 
 
 def test_a_wait_up_to_the_heartbeat_is_a_wait() -> None:
@@ -90,6 +102,20 @@
 
 @given(gaps=strategies.lists(strategies.tuples(strategies.integers(0, 10**8), strategies.integers(0, 10**8))))
 def test_what_is_told_never_reaches_back_before_the_last_look_but_one(gaps: list[tuple[int, int]]) -> None:
+    meter = LagMeter()
+    now, looks = 1, [1, 1]
+    for waited, busy in gaps:
+        now += waited
+        meter.turn_begins(now)
+        looks = [looks[1], now]
+        assert 0 <= meter.unread(now) <= now - looks[0]
+        now += busy
+        assert busy <= meter.unread(now) <= now - looks[0]
+        meter.turn_ends(now)
+
+
+@given(gaps=strategies.lists(strategies.tuples(strategies.integers(0, 10**8), strategies.integers(0, 10**8))))
+def test_what_is_read_lay_no_longer_than_since_the_last_look_but_one(gaps: list[tuple[int, int]]) -> None:
     """A process that stood still has looked at the kernel as its wait began, and not as it ended."""
     meter = LagMeter()
     now, looks = 1, [1, 1]
@@ -98,9 +124,8 @@
         looks = [now, now] if stood_still else [looks[1], now + waited]
         now += waited
         meter.turn_begins(now)
-        assert 0 <= meter.unread(now) <= now - looks[0]
         now += busy
-        assert busy <= meter.unread(now) <= now - looks[0]
+        assert busy <= meter.unread(now) <= now - meter.unread_since(now) <= now - looks[0]
         meter.turn_ends(now)
 
 
