--- a/saltport/lag.py
+++ b/saltport/lag.py
@@ -28,7 +28,7 @@
         self._begun_before = 0
         self._unread_since = 0
         self._stood_still_since = 0
-        """When the wait began in which the process stood still, ahead of this turn or the one before; or 0."""
+        """When the wait began in which the process stood still, before this turn or the last one; or 0."""
         self._read_after_stop = True
         """Whether the turn under way, or the last one, is not one that a stop ended."""
         self._waiting_since = 0
