--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -18,6 +18,7 @@
 
 from saltport.address import Address, parse_address
 from saltport.admin.client import ask, call, server_path
+from saltport.harness import reserve_port
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE_S = 20.0  # a busy machine's; nothing is expected to take long
@@ -49,14 +50,8 @@
 
 
 def free_port() -> int:
-    """A port for a process that is started next; nobody else on this machine is given it meanwhile.
-
-    Danger: one that is only looked up may be another test's by the time the router listens there. Bound and
-    not listening, a socket keeps it from all who ask for any port, and lets one who names it listen.
-    """
-    held = socket.socket()
-    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    held.bind(("127.0.0.1", 0))
+    """A port for a process that is started next; nobody else on this machine is given it meanwhile."""
+    held = reserve_port()
     _reserved.append(held)
     return int(held.getsockname()[1])
 
