Scale measurements share one least-squares fit

slot_table and allowance fitted their lines by numpy beside benchmarks/scale/fit.py. They ask it now, and it tells the largest distance that their tables quote.

--- a/benchmarks/scale/allowance.py
+++ b/benchmarks/scale/allowance.py
@@ -16,9 +16,9 @@
 from dataclasses import dataclass
 from itertools import accumulate
 
-import numpy
 import orjson
 
+from benchmarks.scale.fit import fit
 from saltport.decisions import Tenant
 from saltport.decisions.interface import NS_PER_S
 from saltport.decisions.suppression import Suppressor
@@ -122,17 +122,17 @@
 def _fit(limit: float, demand_per_router: float) -> None:
     """Fetches a second over the number of sharers, each with the same demand, at one limit for all."""
     rows = [play(World(limit, demand_per_router * size / limit, size)) for size in FIT_SHARERS]
-    values = numpy.array([row.admitted_per_s for row in rows])
-    slope, base = numpy.polyfit(FIT_SHARERS, values, 1)
-    residual = float(numpy.max(numpy.abs(base + slope * numpy.array(FIT_SHARERS) - values)))
+    points = [(float(size), row.admitted_per_s) for size, row in zip(FIT_SHARERS, rows, strict=True)]
+    line = fit(points)
     told = {
         "limit": limit, "demand_per_router": demand_per_router, "sharers": FIT_SHARERS,
-        "admitted_per_s": values.tolist(),
+        "admitted_per_s": [row.admitted_per_s for row in rows],
         "into_empty_windows_per_s": [
             round(into_empty_windows_per_s(row.demand_per_s, limit, size), 2)
             for row, size in zip(rows, FIT_SHARERS, strict=True)
         ],
-        "slope_per_s": float(slope), "base_per_s": float(base), "residual_per_s": residual,
+        "slope_per_s": line.slope, "base_per_s": line.baseline,
+        "residual_per_s": line.largest_distance(points),
     }  # fmt: skip
     print(orjson.dumps(told).decode(), flush=True)
 
--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -37,6 +37,10 @@
         """The line's value."""
         return self.baseline + self.slope * size
 
+    def largest_distance(self, points: Sequence[tuple[float, float]]) -> float:
+        """From the line to the figure that lies furthest from it."""
+        return max(abs(self.at(size) - value) for size, value in points)
+
     def __str__(self) -> str:
         return f"{self.baseline:.4g} + {self.slope:.4g} N, residual {self.residual:.2g}"
 
--- a/benchmarks/scale/slot_table.py
+++ b/benchmarks/scale/slot_table.py
@@ -21,10 +21,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-import numpy
 import orjson
 
 from benchmarks.lists import S, _entry
+from benchmarks.scale.fit import fit
 from benchmarks.scale.stand_ins import machine_load
 from saltport.decisions import RequestClass, Server, Settings
 from saltport.decisions.table import SlotTable
@@ -178,11 +178,10 @@
 
 def fitted(table: list[Body], name: str, part: str = "") -> dict[str, float]:
     """The least-squares line of a figure over the number of servers, and the largest distance from it."""
-    sizes = numpy.array([row["servers"] for row in table], dtype=numpy.float64)
-    values = numpy.array([row[name][part] if part else row[name] for row in table], dtype=numpy.float64)
-    slope, base = numpy.polyfit(sizes, values, 1)
-    residual = numpy.max(numpy.abs(base + slope * sizes - values))
-    return {"base": float(base), "slope": float(slope), "residual": float(residual)}
+    points = [(float(row["servers"]), float(row[name][part] if part else row[name])) for row in table]
+    line = fit(points)
+    residual = line.largest_distance(points)
+    return {"base": line.baseline, "slope": line.slope, "residual": residual}
 
 
 def fleet_watch(servers: int) -> dict[str, float]:
