--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -393,6 +393,7 @@
     known: list[dict[str, Any]] | None = None,
     discovery_says: bytes | None = None,
     more: Sequence[str] = (),
+    environ: dict[str, str] | None = None,
 ) -> Iterator[Routed]:
     """Start a router over these peers, and check at the end that it lived and logged no exception."""
     entries = [entry(peer, name) for name, peer in caches.items()]
@@ -407,7 +408,7 @@
     }
     if limits:
         told["limits"] = limits
-    process = start_router(folder, told, more)
+    process = start_router(folder, told, more, environ)
     router = Routed(process, port, discovery, folder)
     try:
         eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
