Connections that can't be accepted yet wait in the kernel, and are not closed

Cause: uvloop's listeners are libuv's, which on EMFILE and ENFILE give up a spare descriptor and accept and close all that waits (uv__emfile_trick): the requests sent on those connections were lost. The listeners of operators and of the next process tried again in each turn of the loop. At the end of a shutdown the listener was closed over connections that had come and were not accepted yet; over the share of clients by 32 they were closed unread.

Change: one Acceptor (saltport/acceptor.py) for clients, operators and the next process. Where the system is short, it comes back 10 ms later; where one connection failed it goes on; where there is no room nobody is accepted; at the end what waits is accepted ahead of the close, or the door stays open until it can be.

One test of test_time_received looked at the connection before the loop had a turn to accept it: it now waits for that, and checks the same.

--- a/saltport/admin/listener.py
+++ b/saltport/admin/listener.py
@@ -14,6 +14,7 @@
 import httptools
 import orjson
 
+from saltport.acceptor import Acceptor
 from saltport.address import Address
 from saltport.admin.calls import Answer, Operations, answer
 
@@ -132,42 +133,24 @@
         self.operations = operations
         self._callers: dict[Caller, None] = {}
         self._coming: set[asyncio.Task[None]] = set()
-        self._socket: socket.socket | None = None
-        self._again: asyncio.TimerHandle | None = None
+        self._acceptor: Acceptor | None = None
 
-    async def listen(self, address: Address) -> None:
-        """Accept callers here; raises OSError."""
-        self._socket = socket.create_server(address, backlog=2 * MAX_CALLERS)
-        self._socket.setblocking(False)
-        self._go_on()
-
-    def _go_on(self) -> None:
-        self._again = None
-        if self._socket is not None:
-            asyncio.get_running_loop().add_reader(self._socket.fileno(), self._accept)
-
-    def _accept(self) -> None:
-        """Take one caller in, or come back when there is a place to be had.
+    def listen(self, address: Address) -> None:
+        """Accept callers here; raises OSError.
 
         Danger: were the oldest sent away at once, a crowd that comes again each time would send good callers
         away before their call is read, and keep this loop busy with nothing else.
         """
-        assert self._socket is not None
         loop = asyncio.get_running_loop()
-        if (wait := self._until_room(loop.time())) > 0:
-            loop.remove_reader(self._socket.fileno())
-            self._again = loop.call_later(wait, self._go_on)
-            return
-        try:
-            connection, _ = self._socket.accept()
-        except OSError:
-            return
-        task = loop.create_task(self._take(connection))
+        listener = socket.create_server(address, backlog=2 * MAX_CALLERS)
+        self._acceptor = Acceptor(loop, listener, self._accepted, lambda: self._until_room(loop.time()))
+
+    def _accepted(self, connection: socket.socket) -> None:
+        task = asyncio.get_running_loop().create_task(self._take(connection))
         self._coming.add(task)
         task.add_done_callback(self._coming.discard)
 
     async def _take(self, connection: socket.socket) -> None:
-        connection.setblocking(False)
         loop = asyncio.get_running_loop()
         try:
             await loop.connect_accepted_socket(lambda: Caller(self), connection)
@@ -196,11 +179,8 @@
 
     def close(self) -> None:
         """Take no more calls, and end those that are not whole."""
-        if self._again is not None:
-            self._again.cancel()
-        if self._socket is not None:
-            asyncio.get_running_loop().remove_reader(self._socket.fileno())
-            self._socket.close()
-            self._socket = None
+        if self._acceptor is not None:
+            self._acceptor.close()
+            self._acceptor = None
         for caller in list(self._callers):
             caller.abort()
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -10,9 +10,11 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
+from saltport.acceptor import Acceptor
 from saltport.address import Address
 from saltport.deadline import Received
 from saltport.decisions.ordering import KeyOrder
@@ -43,6 +45,7 @@
 IDLE_S = 2.0  # after which a connection without an open request may be closed
 SWEEP_S = 0.2
 REFUSERS = 32
+FULL_PAUSE_S = 0.01  # until there may be room for one more
 READ_SIZE = 256_000  # of uvloop: a shorter read left nothing in the kernel
 
 log = logging.getLogger("saltport")
@@ -513,7 +516,7 @@
         self.unread, self.lingering = UnreadConnections(loop), Lingering(loop)
         self.kernel_clock = KernelClock()
         self._connections: dict[ClientConnection, None] = {}
-        self._listeners: list[asyncio.Server] = []
+        self._acceptors: list[Acceptor] = []
         self.emptying = False
         """Whether connections that carried a request close after their last answer."""
         self.draining = False
@@ -528,27 +531,57 @@
         """What connections that come from another process speak, by the names of the dialects."""
         self.access_log: AccessLog | None = None
         self._numbers = itertools.count(1)
-        self._adopting: set[asyncio.Task[Any]] = set()
+        self._arriving: set[asyncio.Task[None]] = set()
+        """Connections that are accepted or taken over, and not read yet."""
+        self._listener_is_shared = False
         self._timer = loop.call_later(SWEEP_S, self._sweep)
 
     def next_number(self) -> int:
         """A number that no other connection of this process has."""
         return next(self._numbers)
 
-    async def listen(self, address: Address, dialect: Callable[[], ClientDialect] | None = None) -> None:
-        """Accept clients at this address, of the server's dialect or another; they share all limits."""
+    def listen(self, address: Address, dialect: Callable[[], ClientDialect] | None = None) -> int:
+        """Accept clients at this address, of the server's dialect or another; they share all limits.
+
+        Returns the port; raises OSError.
+        """
         speaks = dialect or self.dialect
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        # Danger: given a host, the loop resolves it, and keeps four threads for that as long as it runs.
         listener = socket.create_server(address, family=family, backlog=BACKLOG)
-        await self._listen(lambda: ClientConnection(self, speaks), listener)
+        return self._accept_at(listener, speaks)
 
-    async def listen_at(self, listener: socket.socket) -> None:
+    def listen_at(self, listener: socket.socket) -> None:
         """Accept clients at a socket that somebody else holds too, and that outlives this process."""
-        await self._listen(lambda: ClientConnection(self, self.dialect), listener)
+        listener.listen(BACKLOG)
+        self._listener_is_shared = True
+        self._accept_at(listener, self.dialect)
+
+    def _accept_at(self, listener: socket.socket, speaks: Callable[[], ClientDialect]) -> int:
+        acceptor = Acceptor(self.loop, listener, partial(self._accepted, speaks), self._until_room)
+        self._acceptors.append(acceptor)
+        return acceptor.port
+
+    def _accepted(self, speaks: Callable[[], ClientDialect], end: socket.socket) -> None:
+        made = ClientConnection(self, speaks)
+        self._start(self._attach(made, end))
+
+    def _start(self, arriving: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(arriving)
+        self._arriving.add(task)
+        task.add_done_callback(self._arriving.discard)
+
+    async def _attach(self, made: ClientConnection, end: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: made, end)
+        except OSError as error:
+            end.close()
+            log.warning("a connection could not be taken: %s", error)
 
-    async def _listen(self, made: Callable[[], ClientConnection], listener: socket.socket) -> None:
-        self._listeners.append(await self.loop.create_server(made, backlog=BACKLOG, sock=listener))
+    def _until_room(self) -> float:
+        """Seconds until there is room for one more client, which waits in the kernel with what it sent."""
+        if self.connected + len(self._arriving) < self._limit + REFUSERS:
+            return 0.0
+        return 0.0 if self.lingering.make_room() or self._evict() else FULL_PAUSE_S
 
     def adopt(self, record: ConnectionRecord, descriptors: Sequence[int], stays: bool = False) -> None:
         """Go on with a client's connection from another process; `stays`: it can't go there again.
@@ -559,20 +592,15 @@
         if speaks is None:
             raise RecordError(f"no dialect {record.dialect!r} is spoken here")
         arrival = Arrival(record, descriptors[1:], stays)
-        task = self.loop.create_task(self._adopt(speaks, arrival, descriptors[0]))
-        self._adopting.add(task)
-        task.add_done_callback(self._adopting.discard)
+        self._start(self._adopt(speaks, arrival, descriptors[0]))
 
     async def _adopt(self, speaks: Callable[[], ClientDialect], arrival: Arrival, descriptor: int) -> None:
         end = socket.socket(fileno=descriptor)
         end.setblocking(False)
         made = ClientConnection(self, speaks, arrival)
         try:
-            await self.loop.connect_accepted_socket(lambda: made, end)
+            await self._attach(made, end)
             made.attached()
-        except OSError as error:
-            end.close()
-            log.warning("a connection could not be taken over: %s", error)
         finally:
             arrival.drop()
 
@@ -583,7 +611,12 @@
     @property
     def accepting(self) -> bool:
         """Whether clients can connect."""
-        return bool(self._listeners)
+        return bool(self._acceptors)
+
+    @property
+    def empty(self) -> bool:
+        """Whether no client is connected, or about to be."""
+        return not self.connected and not self._arriving and not self._acceptors
 
     @property
     def takes_clients(self) -> bool:
@@ -593,9 +626,6 @@
     def opened(self, connection: ClientConnection) -> None:
         """Count a new connection in, making room for it where there is none."""
         if self.connected >= self._limit and not self.lingering.make_room() and not self._evict():
-            if self.connected >= self._limit + REFUSERS:
-                connection.abort(CloseReason.TOO_MANY)
-                return
             connection.refusing = True
         self._connections[connection] = None
 
@@ -617,9 +647,14 @@
         return len(self._connections) + len(self.lingering)
 
     def stop_accepting(self) -> None:
-        """Close the listeners."""
-        while self._listeners:
-            self._listeners.pop().close()
+        """Take who has connected by now, and nobody after; called again where that could not be done yet.
+
+        Danger: with its listener closed, the kernel resets what waits there, and the requests in it are lost.
+        """
+        for acceptor in list(self._acceptors):
+            if self._listener_is_shared or acceptor.accept_rest():
+                acceptor.close()
+                self._acceptors.remove(acceptor)
 
     def finish(self, even_midway: bool, health: bool = True) -> None:
         """Have all close once nothing is owed on them; `health`: also those that only ask how it is."""
@@ -638,7 +673,8 @@
     def close(self) -> None:
         """Close everything."""
         self._timer.cancel()
-        self.stop_accepting()
+        while self._acceptors:
+            self._acceptors.pop().close()
         for connection in list(self._connections):
             connection.abort(CloseReason.SHUTDOWN)
         self.lingering.close()
--- a/saltport/downstream/endings.py
+++ b/saltport/downstream/endings.py
@@ -24,7 +24,6 @@
     VALUE_CUT = "the router, a value that had begun can't be finished"
     FAULT = "the router, a fault in reading a command"
     EVICTED = "the router, to make room for another"
-    TOO_MANY = "the router, too many connections"
     SHUTDOWN = "the router, the process ends"
     MOVED = "the router, another process goes on with it"
 
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -138,12 +138,12 @@
             from saltport.admin.listener import AdminListener  # only where operators call
 
             admin = AdminListener(self)
-            await admin.listen(config.admin)
+            admin.listen(config.admin)
         if config.listen_fd is None:
-            await self._clients.listen(config.listen)
+            self._clients.listen(config.listen)
         if self._memcached is not None and config.memcached.listen:
             address = parse_address("memcached.listen", config.memcached.listen)
-            await self._clients.listen(address, self._memcached)
+            self._clients.listen(address, self._memcached)
         if not config.settings.must_subscribe:
             self._discovery.start()
         if known is not None:
@@ -188,7 +188,7 @@
                 self._host.inherit(orjson.loads(self._takeover.inherited))
             except ValueError as error:
                 log.warning("what the process before has learnt can't be read: %s", error)
-        await self._clients.listen_at(listener)
+        self._clients.listen_at(listener)
 
     def _learnt(self) -> bytes:
         return orjson.dumps(self._host.learnt())
@@ -325,7 +325,7 @@
                 self._clients.finish(step.midway, health)
             if step.leaving and health:
                 self._clients.stop_accepting()
-                if not self._clients.connected and not self._giving:
+                if self._clients.empty and not self._giving:
                     return
             await asyncio.sleep(STEP_S)
 
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -17,6 +17,7 @@
 from contextlib import suppress
 from pathlib import Path
 
+from saltport.acceptor import Acceptor
 from saltport.handover.exchange import (
     CONNECTION,
     HELLO,
@@ -64,7 +65,7 @@
         """What the process before this one had learnt, once that is told."""
         self._before: socket.socket | None = None
         self._after: socket.socket | None = None
-        self._listener: socket.socket | None = None
+        self._acceptor: Acceptor | None = None
         self.giver = Giver(_close_all)
         self._taker = Taker()
         self._again: asyncio.TimerHandle | None = None
@@ -110,8 +111,7 @@
             listener.close()
             log.warning("%s: %s; connections will not outlive this process", path, error.strerror or error)
             return
-        self._listener = listener
-        self._loop.add_reader(listener.fileno(), self._accept)
+        self._acceptor = Acceptor(self._loop, listener, self._accepted)
 
     def _join(self, path: Path) -> None:
         link = _seqpacket()
@@ -129,17 +129,11 @@
 
     # Towards the process after this one
 
-    def _accept(self) -> None:
-        assert self._listener is not None
-        try:
-            link, _ = self._listener.accept()
-        except OSError:
-            return
+    def _accepted(self, link: socket.socket) -> None:
         if not _same_user(link):
             log.warning("another user's process asked to take this one's place")
             link.close()
             return
-        link.setblocking(False)
         if self._after is not None:
             # Danger: a process that died before it took over must not keep the next one out.
             self._end_after()
@@ -272,10 +266,13 @@
         """Leave; the place in the folder stays with whoever holds it now."""
         if self._again is not None:
             self._again.cancel()
-        for end in (self._before, self._after, self._listener):
+        for end in (self._before, self._after):
             if end is not None:
                 self._drop(end)
-        self._before = self._after = self._listener = None
+        self._before = self._after = None
+        if self._acceptor is not None:
+            self._acceptor.close()
+            self._acceptor = None
 
 
 def own_folder(folder: Path) -> Path:
--- a/tests/admin/test_listener.py
+++ b/tests/admin/test_listener.py
@@ -128,7 +128,7 @@
     async def play() -> bytes:
         listener = AdminListener(cast(Operations, None))
         address = ("127.0.0.1", free_port())
-        await listener.listen(address)
+        listener.listen(address)
         reader, writer = await asyncio.open_connection(*address)
         crowd = [await asyncio.open_connection(*address) for _ in range(2 * MAX_CALLERS)]
         writer.write(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -106,8 +106,7 @@
     async def run() -> None:
         host = Taken()
         server = ClientServer(asyncio.get_running_loop(), host, RespDialect, LIMIT, 1 << 20)
-        await server.listen(("127.0.0.1", 0))
-        port = server._listeners[0].sockets[0].getsockname()[1]
+        port = server.listen(("127.0.0.1", 0))
         async with asyncio.timeout(2 * PATIENCE_S):
             await scene(Front(server, host, port))
         server.close()
--- a/tests/crossings/test_time_received.py
+++ b/tests/crossings/test_time_received.py
@@ -22,7 +22,7 @@
 from saltport.deadline import NS_PER_MS, Received
 from saltport.decisions import ListKind, RequestClass, Server, ServersChanged, Settings
 from saltport.decisions.interface import NS_PER_S
-from saltport.downstream.clients import MAX_PIPELINE, ClientServer
+from saltport.downstream.clients import MAX_PIPELINE, ClientConnection, ClientServer
 from saltport.downstream.received import HELD_UP_NS, TICK_NS, KernelClock, ReceiveTimes
 from saltport.downstream.resp import RespDialect
 from saltport.membership.listing import Listing
@@ -48,12 +48,19 @@
     async def client(self) -> Client:
         return await self._loop.run_in_executor(None, Client, self.listener.getsockname()[1])
 
+    async def connection(self) -> ClientConnection:
+        """The only client's connection, once it is accepted."""
+        while not self.clients._connections:
+            await asyncio.sleep(0)
+        (connection,) = self.clients._connections
+        return connection
+
     async def within(self, work: Callable[[], Any]) -> Any:
         """Let a client work beside the loop."""
         return await self._loop.run_in_executor(None, work)
 
-    async def listen(self) -> None:
-        await self.clients.listen_at(self.listener)
+    def listen(self) -> None:
+        self.clients.listen_at(self.listener)
 
     def told_ms(self, request_id: str) -> int:
         (info,) = [words[3] for words in self.cache.seen if words[2] == request_id.encode()]
@@ -106,7 +113,7 @@
 @pytest.mark.parametrize("commands", [1, 3])
 def test_what_lay_unread_while_the_loop_was_held_is_not_told(commands: int) -> None:
     async def scene(world: World) -> None:
-        await world.listen()
+        world.listen()
         client = await world.client()
         assert await world.within(lambda: client.ask(get("first", d=TOTAL_MS))) == b"first"
         data = b"".join(get(f"r{i}", f"k{i}", d=TOTAL_MS) for i in range(commands))
@@ -121,7 +128,7 @@
 
 def test_what_lay_in_the_backlog_while_the_loop_was_held_is_not_told() -> None:
     async def scene(world: World) -> None:
-        await world.listen()
+        world.listen()
         client = Client(world.listener.getsockname()[1])  # the kernel takes it, and the loop does not turn
         unread_ns = send_and_hold(client, get("r1", d=TOTAL_MS))
         assert await world.within(client.answer) == b"r1"
@@ -138,7 +145,7 @@
         sent = time.monotonic_ns()
         await asyncio.sleep(HELD_S)  # the loop turns, but has not been told of the listener
         unread_ns = time.monotonic_ns() - sent
-        await world.listen()
+        world.listen()
         assert await world.within(client.answer) == b"r1"
         assert 0 < world.told_ms("r1") <= most_left_ms(unread_ns)
         client.close()
@@ -150,10 +157,10 @@
     gate = threading.Event()
 
     async def scene(world: World) -> None:
-        await world.listen()
+        world.listen()
         client = await world.client()
         client.send(b"".join(get(f"r{i}", "slow", d=TOTAL_MS) for i in range(MAX_PIPELINE)))
-        (connection,) = world.clients._connections
+        connection = await world.connection()
         while len(connection.replies) < MAX_PIPELINE:
             await asyncio.sleep(0.001)
         client.send(get("last", d=TOTAL_MS))
@@ -172,7 +179,7 @@
 
 def test_request_whose_time_ran_out_unread_is_refused_and_not_sent() -> None:
     async def scene(world: World) -> None:
-        await world.listen()
+        world.listen()
         client = await world.client()
         assert await world.within(lambda: client.ask(get("first", d=TOTAL_MS))) == b"first"
         send_and_hold(client, get("late", d=SHORT_MS))
@@ -187,7 +194,7 @@
     """Told the whole stall's length less, servers would be asked to hurry for nothing."""
 
     async def scene(world: World) -> None:
-        await world.listen()
+        world.listen()
         client = await world.client()
         assert await world.within(lambda: client.ask(get("first", d=TOTAL_MS))) == b"first"
         time.sleep(2 * HELD_S)
--- a/tests/faults/system_calls.py
+++ b/tests/faults/system_calls.py
@@ -1,6 +1,6 @@
 """Faults of the operating system in one process: its calls fail, come short or come late, on command.
 
-The library (system_calls.c) is compiled once for each run of the tests, and loaded into the process under test.
+The library (system_calls.c) is compiled once for each run of the tests, and loaded into the process tested.
 """
 
 from __future__ import annotations
--- a/tests/faults/test_accept.py
+++ b/tests/faults/test_accept.py
@@ -11,13 +11,17 @@
 
 from saltport.admin.client import ask
 from tests.faults.system_calls import Call, SystemCalls
-from tests.sockets import get, routed, serving
+from tests.sockets import eventually, get, routed, serving
 
 CLIENTS = 8
 LONG_S = 0.6
 MOST_TRIES_A_SECOND = 300
 
-MOMENTARY = (errno.ENFILE,)
+MOMENTARY = (
+    errno.ECONNABORTED, errno.EINTR, errno.EPROTO, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ENETDOWN,
+    errno.ENOBUFS, errno.ENOMEM, errno.ENFILE, errno.EMFILE,
+)  # fmt: skip
+EXHAUSTED = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 def names(numbers: tuple[int, ...]) -> list[str]:
@@ -36,6 +40,20 @@
         assert calls.struck(Call.ACCEPT) == 3
 
 
+@pytest.mark.parametrize("number", EXHAUSTED, ids=names(EXHAUSTED))
+def test_accepts_that_fail_for_long_are_tried_again_without_a_spin(tmp_path: Path, number: int) -> None:
+    calls = SystemCalls(tmp_path)
+    with routed(tmp_path, {"s1": serving()}, environ=calls.environ) as router:
+        calls.strike(Call.ACCEPT, number)
+        clients = [router.client() for _ in range(CLIENTS)]
+        for turn, client in enumerate(clients):
+            client.send(get(f"a{turn}"))
+        time.sleep(LONG_S)
+        calls.end(Call.ACCEPT)
+        assert [client.answer() for client in clients] == [b"a%d" % turn for turn in range(CLIENTS)]
+        assert 0 < calls.struck(Call.ACCEPT) < LONG_S * MOST_TRIES_A_SECOND
+
+
 def test_operators_are_answered_once_accepts_work_again_and_none_spins(tmp_path: Path) -> None:
     calls = SystemCalls(tmp_path)
     with routed(tmp_path, {"s1": serving()}, environ=calls.environ) as router:
@@ -48,3 +66,16 @@
         caller.join()
         assert told
         assert 0 < calls.struck(Call.ACCEPT) < LONG_S * MOST_TRIES_A_SECOND
+
+
+def test_connections_that_wait_at_the_end_are_taken_before_the_door_closes(tmp_path: Path) -> None:
+    calls = SystemCalls(tmp_path)
+    with routed(tmp_path, {"s1": serving()}, environ=calls.environ) as router:
+        calls.strike(Call.ACCEPT, errno.ENFILE)
+        client = router.client()
+        client.send(get("a1"))
+        eventually(lambda: calls.struck(Call.ACCEPT), "an accept has failed")
+        router.terminate()
+        time.sleep(LONG_S)  # by then the door would be closed
+        calls.end(Call.ACCEPT)
+        assert client.answer() == b"a1"
