Failing tests: the machine's own failure to dial is held against cache servers

Seen: with every socket call failing with ENFILE for 1.2 s, 8 of 8 reads were refused at once though they had 5 s, and all four servers were suspected.

--- /dev/null
+++ b/tests/faults/test_dial.py
@@ -0,0 +1,57 @@
+"""This machine can't make connections for a while: no server is held to account, and the origin is spared."""
+
+from __future__ import annotations
+
+import errno
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.faults.system_calls import Call, SystemCalls
+from tests.sockets import Peer, get, http_answer, routed, serving
+
+READS = 8
+OWN = [(Call.SOCKET, errno.ENFILE)]
+NAMES = [f"{call.name.lower()}-{errno.errorcode[number]}" for call, number in OWN]
+LONG_S = 1.2
+
+
+def origin() -> Peer:
+    return Peer(lambda _, message: http_answer(200, b"from the origin"), is_http=True)
+
+
+@pytest.mark.parametrize(("call", "number"), OWN, ids=NAMES)
+def test_reads_wait_for_a_connection_as_long_as_their_time_allows(
+    tmp_path: Path, call: Call, number: int
+) -> None:
+    calls, store = SystemCalls(tmp_path), origin()
+    caches = {f"s{turn}": serving() for turn in range(4)}
+    with routed(tmp_path, caches, store, environ=calls.environ) as router:
+        calls.strike(call, number)
+        client = router.client()
+        client.send(b"".join(get(f"a{turn}", f"k{turn}") for turn in range(READS)))
+        time.sleep(LONG_S)
+        failed = calls.struck(call)
+        calls.end(call)
+        assert [client.answer() for _ in range(READS)] == [b"a%d" % turn for turn in range(READS)]
+        assert not store.seen
+        assert 0 < failed < LONG_S * len(caches) * 60, "dialed again now and then, without a spin"
+        assert router.shows("cluster_unhealthy") == 0
+
+
+def test_reads_whose_time_ends_meanwhile_are_refused_and_all_is_served_right_after(tmp_path: Path) -> None:
+    calls, store = SystemCalls(tmp_path), origin()
+    caches = {f"s{turn}": serving() for turn in range(4)}
+    with routed(tmp_path, caches, store, environ=calls.environ) as router:
+        calls.strike(Call.SOCKET, errno.ENFILE)
+        client = router.client()
+        begun = time.monotonic()
+        client.send(b"".join(get(f"a{turn}", f"k{turn}", d=400) for turn in range(READS)))
+        answers = [client.answer() for _ in range(READS)]
+        assert all(answer.startswith(b"-BUSY") for answer in answers), "none of them ever left"
+        assert 0.3 < time.monotonic() - begun < 3
+        calls.end(Call.SOCKET)
+        client.send(b"".join(get(f"b{turn}", f"k{turn}") for turn in range(READS)))
+        assert [client.answer() for _ in range(READS)] == [b"b%d" % turn for turn in range(READS)]
+        assert not store.seen
