Exchanges, connections and listed servers stand in a module of their own, beside the pool

Measured: routing, descriptors, moment of sending, broken answers, replay of decisions pass; no cycle of imports.

--- a/saltport/router/background_requests.py
+++ b/saltport/router/background_requests.py
@@ -8,7 +8,7 @@
 from saltport.deadline import Deadline
 from saltport.decisions import CacheNote, Event, Outcome, ProbeEnded
 from saltport.router.event_host import EventHost
-from saltport.upstream.pool import Exchange
+from saltport.upstream.connection import Exchange
 
 
 class ProbeExchange(Exchange):
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -53,8 +53,9 @@
 from saltport.messages import Request
 from saltport.router.background_requests import Invalidation, ProbeExchange, ReplicationWrite
 from saltport.router.requests import Attempt, MovedValue, OpenRequest, Order
+from saltport.upstream.connection import Connection, Server
 from saltport.upstream.http import OriginConnection
-from saltport.upstream.pool import Connection, Pool, Server
+from saltport.upstream.pool import Pool
 from saltport.upstream.resp import CacheConnection
 
 if TYPE_CHECKING:
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -26,7 +26,7 @@
 from saltport.lag import LagMeter
 from saltport.messages import Request, ValueSource
 from saltport.router.event_host import EventHost
-from saltport.upstream.pool import Exchange
+from saltport.upstream.connection import Exchange
 from saltport.wire.resp import read_report
 
 Order: TypeAlias = "KeyOrder[OpenRequest]"
--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -6,7 +6,7 @@
 
 from saltport.decisions import Outcome
 from saltport.handover.record import Flow
-from saltport.upstream.pool import Connection, Exchange, Server
+from saltport.upstream.connection import Connection, Exchange, Server
 from saltport.wire.http import HttpError, HttpReader, request
 from saltport.wire.resp import LARGE, MAX_VALUE, info_with
 
--- a/saltport/upstream/resp.py
+++ b/saltport/upstream/resp.py
@@ -4,7 +4,7 @@
 
 from saltport.decisions import CacheNote, Outcome
 from saltport.handover.record import Flow
-from saltport.upstream.pool import Connection, Exchange, Server
+from saltport.upstream.connection import Connection, Exchange, Server
 from saltport.wire.resp import FramingError, command, info_with
 from saltport.wire.resp_answers import (
     ELEMENTS,
--- a/tests/crossings/test_broken_answers.py
+++ b/tests/crossings/test_broken_answers.py
@@ -15,8 +15,9 @@
 
 from saltport.decisions import CacheNote, Outcome
 from saltport.messages import Request, ValueSource
+from saltport.upstream.connection import Connection, Exchange
 from saltport.upstream.http import OriginConnection
-from saltport.upstream.pool import Connection, Exchange, Pool
+from saltport.upstream.pool import Pool
 from saltport.upstream.resp import CacheConnection
 from saltport.wire.memcached import RESPONSE_MAGIC, Opcode, Packet, encode
 from tests.binary import Binary, Store, front
--- a/tests/crossings/test_time_told.py
+++ b/tests/crossings/test_time_told.py
@@ -19,7 +19,7 @@
 from saltport.decisions import Event, InvalidationEnded, Outcome
 from saltport.router.background_requests import Invalidation, ReplicationWrite
 from saltport.router.host import RouterHost
-from saltport.upstream.pool import Exchange
+from saltport.upstream.connection import Exchange
 from tests.crossings.test_moment_of_sending import HeldDials, ask, play, until
 from tests.sockets import MISS, PATIENCE_S, Peer, get, hit, http_answer, put, reset, routed
 
--- a/tests/router/test_descriptors.py
+++ b/tests/router/test_descriptors.py
@@ -16,7 +16,8 @@
 
 from saltport.decisions import CacheNote, Outcome
 from saltport.messages import Request
-from saltport.upstream.pool import PER_SERVER, Exchange, Pool
+from saltport.upstream.connection import Exchange
+from saltport.upstream.pool import PER_SERVER, Pool
 from saltport.upstream.resp import CacheConnection
 from tests.sockets import (
     PATIENCE_S,
--- a/tests/router/test_routing.py
+++ b/tests/router/test_routing.py
@@ -19,8 +19,9 @@
 from saltport.decisions import CacheNote, Outcome
 from saltport.downstream.clients import IDLE_S, SWEEP_S
 from saltport.messages import Request, ValueSource
+from saltport.upstream.connection import Exchange
 from saltport.upstream.http import OriginConnection
-from saltport.upstream.pool import PER_SERVER, Exchange, Pool
+from saltport.upstream.pool import PER_SERVER, Pool
 from saltport.upstream.resp import CacheConnection
 from tests.sockets import (
     FACTS,
--- a/tests/wire/mutations.py
+++ b/tests/wire/mutations.py
@@ -13,8 +13,8 @@
 from saltport.decisions import CacheNote, Outcome
 from saltport.messages import Request, ValueSource
 from saltport.upstream import http as upstream_http
+from saltport.upstream.connection import Connection, Exchange, Server
 from saltport.upstream.http import OriginConnection
-from saltport.upstream.pool import Connection, Exchange, Server
 from saltport.upstream.resp import CacheConnection
 from saltport.wire import resp_answers
 from tests.wire.reference import Read, cache_answer, origin_answer
