Dials that fail for want of this machine's resources are made again, and held against no server

Cause: Pool._dial took every OSError for a refusal by the server: with socket(2) or connect(2) failing for want of descriptors, ports or memory, requests moved from server to server and on to the origin or were refused at once, and all servers were suspected.

An attempt that was held back has its whole time from when it leaves, and the wait is in no latency. At the request's own deadline it is refused, as it never left. ENETUNREACH, EHOSTUNREACH and ETIMEDOUT keep their weight.

--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -271,6 +271,8 @@
     _latency = (0, 0)  # until a long value's first bytes
     _due = 0
     _begun_at = 0
+    _patience = 0
+    _was_held_back = False
     _looked = False
 
     def __init__(self, host: RequestHost, request: OpenRequest, told: Send) -> None:
@@ -294,8 +296,15 @@
     def wait_until(self, due: int) -> None:
         """Give up at the time `due`."""
         self._due = due
+        self._patience = due - self._sent_at
         self._timer = self._host.call_at(due, self._timed_out)
 
+    def _wait_anew(self, now: int) -> None:
+        """Its server has not been asked yet, as this machine could not: from now on it has its whole time."""
+        self.held_back, self._was_held_back = False, True
+        self._due = min(now + self._patience, self._request.deadline.at_ns)
+        self._timer = self._host.call_at(self._due, self._timed_out)
+
     def _timed_out(self) -> None:
         """Its time is up by the clock; what this router's own lag took of it is given back once.
 
@@ -304,6 +313,9 @@
         """
         host, now = self._host, time.monotonic_ns()
         host.touched()
+        if self.held_back and not self._request.deadline.expired(now):
+            self._wait_anew(now)
+            return
         late = now - self._due
         if not self._looked:
             self._looked = True
@@ -318,7 +330,7 @@
                 self._timer = host.loop.call_later(LOOK_S, self._timed_out)
                 return
         # One that waits for a free connection never ran, and tells nothing of its server.
-        queued = not self._begun_at and not host.dialing(self._server)
+        queued = not self._begun_at and (self.held_back or not host.dialing(self._server))
         if self._begun_at and self._request.deadline.expired(now):
             self.leave(Outcome.TIMEOUT, host.late_s)
         else:
@@ -328,6 +340,12 @@
         """Its request is written."""
         self._begun_at = time.monotonic_ns()
         self._request.queued = None
+        if self.held_back or self._was_held_back:
+            if self._timer is not None:
+                self._timer.cancel()
+            # Danger: counted in, the wait for this machine would pass for the server's slowness.
+            self._sent_at = self._begun_at
+            self._wait_anew(self._begun_at)
 
     def _lag(self) -> int:
         """The time from the module's word until the request had left."""
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -15,6 +15,7 @@
 from saltport.decisions import CacheNote, Outcome
 from saltport.handover.record import Flow
 from saltport.messages import Request, ValueSource
+from saltport.upstream.dial_pauses import DialPauses
 
 log = logging.getLogger("saltport")
 
@@ -53,6 +54,8 @@
     """The load report that came with the answer, as it came."""
     kept = False
     """Whether the connection had carried others before."""
+    held_back = False
+    """Whether it waits because this machine has no resources for a connection: its server was not asked."""
 
     @abstractmethod
     def remaining_ms(self) -> int:
@@ -317,6 +320,7 @@
         self.idle: list[Connection] = []
         self.connections: set[Connection] = set()
         self.dials: set[asyncio.Task[None]] = set()
+        self.dial_pauses = DialPauses(pool.loop)
         self.late: dict[Connection, None] = {}
         """Those that wait for an answer that nobody wants, the oldest first."""
         self.waiting: deque[Exchange] = deque()
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -13,6 +14,11 @@
 from saltport.upstream.connection import Connection, Exchange, Server
 
 PER_SERVER = 16
+OWN_SHORTAGE = frozenset({
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
+    errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.EAGAIN, errno.EINTR,
+})  # fmt: skip
+"""How socket(2) and connect(2) fail for want of this machine's own resources."""
 IDLE_SHARE = 0.6
 SWEEP_S = 0.5
 LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
@@ -96,6 +102,7 @@
         if not exchange.remaining_ms():
             exchange.end(Outcome.MOOT)
             return
+        exchange.held_back = server.dial_pauses.waiting
         server.waiting.append(exchange)
         self._dial_for(server)
 
@@ -208,6 +215,8 @@
         while server.waiting and server.waiting[0].over:
             server.waiting.popleft()
         while len(server.waiting) > len(server.dials):
+            if not server.dial_pauses.allow(len(server.dials)):
+                return
             # Danger: a silent server's late answers must not keep the next attempts from finding out.
             if server.held >= PER_SERVER and not self._drop_late(server):
                 return
@@ -243,7 +252,7 @@
 
     async def _dial(self, server: Server) -> None:
         connection: Connection | None = None
-        own_lag = False
+        own_lag = out_of_resources = False
         address = server.address
         attempt = self.loop.create_connection(lambda: server.connect(server), *address)
         connecting = self.loop.create_task(attempt)
@@ -258,13 +267,17 @@
             if connecting.done():
                 own_lag = False
                 _, connection = connecting.result()
-        except OSError:
-            pass
+        except OSError as error:
+            out_of_resources = error.errno in OWN_SHORTAGE
         finally:
             server.dials.discard(task)
             if connection is None:
                 connecting.cancel()
                 self._held -= 1
+        if out_of_resources:
+            self._dial_later(server)
+            return
+        server.dial_pauses.over()
         if connection is None or not connection.usable:
             if connection is not None:
                 self._held -= 1
@@ -274,6 +287,17 @@
         server.connections.add(connection)
         connection.retired = not server.open or server.address != address
         self.released(connection)
+        self._dial_for(server)
+
+    def _dial_later(self, server: Server) -> None:
+        """This machine could not make a connection, which says nothing of the server: what waits goes on so.
+
+        Danger: ended here, it would move to servers that do not hold its key, and on to the origin.
+        """
+        for exchange in server.waiting:
+            exchange.held_back = True
+        server.dial_pauses.begin(lambda: self._dial_for(server))
+        self._forget(server)
 
     def _dial_failed(self, server: Server, outcome: Outcome) -> None:
         while server.waiting:
--- a/tests/faults/test_dial.py
+++ b/tests/faults/test_dial.py
@@ -9,10 +9,12 @@
 import pytest
 
 from tests.faults.system_calls import Call, SystemCalls
-from tests.sockets import Peer, get, http_answer, routed, serving
+from tests.sockets import MISS, Peer, entry, eventually, get, http_answer, routed, serving
 
 READS = 8
-OWN = [(Call.SOCKET, errno.ENFILE)]
+SHORTAGES = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
+REFUSALS = (errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENOBUFS)
+OWN = [(Call.SOCKET, number) for number in SHORTAGES] + [(Call.CONNECT, number) for number in REFUSALS]
 NAMES = [f"{call.name.lower()}-{errno.errorcode[number]}" for call, number in OWN]
 LONG_S = 1.2
 
@@ -21,6 +23,19 @@
     return Peer(lambda _, message: http_answer(200, b"from the origin"), is_http=True)
 
 
+@pytest.mark.parametrize(("call", "number"), OWN, ids=NAMES)
+def test_a_few_failures_move_no_read_to_the_origin(tmp_path: Path, call: Call, number: int) -> None:
+    calls, store = SystemCalls(tmp_path), origin()
+    caches = {f"s{turn}": serving() for turn in range(4)}
+    with routed(tmp_path, caches, store, environ=calls.environ) as router:
+        calls.strike(call, number, times=3)
+        client = router.client()
+        client.send(b"".join(get(f"a{turn}", f"k{turn}") for turn in range(READS)))
+        assert [client.answer() for _ in range(READS)] == [b"a%d" % turn for turn in range(READS)]
+        assert calls.struck(call) == 3
+        assert not store.seen
+
+
 @pytest.mark.parametrize(("call", "number"), OWN, ids=NAMES)
 def test_reads_wait_for_a_connection_as_long_as_their_time_allows(
     tmp_path: Path, call: Call, number: int
@@ -55,3 +70,33 @@
         client.send(b"".join(get(f"b{turn}", f"k{turn}") for turn in range(READS)))
         assert [client.answer() for _ in range(READS)] == [b"b%d" % turn for turn in range(READS)]
         assert not store.seen
+
+
+def test_a_server_that_drains_meanwhile_gets_nothing(tmp_path: Path) -> None:
+    calls, store, gone = SystemCalls(tmp_path), origin(), serving()
+    with routed(tmp_path, {"s1": gone}, store, environ=calls.environ) as router:
+        calls.strike(Call.SOCKET, errno.ENFILE)
+        client = router.client()
+        client.send(get("a1"))
+        eventually(lambda: calls.struck(Call.SOCKET), "a dial has failed")
+        before = len(gone.seen)
+        router.discovery.change(entry(gone, "s1", lifecycle="draining"))
+        router.until("generation", 2)
+        calls.end(Call.SOCKET)
+        client.answer()
+        assert len(gone.seen) == before
+
+
+def test_what_a_miss_needs_of_the_origin_waits_as_well(tmp_path: Path) -> None:
+    calls, store = SystemCalls(tmp_path), origin()
+    with routed(tmp_path, {"s1": Peer(lambda *_: MISS)}, store, environ=calls.environ) as router:
+        client = router.client()
+        assert client.ask(get("a0")) == b"from the origin"
+        time.sleep(0.1)
+        calls.strike(Call.SOCKET, errno.ENOBUFS, times=2)
+        answers = []
+        others = [router.client() for _ in range(4)]
+        for turn, other in enumerate(others):
+            other.send(get(f"b{turn}", f"other{turn}"))
+        answers = [other.answer() for other in others]
+        assert answers == [b"from the origin"] * 4
