Failing tests: with a wall clock that is wrong, slow start does not bind, or does not end

Seen: a server that has just started gets 0.47 of the new keys of two where the router's wall clock is an hour ahead, and 0.11 for good where it is an hour behind (0.09 to 0.25, then 0.47, are right).

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -306,6 +306,8 @@
         self, process: subprocess.Popen[str], port: int, discovery: DiscoveryPeer, folder: Path
     ) -> None:
         self.port, self.discovery, self.folder = port, discovery, folder
+        self.caches: dict[str, Peer] = {}
+        """Those that a test looks at."""
         self._clients: WeakSet[Client] = WeakSet()
         super().__init__(process, parse_address("admin_addr", self.told()["admin_addr"]))
 
@@ -394,9 +396,11 @@
     discovery_says: bytes | None = None,
     more: Sequence[str] = (),
     environ: dict[str, str] | None = None,
+    started_ms: dict[str, int] | None = None,
 ) -> Iterator[Routed]:
     """Start a router over these peers, and check at the end that it lived and logged no exception."""
-    entries = [entry(peer, name) for name, peer in caches.items()]
+    starts = started_ms or {}
+    entries = [{**entry(peer, name), "startedAtMs": starts.get(name, 0)} for name, peer in caches.items()]
     if origin is not None:
         entries.append(entry(origin, "origin", "origin"))
     discovery = DiscoveryPeer(entries)
