Start times of servers are known without a wall clock: by when they came and how they compare

Cause: membership.listing.Clock took the difference of wall and monotonic clock once, at the process's start, and read startedAtMs by it for good: with a wall clock ahead slow start never bound, with one behind it never ended.

Change: StartTimes. A start that comes as a change counts from when it came; stamps of one whole list compare with its newest; a list kept from before (known) is told more of by the next whole one. A server may seem younger by as much as the list was late, never older. Turned down: the Date header of discovery's answers, as discovery's clock may be stepped too.

Other uses of the wall clock: start numbers of peers, where it is only the first guess (peers/link.py), and the stand-ins' ledgers.

--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -16,7 +16,8 @@
 import orjson
 
 from saltport.decisions import RequestClass, Settings
-from saltport.membership.listing import Clock, read_listing
+from saltport.membership.listing import read_listing
+from saltport.membership.start_times import StartTimes
 from saltport.membership.steps import ListSteps
 from saltport.router.__main__ import GC_THRESHOLD
 from saltport.router.host import RouterHost
@@ -56,7 +57,7 @@
 async def measure(size: int) -> None:
     """Print a row for each list, with the longest hold in milliseconds."""
     loop = asyncio.get_running_loop()
-    whole, stepped, clock = _host(loop), _host(loop), Clock()
+    whole, stepped, clock = _host(loop), _host(loop), StartTimes()
     steps = ListSteps(clock)
     for name, entries in _lists(size).items():
         data = orjson.dumps({"generation": 1, "reset": True, "instances": entries})
--- a/benchmarks/scale/configuration.py
+++ b/benchmarks/scale/configuration.py
@@ -19,7 +19,8 @@
 from benchmarks.scale import fit
 from benchmarks.scale.discovery import SERVERS, entry
 from saltport.lifecycle.reload import plan_reload
-from saltport.membership.listing import Clock, read_listing
+from saltport.membership.listing import read_listing
+from saltport.membership.start_times import StartTimes
 from saltport.router.config import ConfigError, load_config, reload_config
 from saltport.router.host import RouterHost
 from saltport.upstream.pool import Pool
@@ -64,7 +65,7 @@
     loop = asyncio.get_running_loop()
     host = RouterHost(loop, held.settings, 1, Pool(loop, 100, 0.5, 10.0), 100)
     servers = {"generation": 1, "reset": True, "instances": [entry(number) for number in range(SERVERS)]}
-    host.servers_changed(read_listing(servers, Clock()))
+    host.servers_changed(read_listing(servers, StartTimes()))
     spent, longest = 0.0, 0.0
     for number in range(1, CHANGES + 1):
         path.write_bytes(_file(tenants, number))
--- a/benchmarks/scale/discovery.py
+++ b/benchmarks/scale/discovery.py
@@ -26,8 +26,9 @@
 import uvloop
 
 from benchmarks.scale import fit
-from saltport.membership.listing import Clock, Listing
+from saltport.membership.listing import Listing
 from saltport.membership.registry import Discovery
+from saltport.membership.start_times import StartTimes
 from saltport.membership.steps import ListSteps
 from saltport.router.__main__ import GC_THRESHOLD
 from saltport.standins.ledger import Ledger
@@ -127,7 +128,7 @@
         self._arrivals, self._version = arrivals, 0
         self.calls = 0
         self.discovery = Discovery(
-            address, False, Clock(), self._take, lambda: None, 10.0, random.Random(number)
+            address, False, StartTimes(), self._take, lambda: None, 10.0, random.Random(number)
         )
 
     def _take(self, listing: Listing) -> None:
@@ -231,7 +232,7 @@
     data = orjson.dumps({"generation": 1, "reset": True, "instances": entries})
     memory, spent, held = fit.resident_bytes(), 0.0, []
     for _ in range(copies):
-        steps = ListSteps(Clock())
+        steps = ListSteps(StartTimes())
         begun = time.process_time()
         told = [listing for listing in steps.changes(orjson.loads(data)) if listing is not None]
         spent += time.process_time() - begun
--- a/benchmarks/scale/slot_table.py
+++ b/benchmarks/scale/slot_table.py
@@ -28,7 +28,8 @@
 from benchmarks.scale.stand_ins import machine_load
 from saltport.decisions import RequestClass, Server, Settings
 from saltport.decisions.table import SlotTable
-from saltport.membership.listing import Clock, read_entry
+from saltport.membership.listing import read_entry
+from saltport.membership.start_times import StartTimes
 from saltport.membership.steps import ListSteps
 from saltport.router.__main__ import GC_THRESHOLD
 from saltport.router.host import RouterHost
@@ -76,7 +77,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         settings = Settings(classes=(RequestClass("fetch", S, 5 * S),))
         self.host = RouterHost(loop, settings, 1, Pool(loop, 100, 0.5, 10.0), 100)
-        self._steps = ListSteps(Clock())
+        self._steps = ListSteps(StartTimes())
 
     def take(self, told: Body) -> Hold:
         """Take one answer of discovery from its bytes; the parser's time belongs to the first step."""
@@ -97,7 +98,7 @@
 
 
 def _server(number: int) -> Server:
-    return read_entry(_entry(number), Clock())[0]
+    return read_entry(_entry(number), StartTimes())[0]
 
 
 @dataclass(frozen=True, slots=True)
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -27,8 +27,9 @@
 from saltport.lifecycle.drain import BY_CALL, LATE_S, Plan, at_the_end
 from saltport.lifecycle.reload import plan_reload
 from saltport.lifecycle.takeover import Takeover
-from saltport.membership.listing import Clock, Listing, read_listing
+from saltport.membership.listing import Listing, read_listing
 from saltport.membership.registry import Discovery
+from saltport.membership.start_times import StartTimes
 from saltport.messages import ClientDialect
 from saltport.router.config import Config, ConfigError, reload_config
 from saltport.router.features import MemcachedFeatures
@@ -69,7 +70,7 @@
         self._loop, self._config, self._environ, self._with_files = loop, config, environ, with_files
         self._terminated = asyncio.Event()
         self._draining: asyncio.Task[None] | None = None
-        self._clock = Clock()
+        self._start_times = StartTimes()
         own = OWN_DESCRIPTORS + (ADMIN_DESCRIPTORS if config.admin else 0)
         descriptors = max(config.sockets - own, 8)
         for_clients = int(descriptors * CLIENT_SHARE)
@@ -88,7 +89,7 @@
         self._discovery = Discovery(
             config.discovery,
             config.settings.must_subscribe,
-            self._clock,
+            self._start_times,
             self._take,
             self._host.discovery_failed,
             config.settings.ask_within / NS_PER_S,
@@ -211,7 +212,7 @@
         if told is None:
             return None
         try:
-            known = read_listing(told, self._clock, ListKind.CACHED)
+            known = read_listing(told, self._start_times, ListKind.CACHED)
         except ValueError as error:
             log.warning("known: %s; the router starts without it", error)
             return None
--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -25,7 +25,8 @@
 import orjson
 
 from saltport.address import Address
-from saltport.membership.listing import Clock, Listing
+from saltport.membership.listing import Listing
+from saltport.membership.start_times import StartTimes
 from saltport.membership.steps import ListSteps
 from saltport.wire.http import HttpError, HttpReader, request
 
@@ -113,7 +114,7 @@
         self,
         address: Address,
         asked: bool,
-        clock: Clock,
+        starts: StartTimes,
         take: Callable[[Listing], None],
         failed: Callable[[], None],
         ask_within: float,
@@ -123,7 +124,7 @@
         self._address, self._asked = address, asked
         self._rng = rng
         self.ask_within(ask_within)
-        self._steps = ListSteps(clock)
+        self._steps = ListSteps(starts)
         self._take, self._failed = take, failed
         self._call: _Call | None = None
         self._task: asyncio.Task[None] | None = None
--- a/saltport/membership/steps.py
+++ b/saltport/membership/steps.py
@@ -13,7 +13,8 @@
 
 from saltport.address import Address
 from saltport.decisions import ListKind, Server, ServersChanged, ServerState
-from saltport.membership.listing import Clock, Listing, read_entry, read_listing
+from saltport.membership.listing import Listing, read_entry, read_listing
+from saltport.membership.start_times import StartTimes
 
 STEP = 64  # entries; some 0.5 ms
 LONG = 256  # entries; shorter lists are taken whole
@@ -29,8 +30,8 @@
 class ListSteps:
     """Holds the entries as they came, and cuts long lists into steps of what is new in them."""
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    def __init__(self, starts: StartTimes) -> None:
+        self._starts = starts
         self._held: dict[str, Any] = {}
 
     def hold(self, body: Any) -> None:
@@ -45,18 +46,19 @@
         except (KeyError, TypeError) as error:
             raise ValueError(f"not a list of servers: {type(error).__name__}: {error}") from None
         if not is_long:
-            yield read_listing(body, self._clock)
+            yield read_listing(body, self._starts)
             self._keep(entries, whole)
             return
         leaving: dict[str, _New] = {}
         ready: dict[str, _New] = {}
         try:
+            self._starts.begin_list(entries, whole)
             for number, entry in enumerate(entries, 1):
                 # Of two entries for a server the later one holds.
                 leaving.pop(entry["instanceId"], None)
                 ready.pop(entry["instanceId"], None)
                 if self._held.get(entry["instanceId"]) != entry:
-                    server, address = read_entry(entry, self._clock)
+                    server, address = read_entry(entry, self._starts)
                     news = ready if server.state is ServerState.READY else leaving
                     news[server.id] = server, address, entry
                 if not number % STEP:
--- a/saltport/router/check.py
+++ b/saltport/router/check.py
@@ -16,7 +16,8 @@
 from jsonschema import Draft202012Validator
 
 from saltport.address import parse_address
-from saltport.membership.listing import Clock, read_listing
+from saltport.membership.listing import read_listing
+from saltport.membership.start_times import StartTimes
 from saltport.router.config import ConfigError, load_config
 from saltport.router.features import FeatureError, read_features
 
@@ -191,7 +192,7 @@
         yield Fault("settings.familyInfo.originKind", f"{origin!r} is no place in settings.kinds")
     if isinstance(told.get("known"), dict):
         try:
-            read_listing(told["known"], Clock())
+            read_listing(told["known"], StartTimes())
         except ValueError as error:
             yield Fault("known", str(error))
 
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -15,8 +15,9 @@
 import pytest
 
 from saltport.membership import registry
-from saltport.membership.listing import Clock, Listing
+from saltport.membership.listing import Listing
 from saltport.membership.registry import Discovery
+from saltport.membership.start_times import StartTimes
 from tests.crossings.jumping import pass_time, play
 
 ASK_WITHIN_S = 10.0
@@ -132,7 +133,7 @@
         self.failures = 0
         self.rng = random.Random(seed)
         self.discovery = Discovery(
-            ("127.0.0.1", port), asked, Clock(), self._take, self._failed, ASK_WITHIN_S, self.rng
+            ("127.0.0.1", port), asked, StartTimes(), self._take, self._failed, ASK_WITHIN_S, self.rng
         )
 
     def _take(self, listing: Listing) -> None:
--- a/tests/faults/test_wall_clock.py
+++ b/tests/faults/test_wall_clock.py
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize("when", ["before the start", "after the start"])
-@pytest.mark.parametrize("step", [0.0, AN_HOUR])
+@pytest.mark.parametrize("step", [0.0, AN_HOUR, -AN_HOUR, 7.0, -7.0])
 def test_server_that_has_just_started_gets_little_and_then_its_share(
     tmp_path: Path, step: float, when: str
 ) -> None:
@@ -47,7 +47,7 @@
         assert share_of(b"fresh", router, "later") >= LEAST_WARM
 
 
-@pytest.mark.parametrize("step", [0.0, AN_HOUR])
+@pytest.mark.parametrize("step", [0.0, AN_HOUR, -AN_HOUR])
 def test_router_that_starts_beside_a_cold_server_holds_back_for_as_long_as_it_is_cold(
     tmp_path: Path, step: float
 ) -> None:
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -7,8 +7,9 @@
 import socket
 import threading
 
-from saltport.membership.listing import Clock, Listing
+from saltport.membership.listing import Listing
 from saltport.membership.registry import ASKED_SPREAD, CALL_SLACK_S, Discovery
+from saltport.membership.start_times import StartTimes
 from tests.sockets import PATIENCE_S, Peer, http_answer
 
 ASK_WITHIN_S = 2.0
@@ -29,7 +30,7 @@
 
     address = "127.0.0.1", peer.port
     rng = random.Random(seed)
-    discovery = Discovery(address, True, Clock(), take, lambda: discovery.subscribe(), ask_within, rng)
+    discovery = Discovery(address, True, StartTimes(), take, lambda: discovery.subscribe(), ask_within, rng)
     discovery.subscribe()
     try:
         return await asyncio.wait_for(told, PATIENCE_S)
--- a/tests/membership/test_steps.py
+++ b/tests/membership/test_steps.py
@@ -10,7 +10,8 @@
 from hypothesis import settings as profile
 
 from saltport.decisions import ListKind, ServerState
-from saltport.membership.listing import Clock, Listing
+from saltport.membership.listing import Listing
+from saltport.membership.start_times import StartTimes
 from saltport.membership.steps import LONG, STEP, ListSteps
 
 
@@ -30,18 +31,18 @@
 
 
 def started(count: int = 1000) -> ListSteps:
-    steps = ListSteps(Clock())
+    steps = ListSteps(StartTimes())
     told(steps.changes(a_list(*map(an_entry, range(count)))))
     return steps
 
 
 def test_short_list_is_taken_whole() -> None:
-    (step,) = told(ListSteps(Clock()).changes(a_list(*map(an_entry, range(LONG)))))
+    (step,) = told(ListSteps(StartTimes()).changes(a_list(*map(an_entry, range(LONG)))))
     assert (step.change.kind, step.more, len(step.addresses)) == (ListKind.FULL, False, LONG)
 
 
 def test_long_list_comes_in_bounded_steps_of_which_the_last_says_so() -> None:
-    steps = told(ListSteps(Clock()).changes(a_list(*map(an_entry, range(5000)), generation=7)))
+    steps = told(ListSteps(StartTimes()).changes(a_list(*map(an_entry, range(5000)), generation=7)))
     assert {step.change.kind for step in steps} == {ListKind.DELTA}
     assert max(len(step.change.servers) for step in steps) <= STEP
     assert sum(len(step.change.servers) for step in steps) == 5000
@@ -51,7 +52,7 @@
 
 def test_reading_pauses_too() -> None:
     pauses = [
-        step for step in ListSteps(Clock()).changes(a_list(*map(an_entry, range(5000)))) if step is None
+        step for step in ListSteps(StartTimes()).changes(a_list(*map(an_entry, range(5000)))) if step is None
     ]
     assert len(pauses) >= 5000 // STEP
 
@@ -96,7 +97,7 @@
 @pytest.mark.parametrize("body", [None, 3, {}, {"instances": 3, "generation": 1, "reset": True}, []])
 def test_what_is_no_list_is_told(body: Any) -> None:
     with pytest.raises(ValueError, match="not a list of servers"):
-        told(ListSteps(Clock()).changes(body))
+        told(ListSteps(StartTimes()).changes(body))
 
 
 def test_steps_that_were_never_taken_are_told_again() -> None:
@@ -125,7 +126,7 @@
 def test_the_end_is_that_of_the_lists_taken_whole(
     lists: list[tuple[dict[int, tuple[str, float]], bool]],
 ) -> None:
-    steps = ListSteps(Clock())
+    steps = ListSteps(StartTimes())
     wanted: dict[str, tuple[str, float]] = {}
     held: dict[str, tuple[str, float]] = {}
     lists = [(dict.fromkeys(range(400), ("up", 1.0)), True), *lists]
