Failing tests: attempts begin for clients that left while the router was held up

Seen: after a stop of 0.25 s a miss that lay in the kernel ahead of its client's end was fetched at the origin, a read and a write that lay there with their client's end were sent, and so was one of a client that left ahead of its accept.

--- /dev/null
+++ b/tests/faults/test_departed_clients.py
@@ -0,0 +1,90 @@
+"""A client that has left gets nothing sent, also where the router was held up and could not notice."""
+
+from __future__ import annotations
+
+import errno
+import os
+import signal
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from tests.faults.system_calls import Call, SystemCalls
+from tests.sockets import (
+    MISS,
+    PATIENCE_S,
+    Peer,
+    Routed,
+    eventually,
+    get,
+    http_answer,
+    routed,
+    serving,
+)
+
+GONE_S = 0.25  # far beyond the 0.1 s in which an attempt may still begin
+
+
+@contextmanager
+def stopped(router: Routed) -> Iterator[None]:
+    """The process stands still meanwhile."""
+    os.kill(router.process.pid, signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        os.kill(router.process.pid, signal.SIGCONT)
+
+
+def test_miss_that_is_read_behind_its_clients_end_is_not_fetched(tmp_path: Path) -> None:
+    let_go = threading.Event()
+
+    def miss(*_: object) -> bytes:
+        let_go.wait(PATIENCE_S)
+        return MISS
+
+    cache, origin = Peer(miss), Peer(lambda *_: http_answer(200, b"value"), is_http=True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        let_go.set()
+        assert router.client().ask(get("a0")) == b"value", "connections are up"
+        let_go.clear()
+        client = router.client()
+        client.send(get("a1"))
+        eventually(lambda: len(cache.seen) == 2, "the read is at the cache")
+        with stopped(router):
+            let_go.set()
+            time.sleep(GONE_S / 2)  # the miss comes first, then the end
+            client.close()
+            time.sleep(GONE_S)
+        assert router.client().ask(get("a2")) == b"value", "the router has read on since"
+        assert [words for words in origin.seen if b"a1" in words[2]] == []
+
+
+def test_request_of_a_client_that_left_before_it_was_accepted_is_not_sent(tmp_path: Path) -> None:
+    calls, cache = SystemCalls(tmp_path), serving()
+    with routed(tmp_path, {"s1": cache}, environ=calls.environ) as router:
+        assert router.client().ask(get("a0")) == b"a0"
+        calls.strike(Call.ACCEPT, errno.ENFILE)
+        client = router.client()
+        client.send(get("a1"))
+        client.close()
+        time.sleep(GONE_S)
+        calls.end(Call.ACCEPT)
+        assert router.client().ask(get("a2")) == b"a2"
+        assert [words for words in cache.seen if words[2] == b"a1"] == []
+
+
+def test_request_that_waits_for_a_dial_is_not_sent_for_a_client_that_left_meanwhile(tmp_path: Path) -> None:
+    calls, cache = SystemCalls(tmp_path), serving()
+    with routed(tmp_path, {"s1": cache}, environ=calls.environ) as router:
+        calls.strike(Call.SOCKET, errno.ENFILE)
+        client = router.client()
+        client.send(get("a1"))
+        eventually(lambda: calls.struck(Call.SOCKET), "a dial has failed")
+        with stopped(router):
+            client.close()
+            calls.end(Call.SOCKET)
+            time.sleep(GONE_S)
+        assert router.client().ask(get("a2")) == b"a2"
+        assert [words for words in cache.seen if words[2] == b"a1"] == []
