Nothing is sent for a client whose end the kernel knows, read or not

Cause: whether a client has left was known only from its end being read, which comes after what lay in the kernel ahead of it: behind a stop, in a listener's queue, in a turn that took long.

Change: where an attempt's bytes leave, its client's socket is asked (poll for POLLRDHUP, one call of the system), as the socket of the server is asked already.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -96,6 +96,7 @@
         """Whether a request ever came; the front asks on connections of its own how the router is."""
         self.number = server.next_number()
         self.transport: asyncio.Transport | None = None
+        self._departures: select.poll | None = None
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
         self.used_at = server.loop.time()
@@ -115,6 +116,8 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
         self._receive_times = self._received_from_now()
+        self._departures = select.poll()
+        self._departures.register(self.descriptor, select.POLLRDHUP)
         self.server.opened(self)
         if self._arrival is not None:
             arrival, self._arrival = self._arrival, None
@@ -438,6 +441,10 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def client_has_left(self) -> bool:
+        """See Channel."""
+        return self._departures is not None and bool(self._departures.poll(0))
+
     def client_left(self) -> None:
         """The client has ended or reset the connection while nothing was read on it."""
         self.abort(CloseReason.CLIENT_RESET)
--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -54,6 +54,9 @@
     def abort(self, reason: CloseReason) -> None:
         """Close at once."""
 
+    def client_has_left(self) -> bool:
+        """Whether the kernel knows that its client has ended or reset it, read or not."""
+
     def give_back(self, reserved: int) -> None:
         """Free so many bytes that a long command had reserved of the memory."""
 
@@ -163,6 +166,10 @@
         """End a begun answer so that the client sees that it is not whole."""
         self._connection.abort(CloseReason.VALUE_CUT)
 
+    def client_has_left(self) -> bool:
+        """Whether its client has left, be it that nobody was told yet."""
+        return self._connection.closed or self._connection.client_has_left()
+
     def forgotten(self) -> None:
         """The host needs the command no longer."""
         if self.reserved:
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -291,6 +291,9 @@
         request, now = self._request, time.monotonic_ns()
         if request.closed or self._number >= request.most_attempts or now >= self._not_after_ns:
             return 0
+        # Danger: behind a stop, or in the queue of a listener, its end may have come long ago, unread.
+        if request.reply.client_has_left():
+            return 0
         return request.deadline.remaining_ms(now + request.doubt_ns)
 
     def wait_until(self, due: int) -> None:
--- a/tests/faults/test_departed_clients.py
+++ b/tests/faults/test_departed_clients.py
@@ -11,6 +11,8 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+import pytest
+
 from tests.faults.system_calls import Call, SystemCalls
 from tests.sockets import (
     MISS,
@@ -20,6 +22,7 @@
     eventually,
     get,
     http_answer,
+    put,
     routed,
     serving,
 )
@@ -61,6 +64,22 @@
         assert [words for words in origin.seen if b"a1" in words[2]] == []
 
 
+@pytest.mark.parametrize("kind", ["read", "write"])
+def test_request_and_end_that_are_read_together_late_are_not_sent(tmp_path: Path, kind: str) -> None:
+    cache, origin = serving(), Peer(lambda *_: http_answer(200, b"value"), is_http=True)
+    with routed(tmp_path, {"s1": cache}, origin) as router:
+        client = router.client()
+        assert client.ask(get("a0")) == b"a0"
+        assert client.ask(put("b0")) == b"value"
+        with stopped(router):
+            client.send(get("a1") if kind == "read" else put("a1"))
+            client.close()
+            time.sleep(GONE_S)
+        assert router.client().ask(get("a2")) == b"a2"
+        assert [words for words in cache.seen if words[2] == b"a1"] == []
+        assert [words for words in origin.seen if b"a1" in words[2]] == []
+
+
 def test_request_of_a_client_that_left_before_it_was_accepted_is_not_sent(tmp_path: Path) -> None:
     calls, cache = SystemCalls(tmp_path), serving()
     with routed(tmp_path, {"s1": cache}, environ=calls.environ) as router:
