A start waits out a shortage of the machine, and a write that failed at once never ran

Cause: socket or bind failing with ENFILE, EMFILE, ENOBUFS or ENOMEM at the start ended the process with status 1, which is a crash. uvloop tells of a write that failed at its first byte only by the connection's end, which counted as a reset.

Change: listeners are tried again for up to 10 s (an address in use is a prompt error as before); a connection that is closing right behind its write has nothing sent. saltport/shortage.py names the errors, for pool and start.

--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -16,7 +16,7 @@
 
 import orjson
 
-from saltport import __version__
+from saltport import __version__, shortage
 from saltport.address import parse_address
 from saltport.admin.calls import CallError
 from saltport.decisions import ListKind, ServersChanged
@@ -44,6 +44,7 @@
     from saltport.peers.link import PeerLink
 
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
+START_PATIENCE_S = 10.0  # for a listener that the machine has no resources for
 STEP_S = 0.01  # between two looks at what is left to drain
 LAST_ANSWERS_S = LATE_S / 2  # in which the last answers leave before SIGKILL may come
 FOLLOW_S = 0.1  # between two looks at what another process has put out or back
@@ -139,12 +140,12 @@
             from saltport.admin.listener import AdminListener  # only where operators call
 
             admin = AdminListener(self)
-            admin.listen(config.admin)
+            await _past_shortages(partial(admin.listen, config.admin))
         if config.listen_fd is None:
-            self._clients.listen(config.listen)
+            await _past_shortages(partial(self._clients.listen, config.listen))
         if self._memcached is not None and config.memcached.listen:
             address = parse_address("memcached.listen", config.memcached.listen)
-            self._clients.listen(address, self._memcached)
+            await _past_shortages(partial(self._clients.listen, address, self._memcached))
         if not config.settings.must_subscribe:
             self._discovery.start()
         if known is not None:
@@ -376,6 +377,19 @@
             self._discovery.move(plan.config.discovery)
 
 
+async def _past_shortages(listen: Callable[[], object]) -> None:
+    """Begin to listen; while the machine is short of what that needs, try again. Raises OSError."""
+    given_up = time.monotonic() + START_PATIENCE_S
+    while True:
+        try:
+            listen()
+            return
+        except OSError as error:
+            if error.errno not in shortage.OF_RESOURCES or time.monotonic() >= given_up:
+                raise
+        await asyncio.sleep(STEP_S)
+
+
 def _owners_link(
     loop: asyncio.AbstractEventLoop, plan: OwnersPlan, peers: PeerLink, host: RouterHost, seed: int
 ) -> OwnersLink:
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -189,6 +189,9 @@
         self._counts = int(exchange.request is not None)
         self.server.pool.sends += self._counts
         self.transport.write(self.request_bytes(exchange, remaining_ms))
+        if self.transport.is_closing() and not self.unsent:
+            # The kernel refused the first byte, and so all; the connection's end is told in a moment.
+            self.pause_writing()
         exchange.begun()
         return True
 
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -3,22 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from collections import deque
 from collections.abc import Callable
 
+from saltport import shortage
 from saltport.address import Address
 from saltport.decisions import Outcome
 from saltport.handover.record import Flow
 from saltport.upstream.connection import Connection, Exchange, Server
 
 PER_SERVER = 16
-OWN_SHORTAGE = frozenset({
-    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
-    errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.EAGAIN, errno.EINTR,
-})  # fmt: skip
-"""How socket(2) and connect(2) fail for want of this machine's own resources."""
 IDLE_SHARE = 0.6
 SWEEP_S = 0.5
 LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
@@ -268,7 +263,7 @@
                 own_lag = False
                 _, connection = connecting.result()
         except OSError as error:
-            out_of_resources = error.errno in OWN_SHORTAGE
+            out_of_resources = error.errno in shortage.OF_DIALS
         finally:
             server.dials.discard(task)
             if connection is None:
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -40,8 +40,8 @@
     (Call.SHUTDOWN, errno.ENOBUFS, 3),
     (Call.SHUTDOWN, errno.ENOTCONN, 3),
 ]
-SHORTAGES = (errno.ENFILE,)
-BROKEN = (errno.EPIPE,)
+SHORTAGES = (errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+BROKEN = (errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.EPIPE)
 
 
 @pytest.mark.parametrize(
@@ -68,6 +68,17 @@
         assert len(unsafe) == READS // 10 - 1, "each write once"
 
 
+def test_writes_that_fail_for_want_of_memory_are_made_again(tmp_path: Path) -> None:
+    calls = SystemCalls(tmp_path)
+    with routed(tmp_path, {"s1": serving(), "s2": serving()}, environ=calls.environ) as router:
+        client = router.client()
+        for turn, number in enumerate([errno.ENOBUFS, errno.ENOMEM] * 5):
+            assert client.ask(get(f"a{turn}", f"k{turn}")) == b"a%d" % turn
+            calls.strike(Call.WRITE, number, times=turn)
+            assert client.ask(get(f"b{turn}", f"k{turn}")) == b"b%d" % turn
+            calls.end(Call.WRITE)
+
+
 @pytest.mark.parametrize("call", [Call.READ, Call.WRITE])
 @pytest.mark.parametrize("most", [1, 7, 100])
 def test_short_reads_and_writes_change_nothing(tmp_path: Path, call: Call, most: int) -> None:
@@ -132,7 +143,7 @@
 
 
 @pytest.mark.parametrize("number", SHORTAGES, ids=[errno.errorcode[number] for number in SHORTAGES])
-@pytest.mark.parametrize("call", [Call.SOCKET])
+@pytest.mark.parametrize("call", [Call.SOCKET, Call.BIND])
 def test_start_waits_out_a_shortage(tmp_path: Path, call: Call, number: int) -> None:
     calls, cache = SystemCalls(tmp_path), serving()
     discovery, port = DiscoveryPeer([entry(cache, "s1")]), free_port()
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -14,6 +14,7 @@
 ORDER = [
     "version",
     "address",
+    "shortage",
     "acceptor",
     "deadline",
     "lag",
