Soak: series of signals, SIGKILL at the earliest, crowds, failing calls; a stricter audit

The audit excused what a router that had been told to end held, and connections closed with nothing sent on; both are lost requests now.

--- a/saltport/audit.py
+++ b/saltport/audit.py
@@ -139,7 +139,8 @@
         self.ends: dict[str, list[int]] = defaultdict(list)
         self.stops: dict[str, list[tuple[int, int]]] = defaultdict(list)
         for record in by_kind["router"]:
-            if record["state"] in ("killed", "exited", "crashed"):
+            # One that was told to end owes its answers all the same, be it killed in the end.
+            if record["state"] in ("killed", "crashed"):
                 self.ends[record["name"]].append(record["t"])
             elif record["state"] == "stopped":
                 self.stops[record["name"]].append((record["t"] - record["ns"], record["t"]))
@@ -198,8 +199,6 @@
             self.note("held_by_a_stopped_router")
         elif answer == "none" and self.begun_in_time(record, due):
             self.note("begun_in_time_and_not_finished")
-        elif answer == "gone" and not self.attempts[record["id"]]:
-            self.note("closed_with_nothing_sent_on")
         else:
             self.broken("answers", record, f"{name}: no final answer ({answer})")
 
@@ -208,7 +207,7 @@
         return bool(record.get("begun")) and record["begun"] <= due + self.limits.answer_slack_ms * MS
 
     def died(self, record: Record, due: int) -> bool:
-        """Whether the router ended while it held this try."""
+        """Whether the router was killed outright while it held this try."""
         return any(record["sent"] - 100 * MS <= end <= due for end in self.ends[record["router"]])
 
     def stood_still(self, record: Record, due: int) -> bool:
--- a/saltport/harness.py
+++ b/saltport/harness.py
@@ -13,7 +13,7 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -30,6 +30,16 @@
 
 START_S = 30.0
 END_S = 10.0
+LONGEST_DEADLINE_S, KILL_SLACK_S = 3.0, 0.7  # PROTOCOL: SIGKILL comes no sooner after SIGTERM
+SIGNAL_EVERY_S = 0.02
+SIGNAL_SERIES = (
+    (signal.SIGTERM,),
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+    (*[signal.SIGHUP] * 10, signal.SIGTERM),
+)
+"""How a router is told to end."""
 TRIES = 5
 WARM_KEYS = 400
 
@@ -95,6 +105,8 @@
     """Sections for a file that routers are started `--with`; `{folder}` stands for this run's folder."""
     dress: Callable[[str, dict[str, Any]], dict[str, str]] | None = None
     """Given a router's name and configuration, which it may change; returns more words for its features."""
+    environ: Mapping[str, str] = field(default_factory=dict)
+    """What routers find in their environment beside the rest."""
     ledger: Ledger = field(init=False)
     control: ControlClient = field(init=False)
     """Set once the fleet runs."""
@@ -169,7 +181,7 @@
 
     async def start_router(self, router: RouterProcess) -> bool:
         """Start a router's process and wait until it is ready; False: it ended, its port may be taken."""
-        environ = {**environment(), "LB_CONFIG": str(router.folder / "config.json")}
+        environ = {**environment(), **self.environ, "LB_CONFIG": str(router.folder / "config.json")}
         with (router.folder / "log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "saltport.router", *self._with_features(router),
@@ -209,19 +221,27 @@
             router.process.kill()
             await router.process.wait()
 
-    async def end_router(self, router: RouterProcess) -> None:
-        """SIGTERM, and SIGKILL if it does not end in time."""
+    async def end_router(
+        self, router: RouterProcess, signals: Sequence[int] = (signal.SIGTERM,), kill_after_s: float = END_S
+    ) -> None:
+        """Send signals, and SIGKILL so many seconds after SIGTERM if the process still runs."""
         if not router.alive:
             return
-        assert router.process is not None
+        process = router.process
+        assert process is not None
         self._ending.add(router.name)
-        self.ledger.write("router", name=router.name, state="terminated")
-        router.process.terminate()
+        for number in signals:
+            if number == signal.SIGTERM:
+                self.ledger.write("router", name=router.name, state="terminated")
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(number)
+            await asyncio.sleep(SIGNAL_EVERY_S if len(signals) > 1 else 0)
         try:
-            await asyncio.wait_for(router.process.wait(), END_S)
+            await asyncio.wait_for(process.wait(), kill_after_s - SIGNAL_EVERY_S * (len(signals) - 1))
         except TimeoutError:
-            router.process.kill()
-            await router.process.wait()
+            self.ledger.write("router", name=router.name, state="overrun")
+            process.kill()
+            await process.wait()
 
     async def restart_routers(self, seconds: float, every_s: float) -> None:
         """Kill or terminate a router now and then, by seed, and start it again."""
@@ -230,10 +250,19 @@
         while time.monotonic() < end:
             await asyncio.sleep(every_s * rng.uniform(0.7, 1.3))
             router = rng.choice(self.held)
-            await (self.kill_router(router) if rng.random() < 0.5 else self.end_router(router))
+            if rng.random() < 0.5:
+                await self.kill_router(router)
+            else:
+                await self.end_router(router, rng.choice(SIGNAL_SERIES), self._earliest_kill_s)
             if not await self.start_router(router):
                 raise HarnessError(f"router {router.name} did not start again")
 
+    @property
+    def _earliest_kill_s(self) -> float:
+        """When SIGKILL may come after SIGTERM at the earliest (PROTOCOL)."""
+        longest_s = max(known.deadline_ms for known in self.profile.classes) / 1000
+        return min(longest_s, LONGEST_DEADLINE_S) + KILL_SLACK_S
+
     async def stop(self) -> None:
         """End all processes that were started here."""
         await asyncio.gather(*(self.end_router(router) for router in self.held))
--- a/saltport/standins/profile.py
+++ b/saltport/standins/profile.py
@@ -176,3 +176,12 @@
     )
     low, high = profile.origin_work_ms
     return replace(profile, classes=classes, origin_work_ms=(low / divisor, high / divisor))
+
+
+def hurried(profile: Profile, divisor: float) -> Profile:
+    """The same deployment with clients that wait for a part of the time."""
+    classes = tuple(
+        replace(known, aim_ms=int(known.aim_ms / divisor), deadline_ms=int(known.deadline_ms / divisor))
+        for known in profile.classes
+    )
+    return replace(profile, classes=classes)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -70,7 +70,6 @@
         tried("d", 5 * S), attempt("d", 5 * S + MS),
         {"kind": "router", "t": 6 * S, "name": "r1", "state": "killed", "writer": "harness"},
         tried("e", 6 * S - MS, answer="gone"), attempt("e", 6 * S),
-        tried("f", 7 * S, answer="gone"),
         tried("g", 7 * S, answer="refused", cls="once"),
         tried("h", 7 * S, answer="unsent", sent=0),
     ]  # fmt: skip
@@ -83,12 +82,13 @@
 def test_good_run_is_clean() -> None:
     verdict = audit(good_run(), PROFILE)
     assert verdict.violations == []
-    assert verdict.checked == {"answers": 10, "effects": 3, "drains": 1, "cold": 1, "stale": 0}
-    assert verdict.notes["lost_with_a_router"] == verdict.notes["closed_with_nothing_sent_on"] == 1
+    assert verdict.checked == {"answers": 9, "effects": 3, "drains": 1, "cold": 1, "stale": 0}
+    assert verdict.notes["lost_with_a_router"] == 1
 
 
 DOCTORED: dict[str, tuple[str, Callable[[], list[Record]]]] = {
     "no answer": ("answers", lambda: [tried("x", S, answer="none", t=S + 600 * MS)]),
+    "closed with nothing sent on": ("answers", lambda: [tried("x", S, answer="gone")]),
     "closed after it was sent on": ("answers", lambda: [tried("x", S, answer="gone"), attempt("x", S + MS)]),
     "late": ("answers", lambda: [tried("x", S, t=S + 551 * MS)]),
     "another's value": ("answers", lambda: [tried("x", S, answer="wrong")]),
--- /dev/null
+++ b/tests/test_soak_shutdown.py
@@ -0,0 +1,74 @@
+"""Soaks of restarts: series of signals, SIGKILL at the earliest, clients that go on, crowds, failing calls.
+
+Some seeds in each run of the suite; more by hand: SALTPORT_SOAK_SEEDS=50 pytest tests/test_soak_shutdown.py
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import random
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from saltport.audit import Limits
+from saltport.soak import Soak, SoakResult, run_soak
+from tests.faults.system_calls import Call, SystemCalls
+
+SEEDS = int(os.environ.get("SALTPORT_SOAK_SEEDS", "4"))
+SECONDS = 9.0
+CROWD, CROWDED_SOCKETS = 140, 200
+# A machine that is busy with other tests may stall a router for longer than the rules' 50 ms.
+GENEROUS = Limits(3_000, 3_000, 3_000, 3_000)
+FAILURES: Sequence[tuple[Call, int]] = (
+    (Call.ACCEPT, errno.ENFILE), (Call.ACCEPT, errno.ECONNABORTED), (Call.SOCKET, errno.ENFILE),
+    (Call.SOCKET, errno.ENOBUFS), (Call.CONNECT, errno.EADDRNOTAVAIL), (Call.CONNECT, errno.ENETUNREACH),
+    (Call.POLL, errno.EINTR), (Call.READ, errno.EINTR), (Call.WRITE, errno.EAGAIN),
+)  # fmt: skip
+STEPS_S = (3600.0, -3600.0, 7.0, -7.0, 0.0)
+
+
+async def fail_now_and_then(calls: SystemCalls, rng: random.Random) -> None:
+    """System calls fail for a moment, reads and writes come short, the wall clock is stepped."""
+    while True:
+        await asyncio.sleep(rng.uniform(0.2, 0.8))
+        call, number = rng.choice(FAILURES)
+        calls.strike(call, number, times=rng.choice((1, 3, 20)))
+        calls.strike(rng.choice((Call.READ, Call.WRITE)), times=50, most=rng.choice((1, 10, 1000)))
+        calls.step_wall_clock(rng.choice(STEPS_S))
+
+
+def play(seed: int, folder: Path) -> SoakResult:
+    """Every third seed has a crowd, the others calls that fail; every second one has short deadlines."""
+    rng = random.Random(seed)
+    calls = SystemCalls(folder)
+    crowd = CROWD if seed % 3 == 0 else 0
+    soak = Soak(
+        SECONDS, nodes=12, routers=3, rate=60, seed=seed, fault_every_s=0.6, restart_every_s=1.2, divide=4,
+        keys=300, hurry=1.0 if seed % 2 else 4.0, crowd=crowd,
+        sockets=CROWDED_SOCKETS if crowd else 1024, environ=calls.environ,
+    )  # fmt: skip
+
+    async def run() -> SoakResult:
+        failing = asyncio.create_task(fail_now_and_then(calls, rng)) if seed % 3 else None
+        try:
+            return await run_soak(soak, folder, GENEROUS)
+        finally:
+            if failing is not None:
+                failing.cancel()
+
+    return uvloop.run(run())
+
+
+@pytest.mark.parametrize("seed", range(1, SEEDS + 1))
+def test_rules_hold_through_restarts_crowds_and_a_failing_system(tmp_path: Path, seed: int) -> None:
+    result = play(seed, tmp_path)
+    assert result.verdict.violations == []
+    assert result.verdict.checked["answers"] > 100
+    assert result.summary["served"] > result.summary["requests"] / 5
+    for log in tmp_path.glob("*/log"):
+        assert "Traceback" not in log.read_text()
