A voter whose disk failed votes again from what the disk has, once it works

Cause: OwnersLink dropped raft and storage for good at the first StorageError. Nothing of the failed step was sent. Turned down: to keep the voter's memory and write again later, as a leader may have counted its own unkept entry.

--- a/saltport/owners/link.py
+++ b/saltport/owners/link.py
@@ -77,6 +77,8 @@
         self.wanted: list[str] = []
         """Pieces of work that other parts of this process want done."""
         self._storage: Storage | None = None
+        self._storage_failed = False
+        """Whether it failed while this voter voted: it is opened anew as soon as it works."""
         self._begin_at = 0
         self._timer: asyncio.TimerHandle | None = None
         self._turned = 0
@@ -101,13 +103,15 @@
             return not isinstance(error, StorageBusyError)
         return True
 
+    def _kept(self, storage: Storage) -> tuple[Log, Vote, bool]:
+        return storage.log, storage.vote, storage.is_new and not self._plan.begin
+
     def _begin(self, now: int) -> Member:
         """Once this process is a member among its peers: its start number is settled then."""
         kept, boots = None, 0
         if self.name in self._plan.voters and not self.trouble:
             if self._storage is not None:
-                forgot = self._storage.is_new and not self._plan.begin
-                kept, boots = (self._storage.log, self._storage.vote, forgot), self._storage.boots
+                kept, boots = self._kept(self._storage), self._storage.boots
             else:
                 kept = (Log(Snapshot(0, 0, Voting(self._plan.voters))), Vote(0), not self._plan.begin)
         start = self._peers.agent.me.start
@@ -124,6 +128,9 @@
                 self._begin_at = now + BEGIN_EVERY
                 if self._open():
                     member = self.member = self._begin(now)
+            if member is not None and self._storage_failed and now >= self._begin_at:
+                self._begin_at = now + BEGIN_EVERY
+                self._vote_again(member, now)
             if member is not None:
                 if now - self._turned > self._plan.settings.lease // 2:
                     member.tenure.lapse(now)  # a gap in its own time: nobody can say what it missed
@@ -139,6 +146,14 @@
             wait = min(max(due - boot_clock(), 5_000_000), 100_000_000) / NS_PER_S
             self._timer = self._loop.call_later(wait, self._turn)
 
+    def _vote_again(self, member: Member, now: int) -> None:
+        """Go on from what the disk has, as after a crash, once it takes what is written."""
+        self._open()
+        if self._storage is not None:
+            self._storage_failed = False
+            member.begin_voting(self._kept(self._storage), self._storage.boots, now)
+            log.info("owners: this voter votes again")
+
     def _say(self, member: Member, now: int) -> None:
         without = member.without_owner(now)
         if without != self._was_without:
@@ -190,10 +205,11 @@
             try:
                 self._storage.keep(work.vote, work.snapshot, work.entries)
             except StorageError as error:
-                # Danger: what could not be kept must not be said, and this voter is none any more.
+                # Danger: what could not be kept must not be said, and nothing must be promised on top of it.
                 self.trouble = str(error)
-                log.error("owners: this voter stops: %s", error)
-                member.raft, self._storage = None, None
+                log.error("owners: this voter stops for now: %s", error)
+                member.stop_voting()
+                self._storage, self._storage_failed = None, True
                 return
         for to, message in work.messages:
             if to == self.name:
--- a/saltport/owners/member.py
+++ b/saltport/owners/member.py
@@ -57,9 +57,17 @@
         self._asked = self._answered_at = now
         self.due = now
         if kept is not None:
-            log, vote, forgot = kept
-            self.record = Record.load(log.snapshot.data)
-            self.raft = Raft(name, log, vote, settings.raft, rng, now, forgot, boots)
+            self.begin_voting(kept, boots, now)
+
+    def begin_voting(self, kept: tuple[Log, Vote, bool], boots: int, now: int) -> None:
+        """Vote from what a storage has, at the start or after it failed; see `__init__`."""
+        log, vote, forgot = kept
+        self.record = Record.load(log.snapshot.data)
+        self.raft = Raft(self.name, log, vote, self.settings.raft, self._rng, now, forgot, boots)
+
+    def stop_voting(self) -> None:
+        """Promise nothing more: what was promised last could not be kept."""
+        self.raft = self._steward = None
 
     @property
     def steward(self) -> Steward | None:
--- a/tests/owners/test_failing_disk.py
+++ b/tests/owners/test_failing_disk.py
@@ -69,9 +69,9 @@
     return any(link.member is not None and piece in link.member.tenure.pieces for link in links.values())
 
 
-@pytest.mark.parametrize("number", [errno.ENOSPC])
-@pytest.mark.parametrize("call", ["fsync"])
-@pytest.mark.parametrize("whose", ["a follower's"])
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO])
+@pytest.mark.parametrize("call", ["write", "fsync"])
+@pytest.mark.parametrize("whose", ["the leader's", "a follower's"])
 def test_voter_votes_again_once_its_disk_works(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, whose: str, call: str, number: int
 ) -> None:
