Test doubles of a client's place say whether their client has left

Cause: the two doubles of Reply lacked what attempts ask since the last change to them; tests of lag and of the moment of sending failed on it, and were not run with that change.

--- a/tests/crossings/test_moment_of_sending.py
+++ b/tests/crossings/test_moment_of_sending.py
@@ -77,6 +77,9 @@
     def forgotten(self) -> None:
         pass
 
+    def client_has_left(self) -> bool:
+        return False
+
 
 async def until(check: Callable[[], Any]) -> None:
     while not check():
--- a/tests/router/test_lag.py
+++ b/tests/router/test_lag.py
@@ -69,6 +69,9 @@
     def forgotten(self) -> None:
         pass
 
+    def client_has_left(self) -> bool:
+        return False
+
 
 def asked(number: int, server: str) -> Request:
     info = b"c=get,t=acme,d=20000"
