A request that finds a seldom used server's only connection busy waits a moment for it

Second connections were made for single meetings and closed 6 s later, unused.

Change: where a server is reached over one connection, a request that finds it busy waits for twice the usual answer (0.1 s at most) before a second one is made, unless as many as eight met within the time for which a connection may stand idle. Where a late answer holds the connection, or another one waits already, it is dialed at once as before.

Decisions are unchanged.

--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -16,6 +16,7 @@
 from saltport.handover.record import Flow
 from saltport.messages import Request, ValueSource
 from saltport.upstream.dial_pauses import DialPauses
+from saltport.upstream.second_connection import SecondConnection
 
 log = logging.getLogger("saltport")
 
@@ -26,6 +27,8 @@
     loop: asyncio.AbstractEventLoop
     sends: int
     """Attempts whose last byte the kernel has taken."""
+    idle_limit: float
+    """Seconds after which a connection that carries nothing is closed."""
 
     @property
     def touched(self) -> Callable[[], None]:
@@ -131,6 +134,8 @@
         self.exchange: Exchange | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
+        self.started_at = 0.0
+        """When its last exchange began, by the loop's clock."""
         self._arrivals = select.poll()
         self.kept = False
         self.unsent = False
@@ -186,6 +191,7 @@
         if not remaining_ms:
             return False
         self.exchange, exchange.connection, exchange.kept = exchange, self, self.kept
+        self.started_at = self.server.pool.loop.time()
         self._counts = int(exchange.request is not None)
         self.server.pool.sends += self._counts
         self.transport.write(self.request_bytes(exchange, remaining_ms))
@@ -324,6 +330,9 @@
         self.connections: set[Connection] = set()
         self.dials: set[asyncio.Task[None]] = set()
         self.dial_pauses = DialPauses(pool.loop)
+        self.second = SecondConnection(pool.idle_limit)
+        self.dial_held: asyncio.TimerHandle | None = None
+        """Runs while the only request in the queue waits for the only connection."""
         self.late: dict[Connection, None] = {}
         """Those that wait for an answer that nobody wants, the oldest first."""
         self.waiting: deque[Exchange] = deque()
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -33,7 +33,7 @@
         """Called at each event that the kernel had for a connection, before it is dealt with."""
         self.loop, self.limit, self._dial_timeout = loop, limit, dial_timeout
         self._whole_limit = limit
-        self._idle_limit = idle_close * IDLE_SHARE
+        self.idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
         self.sends = 0
         """Attempts whose last byte the kernel has taken."""
@@ -85,7 +85,7 @@
         if server is None or not server.open:
             exchange.end(Outcome.CONNECT_FAILED)
             return
-        oldest = self.loop.time() - self._idle_limit
+        oldest = self.loop.time() - self.idle_limit
         while server.idle:
             connection = server.idle.pop()
             if connection.reusable and connection.idle_since >= oldest:
@@ -99,6 +99,20 @@
             return
         exchange.held_back = server.dial_pauses.waiting
         server.waiting.append(exchange)
+        if not self._waits_for_the_only_connection(server):
+            self._dial_for(server)
+
+    def _waits_for_the_only_connection(self, server: Server) -> bool:
+        """Whether the request that came last waits a moment before a second connection is made for it."""
+        if len(server.connections) != 1 or len(server.waiting) != 1 or server.dials or server.late:
+            return False
+        wait_s = server.second.wait_s(self.loop.time())
+        if wait_s:
+            server.dial_held = self.loop.call_later(wait_s, self._dial_after_all, server)
+        return wait_s > 0
+
+    def _dial_after_all(self, server: Server) -> None:
+        server.dial_held = None
         self._dial_for(server)
 
     def adopt(
@@ -135,6 +149,8 @@
     def released(self, connection: Connection) -> None:
         """Give a connection that is free to whoever waits, or keep it."""
         server = connection.server
+        if connection.started_at:
+            server.second.answered(self.loop.time() - connection.started_at)
         if not (connection.reusable if server.waiting else connection.usable):
             connection.close()
             return
@@ -209,6 +225,11 @@
     def _dial_for(self, server: Server) -> None:
         while server.waiting and server.waiting[0].over:
             server.waiting.popleft()
+        if server.dial_held is not None:
+            if len(server.waiting) <= 1 and server.connections:
+                return
+            server.dial_held.cancel()
+            server.dial_held = None
         while len(server.waiting) > len(server.dials):
             if not server.dial_pauses.allow(len(server.dials)):
                 return
@@ -311,7 +332,7 @@
 
     def _sweep(self) -> None:
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
-        oldest = self.loop.time() - self._idle_limit
+        oldest = self.loop.time() - self.idle_limit
         for server in self._servers.values():
             while server.idle and server.idle[0].idle_since < oldest:
                 server.idle.pop(0).close()
