Failing test: a discovery that takes three seconds for each call is never heard

Term: discovery may be slow or crowded; a change counts as told 6 s after discovery had it and could be reached. Seen: calls are given up after 1 s (pushed) or 2 s (asked), and the next one as well, for ever.

--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -21,6 +21,7 @@
 from tests.crossings.jumping import pass_time, play
 
 ASK_WITHIN_S = 10.0
+SLOW_S = 3.0
 ROUND_S = 0.01  # the loop's own rounding
 BAD = ("hangs", "is reset", "is refused", "can't be read", "is cut off")
 
@@ -74,6 +75,10 @@
                     self.waits_end = loop.time() + wait_s
                 if how == "hangs":
                     await asyncio.sleep(10_000)
+                elif how == "is slow":
+                    body = await self._answer(target, wait_s)
+                    await asyncio.sleep(SLOW_S)
+                    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
                 elif how == "comes with the time-out":
                     await self._with_the_time_out(target, wait_s, writer)
                 elif how == "is reset":
@@ -181,6 +186,45 @@
     play(scene())
 
 
+@pytest.mark.parametrize("asked", [False], ids=["pushed"])
+@pytest.mark.parametrize("after_s", [0.5])
+def test_discovery_that_answers_each_call_after_three_seconds_is_followed(
+    after_s: float, asked: bool
+) -> None:
+    async def scene() -> None:
+        peer = Scripted(["is slow"] * 1000)
+        follower = Follower(await peer.listen(), asked, seed=int(after_s * 10))
+        if asked:
+            follower.discovery.subscribe()
+        else:
+            follower.discovery.start()
+        await asyncio.sleep(after_s)
+        peer.change()
+        changed_at = follower.loop.time()
+        await asyncio.wait_for(follower.new.wait(), 100)
+        assert follower.told_at["new"] <= changed_at + registry.TERM_S
+        follower.discovery.close()
+
+    play(scene())
+
+
+def test_late_answer_is_not_taken_over_a_later_one() -> None:
+    async def scene() -> None:
+        peer = Scripted(["is slow"])
+        follower = Follower(await peer.listen(), False, seed=1)
+        follower.discovery.start()
+        await asyncio.sleep(0.5)
+        peer.change()
+        await asyncio.sleep(registry.TERM_S)
+        assert "new" in follower.told_at
+        assert "old" not in follower.told_at, "what the slow call had is older than what a later one brought"
+        follower.discovery.close()
+        await asyncio.sleep(1.0)
+        assert all(connection.is_closing() for connection in peer.connections)
+
+    play(scene())
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_silent_watch_of_an_asked_discovery_is_opened_anew_two_seconds_after_its_wait(seed: int) -> None:
     async def scene() -> None:
