A call to discovery that is given up is still heard for five seconds

Cause: calls were closed after 1 s (pushed) or 2 s (asked), and the next ones too: a discovery that takes 3 s for each call was never followed, and servers that drained went on getting requests.

Change: a call that is given up stays open; its answer counts unless that of a later call was taken before. Where a call was silent the next one begins 2.7 s after it (3.7 s after other failures), so that 3 s fit into the term. One list is taken at a time.

--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -12,6 +12,11 @@
 when it began, to the end of the next one:
 
     SLACK_S + CALL_S + LATE_S = 2.0 <= SILENT_S        AGAIN_S + ASKED_CALL_S + LATE_S = TERM_S
+
+A call that is given up stays open for LATE_ANSWER_S more: its answer counts, unless that of a later call was
+taken before it. So a discovery that takes SLOWEST_S for each call is followed too:
+
+    AGAIN_AFTER_SILENCE_S + SLOWEST_S + LATE_S = TERM_S
 """
 
 from __future__ import annotations
@@ -40,6 +45,9 @@
 PUSHED_WAIT_S = 2.5
 ASKED_CALL_S = 2.0  # calls wait in turn at a discovery that is asked
 AGAIN_S = TERM_S - ASKED_CALL_S - LATE_S  # from a call's beginning to that of the next, where it fails
+SLOWEST_S = 3.0  # that a discovery takes for a call, and still counts as one that could be reached
+LATE_ANSWER_S = TERM_S - CALL_S
+AGAIN_AFTER_SILENCE_S = TERM_S - SLOWEST_S - LATE_S  # from a call's beginning to the next, where it is silent
 ASKED_LEAST_S = 1.0  # where discovery is asked each call costs it work
 ASKED_SPREAD = 0.25  # of a wait: routers that started together must not go on asking together
 CALL_SLACK_S = 1.0  # of the time that the settings let news wait, kept back from a wait
@@ -131,6 +139,11 @@
         self._whole = not asked
         """Whether the next call is for the whole list: changes since the version held may not be told."""
         self._again: asyncio.TimerHandle | None = None
+        self._begun_calls = self._taken_call = 0
+        """How many calls were begun, and the latest of them whose answer was taken."""
+        self._late: set[asyncio.Task[None]] = set()
+        """Calls that were given up and may be answered yet."""
+        self._taking = asyncio.Lock()
         self.generation = 0
 
     def ask_within(self, seconds: float) -> None:
@@ -157,6 +170,8 @@
         self._ask_no_later(None)
         if self._task is not None:
             self._task.cancel()
+        for late in self._late:
+            late.cancel()
         if self._call is not None:
             self._call.close()
 
@@ -211,31 +226,71 @@
                     log.warning("discovery: a watch fell silent")
         except Exception as error:
             log.warning("discovery: %s", str(error) or type(error).__name__)
+            again_s = AGAIN_AFTER_SILENCE_S if isinstance(error, TimeoutError) else AGAIN_S
         self._task = None
-        self._ask_no_later(begun + AGAIN_S * (1 - ASKED_SPREAD * self._rng.random()))
+        self._ask_no_later(begun + again_s * (1 - ASKED_SPREAD * self._rng.random()))
         self._failed()
 
     async def _ask_once(self, wait_s: float, call_s: float) -> None:
         whole = self._whole
         target = LIST_PATH if whole else f"{LIST_PATH}?index={self.generation}&wait={int(wait_s * 1000)}"
+        self._begun_calls += 1
+        number = self._begun_calls
+        answer: asyncio.Future[tuple[int, bytes]] | None = None
         try:
             async with asyncio.timeout(call_s if whole or not wait_s else wait_s + SLACK_S):
                 if self._call is None or not self._call.usable:
                     loop = asyncio.get_running_loop()
                     _, self._call = await loop.create_connection(_Call, *self._address)
                 host, port = self._address
-                status, body = await self._call.ask(target, f"{host}:{port}")
+                answer = self._call.ask(target, f"{host}:{port}")
+                status, body = await asyncio.shield(answer)
+        except TimeoutError:
+            if self._call is not None and answer is not None:
+                self._leave(self._call, answer, number, whole)
+            raise
         except BaseException:
             if self._call is not None:
                 self._call.close()
             raise
+        await self._take_answer(status, body, number, whole)
+
+    def _leave(
+        self, call: _Call, answer: asyncio.Future[tuple[int, bytes]], number: int, whole: bool
+    ) -> None:
+        """Give a call up, and take its answer all the same if it comes late."""
+        self._call = None
+        late = asyncio.get_running_loop().create_task(self._take_late(call, answer, number, whole))
+        self._late.add(late)
+        late.add_done_callback(self._late.discard)
+
+    async def _take_late(
+        self, call: _Call, answer: asyncio.Future[tuple[int, bytes]], number: int, whole: bool
+    ) -> None:
+        try:
+            async with asyncio.timeout(LATE_ANSWER_S):
+                status, body = await answer
+            await self._take_answer(status, body, number, whole)
+            log.info("discovery: an answer came late")
+        except (OSError, TimeoutError, ValueError, _RefusedError, HttpError) as error:
+            log.debug("discovery: a call that was given up: %s", str(error) or type(error).__name__)
+        finally:
+            call.close()
+
+    async def _take_answer(self, status: int, body: bytes, number: int, whole: bool) -> None:
+        """Take a list, unless that of a later call was taken before; raises ValueError, _RefusedError."""
         if status != 200:
             raise _RefusedError(f"answered {status}")
-        for listing in self._steps.changes(orjson.loads(body)):
-            if listing is not None:
-                self._take(listing)
-                if not listing.more:
-                    # A version behind the one held: discovery counts anew, and not all is told as changes.
-                    self._whole = not whole and listing.generation < self.generation
-                    self.generation = listing.generation
-            await asyncio.sleep(0)
+        # Danger: two lists whose steps mix would leave neither.
+        async with self._taking:
+            if number < self._taken_call:
+                return
+            self._taken_call = number
+            for listing in self._steps.changes(orjson.loads(body)):
+                if listing is not None:
+                    self._take(listing)
+                    if not listing.more:
+                        # A version behind the one held: discovery counts anew, not all is told as changes.
+                        self._whole = not whole and listing.generation < self.generation
+                        self.generation = listing.generation
+                await asyncio.sleep(0)
