--- /dev/null
+++ b/tests/faults/test_terms_at_their_ends.py
@@ -0,0 +1,133 @@
+"""Terms at their extremes: signals in series under hanging servers, little time left, half a command."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import pytest
+
+from tests.crossings.test_shutdown import ASIDE
+from tests.sockets import (
+    MISS,
+    PATIENCE_S,
+    Client,
+    Peer,
+    Routed,
+    eventually,
+    get,
+    http_answer,
+    put,
+    routed,
+    serving,
+)
+
+TERM, HUP = signal.SIGTERM, signal.SIGHUP
+SERIES = {
+    "TERM twice": (TERM, TERM), "HUP then TERM": (HUP, TERM), "TERM, HUP, TERM": (TERM, HUP, TERM),
+    "HUP ten times": (*[HUP] * 10, TERM),
+}  # fmt: skip
+LITTLE_MS = (1, 2, 3, 5)
+OWED_S = 3.0
+
+
+class Asker(threading.Thread):
+    """A client that asks again and again on one connection, until the router ends it."""
+
+    def __init__(self, client: Client, name: str) -> None:
+        super().__init__(daemon=True)
+        self._client, self._name = client, name
+        self.asked = 0
+        self.answers: list[bytes] = []
+
+    def run(self) -> None:
+        try:
+            while True:
+                request = put if self.asked % 3 == 2 else get
+                self._client.send(request(f"{self._name}x{self.asked}", d=300))
+                self.asked += 1
+                if not (answer := self._client.answer()):
+                    return
+                self.answers.append(answer)
+        except OSError:
+            pass
+
+
+@pytest.mark.parametrize("series", SERIES.values(), ids=SERIES)
+def test_whatever_was_asked_before_the_end_is_answered_under_servers_that_hang(
+    tmp_path: Path, series: Sequence[int]
+) -> None:
+    let_go = threading.Event()
+
+    def hang(*_: object) -> bytes:
+        let_go.wait(2 * PATIENCE_S)
+        return b""
+
+    caches = {f"s{number}": Peer(hang) for number in range(3)}
+    with routed(tmp_path, caches, Peer(hang, is_http=True), facts=ASIDE) as router:
+        askers = [Asker(router.client(), f"a{number}") for number in range(4)]
+        for asker in askers:
+            asker.start()
+        eventually(lambda: all(asker.answers for asker in askers), "each had an answer")
+        for number in series:
+            router.process.send_signal(number)
+            time.sleep(0.03)
+        for asker in askers:
+            asker.join(PATIENCE_S)
+        assert router.process.wait(PATIENCE_S) == 0
+        for asker in askers:
+            # The last request may have crossed the end, which came between requests.
+            assert asker.asked - 1 <= len(asker.answers) <= asker.asked
+            assert all(answer.startswith(b"-") for answer in asker.answers)
+        let_go.set()
+
+
+@pytest.mark.parametrize("cache", ["answers", "drops it", "misses"])
+def test_requests_with_hardly_any_time_left_are_answered_all_the_same(tmp_path: Path, cache: str) -> None:
+    def drop(*_: object) -> None:
+        return None
+
+    peer = {"answers": serving(), "drops it": Peer(drop), "misses": Peer(lambda *_: MISS)}[cache]
+    origin = Peer(drop if cache == "drops it" else lambda *_: http_answer(200, b"value"), is_http=True)
+    with routed(tmp_path, {"s1": peer}, origin) as router:
+        client = router.client()
+        for turn in range(30):
+            d = LITTLE_MS[turn % len(LITTLE_MS)]
+            begun = time.monotonic()
+            answer = client.ask(put(f"w{turn}", d=d) if turn % 5 == 4 else get(f"a{turn}", f"k{turn}", d))
+            assert answer, "a final answer"
+            assert time.monotonic() - begun < 0.5 + PATIENCE_S / 4
+        assert router.shows("cluster_unhealthy") == 0 or cache == "drops it"
+
+
+def half_on_a_new_connection(router: Routed) -> Client:
+    return router.client()
+
+
+def half_behind_an_answer(router: Routed) -> Client:
+    client = router.client()
+    assert client.ask(get("a1")) == b"a1"
+    return client
+
+
+def half_behind_a_refusal(router: Routed) -> Client:
+    client = router.client()
+    assert client.ask(get("a1", d=1)).startswith((b"-", b"a1"))
+    return client
+
+
+@pytest.mark.parametrize("prepared", [half_on_a_new_connection, half_behind_an_answer, half_behind_a_refusal])
+@pytest.mark.parametrize("part", [1, 7, 30])
+def test_client_that_stops_within_a_command_is_owed_an_error_or_a_close(
+    tmp_path: Path, prepared: object, part: int
+) -> None:
+    assert callable(prepared)
+    with routed(tmp_path, {"s1": serving()}) as router:
+        client = prepared(router)
+        client.send(get("half")[:part])
+        begun = time.monotonic()
+        assert client.answer().startswith(b"-") or client.at_end()
+        assert time.monotonic() - begun < OWED_S
