--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -51,6 +51,8 @@
         self.whole_s = 0.0
         """In which a call for the whole list has to be answered."""
         self.connections: set[asyncio.StreamWriter] = set()
+        self.outage = ""
+        """How all calls go for now, whatever was told; empty: as told."""
 
     async def listen(self) -> int:
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -69,7 +71,7 @@
                 target = head.split(b" ")[1].decode()
                 wait_s = int(target.split("wait=")[1]) / 1000 if "wait=" in target else 0.0
                 self.calls.append((loop.time(), target))
-                how = self._script.pop(0) if self._script else "goes well"
+                how = self.outage or (self._script.pop(0) if self._script else "goes well")
                 if how != "goes well":
                     self.bad_at = loop.time()
                     self.waits_end = loop.time() + wait_s
@@ -208,6 +210,39 @@
     play(scene())
 
 
+@pytest.mark.parametrize("asked", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("how", ["hangs", "is reset", "is refused"])
+@pytest.mark.parametrize("down_s", [0.5, 8.0, 120.0, 600.0])
+def test_outage_after_ten_quiet_minutes_is_followed_by_a_change_in_time(
+    down_s: float, how: str, asked: bool
+) -> None:
+    async def scene() -> None:
+        peer = Scripted([])
+        follower = Follower(await peer.listen(), asked, seed=int(down_s))
+        (follower.discovery.subscribe if asked else follower.discovery.start)()
+        await asyncio.sleep(600.0)
+        for _ in range(2):  # and once more, soon after
+            peer.outage = how
+            for connection in list(peer.connections):
+                if how != "hangs":
+                    connection.transport.abort()
+            await asyncio.sleep(down_s)
+            peer.outage = ""
+            back_at = follower.loop.time()
+            follower.new.clear()
+            follower.told_at.clear()
+            peer.change()
+            await asyncio.wait_for(follower.new.wait(), 100)
+            allowed = back_at + registry.TERM_S
+            if how == "hangs" and asked:
+                allowed = max(allowed, peer.waits_end + registry.SILENT_S)
+            assert follower.told_at["new"] <= allowed + ROUND_S
+            await asyncio.sleep(3.0)
+        follower.discovery.close()
+
+    play(scene())
+
+
 def test_late_answer_is_not_taken_over_a_later_one() -> None:
     async def scene() -> None:
         peer = Scripted(["is slow"])
