--- a/tests/downstream/test_access_log.py
+++ b/tests/downstream/test_access_log.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import json
+import os
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -218,3 +221,31 @@
     assert "r1 (get, 9 ms)" in capsys.readouterr().out
     assert main([str(tmp_path / "none")]) == 2
     assert main([]) == 2
+
+
+def test_a_disk_that_fails_for_a_while_costs_no_entry(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path, count = tmp_path / "access.jsonl", 40
+    real, turn = os.write, 0
+
+    def failing(file: int, data: bytes) -> int:
+        nonlocal turn
+        turn += 1
+        if turn % 3 == 0:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        return real(file, data[: max(len(data) // 3, 1)] if turn % 3 == 1 else data)
+
+    async def scene() -> None:
+        access_log = AccessLog(asyncio.get_running_loop(), path)
+        with monkeypatch.context() as patched:
+            patched.setattr(os, "write", failing)
+            for number in range(count):
+                access_log.accepted(1, f"r{number}", "get", 500)
+                await asyncio.sleep(0)
+        access_log.close()
+
+    asyncio.run(scene())
+    entries = [json.loads(line) for line in path.read_text().splitlines()]
+    assert [entry["id"] for entry in entries[:-1]] == [f"r{number}" for number in range(count)]
+    assert entries[-1]["event"] == "stopped"
