The access log keeps what its disk did not take, and goes on behind a short write

Cause: a write that failed lost a turn's entries, and one that came short left half an entry in the file. Change: what was not taken stays for the next time, up to 4 MiB; a file is set aside only where it ends with a whole entry.

--- a/saltport/downstream/access_log.py
+++ b/saltport/downstream/access_log.py
@@ -2,7 +2,8 @@
 
 Entries are JSON, one a line, each a struct of this module told apart by its field `event`. Times are
 nanoseconds on the machine's monotonic clock. What one turn of the event loop logs is written at its end with
-one system call, so that a process which is killed loses the entries of a single turn at most.
+one system call, so that a process which is killed loses the entries of a single turn at most. What could not
+be written is written with what comes next.
 """
 
 from __future__ import annotations
@@ -22,6 +23,9 @@
 DEFAULT_MAX_BYTES = 256 << 20
 """Size at which a log file is set aside under the suffix `.1`, in the place of the one set aside before."""
 
+MAX_UNWRITTEN = 4 << 20
+"""Bytes that are kept while the file can't be written; entries beyond are lost."""
+
 log = logging.getLogger("saltport")
 
 
@@ -79,6 +83,9 @@
         self._descriptor = _open(path)
         self._size = os.fstat(self._descriptor).st_size
         self._pending: list[bytes] = []
+        self._unwritten = bytearray()
+        self._ends_whole = True
+        """Whether the file ends with a whole entry: a new file must not begin with the rest of one."""
         self._encode = msgspec.json.Encoder().encode
         self.failures = 0
         """How many writes have failed."""
@@ -118,19 +125,26 @@
         self._pending.append(self._encode(entry))
 
     def _flush(self) -> None:
-        if not self._pending:
-            return
-        lines = b"\n".join(self._pending) + b"\n"
+        if self._pending and len(self._unwritten) <= MAX_UNWRITTEN:
+            self._unwritten += b"\n".join(self._pending) + b"\n"
         self._pending.clear()
         try:
-            if self._size + len(lines) > self._max_bytes:
+            if self._ends_whole and self._size + len(self._unwritten) > self._max_bytes:
                 self._rotate()
-            self._size += os.write(self._descriptor, lines)
+            while self._unwritten:
+                self._write()
         except OSError as error:
             self.failures += 1
             if self.failures == 1:
                 log.warning("access log: %s: %s", self._path, error.strerror or error)
 
+    def _write(self) -> None:
+        """Write as much as the system takes at once; what it does not take stays for the next time."""
+        written = os.write(self._descriptor, self._unwritten)
+        self._size += written
+        self._ends_whole = self._unwritten[:written].endswith(b"\n")
+        del self._unwritten[:written]
+
     def _rotate(self) -> None:
         self._path.replace(self._path.with_name(self._path.name + ".1"))
         fresh = _open(self._path)
