Failing test: a suspicion whose accusers have heard its subject since never ends

Seen in a run of the flaky nemesis test, whose failure names the states since 55: after a partition healed r5 and r6 held r3 and r4 suspected for 30 s, in a minority, while all were heard.

--- a/tests/peers/test_world.py
+++ b/tests/peers/test_world.py
@@ -9,7 +9,7 @@
 
 from benchmarks.peers_world import World
 from saltport.peers.agent import MemberState
-from saltport.peers.messages import Ack, Alive, Gossip, Packet, Ping, Suspect, encode
+from saltport.peers.messages import Ack, Alive, Gossip, Packet, Ping, State, Suspect, encode
 from saltport.peers.settings import NS_PER_MS, NS_PER_S, PeerSettings
 from saltport.peers.views import QuorumState
 
@@ -328,3 +328,22 @@
     world.run(5)
     assert {len(agent.members) for agent in world.agents.values()} == {3}
     assert world.agents[0].members.turned_away > 0
+
+
+@pytest.mark.parametrize("cut_ms", [1_200])
+def test_no_suspicion_outlives_the_cut_that_it_came_from(cut_ms: int) -> None:
+    """Also one whose accusers have all heard the suspect since, before it heard of the suspicion itself."""
+    for seed in range(6):
+        world = running(6, seed)
+        world.cuts.append(lambda here, there, _: (here < 2) != (there < 2))
+        world.run(cut_ms / 1_000)
+        world.cuts.clear()
+        world.run(10)
+        suspected = {
+            (agent.name, record.name)
+            for agent in world.agents.values()
+            for record in agent.members.live()
+            if record.state is State.SUSPECT
+        }
+        assert suspected == set(), seed
+        assert standings(world) == {"majority": 6}
