The log tells how far a start has come, and where a crash in foreign code was

Now three lines mark the start (with the processor time so far), and faulthandler writes all threads' stacks at a fatal signal. No thread and no timer is added.

--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -72,6 +72,8 @@
         self._terminated = asyncio.Event()
         self._draining: asyncio.Task[None] | None = None
         self._start_times = StartTimes()
+        self._has_list = False
+        """Whether discovery has told anything to this process."""
         own = OWN_DESCRIPTORS + (ADMIN_DESCRIPTORS if config.admin else 0)
         descriptors = max(config.sockets - own, 8)
         for_clients = int(descriptors * CLIENT_SHARE)
@@ -146,6 +148,7 @@
         if self._memcached is not None and config.memcached.listen:
             address = parse_address("memcached.listen", config.memcached.listen)
             await _past_shortages(partial(self._clients.listen, address, self._memcached))
+        log.info("listening, after %.2f s of processor time", time.process_time())
         if not config.settings.must_subscribe:
             self._discovery.start()
         if known is not None:
@@ -221,6 +224,9 @@
         return known
 
     def _take(self, listing: Listing) -> None:
+        if not self._has_list:
+            self._has_list = True
+            log.info("the first list has come: generation %d", listing.generation)
         self._host.servers_changed(listing)
         self._host.ready = self._host.ready or not listing.more
 
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import gc
 import logging
 import os
 import sys
+import time
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -42,6 +44,9 @@
         print(f"saltport: {error}", file=sys.stderr)
         return 2
     make_logger(config.name)
+    # A start that hangs is found by how far it came, and a crash in the libraries' code by where.
+    faulthandler.enable()
+    log.info("started, after %.2f s of processor time", time.process_time())
     if with_files:
         settings = config.settings
         log.info("table: %d slots%s", settings.slots, ", ranked with numpy" if settings.vectors else "")
