A call to discovery that ends with the process leaves no complaint of the loop

Cause: since given-up calls are heard on, a call's answer is shielded from its caller's end, and asyncio logged an error at each shutdown where nobody took how it ended.

--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -250,6 +250,7 @@
                     _, self._call = await loop.create_connection(_Call, *self._address)
                 host, port = self._address
                 answer = self._call.ask(target, f"{host}:{port}")
+                answer.add_done_callback(_retrieve)
                 status, body = await asyncio.shield(answer)
         except TimeoutError:
             if self._call is not None and answer is not None:
@@ -266,7 +267,6 @@
     ) -> None:
         """Give a call up, and take its answer all the same if it comes late."""
         self._call = None
-        answer.add_done_callback(_retrieve)
         late = asyncio.get_running_loop().create_task(self._take_late(call, answer, number, whole))
         self._late.add(late)
         late.add_done_callback(self._late.discard)
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import random
 from collections.abc import Sequence
@@ -427,3 +428,20 @@
         follower.discovery.close()
 
     play(scene())
+
+
+@pytest.mark.parametrize("how", ["hangs", "is slow", "goes well"])
+def test_end_within_a_call_leaves_nothing_that_the_loop_complains_of(
+    how: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def scene() -> None:
+        peer = Scripted([how] * 10)
+        follower = Follower(await peer.listen(), False, seed=1)
+        follower.discovery.start()
+        await asyncio.sleep(2.5)
+        follower.discovery.close()
+        await asyncio.sleep(5.0)
+
+    play(scene())
+    gc.collect()
+    assert [record.message for record in caplog.records if "never retrieved" in record.message] == []
