--- a/benchmarks/scale/connections.py
+++ b/benchmarks/scale/connections.py
@@ -25,7 +25,15 @@
 import uvloop
 
 from benchmarks.relay import cpu_s
-from benchmarks.scale.stand_ins import CacheServers, Load, descriptors, machine_load, memory_kb, router
+from benchmarks.scale.stand_ins import (
+    CacheServers,
+    Load,
+    descriptors,
+    machine_load,
+    memory_kb,
+    peak_memory_kb,
+    router,
+)
 from saltport.standins.profile import Profile
 from saltport.upstream.pool import IDLE_SHARE, PER_SERVER
 
@@ -85,6 +93,11 @@
     memory_kb: int
     cpu_us: float
     load_average: float
+    seconds: float
+    """That were measured, behind the warm ones."""
+    cpu_s: float
+    """Of the process, its start among it."""
+    peak_memory_kb: int
 
 
 def _keys(seed: int, size: int) -> Iterator[bytes]:
@@ -123,6 +136,7 @@
                 round(model.open, 1), round(model.handshakes_per_s, 2),
                 descriptors(process.pid), memory_kb(process.pid),
                 round((cpu_s(process.pid) - before) * 1e6 / load.served, 1), machine_load(),
+                seconds, cpu_s(process.pid), peak_memory_kb(process.pid),
             )  # fmt: skip
 
 
--- a/benchmarks/scale/stand_ins.py
+++ b/benchmarks/scale/stand_ins.py
@@ -271,6 +271,12 @@
     return int(status.split("VmRSS:")[1].split()[0])
 
 
+def peak_memory_kb(pid: int) -> int:
+    """The most resident memory that a process has had."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.split("VmHWM:")[1].split()[0])
+
+
 def descriptors(pid: int) -> int:
     """Open descriptors of a process."""
     return len(os.listdir(f"/proc/{pid}/fd"))
