--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -10,14 +10,14 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
-from saltport.acceptor import Acceptor
 from saltport.address import Address
 from saltport.deadline import Received
 from saltport.decisions.ordering import KeyOrder
+from saltport.downstream.arrivals import Arrivals
 from saltport.downstream.budget import Budget
 from saltport.downstream.departure import Arrival, Departure, Successor, may_go
 from saltport.downstream.endings import CloseReason
@@ -34,7 +34,6 @@
 if TYPE_CHECKING:
     from saltport.downstream.access_log import AccessLog
 
-BACKLOG = 1024
 LARGE = 64 << 10  # a command that needs more must be given room first
 MAX_PIPELINE = 256
 HIGH_WATER = 64 << 10
@@ -523,7 +522,7 @@
         self.unread, self.lingering = UnreadConnections(loop), Lingering(loop)
         self.kernel_clock = KernelClock()
         self._connections: dict[ClientConnection, None] = {}
-        self._acceptors: list[Acceptor] = []
+        self._arrivals = Arrivals(loop, self._until_room)
         self.emptying = False
         """Whether connections that carried a request close after their last answer."""
         self.draining = False
@@ -538,9 +537,6 @@
         """What connections that come from another process speak, by the names of the dialects."""
         self.access_log: AccessLog | None = None
         self._numbers = itertools.count(1)
-        self._arriving: set[asyncio.Task[None]] = set()
-        """Connections that are accepted or taken over, and not read yet."""
-        self._listener_is_shared = False
         self._timer = loop.call_later(SWEEP_S, self._sweep)
 
     def next_number(self) -> int:
@@ -552,41 +548,15 @@
 
         Returns the port; raises OSError.
         """
-        speaks = dialect or self.dialect
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.create_server(address, family=family, backlog=BACKLOG)
-        return self._accept_at(listener, speaks)
+        return self._arrivals.listen(address, partial(ClientConnection, self, dialect or self.dialect))
 
     def listen_at(self, listener: socket.socket) -> None:
         """Accept clients at a socket that somebody else holds too, and that outlives this process."""
-        listener.listen(BACKLOG)
-        self._listener_is_shared = True
-        self._accept_at(listener, self.dialect)
-
-    def _accept_at(self, listener: socket.socket, speaks: Callable[[], ClientDialect]) -> int:
-        acceptor = Acceptor(self.loop, listener, partial(self._accepted, speaks), self._until_room)
-        self._acceptors.append(acceptor)
-        return acceptor.port
-
-    def _accepted(self, speaks: Callable[[], ClientDialect], end: socket.socket) -> None:
-        made = ClientConnection(self, speaks)
-        self._start(self._attach(made, end))
-
-    def _start(self, arriving: Coroutine[Any, Any, None]) -> None:
-        task = self.loop.create_task(arriving)
-        self._arriving.add(task)
-        task.add_done_callback(self._arriving.discard)
-
-    async def _attach(self, made: ClientConnection, end: socket.socket) -> None:
-        try:
-            await self.loop.connect_accepted_socket(lambda: made, end)
-        except OSError as error:
-            end.close()
-            log.warning("a connection could not be taken: %s", error)
+        self._arrivals.listen_at(listener, partial(ClientConnection, self, self.dialect))
 
     def _until_room(self) -> float:
         """Seconds until there is room for one more client, which waits in the kernel with what it sent."""
-        if self.connected + len(self._arriving) < self._limit + REFUSERS:
+        if self.connected + len(self._arrivals) < self._limit + REFUSERS:
             return 0.0
         return 0.0 if self.lingering.make_room() or self._evict() else FULL_PAUSE_S
 
@@ -599,17 +569,13 @@
         if speaks is None:
             raise RecordError(f"no dialect {record.dialect!r} is spoken here")
         arrival = Arrival(record, descriptors[1:], stays)
-        self._start(self._adopt(speaks, arrival, descriptors[0]))
-
-    async def _adopt(self, speaks: Callable[[], ClientDialect], arrival: Arrival, descriptor: int) -> None:
-        end = socket.socket(fileno=descriptor)
-        end.setblocking(False)
         made = ClientConnection(self, speaks, arrival)
         try:
-            await self._attach(made, end)
-            made.attached()
-        finally:
-            arrival.drop()
+            end = socket.socket(fileno=descriptors[0])
+        except OSError:
+            raise RecordError("the first descriptor is no socket") from None
+        end.setblocking(False)
+        self._arrivals.take_over(end, made, made.attached, arrival.drop)
 
     def thawing(self, record: bytes, descriptors: Sequence[int]) -> Callable[[], None]:
         """What takes a frozen connection up here again."""
@@ -618,12 +584,12 @@
     @property
     def accepting(self) -> bool:
         """Whether clients can connect."""
-        return bool(self._acceptors)
+        return self._arrivals.accepting
 
     @property
     def empty(self) -> bool:
         """Whether no client is connected, or about to be."""
-        return not self.connected and not self._arriving and not self._acceptors
+        return not self.connected and not self._arrivals and not self._arrivals.accepting
 
     @property
     def takes_clients(self) -> bool:
@@ -654,14 +620,8 @@
         return len(self._connections) + len(self.lingering)
 
     def stop_accepting(self) -> None:
-        """Take who has connected by now, and nobody after; called again where that could not be done yet.
-
-        Danger: with its listener closed, the kernel resets what waits there, and the requests in it are lost.
-        """
-        for acceptor in list(self._acceptors):
-            if self._listener_is_shared or acceptor.accept_rest():
-                acceptor.close()
-                self._acceptors.remove(acceptor)
+        """Take who has connected by now, and nobody after; called again where that could not be done yet."""
+        self._arrivals.stop()
 
     def finish(self, even_midway: bool, health: bool = True) -> None:
         """Have all close once nothing is owed on them; `health`: also those that only ask how it is."""
@@ -680,8 +640,7 @@
     def close(self) -> None:
         """Close everything."""
         self._timer.cancel()
-        while self._acceptors:
-            self._acceptors.pop().close()
+        self._arrivals.close()
         for connection in list(self._connections):
             connection.abort(CloseReason.SHUTDOWN)
         self.lingering.close()
