--- a/tests/faults/test_dial.py
+++ b/tests/faults/test_dial.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import errno
+import socket
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
 
 from tests.faults.system_calls import Call, SystemCalls
-from tests.sockets import MISS, Peer, entry, eventually, get, http_answer, routed, serving
+from tests.sockets import MISS, Peer, entry, eventually, get, http_answer, put, routed, serving
 
 READS = 8
 SHORTAGES = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -100,3 +103,32 @@
             other.send(get(f"b{turn}", f"other{turn}"))
         answers = [other.answer() for other in others]
         assert answers == [b"from the origin"] * 4
+
+
+@contextmanager
+def deaf_origin() -> Iterator[Peer]:
+    """An origin whose kernel answers no more connections: its queue of one is full, and nobody accepts."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    waiting = []
+    for _ in range(4):
+        end = socket.socket()
+        end.setblocking(False)
+        end.connect_ex(listener.getsockname())
+        waiting.append(end)
+    deaf = Peer(lambda *_: None, is_http=True)
+    deaf.port = listener.getsockname()[1]
+    try:
+        yield deaf
+    finally:
+        for end in (*waiting, listener):
+            end.close()
+
+
+@pytest.mark.parametrize("request_class", ["once", "put"])
+def test_write_whose_dial_never_came_up_never_ran(tmp_path: Path, request_class: str) -> None:
+    with deaf_origin() as deaf, routed(tmp_path, {"s1": serving()}, deaf) as router:
+        client = router.client()
+        answer = client.ask(put("w1", cls=request_class, d=300))
+        assert answer.startswith(b"-BUSY"), "refused: trying again is harmless"
