An attempt of which nothing left never ran, however it ended

Cause: a time-out behind a dial was told by its outcome alone, which says that the request may have run.

--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -301,6 +301,13 @@
     """Whether its connection had carried others before: a break of such a one tells nothing of a server."""
     size: int = 0
     """Bytes of the value, as far as known."""
+    unsent: bool = False
+    """Whether nothing of it left: it never ran, whatever the outcome says of its server."""
+
+    @property
+    def never_ran(self) -> bool:
+        """Whether it surely had no effect there."""
+        return self.unsent or self.outcome.never_ran
 
 
 @dataclass(frozen=True, slots=True)
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -238,7 +238,7 @@
                 self._fetch(waiter)
         elif not broke:
             self._judge(request, node, event, took)
-        if not outcome.never_ran and request.ran is None:
+        if not event.never_ran and request.ran is None:
             may_have_run(request, node)
         if event.closed or request.done:
             self._finish(request, stored=fetched and outcome is Outcome.OK)
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -386,7 +386,8 @@
         request.out -= 1
         if request.queued is self:
             request.queued = None
-        request.ran = request.ran or not (outcome is Outcome.OK or outcome.never_ran)
+        unsent = not self._begun_at
+        request.ran = request.ran or not (outcome is Outcome.OK or outcome.never_ran or unsent)
         if self._source is not None:
             self._source = None
             if outcome is Outcome.OK:
@@ -415,6 +416,7 @@
             lag,
             self.kept,
             self._size if value is None else len(value),
+            unsent,
         )
         self._host.settle(request)
         self._host.tell(event, value)
