--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -24,6 +24,7 @@
 from saltport.messages import Request
 from tests.sockets import PATIENCE_S, bulk, get
 
+FRESH_S = 0.1
 LIMIT = 3
 LONG = b"v" * (1 << 20)
 
@@ -83,6 +84,9 @@
         while not check():
             await asyncio.sleep(0.001)
 
+    async def read(self, end: socket.socket, size: int) -> bytes:
+        return await asyncio.get_running_loop().run_in_executor(None, end.recv, size)
+
     async def all_of(self, end: socket.socket) -> bytes:
         """All that a client gets up to a clean end; raises ConnectionResetError if there is none."""
 
@@ -288,6 +292,26 @@
     play(scene)
 
 
+def test_connection_that_has_just_come_is_not_closed_before_its_request_can_be_there() -> None:
+    async def scene(front: Front) -> None:
+        end, connection = await front.client()
+        front.server.finish(even_midway=False)
+        assert not connection.evictable
+        end.sendall(get("r1"))
+        await front.until(lambda: front.host.requests)
+        front.host.requests[0][1].served(b"v")
+        assert await front.read(end, 8) == b"$1\r\nv\r\n"
+        late, connection = await front.client()
+        await asyncio.sleep(FRESH_S)
+        assert connection.evictable
+        front.server.finish(even_midway=False)
+        assert await front.all_of(late) == b""
+        end.close()
+        late.close()
+
+    play(scene)
+
+
 def test_connections_that_only_linger_make_room_first() -> None:
     async def scene(front: Front) -> None:
         ends = [await front.client() for _ in range(LIMIT)]
