A connection that has just come is not taken for idle before its request can be there

Cause: a new connection counted as idle from its first moment: it was closed to make room, and 0.5 s after SIGTERM, while its client's first request was on its way; a client sends again what crossed the end of a connection it had used, not on a new one. Change: for 0.1 s it is neither evicted nor ended, but at the very end. The audit of a run notes, and does not count, a close on a client whose own loop ran late between connecting and asking.

--- a/saltport/audit.py
+++ b/saltport/audit.py
@@ -197,6 +197,8 @@
             self.note("lost_with_a_router")
         elif self.stood_still(record, due):
             self.note("held_by_a_stopped_router")
+        elif answer == "gone" and not self.attempts[record["id"]] and self.stall(record, record["sent"]):
+            self.note("closed_on_a_client_that_was_late")  # between connecting and asking
         elif answer == "none" and self.begun_in_time(record, due):
             self.note("begun_in_time_and_not_finished")
         else:
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -42,6 +42,7 @@
 PROGRESS = 16 << 10  # bytes
 PENDING = 64 << 10  # bytes of a command under way that go to a process which takes no records
 IDLE_S = 2.0  # after which a connection without an open request may be closed
+FRESH_S = 0.1  # in which a client that has connected sends its first request
 SWEEP_S = 0.2
 REFUSERS = 32
 FULL_PAUSE_S = 0.01  # until there may be room for one more
@@ -98,7 +99,7 @@
         self._departures: select.poll | None = None
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
-        self.used_at = server.loop.time()
+        self.used_at = self.came_at = server.loop.time()
         self._dialect = dialect()
         self._reading = True
         self._reserved = 0  # set aside for the command under way
@@ -355,6 +356,11 @@
         """Whether it stands between requests."""
         return not self.replies and not self._dialect.need
 
+    @property
+    def has_just_come(self) -> bool:
+        """Whether it is so new that its first request may be on its way; nobody would send that again."""
+        return not self.carried and self.server.loop.time() - self.came_at < FRESH_S
+
     @property
     def _leaves(self) -> bool:
         """Whether it closes once nothing is owed here."""
@@ -499,7 +505,7 @@
         request lies unread here.
         """
         assert self.transport is not None
-        if not self.idle or waiting_for(self.transport):
+        if not self.idle or self.has_just_come or waiting_for(self.transport):
             return False
         arrivals = select.poll()
         arrivals.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
@@ -627,6 +633,8 @@
         """Have all close once nothing is owed on them; `health`: also those that only ask how it is."""
         now = self.loop.time()
         for connection in list(self._connections):
+            if connection.has_just_come and not even_midway:
+                continue
             if health or connection.carried or now - connection.used_at >= IDLE_S:
                 connection.finish(even_midway)
 
