--- a/tests/faults/system_calls.c
+++ b/tests/faults/system_calls.c
@@ -1,12 +1,14 @@
 /* Makes system calls of one process fail, come short or come late, as the test that loaded it (LD_PRELOAD) says.
 
    SALTPORT_FAULTS names a file of `struct fault` rows, one for each entry of `calls`, and one more for the
-   clocks. The file is mapped by both sides, so faults begin and end at any moment of the run. */
+   clocks. The file is mapped by both sides, so faults begin and end at any moment of the run. io_uring is
+   refused throughout, as the platform refuses it: libuv would send its epoll_ctl calls through it unseen. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,7 +29,12 @@
     int64_t step_ns; /* of the clocks' row: what the wall clock shows beyond the true time */
 };
 
-enum { ACCEPT, SOCKET, BIND, CONNECT, POLL, READ, WRITE, GETSOCKOPT, SHUTDOWN, FSYNC, CLOCK, CALLS };
+enum {
+    ACCEPT, SOCKET, BIND, CONNECT, POLL, READ, WRITE, GETSOCKOPT, SHUTDOWN, FSYNC, CLOCK,
+    EPOLL_CTL, EPOLL_CREATE, SETSOCKOPT, GETSOCKNAME, GETPEERNAME, LISTEN, DUP, FCNTL, OPEN, SENDMSG, RECVMSG,
+    CALLS
+};
+enum { IO_URING_FIRST = 425, IO_URING_LAST = 427 };
 
 static struct fault *faults;
 
@@ -94,11 +101,78 @@
      (end, level, name, value, size))
 WRAP(SHUTDOWN, int, shutdown, (int end, int how), (end, how))
 WRAP(FSYNC, int, fsync, (int end), (end))
+WRAP(EPOLL_CTL, int, epoll_ctl, (int epoll, int what, int end, struct epoll_event *event), (epoll, what, end, event))
+WRAP(EPOLL_CREATE, int, epoll_create1, (int flags), (flags))
+WRAP(SETSOCKOPT, int, setsockopt, (int end, int level, int name, const void *value, socklen_t size),
+     (end, level, name, value, size))
+WRAP(GETSOCKNAME, int, getsockname, (int end, struct sockaddr *at, socklen_t *size), (end, at, size))
+WRAP(GETPEERNAME, int, getpeername, (int end, struct sockaddr *at, socklen_t *size), (end, at, size))
+WRAP(LISTEN, int, listen, (int end, int backlog), (end, backlog))
+WRAP(DUP, int, dup, (int end), (end))
 WRAP_MOVED(READ, read, (int end, void *data, size_t size), (end, data, size))
 WRAP_MOVED(READ, recv, (int end, void *data, size_t size, int flags), (end, data, size, flags))
 WRAP_MOVED(WRITE, write, (int end, const void *data, size_t size), (end, data, size))
 WRAP_MOVED(WRITE, send, (int end, const void *data, size_t size, int flags), (end, data, size, flags))
 
+/* Of several parts: a struck TCP socket moves the first one only, or fails; others count as messages. */
+#define WRAP_PARTS(call, message_call, name, parameters, arguments, parts)       \
+    ssize_t name parameters {                                                    \
+        static ssize_t (*next) parameters;                                       \
+        NEXT(name);                                                              \
+        int tcp = faults && (faults[call].left || faults[message_call].left) && is_tcp(end); \
+        struct fault *fault = !faults ? NULL : tcp ? strike(call) : strike(message_call); \
+        if (fault && fault->error) { errno = (int)fault->error; return -1; }     \
+        if (fault && fault->most && parts > 1) parts = 1;                        \
+        return next arguments;                                                   \
+    }
+
+static ssize_t message_parts;
+WRAP_PARTS(WRITE, SENDMSG, writev, (int end, const struct iovec *data, int count), (end, data, count), count)
+WRAP_PARTS(WRITE, SENDMSG, sendmsg, (int end, const struct msghdr *told, int flags), (end, told, flags), message_parts)
+WRAP_PARTS(READ, RECVMSG, recvmsg, (int end, struct msghdr *told, int flags), (end, told, flags), message_parts)
+
+#define WRAP_OPEN(name)                                                          \
+    int name(const char *path, int flags, ...) {                                 \
+        static int (*next)(const char *, int, ...);                              \
+        NEXT(name);                                                              \
+        va_list more;                                                            \
+        va_start(more, flags);                                                   \
+        mode_t mode = flags & (O_CREAT | O_TMPFILE) ? va_arg(more, mode_t) : 0;  \
+        va_end(more);                                                            \
+        struct fault *fault = strike(OPEN);                                      \
+        if (fault && fault->error) { errno = (int)fault->error; return -1; }     \
+        return next(path, flags, mode);                                          \
+    }
+WRAP_OPEN(open)
+WRAP_OPEN(open64)
+
+#define WRAP_FCNTL(name)                                                         \
+    int name(int end, int command, ...) {                                        \
+        static int (*next)(int, int, ...);                                       \
+        NEXT(name);                                                              \
+        va_list more;                                                            \
+        va_start(more, command);                                                 \
+        void *argument = va_arg(more, void *);                                   \
+        va_end(more);                                                            \
+        struct fault *fault = strike(command == F_DUPFD_CLOEXEC || command == F_DUPFD ? DUP : FCNTL); \
+        if (fault && fault->error) { errno = (int)fault->error; return -1; }     \
+        return next(end, command, argument);                                     \
+    }
+WRAP_FCNTL(fcntl)
+WRAP_FCNTL(fcntl64)
+
+long syscall(long number, ...) {
+    static long (*next)(long, ...);
+    NEXT(syscall);
+    if (number >= IO_URING_FIRST && number <= IO_URING_LAST) { errno = ENOSYS; return -1; }
+    long words[6];
+    va_list more;
+    va_start(more, number);
+    for (int word = 0; word < 6; word++) words[word] = va_arg(more, long);
+    va_end(more);
+    return next(number, words[0], words[1], words[2], words[3], words[4], words[5]);
+}
+
 int clock_gettime(clockid_t clock, struct timespec *now) {
     static int (*next)(clockid_t, struct timespec *);
     NEXT(clock_gettime);
--- a/tests/faults/system_calls.py
+++ b/tests/faults/system_calls.py
@@ -31,6 +31,18 @@
     SHUTDOWN = 8
     FSYNC = 9
     CLOCK = 10
+    EPOLL_CTL = 11
+    EPOLL_CREATE = 12
+    SETSOCKOPT = 13
+    GETSOCKNAME = 14
+    GETPEERNAME = 15
+    LISTEN = 16
+    DUP = 17
+    FCNTL = 18
+    OPEN = 19
+    SENDMSG = 20
+    """Of messages, as on the link to another process; on TCP it counts as WRITE."""
+    RECVMSG = 21
 
 
 @cache
