--- a/saltport/admin/listener.py
+++ b/saltport/admin/listener.py
@@ -14,9 +14,9 @@
 import httptools
 import orjson
 
-from saltport.acceptor import Acceptor
 from saltport.address import Address
 from saltport.admin.calls import Answer, Operations, answer
+from saltport.transport.acceptor import Acceptor
 
 MAX_CALLERS = 32
 MAX_HEAD = 8 << 10
--- a/saltport/downstream/arrivals.py
+++ b/saltport/downstream/arrivals.py
@@ -9,8 +9,8 @@
 from functools import partial
 from typing import Any
 
-from saltport.acceptor import Acceptor
 from saltport.address import Address
+from saltport.transport.acceptor import Acceptor
 
 BACKLOG = 1024
 
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -16,7 +16,7 @@
 
 import orjson
 
-from saltport import __version__, shortage
+from saltport import __version__
 from saltport.address import parse_address
 from saltport.admin.calls import CallError
 from saltport.decisions import ListKind, ServersChanged
@@ -34,6 +34,7 @@
 from saltport.router.config import Config, ConfigError, reload_config
 from saltport.router.features import MemcachedFeatures
 from saltport.router.host import RouterHost
+from saltport.transport import shortage
 from saltport.upstream.pool import Pool
 
 if TYPE_CHECKING:
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -17,7 +17,6 @@
 from contextlib import suppress
 from pathlib import Path
 
-from saltport.acceptor import Acceptor
 from saltport.handover.exchange import (
     CONNECTION,
     HELLO,
@@ -33,6 +32,7 @@
     Taker,
 )
 from saltport.handover.record import MAX_STREAMS, VERSION, ConnectionRecord, RecordError
+from saltport.transport.acceptor import Acceptor
 
 NAME = "saltport.takeover"
 MAX_PATH = 107  # bytes that the kernel takes
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -7,10 +7,10 @@
 from collections import deque
 from collections.abc import Callable
 
-from saltport import shortage
 from saltport.address import Address
 from saltport.decisions import Outcome
 from saltport.handover.record import Flow
+from saltport.transport import shortage
 from saltport.upstream.connection import Connection, Exchange, Server
 
 PER_SERVER = 16
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -14,8 +14,7 @@
 ORDER = [
     "version",
     "address",
-    "shortage",
-    "acceptor",
+    "transport",
     "deadline",
     "lag",
     "structures",
