--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -9,7 +9,7 @@
 import threading
 import time
 import zlib
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -70,9 +70,10 @@
         facts: dict[str, Any] | None = None,
         sockets: int = 384,
         more: Sequence[str] = (),
+        environ: Mapping[str, str] | None = None,
     ) -> None:
-        """`more`: further words for each process's command line."""
-        self._more = more
+        """`more`: further words for each process's command line; `environ`: what each finds besides."""
+        self._more, self._environ = more, environ or {}
         self.folder = folder
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.port = int(self.listener.getsockname()[1])
@@ -92,6 +93,7 @@
             environ={
                 "LB_SOCKET_FD": str(descriptor),
                 "LB_ADMIN_ADDR": "{}:{}".format(*admin),
+                **self._environ,
                 **environ,
             },
             inherits=[descriptor],
