--- a/saltport/admin/listener.py
+++ b/saltport/admin/listener.py
@@ -17,6 +17,7 @@
 from saltport.address import Address
 from saltport.admin.calls import Answer, Operations, answer
 from saltport.transport.acceptor import Acceptor
+from saltport.transport.listening import listening_socket
 from saltport.transport.stream import StreamProtocol, TcpStream
 
 MAX_CALLERS = 32
@@ -142,7 +143,7 @@
         away before their call is read, and keep this loop busy with nothing else.
         """
         loop = asyncio.get_running_loop()
-        listener = socket.create_server(address, backlog=2 * MAX_CALLERS)
+        listener = listening_socket(address, 2 * MAX_CALLERS)
         self._acceptor = Acceptor(loop, listener, self._accepted, lambda: self._until_room(loop.time()))
 
     def _accepted(self, connection: socket.socket) -> None:
--- a/saltport/downstream/arrivals.py
+++ b/saltport/downstream/arrivals.py
@@ -9,6 +9,7 @@
 
 from saltport.address import Address
 from saltport.transport.acceptor import Acceptor
+from saltport.transport.listening import listening_socket
 from saltport.transport.stream import StreamProtocol, TcpStream
 
 BACKLOG = 1024
@@ -34,8 +35,10 @@
 
     def listen(self, address: Address, made: Callable[[], StreamProtocol]) -> int:
         """Accept here, with a protocol made for each connection; returns the port. Raises OSError."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        return self._accept_at(socket.create_server(address, family=family, backlog=BACKLOG), made)
+        listener = listening_socket(address, BACKLOG)
+        port = address[1] or int(listener.getsockname()[1])
+        self._accept_at(listener, made)
+        return port
 
     def listen_at(self, listener: socket.socket, made: Callable[[], StreamProtocol]) -> None:
         """Accept at a socket that somebody else holds too, and that outlives this process."""
@@ -71,10 +74,9 @@
         while self._acceptors:
             self._acceptors.pop().close()
 
-    def _accept_at(self, listener: socket.socket, made: Callable[[], StreamProtocol]) -> int:
-        acceptor = Acceptor(self._loop, listener, partial(self._accepted, made), self._until_room)
-        self._acceptors.append(acceptor)
-        return acceptor.port
+    def _accept_at(self, listener: socket.socket, made: Callable[[], StreamProtocol]) -> None:
+        accepted = partial(self._accepted, made)
+        self._acceptors.append(Acceptor(self._loop, listener, accepted, self._until_room))
 
     def _accepted(self, made: Callable[[], StreamProtocol], end: socket.socket) -> None:
         TcpStream(self._loop, end, made())
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -29,6 +29,7 @@
 from saltport.handover.exchange import Parcel
 from saltport.handover.record import ConnectionRecord, RecordError, Value, decode
 from saltport.messages import Answers, ClientDialect, Malformed, Message, Ping, Request
+from saltport.transport.readiness import Readiness
 from saltport.transport.stream import READ_SIZE, StreamProtocol, TcpStream
 
 if TYPE_CHECKING:
@@ -94,7 +95,7 @@
         """Whether a request ever came; the front asks on connections of its own how the router is."""
         self.number = server.next_number()
         self.transport: TcpStream | None = None
-        self._departures: select.poll | None = None
+        self._departures: Readiness | None = None
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
         self.used_at = self.came_at = server.loop.time()
@@ -114,8 +115,7 @@
         self.transport = cast(TcpStream, transport)
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
         self._receive_times = self._received_from_now()
-        self._departures = select.poll()
-        self._departures.register(self.descriptor, select.POLLRDHUP)
+        self._departures = Readiness(self.transport.get_extra_info("socket"), select.POLLRDHUP)
         self.server.opened(self)
         if self._arrival is not None:
             arrival, self._arrival = self._arrival, None
@@ -344,7 +344,12 @@
     @property
     def idle(self) -> bool:
         """Whether it stands between requests."""
-        return not self.replies and not self._dialect.need
+        # Danger: what can't be read just now may be a request, and the client has it acknowledged.
+        return not self.replies and not self._dialect.need and not self._is_held_up
+
+    @property
+    def _is_held_up(self) -> bool:
+        return self.transport is not None and self.transport.is_held_up
 
     @property
     def has_just_come(self) -> bool:
@@ -368,7 +373,7 @@
         """Go to the other process, or close, once nothing is owed; `even_midway`: also within a command."""
         if self.transport is None or self.closed or (self.server.successor is not None and self._goes()):
             return
-        if not self.replies and (even_midway or not self._dialect.need):
+        if self.idle or (even_midway and not self.replies and not self._is_held_up):
             self._end()
         else:
             self._last = even_midway or not self._dialect.need or self._last
@@ -393,8 +398,11 @@
         if successor is None or self.server.departing >= successor.room:
             return  # looked at again in a moment: meanwhile its values go on
         if may_go(self.replies, self.server.ends_at - self.server.loop.time()):
+            try:
+                self._departure = Departure(transport, self.replies)
+            except OSError:
+                return  # the same: no descriptors are to be had just now
             self.server.departing += 1
-            self._departure = Departure(transport, self.replies)
 
     def _depart(self, departure: Departure) -> None:
         """Nothing is read or written here any more."""
@@ -437,7 +445,7 @@
 
     def client_has_left(self) -> bool:
         """See Channel."""
-        return self._departures is not None and bool(self._departures.poll(0))
+        return self._departures is not None and self._departures.now()
 
     def client_left(self) -> None:
         """The client has ended or reset the connection while nothing was read on it."""
@@ -494,9 +502,7 @@
         assert self.transport is not None
         if not self.idle or self.has_just_come or waiting_for(self.transport):
             return False
-        arrivals = select.poll()
-        arrivals.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not arrivals.poll(0)
+        return not Readiness(self.transport.get_extra_info("socket"), select.POLLIN).now()
 
 
 def _least_timeout_ms(commands: Sequence[tuple[Message, Answers]]) -> int:
@@ -574,7 +580,8 @@
         arrival = Arrival(record, descriptors[1:], stays)
         made = ClientConnection(self, speaks, arrival)
         try:
-            end = socket.socket(fileno=descriptors[0])
+            # Danger: with its family told, no call is needed that may fail for a moment.
+            end = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=descriptors[0])
         except OSError:
             raise RecordError("the first descriptor is no socket") from None
         end.setblocking(False)
--- a/saltport/downstream/departure.py
+++ b/saltport/downstream/departure.py
@@ -9,7 +9,7 @@
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import Choice, choose
 from saltport.handover.exchange import Parcel
-from saltport.handover.record import MAX_STREAMS, ConnectionRecord, Segment, Value, encode
+from saltport.handover.record import MAX_STREAMS, ConnectionRecord, Segment, encode
 from saltport.messages import ClientDialect
 from saltport.transport.stream import TcpStream
 
@@ -50,13 +50,19 @@
     """
 
     def __init__(self, transport: TcpStream, replies: Sequence[Reply]) -> None:
-        """Freeze; `may_go` has to hold."""
-        self.descriptors = [os.dup(transport.get_extra_info("socket").fileno())]
-        self._values: dict[Reply, Value] = {}
-        for reply in replies:
-            if reply.source is not None:
-                self._values[reply], descriptor = reply.source.suspend()
-                self.descriptors.append(descriptor)
+        """Freeze; `may_go` has to hold. Raises OSError where descriptors are short, and nothing was done."""
+        sources = {reply: reply.source for reply in replies if reply.source is not None}
+        self.descriptors: list[int] = []
+        try:
+            self.descriptors.append(os.dup(transport.get_extra_info("socket").fileno()))
+            # Danger: a value that is suspended can't be taken up again, so all copies are there first.
+            for source in sources.values():
+                self.descriptors.append(source.copy_descriptor())
+        except OSError:
+            for descriptor in self.descriptors:
+                os.close(descriptor)
+            raise
+        self._values = {reply: source.suspend() for reply, source in sources.items()}
         transport.abort()
 
     def record(self, dialect: ClientDialect, carried: bool, unsent: bytes, replies: Iterable[Reply]) -> bytes:
--- a/saltport/downstream/received.py
+++ b/saltport/downstream/received.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from saltport.deadline import NS_PER_MS, Received
+from saltport.transport.readiness import Readiness
 
 HELD_UP_NS = 5 * NS_PER_MS
 """A closer look costs two calls of the system: a narrower doubt than this is not worth them."""
@@ -39,6 +40,9 @@
     def getsockopt(self, level: int, option: int, size: int) -> bytes:
         """One of its options."""
 
+    def recv(self, size: int, flags: int) -> bytes:
+        """What has come."""
+
 
 class KernelClock:
     """Asks the kernel when a connection's last data came, as long as it knows."""
@@ -129,6 +133,4 @@
 
 def _all_read(end: Socket) -> bool:
     """Whether nothing has come since the last read."""
-    arrivals = select.poll()
-    arrivals.register(end.fileno(), select.POLLIN)
-    return not arrivals.poll(0)
+    return not Readiness(end, select.POLLIN).now()
--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -29,8 +29,11 @@
     def movable(self) -> bool:
         """Whether another process could go on with it now."""
 
-    def suspend(self) -> tuple[Value, int]:
-        """Stop here for good; what another process goes on from, and a descriptor that is the caller's."""
+    def copy_descriptor(self) -> int:
+        """A descriptor of the connection that it comes on, which is the caller's. Raises OSError."""
+
+    def suspend(self) -> Value:
+        """Stop here for good; what another process goes on from, with a copy of the descriptor."""
 
     def client_left(self) -> None:
         """Nobody reads it any more."""
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -31,10 +31,10 @@
 from saltport.membership.registry import Discovery
 from saltport.membership.start_times import StartTimes
 from saltport.messages import ClientDialect
-from saltport.router.config import Config, ConfigError, reload_config
+from saltport.router.config import Config, ConfigError, ConfigUnreadError, reload_config
 from saltport.router.features import MemcachedFeatures
 from saltport.router.host import RouterHost
-from saltport.transport import shortage
+from saltport.transport.shortage import outlast
 from saltport.upstream.pool import Pool
 
 if TYPE_CHECKING:
@@ -47,6 +47,7 @@
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
 START_PATIENCE_S = 10.0  # for a listener that the machine has no resources for
 STEP_S = 0.01  # between two looks at what is left to drain
+RELOAD_AGAIN_S = 0.05  # where the machine is short of what reading the configuration needs
 LAST_ANSWERS_S = LATE_S / 2  # in which the last answers leave before SIGKILL may come
 FOLLOW_S = 0.1  # between two looks at what another process has put out or back
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
@@ -72,6 +73,7 @@
         self._loop, self._config, self._environ, self._with_files = loop, config, environ, with_files
         self._terminated = asyncio.Event()
         self._draining: asyncio.Task[None] | None = None
+        self._reload_again: asyncio.TimerHandle | None = None
         self._start_times = StartTimes()
         self._has_list = False
         """Whether discovery has told anything to this process."""
@@ -143,12 +145,12 @@
             from saltport.admin.listener import AdminListener  # only where operators call
 
             admin = AdminListener(self)
-            await _past_shortages(partial(admin.listen, config.admin))
+            await outlast(partial(admin.listen, config.admin), START_PATIENCE_S)
         if config.listen_fd is None:
-            await _past_shortages(partial(self._clients.listen, config.listen))
+            await outlast(partial(self._clients.listen, config.listen), START_PATIENCE_S)
         if self._memcached is not None and config.memcached.listen:
             address = parse_address("memcached.listen", config.memcached.listen)
-            await _past_shortages(partial(self._clients.listen, address, self._memcached))
+            await outlast(partial(self._clients.listen, address, self._memcached), START_PATIENCE_S)
         log.info("listening, after %.2f s of processor time", time.process_time())
         if not config.settings.must_subscribe:
             self._discovery.start()
@@ -180,9 +182,9 @@
 
     async def _stand_beside(self, descriptor: int) -> None:
         """Accept at the platform's socket, beside the process before this one, once it is of use."""
-        listener = _listening(descriptor)
+        listener = await outlast(partial(_listening, descriptor), START_PATIENCE_S)
         if self._takeover is not None:
-            self._takeover.open()
+            await self._takeover.open()
         self._follow_bans()
         while not self._host.ready and not self._terminated.is_set():
             await asyncio.sleep(STEP_S)
@@ -345,6 +347,8 @@
         longest = max(cls.deadline for cls in self._config.settings.classes) / NS_PER_S
         shared = self._config.listen_fd is not None
         plan = at_the_end(longest, shared)
+        if self._takeover is not None:
+            self._takeover.accept_rest()
         if self._takeover is not None and self._takeover.replaced:
             self._clients.successor = self._takeover
             self._clients.ends_at = self._loop.time() + plan.over
@@ -365,8 +369,15 @@
 
     def _reload(self) -> None:
         figures = self._host.figures
+        if self._reload_again is not None:
+            self._reload_again.cancel()
         try:
             plan = plan_reload(self._config, reload_config(self._environ, self._with_files))
+        except ConfigUnreadError as error:
+            # Danger: nobody sends the signal again, and the new configuration would never be in force.
+            log.warning("the new configuration can't be read for now: %s", error)
+            self._reload_again = self._loop.call_later(RELOAD_AGAIN_S, self._reload)
+            return
         except (ConfigError, ValueError) as error:
             figures.conf_invalid += 1
             log.error("the new configuration can't be used, the old one stays: %s", error)
@@ -384,19 +395,6 @@
             self._discovery.move(plan.config.discovery)
 
 
-async def _past_shortages(listen: Callable[[], object]) -> None:
-    """Begin to listen; while the machine is short of what that needs, try again. Raises OSError."""
-    given_up = time.monotonic() + START_PATIENCE_S
-    while True:
-        try:
-            listen()
-            return
-        except OSError as error:
-            if error.errno not in shortage.OF_RESOURCES or time.monotonic() >= given_up:
-                raise
-        await asyncio.sleep(STEP_S)
-
-
 def _owners_link(
     loop: asyncio.AbstractEventLoop, plan: OwnersPlan, peers: PeerLink, host: RouterHost, seed: int
 ) -> OwnersLink:
@@ -442,7 +440,9 @@
     try:
         copy = socket.socket(fileno=os.dup(descriptor))
     except OSError as error:
-        raise OSError(f"LB_SOCKET_FD: {descriptor}: {error.strerror or error}") from None
+        plain = OSError(f"LB_SOCKET_FD: {descriptor}: {error.strerror or error}")
+        plain.errno = error.errno
+        raise plain from None
     if copy.family != socket.AF_INET or not copy.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
         copy.close()
         raise OSError(f"LB_SOCKET_FD: {descriptor} is no socket that listens for TCP over IPv4")
--- a/saltport/router/__main__.py
+++ b/saltport/router/__main__.py
@@ -12,9 +12,10 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from saltport.lifecycle.service import Service
-from saltport.router.config import Config, ConfigError, load_config
+from saltport.lifecycle.service import START_PATIENCE_S, Service
+from saltport.router.config import Config, ConfigError, ConfigUnreadError, load_config
 from saltport.router.log import make_logger
+from saltport.transport import shortage
 from saltport.transport.loop import on_router_loop
 
 GC_THRESHOLD = 20_000  # young objects; requests leave hardly any cycles, and each pass stalls all of them
@@ -34,11 +35,23 @@
     return [Path(word) for word in words[1::2]]
 
 
+def _load_config(with_files: Sequence[Path]) -> Config:
+    """Read the configuration, past a shortage of the machine; raises ConfigError."""
+    given_up = time.monotonic() + START_PATIENCE_S
+    while True:
+        try:
+            return load_config(os.environ, with_files)
+        except ConfigUnreadError:
+            if time.monotonic() >= given_up:
+                raise
+        time.sleep(shortage.PAUSE_S)
+
+
 def main() -> int:
     """Read the configuration and serve; returns the exit status."""
     try:
         with_files = _with_files(sys.argv[1:])
-        config = load_config(os.environ, with_files)
+        config = _load_config(with_files)
     except ConfigError as error:
         print(f"saltport: {error}", file=sys.stderr)
         return 2
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -20,6 +20,7 @@
     PeerFeatures,
     read_features,
 )
+from saltport.transport import shortage
 
 if TYPE_CHECKING:
     from saltport.owners.link import OwnersPlan
@@ -37,6 +38,10 @@
     """The configuration can't be used; the text is one plain line."""
 
 
+class ConfigUnreadError(ConfigError):
+    """This machine is short of what reading takes: the same file may be read a moment later."""
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """The configuration in the router's own terms; times are nanoseconds."""
@@ -91,7 +96,8 @@
             failover=features.failover.on,
         )
     except OSError as error:
-        raise ConfigError(f"LB_CONFIG: {error}") from None
+        kind = ConfigUnreadError if error.errno in shortage.OF_RESOURCES else ConfigError
+        raise kind(f"LB_CONFIG: {error}") from None
     except KeyError as error:
         raise ConfigError(f"{path}: missing field {error.args[0]!r}") from None
     except FeatureError as error:
--- a/saltport/router/features.py
+++ b/saltport/router/features.py
@@ -16,6 +16,7 @@
 from saltport.decisions import Effect, Fill, HotKeySettings, Settings
 from saltport.decisions.interface import DEFAULT_SLOTS
 from saltport.decisions.tenancy import Prefixes
+from saltport.transport import shortage
 
 if TYPE_CHECKING:
     from saltport.decisions.topology import Topology
@@ -344,12 +345,17 @@
 
 
 def read_features(paths: Sequence[Path]) -> Features:
-    """Read the files; a name set twice counts as the last file says. Raises FeatureError."""
+    """Read the files; a name set twice counts as the last file says.
+
+    Raises FeatureError, and OSError while the machine is short of what reading takes.
+    """
     told: dict[str, dict[str, Any]] = {}
     for path in paths:
         try:
             sections = tomllib.loads(path.read_text())
         except OSError as error:
+            if error.errno in shortage.OF_RESOURCES:
+                raise
             raise FeatureError(f"{path}: can't be read: {error.strerror or error}") from None
         except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
             raise FeatureError(f"{path}: no TOML: {error}") from None
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -249,17 +249,20 @@
         """Whether another process could go on with it now."""
         return self._source is not None and self.connection is not None and self.connection.movable
 
-    def suspend(self) -> tuple[Value, int]:
-        """Stop here for good, for another process to go on; the descriptor of the server's connection is the
-        caller's.
-        """
+    def copy_descriptor(self) -> int:
+        """A descriptor of the server's connection that is the caller's. Raises OSError."""
+        assert self.connection is not None
+        return self.connection.copy_descriptor()
+
+    def suspend(self) -> Value:
+        """Stop here for good, for another process to go on with a copy of the descriptor."""
         assert self.connection is not None
-        flow, descriptor = self.connection.suspend()
+        flow = self.connection.suspend()
         value = Value(flow, self._class, self._reply.tail)
         self._source = None
         self._moved()
         self.end(Outcome.CANCELLED)
-        return value, descriptor
+        return value
 
     def _moved(self) -> None:
         """The request is another process's: it ends in its figures."""
--- a/saltport/transport/acceptor.py
+++ b/saltport/transport/acceptor.py
@@ -14,6 +14,8 @@
 import socket
 from collections.abc import Callable
 
+from saltport.transport.readiness import ready_now
+
 RETRY_S = 0.01  # until the next try, where the system is short of descriptors or memory
 
 _THIS_CONNECTION = frozenset({
@@ -55,15 +57,10 @@
         """Accept what still waits in the kernel; whether nothing is left there."""
         arrivals = select.poll()
         arrivals.register(self._listener.fileno(), select.POLLIN)
-        while arrivals.poll(0):
+        while found := ready_now(arrivals):
             if self._accept_one() > 0:
                 return False
-        return True
-
-    @property
-    def port(self) -> int:
-        """The port that it listens at."""
-        return int(self._listener.getsockname()[1])
+        return found is not None
 
     def close(self) -> None:
         """Accept nothing more."""
@@ -90,7 +87,7 @@
         try:
             connection, _ = self._listener.accept()
         except BlockingIOError:
-            return 0.0  # another process with the same listener was faster
+            return 0.0  # nobody waits: another process with the same listener was faster
         except OSError as error:
             if error.errno in _THIS_CONNECTION:
                 return 0.0
--- a/saltport/transport/dialing.py
+++ b/saltport/transport/dialing.py
@@ -9,11 +9,13 @@
 from collections.abc import Callable
 
 from saltport.address import Address
-from saltport.transport import shortage
-from saltport.transport.stream import FIRST_RETRY_S, StreamProtocol, TcpStream
+from saltport.transport.stream import StreamProtocol, TcpStream
 
-_UNDER_WAY = frozenset({errno.EINPROGRESS, errno.EALREADY, errno.EINTR})
+_UNDER_WAY = frozenset({errno.EINPROGRESS, errno.EALREADY})
 """connect(2): the connection comes up, and the socket will tell."""
+_UP = frozenset({0, errno.EISCONN})
+TRIES = 3
+"""Of a connect(2) that is interrupted: the next one says whether the connection comes up."""
 
 
 async def dial(
@@ -45,8 +47,11 @@
 
 
 async def _connect(loop: asyncio.AbstractEventLoop, end: socket.socket, place: Address) -> None:
-    number = end.connect_ex(place)
-    if number == 0:
+    for _ in range(TRIES):
+        number = end.connect_ex(place)
+        if number != errno.EINTR:
+            break
+    if number in _UP:
         return
     if number not in _UNDER_WAY:
         raise OSError(number, os.strerror(number))
@@ -56,7 +61,7 @@
         await up
     finally:
         loop.remove_writer(end.fileno())
-    number = await _pending_error(end)
+    number = end.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if number:
         raise OSError(number, os.strerror(number))
 
@@ -64,15 +69,3 @@
 def _settle(up: asyncio.Future[None]) -> None:
     if not up.done():
         up.set_result(None)
-
-
-async def _pending_error(end: socket.socket) -> int:
-    """How the connection came up: 0, or the error with which it did not."""
-    while True:
-        try:
-            return end.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        except OSError as error:
-            # Danger: read as the connection's own end, a good server would be held to account for it.
-            if error.errno not in shortage.OF_RESOURCES:
-                raise
-        await asyncio.sleep(FIRST_RETRY_S)
--- a/saltport/transport/stream.py
+++ b/saltport/transport/stream.py
@@ -21,6 +21,8 @@
 FIRST_RETRY_S, LONGEST_RETRY_S = 0.004, 0.032
 """Before a call is made again that this machine had no memory for."""
 
+_LATER = shortage.OF_RESOURCES | {errno.EAGAIN, errno.EINTR}
+
 log = logging.getLogger("saltport")
 
 
@@ -50,7 +52,7 @@
     __slots__ = (
         "_buffer", "_closing", "_end", "_end_of_sending", "_high", "_is_watched_for_reading",
         "_is_watched_for_writing", "_loop", "_lost", "_low", "_protocol", "_protocol_paused",
-        "_read_pause_s", "_read_retry", "_reading", "_unsent", "_write_pause_s", "_write_retry",
+        "_read_pause_s", "_read_retry", "_reading", "_unsent", "_write_pause_s", "_write_retry", "is_held_up",
     )  # fmt: skip
 
     def __init__(self, loop: asyncio.AbstractEventLoop, end: socket.socket, protocol: StreamProtocol) -> None:
@@ -63,6 +65,8 @@
         self._high, self._low = HIGH_WATER, HIGH_WATER // 4
         self._protocol_paused = self._closing = self._lost = self._end_of_sending = False
         self._reading = True
+        self.is_held_up = False
+        """Whether this machine has no memory to read what may have come."""
         self._is_watched_for_reading = self._is_watched_for_writing = False
         self._read_retry: asyncio.TimerHandle | None = None
         self._write_retry: asyncio.TimerHandle | None = None
@@ -101,15 +105,13 @@
     def _read(self) -> None:
         try:
             size = self._end.recv_into(self._buffer)
-        except (BlockingIOError, InterruptedError):
-            return
         except OSError as error:
-            if error.errno in shortage.OF_RESOURCES:
-                self._read_later()
+            if error.errno in _LATER:
+                self._read_later(error.errno in shortage.OF_RESOURCES)
             else:
                 self._lose(error)
             return
-        self._read_pause_s = 0.0
+        self._read_pause_s, self.is_held_up = 0.0, False
         try:
             if size:
                 self._protocol.data_received(bytes(self._buffer[:size]))
@@ -119,10 +121,12 @@
             log.exception("a connection's protocol failed")
             self._lose(error)
 
-    def _read_later(self) -> None:
-        """Danger: the socket stays readable, so a watch would make the same call again without end."""
+    def _read_later(self, is_held_up: bool) -> None:
+        """Danger: the socket may stay readable, so a watch would make the same call again without end."""
         self._watch_no_more_for_reading()
-        self._protocol.read_held_up()
+        self.is_held_up = is_held_up
+        if is_held_up:
+            self._protocol.read_held_up()
         self._read_pause_s = _longer(self._read_pause_s)
         self._read_retry = self._loop.call_later(self._read_pause_s, self._read_again)
 
@@ -159,9 +163,10 @@
         """
         assert not self._unsent
         sent = self._try_to_send(data)
-        if sent is None:
+        # Danger: with nothing before it, EAGAIN for the first byte tells of no memory for a buffer.
+        if not sent and not self._closing:
             return False
-        if sent < len(data) and not self._closing:
+        if sent is not None and sent < len(data) and not self._closing:
             self._unsent += memoryview(data)[sent:]
             self._watch_for_writing()
             self._pause_protocol()
@@ -187,10 +192,10 @@
         """How many bytes the kernel took; None: this machine was short of memory for the call."""
         try:
             return self._end.send(data)
-        except (BlockingIOError, InterruptedError):
+        except BlockingIOError:
             return 0
         except OSError as error:
-            if error.errno in shortage.OF_RESOURCES:
+            if error.errno in _LATER:
                 return None
             self._lose(error)
             return 0
@@ -221,6 +226,11 @@
         sent = self._send(self._unsent)
         if self._lost:
             return
+        if not sent and self._is_watched_for_writing:
+            # Danger: short of memory for a buffer, the kernel says EAGAIN of a socket that is writable, and a
+            # watch would make the same call again without end.
+            self._write_later()
+            return
         del self._unsent[:sent]
         if not self._unsent:
             self._watch_no_more_for_writing()
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -17,6 +17,7 @@
 from saltport.decisions import CacheNote, Outcome
 from saltport.handover.record import Flow
 from saltport.messages import Request, ValueSource
+from saltport.transport.readiness import Readiness
 from saltport.transport.stream import StreamProtocol, TcpStream
 from saltport.upstream.second_connection import SecondConnection
 from saltport.upstream.shortage_pauses import ShortagePauses
@@ -152,7 +153,7 @@
         self.idle_since = 0.0
         self.started_at = 0.0
         """When its last exchange began, by the loop's clock."""
-        self._arrivals = select.poll()
+        self._arrivals: Readiness | None = None
         self.kept = False
         self.unsent = False
         self.retired = False
@@ -168,7 +169,8 @@
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
         self.transport = cast(TcpStream, transport)
         self.transport.set_write_buffer_limits(high=0)
-        self._arrivals.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        end = transport.get_extra_info("socket")
+        self._arrivals = Readiness(end, select.POLLIN | select.POLLRDHUP)
 
     def pause_writing(self) -> None:
         """The kernel has not taken every byte yet."""
@@ -222,7 +224,9 @@
     @property
     def unread(self) -> bool:
         """Whether the kernel has something that the loop has not read yet, be it an end."""
-        return self.transport is not None and not self.transport.is_closing() and bool(self._arrivals.poll(0))
+        if self._arrivals is None or self.transport is None or self.transport.is_closing():
+            return False
+        return self._arrivals.now()
 
     def start(self, exchange: Exchange) -> Start:
         """Write the exchange's request.
@@ -270,15 +274,18 @@
         alive = self.transport is not None and not self.transport.is_closing() and not self._within
         return alive and not self.unsent and self.exchange is not None and self.flow() is not None
 
-    def suspend(self) -> tuple[Flow, int]:
-        """Read no more; returns where it stands and a descriptor of its own, which is the caller's."""
+    def copy_descriptor(self) -> int:
+        """A descriptor of its socket that is the caller's. Raises OSError where there is none to be had."""
+        assert self.transport is not None
+        return os.dup(self.transport.get_extra_info("socket").fileno())
+
+    def suspend(self) -> Flow:
+        """Read no more, for whoever has a copy of its descriptor; returns where it stands."""
         flow = self.flow()
         assert flow is not None
-        assert self.transport is not None
-        descriptor = os.dup(self.transport.get_extra_info("socket").fileno())
         self.exchange = None
         self.close()
-        return flow, descriptor
+        return flow
 
     def close(self) -> None:
         """Close at once; what is unsent is dropped."""
--- a/tests/crossings/test_time_received.py
+++ b/tests/crossings/test_time_received.py
@@ -232,6 +232,9 @@
         self._told = told
         self.asked = 0
 
+    def recv(self, size: int, flags: int) -> bytes:
+        raise BlockingIOError
+
     def fileno(self) -> int:
         raise AssertionError("not asked for")
 
--- /dev/null
+++ b/tests/faults/test_matrix_service.py
@@ -0,0 +1,67 @@
+"""Service goes on while calls fail: see matrix_scenes.py."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from tests.faults.matrix import Case, Scene
+from tests.faults.matrix_scenes import (
+    CLIENTS,
+    TICKS,
+    ask_all,
+    asked_later,
+    cases,
+    failing,
+    nobody_was_blamed,
+    origin,
+    paced,
+    processor_s,
+)
+from tests.faults.system_calls import SystemCalls
+from tests.sockets import (
+    entry,
+    eventually,
+    put,
+    routed,
+    serving,
+)
+
+
+@cases(Scene.SERVICE)
+def test_service_goes_on(tmp_path: Path, case: Case, lasting: int | float) -> None:
+    calls, store = SystemCalls(tmp_path), origin()
+    caches = {f"s{turn}": serving() for turn in range(3)}
+    later = serving()
+    with routed(tmp_path, caches, store, environ=calls.environ) as router:
+        quiet = router.client()
+        assert quiet.ask(put("w0", cls="once", d=15_000)) == b"receipt"
+        calm_s = processor_s(router.process.pid)
+        if isinstance(lasting, float):
+            paced(quiet, "p", lasting)
+        calm_s = processor_s(router.process.pid) - calm_s
+        used = [router.client() for _ in range(CLIENTS)]
+        ask_all(used, "a", [quiet])
+        with failing(calls, case, lasting):
+            ask_all(used, "b", [router.client() for _ in range(CLIENTS)])
+            if isinstance(lasting, float):
+                # Another two seconds of it: the first ones may have passed while an answer was waited for.
+                with failing(calls, case, lasting):
+                    busy_s = processor_s(router.process.pid)
+                    paced(quiet, "q", lasting)
+                    busy_s = processor_s(router.process.pid) - busy_s
+                    assert busy_s <= 2 * calm_s + 2 / TICKS, "no spin"
+        used = [router.client() for _ in range(2)]
+        ask_all(used, "c")
+        with failing(calls, case, lasting):
+            assert used[0].ask(put("w1", cls="once", d=15_000)) == b"receipt"
+            assert router.client().ask(put("w2", cls="once", d=15_000)) == b"receipt"
+        with failing(calls, case, lasting):
+            router.discovery.change(
+                *(entry(peer, name) for name, peer in caches.items()),
+                entry(later, "later"), entry(store, "origin", "origin"),
+            )  # fmt: skip
+            fresh = router.client()
+            eventually(lambda: asked_later(fresh, later), "the change of the list is in force")
+        assert router.process.poll() is None
+        nobody_was_blamed(router, store, writes=3)
+    later.close()
--- a/tests/transport/test_stream.py
+++ b/tests/transport/test_stream.py
@@ -201,6 +201,7 @@
 @pytest.mark.parametrize("number", SHORTAGES)
 def test_a_call_that_finds_no_memory_is_made_again_after_a_pause_that_grows(number: int) -> None:
     scene = Scene()
+    scene.stream.pause_reading()
     scene.socket.sending = [-number] * 9
     scene.stream.write(b"answer")
     pauses = []
