--- a/tests/transport/test_stream.py
+++ b/tests/transport/test_stream.py
@@ -230,6 +230,24 @@
     assert not scene.loop.writers
 
 
+def test_half_an_answer_ten_shortages_and_the_client_s_end() -> None:
+    scene = Scene()
+    scene.socket.sending = [3, *[-errno.ENOBUFS] * 10, -errno.ECONNRESET]
+    scene.stream.write(b"answer")
+    scene.until_quiet()
+    assert scene.socket.taken == b"ans", "no byte twice"
+    assert [cast(OSError, error).errno for error in scene.told.lost] == [errno.ECONNRESET]
+    assert not [timer for timer in scene.loop.timers if not timer.cancelled]
+
+
+def test_streams_that_rest_have_no_timer() -> None:
+    scene = Scene()
+    scene.socket.receiving = [b"request"]
+    scene.loop.readers[7]()
+    scene.stream.write(b"answer")
+    assert not scene.loop.timers
+
+
 def test_a_request_that_can_not_be_written_now_is_left_undone() -> None:
     scene = Scene()
     scene.socket.sending = [-errno.ENOBUFS]
