--- a/tests/lifecycle/test_takeover.py
+++ b/tests/lifecycle/test_takeover.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import threading
+import time
 from pathlib import Path
 
 import pytest
@@ -217,3 +218,27 @@
         told = ask(new.admin, "/state")["tenants"]["acme"]["fetches_per_s"]
         assert 0 < told <= rate
         origin.close()
+
+
+def test_half_a_command_is_ended_within_three_seconds_of_its_beginning_also_in_the_next_process(
+    tmp_path: Path,
+) -> None:
+    """Clients that stop in the middle of a request are owed an error or a close within 3 s.
+
+    The next process began to count anew: half a command that was 2 s old as it moved stayed for 4.4 s.
+    """
+    with platform(tmp_path, {"s1": serving()}) as held:
+        old = held.start().ready()
+        half, whole = held.client(), held.client()
+        assert half.ask(get("a1")) == b"a1"
+        assert whole.ask(get("a2")) == b"a2"
+        begun = time.monotonic()
+        half.send(get("a3")[:30])
+        time.sleep(1.2)
+        whole.send(get("a4")[:30])
+        new = held.upgrade(old)
+        eventually(lambda: ask(new.admin, "/state")["taken_over"] == 2, "both are in the next process")
+        assert half.answer().startswith(b"-ERR"), "it is told why"
+        assert time.monotonic() - begun < 3
+        whole.send(get("a4")[30:])
+        assert whole.answer() == b"a4", "one that has just begun has its time"
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -71,3 +71,20 @@
         assert max(waits) - min(waits) >= longest * ASKED_SPREAD / 2
     finally:
         peer.close()
+
+
+def test_no_watch_waits_for_longer_than_the_protocol_allows() -> None:
+    """ "So many milliseconds (60,000 at most)": the settings may let news wait for longer than that."""
+    peer = Peer(lambda _, message: http_answer(200, NEWS), is_http=True)
+
+    async def ask_all() -> None:
+        await asyncio.gather(*(first_listing(peer, 300.0, router) for router in range(20)))
+
+    try:
+        asyncio.run(ask_all())
+        waits = [wait_of(message[1]) for message in peer.seen]
+        assert len(waits) >= 20
+        assert max(waits) <= 60_000
+        assert min(waits) >= 60_000 * (1 - ASKED_SPREAD)
+    finally:
+        peer.close()
