A watch waits 60 s at most; half a command keeps its age over a hand-over

Causes: the wait of a watch followed from the settings without the protocol's bound; the record of a connection did not tell since when its command was under way, so the next process gave it the whole time again.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -148,6 +148,8 @@
         self._within = False
         if record.command:
             self.data_received(record.command)
+            # Danger: timed anew in each process, half a command could hold its connection for good.
+            self._begun_at -= record.command_age_ms / 1000
         self.flush()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -415,7 +417,8 @@
         if self.server.access_log is not None:
             self._log_close(self.server.access_log, CloseReason.MOVED)
         replies, self.replies = self.replies, deque()
-        record = departure.record(self._dialect, self.carried, transport.unsent, replies)
+        age_s = self.server.loop.time() - self._begun_at if self._dialect.need else 0.0
+        record = departure.record(self._dialect, self.carried, transport.unsent, replies, age_s)
         self._leave(CloseReason.MOVED)
         successor.offer(
             Parcel(record, departure.descriptors, self.server.thawing(record, departure.descriptors))
--- a/saltport/downstream/departure.py
+++ b/saltport/downstream/departure.py
@@ -9,7 +9,7 @@
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import Choice, choose
 from saltport.handover.exchange import Parcel
-from saltport.handover.record import MAX_STREAMS, ConnectionRecord, Segment, encode
+from saltport.handover.record import MAX_AGE_MS, MAX_STREAMS, ConnectionRecord, Segment, encode
 from saltport.messages import ClientDialect
 from saltport.transport.stream import TcpStream
 
@@ -65,8 +65,15 @@
         self._values = {reply: source.suspend() for reply, source in sources.items()}
         transport.abort()
 
-    def record(self, dialect: ClientDialect, carried: bool, unsent: bytes, replies: Iterable[Reply]) -> bytes:
-        """All that the other process has to know, in words."""
+    def record(
+        self,
+        dialect: ClientDialect,
+        carried: bool,
+        unsent: bytes,
+        replies: Iterable[Reply],
+        command_age_s: float,
+    ) -> bytes:
+        """All that the other process has to know, in words; `command_age_s`: of the command half read."""
         segments: list[Segment] = []
         owed = [unsent]
         for reply in replies:
@@ -76,7 +83,8 @@
                 owed = []
         if rest := b"".join(owed):
             segments.append(Segment(rest))
-        return encode(ConnectionRecord(dialect.name, carried, dialect.held, tuple(segments)))
+        age_ms = min(int(command_age_s * 1000), MAX_AGE_MS)
+        return encode(ConnectionRecord(dialect.name, carried, dialect.held, tuple(segments), age_ms))
 
 
 class Arrival:
--- a/saltport/handover/record.py
+++ b/saltport/handover/record.py
@@ -17,6 +17,7 @@
 MAX_STREAMS = 64  # the kernel passes 253 descriptors with one message
 MAX_HEAD = 256 << 10
 MAX_VALUE = 4 << 20
+MAX_AGE_MS = 60_000
 MAX_REST = 128 << 10  # of an answer's end, which its node's codec bounds further
 MAX_NAME = 1024
 END_MARK = 2
@@ -75,6 +76,8 @@
     command: bytes
     """What was read of a command under way."""
     segments: tuple[Segment, ...] = ()
+    command_age_ms: int = 0
+    """For how long that command has been under way, or since it last came on."""
 
     @property
     def values(self) -> tuple[Value, ...]:
@@ -111,6 +114,7 @@
             "dialect": record.dialect,
             "carried": record.carried,
             "command": len(record.command),
+            "command_age_ms": record.command_age_ms,
             "segments": segments,
         }
     )
@@ -135,7 +139,12 @@
     if not isinstance(items, list) or len(items) > MAX_SEGMENTS:
         raise RecordError("segments are no list, or too many")
     record = ConnectionRecord(
-        told.name("dialect"), told.truth("carried"), command, tuple(_segment(item, rest) for item in items)
+        told.name("dialect"),
+        told.truth("carried"),
+        command,
+        tuple(_segment(item, rest) for item in items),
+        # Processes of earlier versions don't tell it.
+        told.count("command_age_ms", MAX_AGE_MS) if "command_age_ms" in head else 0,
     )
     if rest.left:
         raise RecordError(f"{rest.left} bytes too many")
--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -52,6 +52,7 @@
 LATE_ANSWER_S = TERM_S - CALL_S
 AGAIN_AFTER_SILENCE_S = TERM_S - SLOWEST_S - LATE_S  # from a call's beginning to the next, where it is silent
 ASKED_LEAST_S = 1.0  # where discovery is asked each call costs it work
+LONGEST_WAIT_S = 60.0  # PROTOCOL: of a watch
 ASKED_SPREAD = 0.25  # of a wait: routers that started together must not go on asking together
 CALL_SLACK_S = 1.0  # of the time that the settings let news wait, kept back from a wait
 UNREADABLE_S = 1.0  # before a list that can't be read is asked for again
@@ -157,7 +158,7 @@
 
     def ask_within(self, seconds: float) -> None:
         """Take a new time after which the router counts as told; the watch under way keeps its own."""
-        self._longest_s = max(seconds - CALL_SLACK_S, ASKED_LEAST_S)
+        self._longest_s = min(max(seconds - CALL_SLACK_S, ASKED_LEAST_S), LONGEST_WAIT_S)
 
     def hold(self, known: Any, generation: int) -> None:
         """The router holds this list already, in discovery's form; it may be old."""
