Discovery's late second list is not taken for the answer to the next call

A second list then answered the next call, and each list an earlier one. Weighed: a connection a call (a handshake for each change), comparing versions (a copy of a whole list has a valid one).

--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -28,6 +28,7 @@
 import logging
 import math
 import random
+import select
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -38,6 +39,8 @@
 from saltport.membership.start_times import StartTimes
 from saltport.membership.steps import ListSteps
 from saltport.transport.dialing import dial
+from saltport.transport.readiness import Readiness
+from saltport.transport.settling import SETTLING_TIME_S
 from saltport.transport.stream import StreamProtocol
 from saltport.wire.http import HttpError, HttpReader, request
 
@@ -76,9 +79,12 @@
         self.transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[tuple[int, bytes]] | None = None
         self._body = bytearray()
+        self._settled_at = 0.0
+        self._readiness: Readiness | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self._readiness = Readiness(transport.get_extra_info("socket"), select.POLLIN)
 
     def send_request(self, target: str, host: str) -> asyncio.Future[tuple[int, bytes]]:
         assert self.transport is not None
@@ -86,15 +92,28 @@
         self.transport.write(request("GET", target, host))
         return self._answer
 
+    async def settle(self) -> None:
+        """Wait until this connection may carry another call; close it if a surplus answer has arrived."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(self._settled_at - loop.time())
+        # Danger: after a stop of the process, the loop may not have read yet what has arrived.
+        if self.usable and self._readiness is not None and self._readiness.is_ready():
+            self.close()
+
     def data_received(self, data: bytes) -> None:
+        if self._answer is None or self._answer.done():
+            # Danger: it would be taken for the answer to the next call, and that call's for a later one's.
+            log.warning("discovery: sent an answer without a request")
+            self.close()
+            return
         try:
             if self.read(data):
                 status, body = self.status, bytes(self._body)
                 self._body.clear()
+                self._settled_at = asyncio.get_running_loop().time() + SETTLING_TIME_S
                 if not self.finish_answer():
                     self.close()
-                if self._answer is not None and not self._answer.done():
-                    self._answer.set_result((status, body))
+                self._answer.set_result((status, body))
         except HttpError as error:
             self._fail(error)
             self.close()
@@ -276,6 +295,8 @@
         answer: asyncio.Future[tuple[int, bytes]] | None = None
         try:
             async with asyncio.timeout(timeout_s if full or not wait_s else wait_s + ROUND_TRIP_S) as limit:
+                if self._call is not None and self._call.usable:
+                    await self._call.settle()
                 if self._call is None or not self._call.usable:
                     loop = asyncio.get_running_loop()
                     stream = await dial(loop, _Call, self._address)
--- a/tests/crossings/test_surplus_answers.py
+++ b/tests/crossings/test_surplus_answers.py
@@ -10,12 +10,15 @@
 
 import asyncio
 import math
+import random
 from collections.abc import Callable
 from typing import cast
 
 import pytest
 
 from saltport.decisions import CacheStatus, Outcome
+from saltport.membership.registry import Discovery
+from saltport.membership.start_times import StartTimes
 from saltport.messages import Request
 from saltport.transport.settling import SETTLING_TIME_S
 from saltport.upstream.connection import Connection, Exchange
@@ -383,3 +386,38 @@
         pool.close()
 
     run_scenario(scene())
+
+
+@pytest.mark.parametrize(("second_after_s", "acknowledged_after_s"), SECOND_ANSWERS)
+def test_late_second_list_is_not_taken_for_the_answer_to_the_next_call(
+    second_after_s: float, acknowledged_after_s: float
+) -> None:
+    """Guards against the cause of review case 1 at discovery: each list would answer an earlier call."""
+    body = b'{"generation":%d,"reset":true,"instances":[]}'
+    generation = 0
+
+    def answer(_: bytes) -> bytes:
+        nonlocal generation
+        generation += 1
+        return http_answer(200, body % generation)
+
+    async def scene() -> None:
+        server = DistantServer(answer, second_after_s, acknowledged_after_s)
+        generations: list[int] = []
+        discovery = Discovery(
+            await server.listen(),
+            False,
+            StartTimes(),
+            lambda listing: generations.append(listing.generation),
+            lambda: None,
+            10.0,
+            random.Random(1),
+        )
+        discovery.start()
+        await asyncio.sleep(2.0)
+        discovery.close()
+        assert len(generations) > 20
+        assert generations == list(range(1, len(generations) + 1)), "each list is applied once, in its order"
+        assert not server.requests_after_surplus_answers
+
+    run_scenario(scene())
