--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -35,7 +35,12 @@
 NODE_COUNT = 8
 KEY_COUNT = 512
 VALUE = b"x" * 512
-HIT_REPLY = resp_answer(VALUE, b"hit", b"latency_ms=1.000,queue=0")
+KEY_LINE_COUNT = 4  # lines of a KV.GET command up to its key, without the first
+HIT_REPLIES = {
+    key: resp_answer(key.ljust(len(VALUE), b"x"), b"hit", b"latency_ms=1.000,queue=0")
+    for key in (b"pkg-%d" % number for number in range(KEY_COUNT))
+}
+"""Values differ from key to key: the router can't recognize a second copy of an answer where they don't."""
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 START_TIMEOUT_S = 30.0
 
@@ -48,7 +53,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Reply with a hit to each command; a command fits in one TCP segment and so arrives unsplit."""
-        self.transport.write(HIT_REPLY * data.count(b"KV.GET"))
+        commands = data.split(b"*4\r\n")[1:]
+        keys = (each.split(b"\r\n", KEY_LINE_COUNT)[KEY_LINE_COUNT - 1] for each in commands)
+        self.transport.write(b"".join(HIT_REPLIES[key] for key in keys))
 
 
 class _UpstreamConnection(asyncio.Protocol):
