Whether values differ from key to key is learned from all servers together

Cause: each connection settled until eight answers of its own server had been compared. Change: the pool keeps one ReadValues for all its servers, as the keys and their values are one deployment's.

--- a/benchmarks/connection_reuse.py
+++ b/benchmarks/connection_reuse.py
@@ -149,7 +149,7 @@
     if reuse in (Reuse.AT_ONCE, Reuse.NEVER):
         state.idle = IdleConnections(settling_time_s=0.0)
     if reuse is Reuse.SETTLED:
-        state.read_values._different_values = -requests
+        pool.read_values._different_values = -requests
     waits_s: list[float] = []
     latencies_s: list[float] = []
     open_connections: list[int] = []
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -46,6 +46,8 @@
     """Number of attempts whose last byte has been passed to the kernel."""
     idle_limit: float
     """Seconds after which an idle connection is closed."""
+    read_values: ReadValues
+    """What is known of the values that reads return."""
 
     @property
     def on_event(self) -> Callable[[], None]:
@@ -355,9 +357,9 @@
             return False
         answer = ReadValue(request.key, hash(value))
         if not self._copy_may_come:
-            self.server.read_values.learn(answer)
+            self.server.pool.read_values.learn(answer)
         elif latest is not None and latest.is_repeated_by(answer):
-            self.server.read_values.copy_received()
+            self.server.pool.read_values.copy_received()
             return True
         self._latest_read = answer
         return False
@@ -424,7 +426,6 @@
         self.dials: set[asyncio.Task[None]] = set()
         self.shortage_backoff = ShortageBackoff(pool.loop)
         self.second_connection = SecondConnectionPolicy(pool.idle_limit)
-        self.read_values = ReadValues()
         self.dial_delay_timer: asyncio.TimerHandle | None = None
         """Delays a second dial while the only queued exchange waits for the only connection."""
         self.late_connections: dict[Connection, None] = {}
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -16,6 +16,7 @@
 from saltport.transport.dialing import dial
 from saltport.transport.stream import TcpStream
 from saltport.upstream.connection import Connection, Exchange, Server, StartResult
+from saltport.upstream.read_values import ReadValues
 
 MAX_CONNECTIONS_PER_SERVER = 16  # that carry an exchange or are dialed; further exchanges are queued
 IDLE_SHARE = 0.6  # part of `idle_close` after which an idle connection is closed
@@ -40,6 +41,7 @@
         self._full_limit = limit
         self.idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
+        self.read_values = ReadValues()
         self.sends = 0
         """Number of attempts whose last byte has been passed to the kernel."""
         self._descriptor_count = 0
@@ -118,11 +120,10 @@
             connection.close()
         return None
 
-    @staticmethod
-    def _take_idle(server: Server, exchange: Exchange, now: float) -> Connection | None:
+    def _take_idle(self, server: Server, exchange: Exchange, now: float) -> Connection | None:
         """Remove and return a connection on which a second answer would not be taken for this exchange's."""
         connection = server.idle.take_settled(now)
-        if connection is None and exchange.request is not None and server.read_values.differ:
+        if connection is None and exchange.request is not None and self.read_values.differ:
             connection = server.idle.take_recognizing(exchange.request)
         return connection
 
--- a/saltport/upstream/read_values.py
+++ b/saltport/upstream/read_values.py
@@ -1,7 +1,7 @@
 """Whether a second copy of an answer can be recognized by its value, before its connection settles. No I/O.
 
 A second copy has the value of the answer before it, and a read of another key has another value, as long as
-values differ from key to key. That is learned for each server, from answers that can't be copies.
+values differ from key to key. That is learned from the answers of all servers that can't be copies.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 
 class ReadValues:
-    """What is known of the values of one server."""
+    """What is known of the values that reads return."""
 
     def __init__(self) -> None:
         self._latest: ReadValue | None = None
--- a/tests/wire/mutations.py
+++ b/tests/wire/mutations.py
@@ -46,6 +46,9 @@
 class _Pool:
     """The part of a pool that a connection uses."""
 
+    def __init__(self) -> None:
+        self.read_values = ReadValues()
+
     def on_event(self) -> None: ...
 
     def release(self, _: Connection) -> None: ...
@@ -59,7 +62,6 @@
     def __init__(self) -> None:
         self.pool = _Pool()
         self.late_connections: dict[Connection, None] = {}
-        self.read_values = ReadValues()
 
 
 class Received(Exchange):
