An attempt that may not be completed any more is reset before its last byte leaves

Cause: whether an attempt may still run (dedup window, client, deadline, final answer) was asked before its first byte only (Attempt.remaining_ms in Connection.start). What the kernel had not taken was passed on whenever it could be, and what it had taken was sent even after the attempt had been given up: closing a socket does not take bytes back. Change: decisions/transmission.py says until when the last byte may leave. It is asked before the kernel takes more of a request (StreamProtocol.may_continue_writing, ahead of timers that are due in the same iteration), at the end of the window, when the client has left (half written: at once; wholly in the kernel: 50 ms later), at a final answer, a time-out and the deadline. An attempt of which a byte is unsent or unacknowledged is then ended by a reset (SO_LINGER 0), so the kernel drops its part. The kernel takes at most 128 KiB of a long request beyond what it has sent (TCP_NOTSENT_LOWAT). Same cause elsewhere: a connection that answered before it had the whole request was used again; it closes. Origin, cache servers, the end of a process and background copies go through Connection.close.

--- /dev/null
+++ b/saltport/decisions/transmission.py
@@ -0,0 +1,26 @@
+"""The moment until which the last byte of a request may leave this machine, without I/O.
+
+A server begins a request when its last byte has come (protocol page, "Routers to cache servers"). So an
+attempt that is still being sent once its request may no longer begin is given up, by a reset of its
+connection, and can't be completed by what the kernel holds. All times are nanoseconds on the monotonic clock.
+"""
+
+from __future__ import annotations
+
+from saltport.decisions.interface import NS_PER_S
+
+CLIENT_GONE_GRACE_NS = NS_PER_S // 20
+"""Time after a client's disconnect in which an attempt may still be completed; the terms allow 0.1 s."""
+
+
+def send_limit(not_after: int, deadline: int) -> int:
+    """Return when the last byte of an attempt must have left: the end of its dedup window or its deadline.
+
+    `not_after`: the time from which the attempt may no longer be sent; 0 if only the deadline applies.
+    """
+    return min(not_after, deadline) if not_after else deadline
+
+
+def send_limit_after_disconnect(limit: int, now: int) -> int:
+    """Return the new limit of an attempt whose client was found at `now` to have left."""
+    return min(limit, now + CLIENT_GONE_GRACE_NS)
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -253,6 +253,8 @@
             request.reply.failed()
         else:
             request.reply.refused(-(-retry_after // NS_PER_MS))
+        if request.attempt is not None:
+            request.attempt.stop_sending()
         self.forget_if_finished(request)
 
     def refuse(self, request: OpenRequest) -> None:
@@ -270,7 +272,7 @@
         """
         for request in list(self._requests.values()):
             never_ran = not request.may_have_run and (
-                not request.open_attempts or request.queued_attempt is not None
+                not request.open_attempts or (request.attempt is not None and request.attempt.is_queued)
             )
             self._finish_request(request.id, 0 if never_ran else None)
 
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -19,6 +19,7 @@
     StreamStarted,
 )
 from saltport.decisions.ordering import NONE_RELEASED, KeyOrder
+from saltport.decisions.transmission import send_limit, send_limit_after_disconnect
 from saltport.downstream.replies import Reply
 from saltport.lag import LagMeter
 from saltport.messages import Request, ValueSource
@@ -69,9 +70,9 @@
     """A client's request that has no final answer yet, or still has open attempts."""
 
     __slots__ = (
-        "_host", "_order", "_stage", "_timer", "arrival_uncertainty_ns", "attempts", "closed", "counted",
-        "deadline", "deferred_answer", "id", "max_attempts", "may_have_run", "message", "open_attempts",
-        "queued_attempt", "reply",
+        "_host", "_order", "_stage", "_timer", "arrival_uncertainty_ns", "attempt", "attempts", "closed",
+        "counted", "deadline", "deferred_answer", "id", "max_attempts", "may_have_run", "message",
+        "open_attempts", "reply",
     )  # fmt: skip
 
     def __init__(
@@ -98,8 +99,8 @@
         """Whether an attempt ended whose server may have executed the request, or still may."""
         self.counted = False
         """Whether the request's end is counted in the figures."""
-        self.queued_attempt: Attempt | None = None
-        """The latest attempt, while it waits for a connection."""
+        self.attempt: Attempt | None = None
+        """The latest attempt, until it ends."""
         self.deferred_answer: bytes | None = None
         """The origin's answer to a write, which the client receives once the decision module releases it."""
 
@@ -184,9 +185,8 @@
         host.count_end(self, None)
         if source is not None:
             source.client_left()
-        if self.queued_attempt is not None:
-            # Danger: if it stayed in the queue it would be sent in vain, and delay the attempts behind it.
-            self.queued_attempt.give_up(Outcome.NOT_SENT)
+        if self.attempt is not None:
+            self.attempt.client_gone()
         host.forget_if_finished(self)
         host.dispatch(ClientGone(self.id))
 
@@ -205,13 +205,13 @@
     def __init__(self, host: RequestHost, request: OpenRequest, send: Send) -> None:
         super().__init__(host, request.reply, request.message.request_class)
         self._request, self._server, self._defer_answer = request, send.server, send.defer_answer
-        self._not_after_ns = send.not_after or request.deadline.at_ns
+        self._send_limit_ns = send_limit(send.not_after, request.deadline.at_ns)
         self.request = request.message
         self._number = request.attempts
         self._sent_at = time.monotonic_ns()
         request.attempts += 1
         request.open_attempts += 1
-        request.queued_attempt = self
+        request.attempt = self
 
     def remaining_ms(self) -> int:
         """Return the time left in whole milliseconds; 0: the attempt must not be sent.
@@ -220,7 +220,7 @@
         used up its attempts.
         """
         request, now = self._request, time.monotonic_ns()
-        if request.closed or self._number >= request.max_attempts or now >= self._not_after_ns:
+        if request.closed or self._number >= request.max_attempts or now >= self._send_limit_ns:
             return 0
         # Danger: after a stop of the process, or a wait in the listener's queue, the client's disconnection
         # may have arrived long ago without having been read.
@@ -228,6 +228,33 @@
             return 0
         return request.deadline.remaining_ms(now + request.arrival_uncertainty_ns)
 
+    def may_complete(self) -> bool:
+        """Whether the last byte may still leave; an answer that came ahead of it is passed on."""
+        return self._source is not None or self.remaining_ms() > 0
+
+    @property
+    def is_queued(self) -> bool:
+        """Whether nothing of the attempt has been written to a connection."""
+        return not self._written_at
+
+    def client_gone(self) -> None:
+        """Cancel the attempt if it is queued or half written, or stays incomplete for a short while."""
+        if self.is_queued:
+            # Danger: if it stayed in the queue it would be sent in vain, and delay the attempts behind it.
+            self.give_up(Outcome.NOT_SENT)
+        elif self.connection is not None and self.connection.unsent:
+            self.stop_sending()
+        elif self.connection is not None and self.connection.has_incomplete_request:
+            limit = send_limit_after_disconnect(self._send_limit_ns, time.monotonic_ns())
+            self._host.call_at(limit, self.stop_sending)
+
+    def stop_sending(self) -> None:
+        """Give the attempt up unless its server has the whole request, which nothing takes back."""
+        connection = self.connection
+        if connection is not None and self._source is None and connection.has_incomplete_request:
+            # Danger: with every byte in the kernel, the last one may have arrived unacknowledged.
+            self.give_up(Outcome.NOT_SENT if connection.unsent else Outcome.TIMEOUT)
+
     def set_timeout_at(self, due: int) -> None:
         """Set the attempt's time-out to the time `due` in nanoseconds."""
         self._due = due
@@ -278,7 +305,8 @@
     def request_written(self) -> None:
         """Note that the request has been written to a connection."""
         self._written_at = time.monotonic_ns()
-        self._request.queued_attempt = None
+        if self._send_limit_ns < self._request.deadline.at_ns:
+            self._host.call_at(self._send_limit_ns, self.stop_sending)
         if self.waits_for_resources or self._delayed_by_shortage or self.settles_at:
             if self._timer is not None:
                 self._timer.cancel()
@@ -322,8 +350,8 @@
             self._timer.cancel()
         request, reply = self._request, self._reply
         request.open_attempts -= 1
-        if request.queued_attempt is self:
-            request.queued_attempt = None
+        if request.attempt is self:
+            request.attempt = None
         unsent = not self._written_at
         request.may_have_run = request.may_have_run or not (
             outcome is Outcome.OK or outcome.never_ran or unsent
--- a/saltport/transport/stream.py
+++ b/saltport/transport/stream.py
@@ -11,6 +11,7 @@
 import errno
 import logging
 import socket
+import struct
 import threading
 
 from saltport.transport import shortage
@@ -20,6 +21,8 @@
 FIRST_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S = 0.004, 0.032
 """Pauses before a failed call is repeated: the first one, and the limit of their doubling."""
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
+
 _RETRIABLE = shortage.RESOURCE_ERRORS | {errno.EAGAIN, errno.EINTR}
 
 log = logging.getLogger("saltport")
@@ -34,6 +37,10 @@
     def write_out_of_memory(self) -> None:
         """Called when a write failed as this machine lacks memory; the unsent bytes are retried."""
 
+    def may_continue_writing(self) -> bool:
+        """Return whether the kernel may take more of the unsent bytes; before False, reset the stream."""
+        return True
+
 
 class _ReadBuffer(threading.local):
     """The read buffer that all streams of a thread share; a read ends before the next begins."""
@@ -237,6 +244,8 @@
 
     def _write_unsent(self) -> None:
         """Send unsent bytes now that the socket is writable; then resume the protocol, or close."""
+        if not self._protocol.may_continue_writing():
+            return
         sent = self._send(self._unsent)
         if self._lost:
             return
@@ -317,13 +326,37 @@
                 self._force_close(None)
 
     def abort(self) -> None:
-        """Close at once; unsent bytes are dropped."""
+        """Close at once; unsent bytes are dropped, and the kernel still sends those that it has taken."""
         self._force_close(None)
 
+    def reset(self) -> None:
+        """Close at once by a TCP reset: the kernel too drops what it has not sent."""
+        if self._lost:
+            return
+        self._stop()
+        self._reset_socket()
+
+    def _reset_socket(self) -> None:
+        """Close the socket by a reset, and report the close to the protocol."""
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        except OSError as error:
+            if error.errno in shortage.RESOURCE_ERRORS:
+                self._loop.call_later(FIRST_RETRY_PAUSE_S, self._reset_socket)
+                return
+            # Otherwise the connection has ended already.
+        self._sock.close()
+        self._loop.call_soon(self._finish_close, None)
+
     def _force_close(self, error: Exception | None) -> None:
         """Close without sending the unsent bytes, and report the close to the protocol."""
         if self._lost:
             return
+        self._stop()
+        self._loop.call_soon(self._finish_close, error)
+
+    def _stop(self) -> None:
+        """Stop reading and writing for good."""
         self._closing = self._lost = True
         self._stop_reading()
         self._stop_writing()
@@ -331,7 +364,6 @@
             if retry is not None:
                 retry.cancel()
         self._read_retry = self._write_retry = None
-        self._loop.call_soon(self._finish_close, error)
 
     def _finish_close(self, error: Exception | None) -> None:
         """Call `connection_lost` and close the socket."""
@@ -342,6 +374,14 @@
             self._sock.close()
 
 
+def limit_unsent_in_kernel(sock: socket.socket, size: int) -> None:
+    """Let the kernel take at most some `size` bytes beyond those it has sent; a failure is only logged."""
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, size)
+    except OSError as error:
+        log.warning("TCP_NOTSENT_LOWAT can't be set: %s", error.strerror or error)
+
+
 def set_no_delay(sock: socket.socket) -> None:
     """Set TCP_NODELAY, so that small writes are sent at once; a failure is only logged."""
     try:
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -18,7 +18,8 @@
 from saltport.handover.record import ReadPosition
 from saltport.messages import Request, ValueSource
 from saltport.transport.readiness import Readiness
-from saltport.transport.stream import StreamProtocol, TcpStream
+from saltport.transport.stream import StreamProtocol, TcpStream, limit_unsent_in_kernel
+from saltport.transport.unacknowledged import unacknowledged_bytes
 from saltport.upstream.idle_connections import IdleConnections
 from saltport.upstream.read_values import ReadValue, ReadValues
 from saltport.upstream.second_connection import SecondConnectionPolicy
@@ -27,6 +28,11 @@
 HALF_SENT_TIMEOUT_S = 0.1
 """Limit for a request that is half written because this machine lacks memory: its stated time goes stale."""
 
+LONG_REQUEST_BYTES = 64 << 10
+"""Size above which a request may wait in this machine for long, as its server does not read it."""
+MAX_UNSENT_IN_KERNEL_BYTES = 128 << 10
+"""Bytes of a long request that the kernel may hold unsent, and so pass on while this process is held up."""
+
 log = logging.getLogger("saltport")
 
 
@@ -94,6 +100,10 @@
         when the request is written, and the request carries the result.
         """
 
+    def may_complete(self) -> bool:
+        """Whether the last byte of the request may still leave; asked before the kernel takes more of it."""
+        return self.remaining_ms() > 0
+
     def plain_command(self, remaining_ms: int) -> tuple[bytes, ...]:
         """Return the words of a command that the router itself issues; empty for any other exchange."""
         return ()
@@ -131,7 +141,7 @@
         Danger: only for a request that is over: another attempt would run beside this one, as a second copy.
         """
         connection = self.connection
-        if connection is None or connection.unsent or not connection.usable:
+        if connection is None or connection.has_incomplete_request or not connection.usable:
             self.give_up(outcome)
             return
         connection.await_late_answer(LateAnswer(self), wait_s)
@@ -169,6 +179,7 @@
         self._copy_may_come = False
         """Whether a second copy of the latest answer may come in place of the open exchange's answer."""
         self.unsent = False
+        self._is_long_request = self._limits_kernel = False
         self.retired = False
         self._paused = False
         self._is_reading = False
@@ -190,6 +201,22 @@
         self.unsent = True
         self.server.pool.sends -= self._counts_as_send
 
+    def may_continue_writing(self) -> bool:
+        """Give up a half written request that may no longer be completed; return whether it may."""
+        exchange = self.exchange
+        if exchange is None or exchange.may_complete():
+            return True
+        exchange.give_up(Outcome.NOT_SENT)
+        return False
+
+    @property
+    def has_incomplete_request(self) -> bool:
+        """Whether bytes of the latest request, the last one with them, may not have reached the server yet.
+
+        They are in this process or in its kernel, which sends them later, and even after a close.
+        """
+        return self.transport is not None and unacknowledged_bytes(self.transport) > 0
+
     def write_out_of_memory(self) -> None:
         """Start a timeout for the request: half written, it has not run, and may be sent elsewhere."""
         if self._half_sent_timer is None:
@@ -260,6 +287,10 @@
         if not remaining_ms:
             return StartResult.TOO_LATE
         request_bytes = self.request_bytes(exchange, remaining_ms)
+        self._is_long_request = len(request_bytes) > LONG_REQUEST_BYTES
+        if self._is_long_request and not self._limits_kernel:
+            self._limits_kernel = True
+            limit_unsent_in_kernel(self.transport.get_extra_info("socket"), MAX_UNSENT_IN_KERNEL_BYTES)
         self._counts_as_send = int(exchange.request is not None)
         self.server.pool.sends += self._counts_as_send
         if not self.transport.write_now(request_bytes):
@@ -311,11 +342,15 @@
         return flow
 
     def close(self) -> None:
-        """Close at once; unsent bytes are dropped."""
+        """Close at once; a request whose last byte the server may not have yet is never completed."""
         self.retired = True
         self._end_read_delay()
         self._clear_late()
-        if self.transport is not None:
+        if self.transport is None:
+            return
+        if self.has_incomplete_request:
+            self.transport.reset()
+        else:
             self.transport.abort()
 
     def pause(self) -> None:
@@ -341,6 +376,9 @@
         if self._is_copy(outcome, value):
             self.close_with_error("sent its latest answer again")
             return
+        if self._is_long_request and self.has_incomplete_request:
+            # Danger: the rest would reach the server ahead of the next request.
+            self.retired = True
         exchange, self.exchange, self.used_before = self.exchange, None, True
         self._clear_late()
         # Danger: a slow client may have paused reading at a value's end; the next answer would not be read.
--- /dev/null
+++ b/tests/crossings/test_incomplete_requests.py
@@ -0,0 +1,315 @@
+"""An attempt whose last byte has not left in time is never completed, whoever holds its bytes.
+
+The servers have small buffers, as on a network between machines, and read a connection only once the test
+opens its gate. So a long request waits in the router, and a short one in the router's kernel.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import threading
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from saltport.messages import Request
+from saltport.router.host import RouterHost
+from saltport.transport.unacknowledged import kernel_unacknowledged_bytes
+from saltport.upstream.connection import MAX_UNSENT_IN_KERNEL_BYTES, Connection
+from tests.crossings.host_scenario import (
+    MS,
+    WINDOW,
+    DelayedDials,
+    RecordingReply,
+    run_scenario,
+    until,
+)
+from tests.sockets import (
+    MISS,
+    TIMEOUT_S,
+    Handler,
+    Peer,
+    eventually,
+    hit,
+    http_answer,
+    put,
+    reset,
+    run_router,
+)
+
+RECEIVE_BUFFER_BYTES, SEGMENT_BYTES = 4 << 10, 1460
+IN_KERNEL, IN_ROUTER = 48 << 10, 4 << 20
+"""Sizes of values that wait wholly in the router's kernel, and for the most part in the router."""
+LONG_MS = 15_000
+RECEIPT = b"receipt"
+Scenario = Callable[[RouterHost, DelayedDials], Coroutine[Any, Any, None]]
+
+
+class GatedPeer(Peer):
+    """A server that reads the connections after the first `ungated` ones only once its gate is open."""
+
+    def __init__(
+        self, handler: Handler, is_http: bool, ungated: int = 0, has_small_buffers: bool = True
+    ) -> None:
+        super().__init__(handler, is_http)
+        self.gate = threading.Event()
+        self._ungated, self._has_small_buffers = ungated, has_small_buffers
+        if not ungated:
+            self._limit_buffers()
+        self.ended = 0
+        """Number of connections that have ended."""
+
+    def _limit_buffers(self) -> None:
+        """Give the connections that come from now on small buffers."""
+        if not self._has_small_buffers:
+            return
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+
+    def _serve(self, connection: socket.socket) -> None:
+        if self.accepted > self._ungated:
+            self.gate.wait(TIMEOUT_S)
+        else:
+            self._limit_buffers()
+        super()._serve(connection)
+        self.ended += 1
+
+    def completed(self, size: int) -> int:
+        """Return how many writes of a value of `size` bytes came whole."""
+        return sum(len(message[-1]) == size for message in self.seen)
+
+
+def receipt(is_http: bool) -> bytes:
+    return http_answer(200, RECEIPT) if is_http else hit(RECEIPT)
+
+
+def gated(is_http: bool, ungated: int = 0) -> GatedPeer:
+    return GatedPeer(lambda _, message: receipt(is_http), is_http, ungated)
+
+
+def run(peer: GatedPeer, is_http: bool, scenario: Scenario) -> None:
+    """Run a scenario in which writes go to `peer`: the origin, or a cache server if there is no origin."""
+    if is_http:
+        run_scenario({"origin": peer}, scenario)
+    else:
+        run_scenario({"s1": peer}, scenario, origin_kind=None)
+
+
+def write(host: RouterHost, request_id: bytes, size: int, deadline_ms: int = LONG_MS) -> RecordingReply:
+    reply = RecordingReply()
+    info = b"c=put,t=acme,d=%d" % deadline_ms
+    message = Request(request_id, b"k", "put", "acme", deadline_ms, b"v" * size, False, info)
+    host.request_arrived(message, reply)  # type: ignore[arg-type]
+    return reply
+
+
+async def connection_of(host: RouterHost, peer: GatedPeer, number: int) -> Connection:
+    """Return the router's connection that the server accepted as its `number`-th, once it is written to."""
+    await until(lambda: peer.accepted == number)
+
+    def written() -> list[Connection]:
+        (server,) = host._pool._servers.values()
+        return [connection for connection in server.connections if connection.exchange is not None]
+
+    await until(written)
+    return written()[0]
+
+
+async def let_all_end(peer: GatedPeer) -> None:
+    """Let the server read all that reaches it."""
+    peer.gate.set()
+    async with asyncio.timeout(TIMEOUT_S):
+        await until(lambda: peer.ended == peer.accepted)
+
+
+on_each_server = pytest.mark.parametrize("is_http", [True, False], ids=["origin", "cache server"])
+of_each_size = pytest.mark.parametrize("size", [IN_KERNEL, IN_ROUTER], ids=["in the kernel", "in the router"])
+
+
+@on_each_server
+@of_each_size
+def test_repeat_of_a_keyed_write_is_not_completed_after_the_dedup_window(is_http: bool, size: int) -> None:
+    """Guards against a second effect: a repeat that was begun in the window and completed after it."""
+
+    def answer(connection: socket.socket, message: list[bytes]) -> bytes:
+        if len(peer.seen) == 2:
+            reset(connection)  # the write may have run
+        return receipt(is_http)
+
+    peer = GatedPeer(answer, is_http, ungated=1)
+
+    async def scenario(host: RouterHost, dials: DelayedDials) -> None:
+        dials.let_go.set()
+        assert await write(host, b"first", 1).answer == RECEIPT.decode()
+        # The next write uses the open connection; when that is reset, it is repeated at once on a new one.
+        reply = write(host, b"keyed", size)
+        await connection_of(host, peer, 2)
+        await asyncio.sleep(2 * WINDOW / 1e9)
+        await let_all_end(peer)
+        assert await reply.answer == "refused"
+        assert peer.completed(size) == 1, "only the attempt that was reset came whole"
+
+    run(peer, is_http, scenario)
+
+
+@on_each_server
+def test_repeat_is_not_completed_by_a_loop_that_was_blocked_at_the_window_s_end(is_http: bool) -> None:
+    """Guards against bytes that are passed on before the timer that gives the attempt up has run."""
+
+    def answer(connection: socket.socket, message: list[bytes]) -> bytes:
+        if len(peer.seen) == 2:
+            reset(connection)
+        return receipt(is_http)
+
+    peer = GatedPeer(answer, is_http, ungated=1)
+    size = MAX_UNSENT_IN_KERNEL_BYTES * 3
+
+    async def scenario(host: RouterHost, dials: DelayedDials) -> None:
+        dials.let_go.set()
+        assert await write(host, b"first", 1).answer == RECEIPT.decode()
+        write(host, b"keyed", size)
+        await connection_of(host, peer, 2)
+        peer.gate.set()
+        time.sleep(3 * WINDOW / 1e9)  # the loop is blocked
+        await let_all_end(peer)
+        assert peer.completed(size) == 1
+
+    run(peer, is_http, scenario)
+
+
+@on_each_server
+@of_each_size
+def test_write_is_not_completed_after_its_client_has_left(is_http: bool, size: int) -> None:
+    """Guards against an effect for a client that is gone."""
+    peer = gated(is_http)
+
+    async def scenario(host: RouterHost, dials: DelayedDials) -> None:
+        dials.let_go.set()
+        reply = write(host, b"gone", size)
+        await connection_of(host, peer, 1)
+        host.client_gone(reply)  # type: ignore[arg-type]
+        await asyncio.sleep(0.1)  # within which the terms allow an attempt to begin
+        await let_all_end(peer)
+        assert peer.completed(size) == 0
+
+    run(peer, is_http, scenario)
+
+
+@on_each_server
+@of_each_size
+def test_write_is_not_completed_after_its_deadline(is_http: bool, size: int) -> None:
+    """Guards against an effect after the client's time; the abandoned connection does not stay open."""
+    peer = gated(is_http)
+
+    async def scenario(host: RouterHost, dials: DelayedDials) -> None:
+        dials.let_go.set()
+        reply = write(host, b"late", size, deadline_ms=150)
+        await connection_of(host, peer, 1)
+        await reply.answer
+        await let_all_end(peer)
+        assert peer.completed(size) == 0
+
+    run(peer, is_http, scenario)
+
+
+@on_each_server
+@of_each_size
+def test_write_is_not_completed_after_its_final_answer(is_http: bool, size: int) -> None:
+    """Guards against an effect after the answers that a process gives as it ends."""
+    peer = gated(is_http)
+
+    async def scenario(host: RouterHost, dials: DelayedDials) -> None:
+        dials.let_go.set()
+        reply = write(host, b"ending", size)
+        await connection_of(host, peer, 1)
+        host.finish_all_requests()
+        await reply.answer
+        await let_all_end(peer)
+        assert peer.completed(size) == 0
+
+    run(peer, is_http, scenario)
+
+
+@on_each_server
+@of_each_size
+def test_attempt_that_timed_out_is_not_completed_beside_its_repeat(is_http: bool, size: int) -> None:
+    """Guards against a first attempt that the kernel delivers after its repeat has run and is forgotten."""
+    peer = gated(is_http)
+
+    async def scenario(host: RouterHost, dials: DelayedDials) -> None:
+        dials.let_go.set()
+        host._router._attempt_timeout = lambda request, node: 50 * MS if request.sends == 1 else 0  # type: ignore[method-assign]
+        reply = write(host, b"slow", size)
+        await connection_of(host, peer, 1)
+        await until(lambda: peer.accepted == 2 or reply.answer.done())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(asyncio.shield(reply.answer), 2 * WINDOW / 1e9)
+        await let_all_end(peer)
+        assert peer.completed(size) == 0
+
+    run(peer, is_http, scenario)
+
+
+NOT_STARTED: list[tuple[bool, Callable[[], bytes]]] = [
+    (True, lambda: http_answer(503, b"", "Not-Started: 1")),
+    (False, lambda: b"-BUSY\r\n"),
+]
+
+
+@pytest.mark.parametrize(("is_http", "refusal"), NOT_STARTED, ids=["origin", "cache server"])
+def test_connection_that_answered_before_the_whole_request_carries_no_other(
+    is_http: bool, refusal: Callable[[], bytes]
+) -> None:
+    """Guards against a request that is written into the rest of another, which the server has refused."""
+    peer = gated(is_http)
+
+    async def scenario(host: RouterHost, dials: DelayedDials) -> None:
+        dials.let_go.set()
+        write(host, b"long", IN_ROUTER, deadline_ms=300)
+        connection = await connection_of(host, peer, 1)
+        connection.data_received(refusal())
+        assert not connection.usable
+        await let_all_end(peer)
+        assert peer.completed(IN_ROUTER) == 0
+
+    run(peer, is_http, scenario)
+
+
+@on_each_server
+def test_kernel_holds_little_of_a_long_request_that_its_server_does_not_read(is_http: bool) -> None:
+    """Guards against a process that is held up at a limit, while its kernel passes a whole request on.
+
+    The server's buffers are those of the system: on loopback the kernel then takes almost 4 MiB.
+    """
+    peer = GatedPeer(lambda _, message: receipt(is_http), is_http, has_small_buffers=False)
+
+    async def scenario(host: RouterHost, dials: DelayedDials) -> None:
+        dials.let_go.set()
+        reply = write(host, b"long", IN_ROUTER, deadline_ms=300)
+        connection = await connection_of(host, peer, 1)
+        await asyncio.sleep(0.1)
+        assert connection.transport is not None
+        in_kernel = kernel_unacknowledged_bytes(connection.transport.get_extra_info("socket").fileno())
+        segments = 2 * 64 << 10  # in flight, or allocated before the bound was reached
+        assert connection.unsent
+        assert in_kernel <= MAX_UNSENT_IN_KERNEL_BYTES + segments
+        await reply.answer
+
+    run(peer, is_http, scenario)
+
+
+def test_write_is_not_completed_after_its_process_has_ended(tmp_path: Path) -> None:
+    """Guards against a kernel that delivers a write after the process, which has answered it, has ended."""
+    peer = gated(is_http=True)
+    with run_router(tmp_path, {"s1": Peer(lambda _, words: MISS)}, peer) as router:
+        client = router.client()
+        client.send(put("ending", b"v" * IN_KERNEL, d=LONG_MS))
+        eventually(lambda: peer.accepted == 1, "the write")
+    peer.gate.set()
+    eventually(lambda: peer.ended == peer.accepted, "the end of the connection")
+    assert peer.completed(IN_KERNEL) == 0
