--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -36,18 +36,29 @@
 KEY_COUNT = 512
 VALUE = b"x" * 512
 KEY_LINE_COUNT = 4  # lines of a KV.GET command up to its key, without the first
-HIT_REPLIES = {
-    key: resp_answer(key.ljust(len(VALUE), b"x"), b"hit", b"latency_ms=1.000,queue=0")
-    for key in (b"pkg-%d" % number for number in range(KEY_COUNT))
-}
-"""Values differ from key to key: the router can't recognize a second copy of an answer where they don't."""
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 START_TIMEOUT_S = 30.0
 
 
+def _hit_replies(values_repeat: bool) -> dict[bytes, bytes]:
+    """Return the reply of a hit for each key.
+
+    `values_repeat`: all keys have one value, so that the router can't recognize a second copy of an answer.
+    """
+    return {
+        key: resp_answer(
+            VALUE if values_repeat else key.ljust(len(VALUE), b"x"), b"hit", b"latency_ms=1.000,queue=0"
+        )
+        for key in (b"pkg-%d" % number for number in range(KEY_COUNT))
+    }
+
+
 class _NodeConnection(asyncio.Protocol):
     """A cache server's side of a connection. It answers each command immediately."""
 
+    def __init__(self, replies: dict[bytes, bytes]) -> None:
+        self._replies = replies
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
@@ -55,7 +66,7 @@
         """Reply with a hit to each command; a command fits in one TCP segment and so arrives unsplit."""
         commands = data.split(b"*4\r\n")[1:]
         keys = (each.split(b"\r\n", KEY_LINE_COUNT)[KEY_LINE_COUNT - 1] for each in commands)
-        self.transport.write(b"".join(HIT_REPLIES[key] for key in keys))
+        self.transport.write(b"".join(self._replies[key] for key in keys))
 
 
 class _UpstreamConnection(asyncio.Protocol):
@@ -173,13 +184,14 @@
         }  # fmt: skip
 
 
-async def _run_nodes() -> None:
+async def _run_nodes(values_repeat: bool) -> None:
     """Run the process with role `nodes`: the nodes and their registry."""
     loop = asyncio.get_running_loop()
+    replies = _hit_replies(values_repeat)
     registry = Registry(Ledger("nodes"))
     addresses = []
     for number in range(NODE_COUNT):
-        server = await loop.create_server(_NodeConnection, "127.0.0.1", 0)
+        server = await loop.create_server(lambda: _NodeConnection(replies), "127.0.0.1", 0)
         addresses.append(server.sockets[0].getsockname())
         registry.change(instance_entry(f"n{number}", addresses[-1], "std-1c", "up", "a", 0, 0))
     description = {"nodes": addresses, "registry": "{}:{}".format(*registry.listen("r1"))}
@@ -258,13 +270,17 @@
     report_line: Callable[[str], None],
     pause_ms: int = 0,
     rounds: int = 5,
+    values_repeat: bool = False,
 ) -> list[dict[str, Any]]:
     """Return one row of results for each number of connections, for the relay and the router."""
     processes: list[asyncio.subprocess.Process] = []
     rows = []
     with tempfile.TemporaryDirectory(prefix="saltport-relay-") as folder:
         try:
-            nodes, description = await _start_child("-m", "benchmarks.relay", "--role", "nodes")
+            node_options = ("--values-repeat",) if values_repeat else ()
+            nodes, description = await _start_child(
+                "-m", "benchmarks.relay", "--role", "nodes", *node_options
+            )
             processes.append(nodes)
             names = ["{}:{}".format(*node) for node in description["nodes"]]
             relay, address = await _start_child("-m", "benchmarks.relay", "--role", "relay", *names)
@@ -314,12 +330,13 @@
     )
     parser.add_argument("--connections", type=int, action="append")
     parser.add_argument("--stop-ms", type=int, default=0, help="pause the router for this long once a second")
+    parser.add_argument("--values-repeat", action="store_true", help="give all keys the same value")
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--role", choices=["nodes", "relay"], help=argparse.SUPPRESS)
     parser.add_argument("nodes", nargs="*", help=argparse.SUPPRESS)
     arguments = parser.parse_args()
     if arguments.role == "nodes":
-        uvloop.run(_run_nodes())
+        uvloop.run(_run_nodes(arguments.values_repeat))
     elif arguments.role == "relay":
         uvloop.run(_run_relay([parse_address("node", node) for node in arguments.nodes]))
     else:
@@ -331,6 +348,7 @@
                 report_line,
                 arguments.stop_ms,
                 arguments.rounds,
+                arguments.values_repeat,
             )
         )
         if arguments.json:
