Answers that wait in the router count in its memory budget

Cause: a value without a length is kept until it is whole, as no dialect towards clients can begin it earlier, and then until the earlier answers of its connection are written; only clients' long commands counted in the budget. Change: what arrives of a value of unknown length counts, and what replies buffer, and what a client has not taken. A value whose turn it is waits for memory, unread, until its deadline; one that has to wait for earlier answers is refused once what is buffered for its client exceeds half of the free memory; with the budget exhausted, reads that would have to wait are refused and clients with answers due are not read. The oldest value with a turn may use the last 4 MiB, so one can always complete. Answers are written on only while the client takes them. Texts of errors and values that nobody waits for are not kept. /state shows held_bytes, budget_bytes, private_bytes.

--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -140,6 +140,9 @@
         self._dialect = dialect()
         self._reading = True
         self._reserved = 0  # bytes reserved for the command being received
+        self.buffered_bytes = 0
+        """Number of bytes that replies have buffered, and that the kernel had not taken at the last pause."""
+        self._unsent_count = 0  # bytes counted in the budget that the kernel had not taken at a pause
         self._progress_at = 0.0
         self._bytes_since_progress = 0  # received since `_progress_at`
         self._awaiting_memory = False  # queued in the memory budget
@@ -215,7 +218,10 @@
         self.server.paused_reads.discard(self)
         if self._reserved:
             self.release_memory(self._reserved)
+        self._release_unsent()
         replies, self.replies = self.replies, deque()
+        for reply in replies:
+            reply.drop_buffered()
         # Danger: in forward order, dropping one request could start another that waits behind it on this
         # closed connection.
         for reply in reversed(replies):
@@ -281,7 +287,7 @@
         elif self._reserved:
             self.release_memory(self._reserved)
             self._reserved = 0
-        if len(self.replies) >= MAX_PIPELINE:
+        if len(self.replies) >= MAX_PIPELINE or self.server.budget.exhausted:
             self._set_reading()
 
     def reserve(self) -> None:
@@ -292,9 +298,23 @@
             self._progress_at = self.server.loop.time()
         self._set_reading()
 
-    def release_memory(self, reserved: int) -> None:
-        """Release so many bytes of memory reserved for a long command."""
-        self.server.budget.release_memory(reserved)
+    def release_memory(self, size: int) -> None:
+        """Release so many bytes of memory that were reserved for a command, or counted."""
+        self.server.budget.release_memory(size)
+
+    def add_buffered(self, size: int) -> None:
+        """Count so many more bytes as buffered, in the memory budget too."""
+        self.buffered_bytes += size
+        self.server.budget.count(size)
+
+    def remove_buffered(self, size: int) -> None:
+        """Count so many bytes as no longer buffered."""
+        self.buffered_bytes -= size
+        self.server.budget.release_memory(size)
+
+    def has_memory(self, size: int) -> bool:
+        """Whether the memory budget has room for `size` more bytes."""
+        return self.server.budget.has_room(size)
 
     def _end_stream(self) -> None:
         """Send the dialect's closing reply after the outstanding ones, and then close the connection.
@@ -342,7 +362,7 @@
         after its last reply does so here.
         """
         replies = self.replies
-        while replies and replies[0].done:
+        while replies and replies[0].written:
             reply = replies.popleft()
             if reply.logged_id is not None:
                 self._log_answer(reply, reply.logged_id)
@@ -377,6 +397,9 @@
     def pause_writing(self) -> None:
         """Pause reading from the client and from the source of its answer: the write buffer is full."""
         self.writing_paused = True
+        assert self.transport is not None
+        self._unsent_count = self.transport.get_write_buffer_size()
+        self.add_buffered(self._unsent_count)
         self.last_active_at = self.server.loop.time()
         self._set_reading()
         if self.replies and self.replies[0].source is not None:
@@ -385,9 +408,16 @@
     def resume_writing(self) -> None:
         """Resume reading from the client and from the source of its answer."""
         self.writing_paused = False
+        self._release_unsent()
         self._set_reading()
-        if self.replies and self.replies[0].source is not None:
-            self.replies[0].source.resume()
+        if self.replies:
+            self.replies[0].start_writing()
+            self.remove_completed_replies()
+
+    def _release_unsent(self) -> None:
+        """Release the memory that was counted for bytes that the kernel has not taken."""
+        size, self._unsent_count = self._unsent_count, 0
+        self.remove_buffered(size)
 
     def _set_reading(self) -> None:
         """Resume or pause reading, as the connection has capacity for more commands or not."""
@@ -397,6 +427,7 @@
             or self._awaiting_memory
             or self._dialect.end_reason
             or full
+            or (self.replies and self.server.budget.exhausted)
             or self._moves_to_successor
         )
         if wanted == self._reading or self.transport is None or self.transport.is_closing():
@@ -508,6 +539,8 @@
         replies, self.replies = self.replies, deque()
         age_s = self.server.loop.time() - self._progress_at if self._dialect.needed_bytes else 0.0
         record = frozen.record(self._dialect, self.has_carried_request, transport.unsent, replies, age_s)
+        for reply in replies:
+            reply.drop_buffered()
         self._mark_closed(CloseReason.MOVED)
         successor.offer(
             ConnectionTransfer(record, frozen.descriptors, self.server.restorer(record, frozen.descriptors))
--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -10,6 +10,8 @@
 from saltport.handover.record import PartialValue, Segment
 from saltport.messages import Answers, ValueSource
 
+RESTORED_PART_BYTES = 64 << 10  # in which the bytes from another process are written
+
 
 class PendingRequest(Protocol):
     """The host's object for a request that has no final answer yet."""
@@ -60,14 +62,30 @@
     def client_has_left(self) -> bool:
         """Whether the kernel reports that the client ended or reset the connection, even if unread."""
 
-    def release_memory(self, reserved: int) -> None:
-        """Release so many bytes of memory reserved for a long command."""
+    def release_memory(self, size: int) -> None:
+        """Release so many bytes of memory that were reserved for a command, or counted."""
+
+    buffered_bytes: int
+    """Number of bytes that replies have buffered."""
+
+    def add_buffered(self, size: int) -> None:
+        """Count so many more bytes as buffered, in the memory budget too."""
+
+    def remove_buffered(self, size: int) -> None:
+        """Count so many bytes as no longer buffered."""
+
+    def has_memory(self, size: int) -> bool:
+        """Whether the memory budget has room for `size` more bytes."""
 
 
 class Reply:
-    """The reply to one command, buffered until all earlier replies of its connection are complete."""
+    """The reply to one command.
 
-    _buffered: list[bytes] | None = None
+    It is buffered until all earlier replies of its connection are complete and the client has taken most of
+    what was written.
+    """
+
+    _buffered: deque[bytes] | None = None
     done = False
     source: StreamedValue | None = None
     request: PendingRequest | None = None
@@ -148,9 +166,32 @@
         """The bytes not yet written because earlier replies are incomplete or the value has not ended."""
         return b"".join([*(self._buffered or ()), self._withheld_byte])
 
+    @property
+    def written(self) -> bool:
+        """Whether the reply is complete and nothing of it is buffered."""
+        return self.done and not self._buffered
+
+    @property
+    def has_turn(self) -> bool:
+        """Whether no earlier reply of the connection is incomplete."""
+        replies = self._connection.replies
+        return not replies or replies[0] is self
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that are buffered for the client."""
+        return self._connection.buffered_bytes
+
+    def may_buffer(self, size: int) -> bool:
+        """Whether an answer of `size` bytes can be written now, or the memory budget has room for it."""
+        connection = self._connection
+        return not self._must_wait or connection.closed or connection.has_memory(size)
+
     def restore(self, segment: Segment) -> None:
         """Restore a reply from another process; the caller sets the source of a streamed value."""
-        self._buffered = [segment.data] if segment.data else None
+        data = segment.data
+        for at in range(0, len(data), RESTORED_PART_BYTES):
+            self._buffer(data[at : at + RESTORED_PART_BYTES])
         self.done = segment.value is None
         self.tail = segment.value.tail if segment.value is not None else b""
 
@@ -159,14 +200,30 @@
         connection = self._connection
         if connection.closed:
             return True
-        if connection.replies[0] is not self:
-            if self._buffered is None:
-                self._buffered = []
-            self._buffered.append(data)
+        if self._must_wait:
+            self._buffer(data)
             return False
         connection.write(data)
         return True
 
+    @property
+    def _must_wait(self) -> bool:
+        """Whether an earlier reply is incomplete, or the client has not taken what was written before."""
+        connection = self._connection
+        return bool(connection.replies[0] is not self or connection.writing_paused or self._buffered)
+
+    def _buffer(self, data: bytes) -> None:
+        """Keep bytes until they can be written."""
+        if self._buffered is None:
+            self._buffered = deque()
+        self._buffered.append(data)
+        self._connection.add_buffered(len(data))
+
+    def drop_buffered(self) -> None:
+        """Drop the buffered bytes: the connection has ended here."""
+        while self._buffered:
+            self._connection.remove_buffered(len(self._buffered.popleft()))
+
     def abort_value(self) -> None:
         """Close the connection so that the client sees that the streamed value is incomplete."""
         self._connection.abort(CloseReason.VALUE_CUT)
@@ -182,9 +239,14 @@
             self.reserved = 0
 
     def start_writing(self) -> None:
-        """Write the buffered bytes and resume the source: all earlier replies are complete."""
-        for data in self._buffered or ():
-            self._connection.write(data)
-        self._buffered = None
-        if self.source is not None and not self._connection.writing_paused:
+        """Write buffered bytes as far as the client takes them, then resume the source.
+
+        All earlier replies are complete.
+        """
+        connection = self._connection
+        while self._buffered and not connection.writing_paused:
+            data = self._buffered.popleft()
+            connection.write(data)
+            connection.remove_buffered(len(data))
+        if self.source is not None and not connection.writing_paused:
             self.source.resume()
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -25,6 +25,7 @@
 from saltport.downstream.resp import RespDialect
 from saltport.lifecycle.bans import Bans, BanStore
 from saltport.lifecycle.drain import MAX_STEP_DELAY_S, OPERATOR_DRAIN, DrainPlan, shutdown_plan
+from saltport.lifecycle.memory import private_memory_bytes
 from saltport.lifecycle.reload import plan_reload
 from saltport.lifecycle.takeover import Takeover
 from saltport.membership.listing import Listing, read_listing
@@ -53,7 +54,7 @@
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
 ADMIN_DESCRIPTORS = 36  # the operators' listener and its maximum number of connections
 CLIENT_DESCRIPTOR_SHARE = 0.6  # part of the descriptors that client connections may use
-COMMAND_MEMORY_SHARE = 0.2  # part of the memory limit for long commands of clients
+BUDGET_MEMORY_SHARE = 0.2  # part of the memory limit for long commands and answers that wait
 BANS_FOLDER = "saltport.out"
 LAG_WINDOW_NS = 500_000_000  # the longest loop delay in this window extends the time allowed to peers
 
@@ -85,10 +86,11 @@
         self._host = RouterHost(loop, config.settings, config.seed, self._pool, config.max_open)
         self._pool.on_event = self._host.begin_loop_iteration
         self._memcached = _memcached(config.memcached) if config.memcached.on else None
-        command_memory = int(config.memory * COMMAND_MEMORY_SHARE)
+        memory_budget = int(config.memory * BUDGET_MEMORY_SHARE)
         self._clients = ClientServer(
-            loop, self._host, self._default_dialect(), client_descriptors, command_memory
+            loop, self._host, self._default_dialect(), client_descriptors, memory_budget
         )
+        self._pool.memory = self._clients.budget
         self._clients.dialects[RespDialect.name] = RespDialect
         if config.access_log.folder:
             self._clients.access_log = _access_log(loop, config)
@@ -271,6 +273,9 @@
             "taken_over": self._takeover.adopted if self._takeover is not None else 0,
             "servers_may_hold": self._pool.limit,
             "late": self._pool.late_connection_count,
+            "held_bytes": self._clients.budget.held,
+            "budget_bytes": self._clients.budget.total,
+            "private_bytes": private_memory_bytes(),
         }
         registries = {
             "generation": self._discovery.generation,
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -251,6 +251,21 @@
         stale = self._stated_until_ns and time.monotonic_ns() >= self._stated_until_ns
         return not stale and self.remaining_ms() > 0
 
+    @property
+    def discards_value(self) -> bool:  # type: ignore[override]
+        """Whether the request has its final answer already, or its client has left."""
+        return self._request.closed
+
+    @property
+    def has_turn(self) -> bool:  # type: ignore[override]
+        """Whether no earlier answer of the client's connection is due."""
+        return self._reply.has_turn
+
+    @property
+    def client_buffered_bytes(self) -> int:  # type: ignore[override]
+        """Number of bytes that are buffered for the client."""
+        return self._reply.buffered_bytes
+
     @property
     def is_queued(self) -> bool:
         """Whether nothing of the attempt has been written to a connection."""
@@ -301,6 +316,9 @@
         if (self.waits_for_resources or settling) and not self._request.deadline.expired(now):
             self._restart_timeout(now)
             return
+        if self.connection is not None and self.connection.awaits_memory:
+            self._wait_for_memory(now)
+            return
         late = now - self._due
         if not self._lateness_checked:
             self._lateness_checked = True
@@ -321,6 +339,27 @@
         else:
             self.give_up(Outcome.NOT_SENT if queued else Outcome.TIMEOUT)
 
+    def ended_for_memory(self) -> bool:
+        """Refuse a read whose value has to wait for earlier answers; one whose turn it is waits for memory.
+
+        Danger: values that wait for memory hold the server's connections, which the earlier answers need.
+        """
+        request = self._request
+        if request.message.value is not None or (self.has_turn and not request.closed):
+            return False
+        self._host.refuse(request)
+        self.give_up(Outcome.CANCELLED)
+        return True
+
+    def _wait_for_memory(self, now: int) -> None:
+        """Wait until the deadline for an answer that the router has no memory to read, and then end it."""
+        deadline = self._request.deadline
+        if deadline.expired(now):
+            self.give_up(Outcome.CANCELLED)  # neutral: the server has answered
+        else:
+            self._due = deadline.at_ns
+            self._timer = self._host.call_at(self._due, self._timed_out)
+
     def request_written(self) -> None:
         """Note that the request has been written to a connection."""
         self._written_at = time.monotonic_ns()
@@ -347,9 +386,16 @@
         )
 
     def value_started(self, length: int, source: ValueSource) -> None:
-        """Start the client's answer with a long value of `length` bytes from `source`."""
+        """Start the client's answer with a long value of `length` bytes from `source`.
+
+        It is refused instead if it would have to wait for its turn and the memory budget is exhausted.
+        """
         self._latency = self._elapsed()
         request = self._request
+        if not request.closed and request.message.value is None and not request.reply.may_buffer(1):
+            self._host.refuse(request)
+            self.give_up(Outcome.CANCELLED)
+            return
         if request.closed:
             self._value_bytes = length
             return  # the request is already answered or abandoned: the attempt's time-out stays in force
@@ -387,6 +433,8 @@
         elif outcome is Outcome.OK and not request.closed and value is not None:
             if self._defer_answer:
                 request.deferred_answer = value
+            elif request.message.value is None and not reply.may_buffer(len(value)):
+                self._host.refuse(request)  # a read, which is harmless to repeat
             else:
                 request.closed = True
                 self._host.count_end(request, self._host.figures.answered)
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -15,6 +15,7 @@
 
 from saltport.address import Address
 from saltport.decisions import CacheStatus, Outcome
+from saltport.downstream.budget import MemoryBudget
 from saltport.handover.record import ReadPosition
 from saltport.messages import Request, ValueSource
 from saltport.transport.readiness import Readiness
@@ -54,6 +55,8 @@
     """Seconds after which an idle connection is closed."""
     read_values: ReadValues
     """What is known of the values that reads return."""
+    memory: MemoryBudget
+    """The budget in which values of unknown length count."""
 
     @property
     def on_event(self) -> Callable[[], None]:
@@ -89,6 +92,12 @@
     """Whether the exchange waits, unsent, as this machine lacks resources for a connection or a write."""
     settles_at = 0.0
     """Loop time until which the exchange waits, unsent, for a connection to settle; 0 if it did not wait."""
+    discards_value = False
+    """Whether nobody waits for the answer's value any more."""
+    has_turn = True
+    """Whether the answer can be passed on as soon as it is whole, with no earlier answer due."""
+    client_buffered_bytes = 0
+    """Number of bytes that are buffered for the client that the answer goes to."""
     read_delay_ns = 0
     """Time for which the answer may have been in the kernel while this machine lacked memory to read it."""
 
@@ -119,6 +128,10 @@
     def ended(self, outcome: Outcome, value: bytes | None = None, note: CacheStatus | None = None) -> None:
         """Called once, when the exchange ends, with its outcome and the answer's value, if it has one."""
 
+    def ended_for_memory(self) -> bool:
+        """End the exchange if it is better ended than left waiting for memory; return whether it did."""
+        return False
+
     def value_started(self, length: int, source: ValueSource) -> None:
         """Called when a value over 64 KiB begins, with its length and the source that can pause it."""
 
@@ -145,7 +158,12 @@
         Danger: only for a request that is over: another attempt would run beside this one, as a second copy.
         """
         connection = self.connection
-        if connection is None or connection.has_incomplete_request or not connection.usable:
+        if (
+            connection is None
+            or connection.has_incomplete_request
+            or connection.holds_value
+            or not connection.usable
+        ):
             self.give_up(outcome)
             return
         connection.await_late_answer(LateAnswer(self), wait_s)
@@ -155,6 +173,8 @@
 class LateAnswer(Exchange):
     """Discards the late answer to an attempt whose request is over, so that its connection can be reused."""
 
+    discards_value = True
+
     def __init__(self, late: Exchange) -> None:
         self.request = late.request
 
@@ -325,6 +345,16 @@
         """Continue to read a long value from the state in which another process stopped."""
         raise NotImplementedError
 
+    @property
+    def holds_value(self) -> bool:
+        """Whether the connection keeps a part of a value, whose length it does not know."""
+        return False
+
+    @property
+    def awaits_memory(self) -> bool:
+        """Whether the rest of an answer is not read yet, as the memory budget has no room for it."""
+        return False
+
     @property
     def movable(self) -> bool:
         """Whether another process can take over this connection within a long value."""
--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -7,6 +7,7 @@
 from saltport.decisions import Outcome
 from saltport.handover.record import ReadPosition
 from saltport.upstream.connection import Connection, Exchange, Server
+from saltport.upstream.unknown_length import UnknownLengthValue
 from saltport.wire.http import HttpError, HttpReader, request
 from saltport.wire.resp import MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES, with_remaining_time
 
@@ -21,6 +22,9 @@
         Connection.__init__(self, server)
         HttpReader.__init__(self)
         self._body = bytearray()
+        self._unknown_length: UnknownLengthValue | None = None
+        self._awaits_memory = False
+        self._skipped_bytes = 0  # of a body that is not kept
         self._streaming = False
         self._length = self._left = 0  # bytes of a long value, in all and left to read
 
@@ -80,6 +84,8 @@
         value = None if self._streaming else bytes(self._body)
         self._streaming = False
         self._body.clear()
+        if self._unknown_length is not None:
+            value = self._deliver(self._unknown_length)
         self.retired = not self.finish_answer() or self.retired
         if status == 200:
             self.finish(Outcome.OK, value)
@@ -89,28 +95,123 @@
             self.finish(Outcome.ERROR)
 
     def body_started(self, length: int | None) -> None:
-        """Stream a long value to the exchange; buffer a short one, or one of unknown length."""
+        """Stream a long value to the exchange; keep a short one, or one of unknown length."""
         if self._streaming:
             return  # continues a value from another process
+        self._skipped_bytes = 0
         if length is not None and length > MAX_VALUE_BYTES:
             raise HttpError("value too long")
-        if (
-            length is not None
-            and length > STREAMING_THRESHOLD_BYTES
-            and self.status == 200
-            and self.exchange is not None
-        ):
+        if self.status != 200 or self.exchange is None:
+            return
+        if length is None:
+            self._unknown_length = UnknownLengthValue(self.server.pool.memory)
+        elif length > STREAMING_THRESHOLD_BYTES:
             self._streaming = True
             self._length = self._left = length
             self.exchange.value_started(length, self)
 
     def body_received(self, data: bytes) -> None:
-        """Pass on or buffer a part of the body."""
+        """Pass on, keep or skip a part of the body."""
         if self._streaming:
             self._left -= len(data)
             if self.exchange is not None:
                 self.exchange.value_received(data)
-            return
-        self._body += data
-        if len(self._body) > MAX_VALUE_BYTES:
+        elif self._unknown_length is not None:
+            self._grow(self._unknown_length, data)
+        elif self.status == 200:
+            self._body += data
+        else:
+            self._skip(len(data))
+
+    def _skip(self, size: int) -> None:
+        """Count a part of a body that is not kept: the text of an error, or a value that nobody waits for."""
+        self._skipped_bytes += size
+        if self._skipped_bytes > MAX_VALUE_BYTES:
             raise HttpError("value too long")
+
+    # A value of unknown length: no dialect towards clients can begin it before its length is known.
+
+    def _grow(self, unknown: UnknownLengthValue, data: bytes) -> None:
+        """Keep a part of the value, as long as somebody waits for it."""
+        if self._skipped_bytes or self.exchange is None or self.exchange.discards_value:
+            unknown.take()
+            self._skip(len(data))
+            return
+        unknown.add(data)
+        if unknown.size > STREAMING_THRESHOLD_BYTES and not self._awaits_memory:
+            self.reserve()
+
+    def _deliver(self, unknown: UnknownLengthValue) -> bytes | None:
+        """Return a short value; pass a long one on in parts and return None."""
+        self._unknown_length = None
+        self._read_on()
+        self.server.pool.memory.end_growth(self)
+        length, parts = unknown.size, unknown.take()
+        if self._skipped_bytes or self.exchange is None:
+            return None
+        if length <= STREAMING_THRESHOLD_BYTES:
+            return b"".join(parts)
+        self.exchange.value_started(length, self)
+        while parts and self.exchange is not None:
+            self.exchange.value_received(bytes(parts.popleft()))
+        return None
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended, so that it needs no memory any more."""
+        return self.transport is None or self.transport.is_closing()
+
+    def reserve(self) -> None:
+        """Read on in a value of unknown length if the budget has room for more of it, else wait or end."""
+        memory, exchange = self.server.pool.memory, self.exchange
+        if self._unknown_length is None or exchange is None:
+            return
+        if memory.may_grow(self):
+            self._read_on()
+        elif not exchange.ended_for_memory():
+            memory.wait(self)
+            self._wait_for_memory()
+
+    def _wait_for_memory(self) -> None:
+        """Stop reading; the time until it goes on is the router's own."""
+        if not self._awaits_memory:
+            assert self.transport is not None
+            self._awaits_memory = True
+            self.transport.pause_reading()
+            self.read_out_of_memory()
+
+    def _read_on(self) -> None:
+        """End a wait for memory, if there is one."""
+        if self._awaits_memory:
+            assert self.transport is not None
+            self._awaits_memory = False
+            self._end_read_delay()
+            self.transport.resume_reading()
+
+    @property
+    def has_turn(self) -> bool:
+        """Whether the value can be passed on as soon as it is whole, with no earlier answer due."""
+        return self.exchange is None or self.exchange.has_turn
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that are buffered for the client that the value goes to."""
+        return self.exchange.client_buffered_bytes if self.exchange is not None else 0
+
+    @property
+    def awaits_memory(self) -> bool:
+        """Whether the rest of an answer is not read yet, as the memory budget has no room for it."""
+        return self._awaits_memory
+
+    @property
+    def holds_value(self) -> bool:
+        """Whether the connection keeps a part of a value whose length it does not know."""
+        return self._unknown_length is not None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Drop what was kept of a value, and end the exchange."""
+        if self._unknown_length is not None:
+            self._unknown_length.take()
+            self._unknown_length = None
+        self.server.pool.memory.end_growth(self)
+        super().connection_lost(exc)
--- a/saltport/upstream/pool.py
+++ b/saltport/upstream/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import sys
 from collections import deque
 from collections.abc import Callable
 from itertools import islice
@@ -11,6 +12,7 @@
 
 from saltport.address import Address
 from saltport.decisions import Outcome
+from saltport.downstream.budget import MemoryBudget
 from saltport.handover.record import ReadPosition
 from saltport.transport import shortage
 from saltport.transport.dialing import dial
@@ -42,6 +44,8 @@
         self.idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
         self.read_values = ReadValues()
+        self.memory = MemoryBudget(sys.maxsize)
+        """The budget in which values of unknown length count."""
         self.sends = 0
         """Number of attempts whose last byte has been passed to the kernel."""
         self._descriptor_count = 0
--- /dev/null
+++ b/tests/downstream/test_budget.py
@@ -0,0 +1,87 @@
+"""The memory budget: what has arrived counts, and values of unknown length grow in turn."""
+
+from __future__ import annotations
+
+from saltport.downstream.budget import LONGEST_VALUE_BYTES, PART_BYTES, MemoryBudget
+
+TOTAL = 4 * LONGEST_VALUE_BYTES
+
+
+class Value:
+    """A connection that reads a value of unknown length."""
+
+    def __init__(self, budget: MemoryBudget, has_turn: bool = True) -> None:
+        self._budget, self.has_turn = budget, has_turn
+        self.closed = False
+        self.buffered_bytes = 0
+        self.size = 0
+
+    def read(self) -> None:
+        """Read parts until the value is whole or has to wait."""
+        while self.size < LONGEST_VALUE_BYTES:
+            if not self._budget.may_grow(self):
+                self._budget.wait(self)
+                return
+            self.size += PART_BYTES
+            self._budget.count(PART_BYTES)
+
+    def reserve(self) -> None:
+        self.read()
+
+    @property
+    def whole(self) -> bool:
+        return self.size == LONGEST_VALUE_BYTES
+
+
+def test_oldest_value_completes_whatever_the_others_have_taken() -> None:
+    budget = MemoryBudget(TOTAL)
+    values = [Value(budget) for _ in range(8)]
+    for value in values:
+        budget.may_grow(value)
+    for value in reversed(values):
+        value.read()
+    assert values[0].whole
+    assert budget.held <= TOTAL
+
+
+def test_each_value_completes_once_others_are_released() -> None:
+    budget = MemoryBudget(TOTAL)
+    values = [Value(budget) for _ in range(8)]
+    for value in values:
+        value.read()
+    for value in values:
+        assert value.whole
+        budget.end_growth(value)
+        budget.release_memory(value.size)
+    assert budget.held == 0
+
+
+def test_value_that_waits_for_its_turn_leaves_room_for_others() -> None:
+    budget = MemoryBudget(TOTAL)
+    waiting = Value(budget, has_turn=False)
+    waiting.buffered_bytes = LONGEST_VALUE_BYTES // 2
+    budget.count(waiting.buffered_bytes)
+    assert budget.may_grow(waiting)
+    budget.count(2 * LONGEST_VALUE_BYTES)
+    assert not budget.may_grow(waiting)
+    assert budget.may_grow(Value(budget))
+
+
+def test_closed_value_is_not_asked_again() -> None:
+    budget = MemoryBudget(TOTAL)
+    first, closed = Value(budget), Value(budget)
+    first.read()
+    budget.count(TOTAL)
+    closed.read()
+    closed.closed = True
+    budget.release_memory(TOTAL)
+    assert not closed.size
+
+
+def test_what_has_arrived_counts_beyond_the_total() -> None:
+    budget = MemoryBudget(PART_BYTES)
+    budget.count(2 * PART_BYTES)
+    assert budget.exhausted
+    assert not budget.has_room(1)
+    budget.release_memory(2 * PART_BYTES)
+    assert budget.held == 0
--- a/tests/router/test_lag.py
+++ b/tests/router/test_lag.py
@@ -70,6 +70,9 @@
     def release_memory(self) -> None:
         pass
 
+    def may_buffer(self, size: int) -> bool:
+        return True
+
     def client_has_left(self) -> bool:
         return False
 
--- a/tests/wire/mutations.py
+++ b/tests/wire/mutations.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from saltport.decisions import CacheStatus, Outcome
+from saltport.downstream.budget import MemoryBudget
 from saltport.messages import Request, ValueSource
 from saltport.upstream import http as upstream_http
 from saltport.upstream.connection import Connection, Exchange, Server
@@ -48,6 +49,7 @@
 
     def __init__(self) -> None:
         self.read_values = ReadValues()
+        self.memory = MemoryBudget(1 << 30)
 
     def on_event(self) -> None: ...
 
