A reply forgets its request once that has ended, so its value leaves memory

Callers saw nothing yet, but a router with a limit of 96 MB took 197 MB, and with 192 MB 196, while 40 clients sent a write of 4 MiB each to an origin that hung: the platform kills it. Cause: Reply.request and OpenRequest.reply refer to each other, so the value was freed only when the collector of cycles ran, which is made rare at the start. Evidence: only four writes at a time were admitted, and memory grew with each that had ended; with the collector off, one refused write left 24 objects, its request with the value among them. Change: the reply drops its reference when the request is forgotten.

--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -240,6 +240,9 @@
         if request.closed and not request.open_attempts and request.id in self._requests:
             del self._requests[request.id]
             request.reply.release_memory()
+            # Danger: the two refer to each other, and such cycles are collected rarely. Until then the value
+            # of a write would stay in memory.
+            request.reply.request = None
 
     def _finish_request(self, request_id: str, retry_after: int | None) -> None:
         """Give a request its final answer: refused, with `retry_after` in nanoseconds, or failed if None."""
--- a/tests/crossings/test_memory_of_answers.py
+++ b/tests/crossings/test_memory_of_answers.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from tests.sockets import MISS, Peer, RunningRouter, eventually, get, hit, reset, run_router
+from tests.sockets import MISS, Peer, RunningRouter, eventually, get, hit, put, reset, run_router
 
 LONG, SHORT = 4 << 20, 64 << 10
 MEMORY_MB = 96
@@ -171,6 +171,42 @@
     assert watch.most_mb < MEMORY_MB
 
 
+class HangingPeer(Peer):
+    """A server that accepts connections and reads nothing."""
+
+    def _serve(self, connection: socket.socket) -> None:
+        self.ended.wait()
+        connection.close()
+
+    def __init__(self) -> None:
+        self.ended = threading.Event()
+        super().__init__(lambda _, message: None, is_http=True)
+
+    def close(self) -> None:
+        self.ended.set()
+        super().close()
+
+
+def test_values_of_ended_writes_do_not_stay_in_memory(tmp_path: Path) -> None:
+    """Guards against values that are kept by objects that refer to each other, until the collector runs."""
+    with running(tmp_path, HangingPeer()) as router, Watch(router) as watch:
+        answers: list[bytes] = []
+
+        def run(number: int) -> None:
+            client = router.client()
+            answers.append(client.ask(put(f"w{number}", b"v" * LONG, cls="get", d=600)))
+            client.close()
+
+        threads = [threading.Thread(target=run, args=(number,)) for number in range(24)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert {answer[:5] for answer in answers} == {b"-BUSY"}
+        router.until("held_bytes", 0)
+    assert watch.most_mb < MEMORY_MB
+
+
 def test_connection_carries_further_answers_after_one_that_had_to_wait_for_memory(tmp_path: Path) -> None:
     """Guards against a connection that is not read again, as its answer ended while it waited."""
     origin = origin_without_lengths(LONG, "chunked")
