Test of zones: the router that is the owner at that moment is killed

Traced by its own list of plans: r1 gave the order at 44.9 s, all had it at 48.8 s once the cut ended, r3 took over by itself at 50.5 s (epoch 20) while r1 was alive, and then the test killed r1, whom it had taken for the owner before the cut, and waited for an epoch after r3's. The owner is read again right before the kill; that the order outlives the owner, and all that is checked, is as it was.

--- a/tests/nemesis/test_zone_processes.py
+++ b/tests/nemesis/test_zone_processes.py
@@ -143,7 +143,8 @@
             assert (await run_command(nemesis, current, "evacuate", "a"))[0] == 1
         # The owner is killed right after that: the order stays in force.
         await nemesis.wait_until_agreed()
-        before = max(plans(nemesis))
+        # Another router may have become the owner when the cut ended; then it is the one to be killed.
+        current, before = owner(nemesis), max(plans(nemesis))
         await nemesis.kill(current)
         nemesis.zone_reports.pop(current)
         await wait_until("another router decides", lambda: max(plans(nemesis))[0] > before[0])
