--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -363,8 +363,8 @@
     def request_written(self) -> None:
         """Note that the request has been written to a connection."""
         self._written_at = time.monotonic_ns()
-        limit = send_limit(self._stated_until_ns, self._send_limit_ns)
-        if limit < self._request.deadline.at_ns:
+        if self._stated_until_ns or self._send_limit_ns < self._request.deadline.at_ns:
+            limit = send_limit(self._stated_until_ns, self._send_limit_ns)
             self._host.call_at(limit, self.stop_sending)
         if self.waits_for_resources or self._delayed_by_shortage or self.settles_at:
             if self._timer is not None:
--- a/tests/crossings/test_incomplete_requests.py
+++ b/tests/crossings/test_incomplete_requests.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from benchmarks.platform import platform
 from saltport.messages import Request
 from saltport.router.host import RouterHost
 from saltport.transport.unacknowledged import kernel_unacknowledged_bytes
@@ -36,6 +37,7 @@
     TIMEOUT_S,
     Handler,
     Peer,
+    entry,
     eventually,
     hit,
     http_answer,
@@ -48,6 +50,7 @@
 IN_KERNEL, IN_ROUTER = 48 << 10, 4 << 20
 """Sizes of values that wait wholly in the router's kernel, and for the most part in the router."""
 LONG_MS = 15_000
+TRICKLE_S = 0.02
 RECEIPT = b"receipt"
 Scenario = Callable[[RouterHost, DelayedDials], Coroutine[Any, Any, None]]
 
@@ -73,9 +76,16 @@
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
 
+    trickles = False
+    """Whether a connection is read byte by byte until the gate is open."""
+
     def _serve(self, connection: socket.socket) -> None:
         if self.accepted > self._ungated:
-            self.gate.wait(TIMEOUT_S)
+            end = time.monotonic() + TIMEOUT_S
+            while not self.gate.wait(TRICKLE_S) and time.monotonic() < end:
+                with contextlib.suppress(OSError):  # ended by the router
+                    if self.trickles:
+                        connection.recv(1)
         else:
             self._limit_buffers()
         super()._serve(connection)
@@ -209,9 +219,11 @@
 
 @on_each_server
 @of_each_size
-def test_write_is_not_completed_after_its_deadline(is_http: bool, size: int) -> None:
+@pytest.mark.parametrize("trickles", [False, True], ids=["hangs", "trickles"])
+def test_write_is_not_completed_after_its_deadline(trickles: bool, is_http: bool, size: int) -> None:
     """Guards against an effect after the client's time; the abandoned connection does not stay open."""
     peer = gated(is_http)
+    peer.trickles = trickles
 
     async def scenario(host: RouterHost, dials: DelayedDials) -> None:
         dials.let_go.set()
@@ -322,6 +334,25 @@
     assert peer.completed(IN_KERNEL) == 0
 
 
+@pytest.mark.parametrize("size", [IN_KERNEL, IN_ROUTER], ids=["in the kernel", "in the router"])
+def test_write_is_not_completed_after_its_process_has_handed_over(tmp_path: Path, size: int) -> None:
+    """Guards against a write of the old process that runs after its answer, while the next one serves."""
+    peer = gated(is_http=True)
+    cache = Peer(lambda _, words: MISS)
+    with platform(tmp_path, {"s1": cache}) as cluster:
+        cluster.discovery.change(entry(cache, "s1"), entry(peer, "origin", "origin"))
+        old = cluster.start().wait_until_healthy()
+        client = cluster.client()
+        client.send(put("moving", b"v" * size, d=LONG_MS))
+        eventually(lambda: peer.accepted == 1, "the write")
+        cluster.upgrade(old)
+        eventually(lambda: old.has_exited, "the old process has exited")
+        peer.gate.set()
+        eventually(lambda: peer.ended == peer.accepted, "the end of the connections")
+        assert peer.completed(size) == 0
+        peer.close()
+
+
 STATED_TIME = {True: re.compile(rb"[, ]d=(\d+)[,\r]"), False: re.compile(rb",d=(\d+)")}
 TERMS_SLACK_S = 0.15
 
