Each process test checks that nothing is left in the memory budget

After a test's clients have left, a router without an open request has to hold no bytes (tests/sockets.py, run_router): a count that drifts would refuse answers in the end.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -332,6 +332,14 @@
         for client in list(self._clients):
             client.leave()
 
+    def check_memory_is_released(self) -> None:
+        """Check that nothing counts in the memory budget without clients, unless an attempt is still open."""
+        for client in list(self._clients):
+            client.leave()
+        with suppress(OSError, ValueError):  # no operators' calls, or the router is ending
+            if self.status_value("open") == 0:
+                eventually(lambda: self.status_value("held_bytes") == 0, "nothing is held")
+
     def reload(self, text: str) -> None:
         """Replace the configuration file and signal the router to reload it."""
         (self.folder / "new.json").write_text(text)
@@ -431,6 +439,8 @@
         eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
         assert process.poll() is None, f"the router ended at its start: {process.communicate()[1]}"
         yield router
+        if process.poll() is None and router.discovery.raw_answer is None:
+            router.check_memory_is_released()
     finally:
         router.stop()
         _, log = process.communicate(timeout=TIMEOUT_S)
