A reply of a closed connection is not asked for its turn

Cause: Reply.may_buffer looked at the first reply of the connection before it asked whether the connection was closed; a closed one has none, and an attempt that ends then would raise IndexError. Found by reading the change once more; no run showed it. Change: the order of the two questions. Tests of tests/downstream and crossings/test_disconnected_clients.py pass.

--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -185,7 +185,8 @@
     def may_buffer(self, size: int) -> bool:
         """Whether an answer of `size` bytes can be written now, or the memory budget has room for it."""
         connection = self._connection
-        return not self._must_wait or connection.closed or connection.has_memory(size)
+        # Danger: a closed connection has no replies any more, not even this one.
+        return connection.closed or not self._must_wait or connection.has_memory(size)
 
     def restore(self, segment: Segment) -> None:
         """Restore a reply from another process; the caller sets the source of a streamed value."""
