Sizes that stood twice have one name

Cause: the budget had its own names for the size of a read and of the longest value, connections to servers one for a long request. Change: READ_SIZE_BYTES, MAX_VALUE_BYTES and LONG_VALUE_BYTES are imported. No change of behaviour.

--- a/saltport/decisions/transmission.py
+++ b/saltport/decisions/transmission.py
@@ -10,7 +10,7 @@
 from saltport.decisions.interface import NS_PER_S
 
 LONG_VALUE_BYTES = 64 << 10
-"""Size above which sending a value takes time that the time stated to the server has to allow for."""
+"""Size above which a value may take long to be sent, as its server does not read it."""
 MIN_TRANSFER_BYTES_PER_S = 8 << 20
 """Rate at which a long value is expected to be sent at the least."""
 STATED_TIME_SLACK_MS = 100
--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -5,9 +5,9 @@
 from collections import deque
 from typing import Protocol
 
-PART_BYTES = 256 << 10
-"""Most that may arrive of a value before its connection can be paused: one read of a stream."""
-LONGEST_VALUE_BYTES = 4 << 20
+from saltport.transport.stream import READ_SIZE_BYTES
+from saltport.wire.resp import MAX_VALUE_BYTES
+
 FREE_SHARE = 0.5
 """Part of the free memory that may be buffered for one client before its later answers are refused."""
 
@@ -85,9 +85,9 @@
             self._retry()
 
     def may_grow(self, value: GrowingValue) -> bool:
-        """Return whether one more part of a value of unknown length may be read."""
+        """Return whether a value of unknown length may grow by what a stream reads at once."""
         self._growing.setdefault(value)
-        return PART_BYTES + self._kept_back_from(value) <= self._free
+        return READ_SIZE_BYTES + self._kept_back_from(value) <= self._free
 
     def wait(self, waiter: Waiter) -> None:
         """Queue a waiter until memory is released."""
@@ -98,11 +98,7 @@
         oldest = next((other for other in self._growing if other.has_turn), None)
         if value is oldest:
             return 0
-        return (
-            LONGEST_VALUE_BYTES
-            if value.has_turn
-            else LONGEST_VALUE_BYTES + int(value.buffered_bytes / FREE_SHARE)
-        )
+        return MAX_VALUE_BYTES if value.has_turn else MAX_VALUE_BYTES + int(value.buffered_bytes / FREE_SHARE)
 
     def end_growth(self, value: GrowingValue) -> None:
         """Note that a value of unknown length is complete or given up."""
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -15,6 +15,7 @@
 
 from saltport.address import Address
 from saltport.decisions import CacheStatus, Outcome
+from saltport.decisions.transmission import LONG_VALUE_BYTES
 from saltport.downstream.budget import MemoryBudget
 from saltport.handover.record import ReadPosition
 from saltport.messages import Request, ValueSource
@@ -29,8 +30,6 @@
 HALF_SENT_TIMEOUT_S = 0.1
 """Limit for a request that is half written because this machine lacks memory: its stated time goes stale."""
 
-LONG_REQUEST_BYTES = 64 << 10
-"""Size above which a request may wait in this machine for long, as its server does not read it."""
 MAX_UNSENT_IN_KERNEL_BYTES = 128 << 10
 """Bytes of a long request that the kernel may hold unsent, and so pass on while this process is held up."""
 
@@ -311,7 +310,7 @@
         if not remaining_ms:
             return StartResult.TOO_LATE
         request_bytes = self.request_bytes(exchange, exchange.stated_time_ms(remaining_ms))
-        self._is_long_request = len(request_bytes) > LONG_REQUEST_BYTES
+        self._is_long_request = len(request_bytes) > LONG_VALUE_BYTES
         if self._is_long_request and not self._limits_kernel:
             self._limits_kernel = True
             limit_unsent_in_kernel(self.transport.get_extra_info("socket"), MAX_UNSENT_IN_KERNEL_BYTES)
--- a/tests/downstream/test_budget.py
+++ b/tests/downstream/test_budget.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from saltport.downstream.budget import LONGEST_VALUE_BYTES, PART_BYTES, MemoryBudget
+from saltport.downstream.budget import MemoryBudget
+from saltport.transport.stream import READ_SIZE_BYTES
+from saltport.wire.resp import MAX_VALUE_BYTES
 
-TOTAL = 4 * LONGEST_VALUE_BYTES
+TOTAL = 4 * MAX_VALUE_BYTES
 
 
 class Value:
@@ -18,19 +20,19 @@
 
     def read(self) -> None:
         """Read parts until the value is whole or has to wait."""
-        while self.size < LONGEST_VALUE_BYTES:
+        while self.size < MAX_VALUE_BYTES:
             if not self._budget.may_grow(self):
                 self._budget.wait(self)
                 return
-            self.size += PART_BYTES
-            self._budget.count(PART_BYTES)
+            self.size += READ_SIZE_BYTES
+            self._budget.count(READ_SIZE_BYTES)
 
     def reserve(self) -> None:
         self.read()
 
     @property
     def whole(self) -> bool:
-        return self.size == LONGEST_VALUE_BYTES
+        return self.size == MAX_VALUE_BYTES
 
 
 def test_oldest_value_completes_whatever_the_others_have_taken() -> None:
@@ -59,10 +61,10 @@
 def test_value_that_waits_for_its_turn_leaves_room_for_others() -> None:
     budget = MemoryBudget(TOTAL)
     waiting = Value(budget, has_turn=False)
-    waiting.buffered_bytes = LONGEST_VALUE_BYTES // 2
+    waiting.buffered_bytes = MAX_VALUE_BYTES // 2
     budget.count(waiting.buffered_bytes)
     assert budget.may_grow(waiting)
-    budget.count(2 * LONGEST_VALUE_BYTES)
+    budget.count(2 * MAX_VALUE_BYTES)
     assert not budget.may_grow(waiting)
     assert budget.may_grow(Value(budget))
 
@@ -79,9 +81,9 @@
 
 
 def test_what_has_arrived_counts_beyond_the_total() -> None:
-    budget = MemoryBudget(PART_BYTES)
-    budget.count(2 * PART_BYTES)
+    budget = MemoryBudget(READ_SIZE_BYTES)
+    budget.count(2 * READ_SIZE_BYTES)
     assert budget.exhausted
     assert not budget.has_room(1)
-    budget.release_memory(2 * PART_BYTES)
+    budget.release_memory(2 * READ_SIZE_BYTES)
     assert budget.held == 0
