An abandoned read's connection waits for a delayed acknowledgement

Cause, read from the code: at a deadline within 40 ms of the writing the server's kernel may not have acknowledged yet what it has, and since that counted as incomplete, so the connection was reset and not kept for the late answer.

--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -30,6 +30,8 @@
 HALF_SENT_TIMEOUT_S = 0.1
 """Limit for a request that is half written because this machine lacks memory: its stated time goes stale."""
 
+MAX_ACKNOWLEDGEMENT_DELAY_S = 0.05
+"""Longest time for which a receiver's kernel delays an acknowledgement: 40 ms on Linux, and some to spare."""
 MAX_UNSENT_IN_KERNEL_BYTES = 128 << 10
 """Bytes of a long request that the kernel may hold unsent, and so pass on while this process is held up."""
 
@@ -159,7 +161,8 @@
         connection = self.connection
         if (
             connection is None
-            or connection.has_incomplete_request
+            or connection.unsent
+            or connection.is_stalled
             or connection.holds_value
             or not connection.usable
         ):
@@ -240,6 +243,12 @@
         """
         return self.transport is not None and unacknowledged_bytes(self.transport) > 0
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether bytes of the latest request are unacknowledged for longer than a receiver delays that."""
+        started_for_s = self.server.pool.loop.time() - self.started_at
+        return started_for_s >= MAX_ACKNOWLEDGEMENT_DELAY_S and self.has_incomplete_request
+
     def write_out_of_memory(self) -> None:
         """Start a timeout for the request: half written, it has not run, and may be sent elsewhere."""
         if self._half_sent_timer is None:
@@ -334,7 +343,15 @@
         self.exchange, late.connection = late, self
         self.server.late_connections[self] = None
         self.server.pool.descriptor_freed()
-        self._late_timer = self.server.pool.loop.call_later(wait_s, self.close)
+        loop = self.server.pool.loop
+        self._late_timer = loop.call_later(wait_s, self.close)
+        if self.has_incomplete_request:
+            loop.call_later(MAX_ACKNOWLEDGEMENT_DELAY_S, self._close_if_incomplete)
+
+    def _close_if_incomplete(self) -> None:
+        """Close unless the abandoned request has reached its server, or its answer has come."""
+        if self in self.server.late_connections and self.has_incomplete_request:
+            self.close()
 
     def flow(self) -> ReadPosition | None:
         """Return the state of the long value that is being read; None if there is none."""
--- a/tests/crossings/test_incomplete_requests.py
+++ b/tests/crossings/test_incomplete_requests.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import pytest
 
@@ -22,13 +23,18 @@
 from saltport.messages import Request
 from saltport.router.host import RouterHost
 from saltport.transport.unacknowledged import kernel_unacknowledged_bytes
-from saltport.upstream.connection import MAX_UNSENT_IN_KERNEL_BYTES, Connection
+from saltport.upstream.connection import (
+    MAX_ACKNOWLEDGEMENT_DELAY_S,
+    MAX_UNSENT_IN_KERNEL_BYTES,
+    Connection,
+)
 from tests.crossings.host_scenario import (
     LONG_WINDOW,
     MS,
     WINDOW,
     DelayedDials,
     RecordingReply,
+    ask,
     run_scenario,
     until,
 )
@@ -274,6 +280,26 @@
     run(peer, is_http, scenario)
 
 
+@pytest.mark.parametrize("acknowledged", [True, False])
+def test_connection_of_an_abandoned_read_waits_for_a_delayed_acknowledgement(acknowledged: bool) -> None:
+    """Guards against a close for each abandoned read whose server's kernel delays the acknowledgement."""
+    peer = gated(is_http=False)
+    unacknowledged = [1]
+
+    async def scenario(host: RouterHost, dials: DelayedDials) -> None:
+        dials.let_go.set()
+        reply = ask(host, b"late", "get", 20)
+        connection = await connection_of(host, peer, 1)
+        assert await reply.answer == "refused"
+        assert connection in connection.server.late_connections
+        unacknowledged[0] = int(not acknowledged)
+        await asyncio.sleep(2 * MAX_ACKNOWLEDGEMENT_DELAY_S)
+        assert (connection in connection.server.late_connections) == acknowledged
+
+    with patch("saltport.upstream.connection.unacknowledged_bytes", lambda _: unacknowledged[0]):
+        run(peer, False, scenario)
+
+
 NOT_STARTED: list[tuple[bool, Callable[[], bytes]]] = [
     (True, lambda: http_answer(503, b"", "Not-Started: 1")),
     (False, lambda: b"-BUSY\r\n"),
