--- /dev/null
+++ b/tests/faults/crowd.py
@@ -0,0 +1,183 @@
+"""Hostile clients in numbers, the usual clients beside them, and the memory of their router."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tests.sockets import MISS, Peer, RunningRouter, get, hit, http_answer, run_router
+
+DEADLINE_MS = 1200
+LATE_S = 0.55
+"""After a deadline, from which an answer is lost: half a second (STANDING) and 50 ms of slack."""
+USUAL_PAUSE_S = 0.05
+USUAL_CLIENTS = 4
+SETTLE_S = 0.2  # for which the usual clients are alone at first
+ORIGIN_S = 0.03
+RECEIVE_BUFFER_BYTES = 16 << 10  # of a client that reads slowly, so that the kernel takes little for it
+FACTS: dict[str, Any] = {
+    "classes": [
+        {"name": "get", "aimNs": 3 * 10**8, "giveUpNs": DEADLINE_MS * 10**6, "semantics": "retryable"},
+        {"name": "put", "aimNs": 5 * 10**8, "giveUpNs": DEADLINE_MS * 10**6, "semantics": "dedup",
+         "dedupWindowNs": 25 * 10**8},
+        {"name": "once", "aimNs": 5 * 10**8, "giveUpNs": DEADLINE_MS * 10**6, "semantics": "fragile"},
+    ],
+}  # fmt: skip
+
+
+def cache_of(sizes: dict[bytes, int]) -> Peer:
+    """Return a cache server that has keys with these first letters, with values of these sizes."""
+
+    def serve(_: socket.socket, words: list[bytes]) -> bytes:
+        size = sizes.get(words[1][:1])
+        return MISS if size is None else hit(words[2].ljust(size, b"."))
+
+    return Peer(serve)
+
+
+def slow_origin() -> Peer:
+    """Return an origin that takes a while over each request and then answers it with `value`."""
+
+    def serve(*_: object) -> bytes:
+        time.sleep(ORIGIN_S)
+        return http_answer(200, b"value")
+
+    return Peer(serve, is_http=True)
+
+
+@contextmanager
+def running(
+    folder: Path, memory_mb: int, sizes: dict[bytes, int] | None = None, origin: Peer | None = None
+) -> Iterator[RunningRouter]:
+    """Run a router with cache servers and an origin; the usual clients' keys begin with `u`."""
+    caches = {f"s{number}": cache_of({b"u": 100, **(sizes or {})}) for number in range(6)}
+    limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
+    with run_router(folder, caches, origin or slow_origin(), limits=limits, facts=FACTS) as router:
+        router.caches = caches
+        yield router
+
+
+def own_memory_mb(router: RunningRouter) -> float:
+    """Return the resident memory of the router's process, without files that it has mapped."""
+    status = Path(f"/proc/{router.process.pid}/status").read_text()
+    return int(status.split("RssAnon:")[1].split()[0]) / 1024
+
+
+class MemoryWatch:
+    """Samples the router's memory within a `with` block."""
+
+    def __init__(self, router: RunningRouter) -> None:
+        self.most_mb = 0.0
+        self._router, self._over = router, threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def _run(self) -> None:
+        while not self._over.wait(0.01):
+            with suppress(OSError):
+                self.most_mb = max(self.most_mb, own_memory_mb(self._router))
+
+    def __enter__(self) -> MemoryWatch:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._over.set()
+        self._thread.join()
+
+
+@dataclass
+class UsualClients:
+    """What the reads of usual clients ended in, and how long the answered ones took."""
+
+    outcomes: Counter[str] = field(default_factory=Counter)
+    took_s: list[float] = field(default_factory=list)
+
+    def record(self, answer: bytes, took_s: float) -> None:
+        """Count one read by its answer; empty: its connection has ended."""
+        late = took_s > DEADLINE_MS / 1000 + LATE_S
+        kind = {b"$": "served", b"-": "refused" if answer.startswith(b"-BUSY") else "failed"}.get(answer[:1])
+        self.outcomes["lost" if late or kind is None else kind] += 1
+        self.took_s.append(took_s)
+
+    @property
+    def median_s(self) -> float:
+        return sorted(self.took_s)[len(self.took_s) // 2]
+
+
+async def read_answer(reader: asyncio.StreamReader) -> bytes:
+    """Return the first line of an answer, and read all of it; empty at the end of the connection."""
+    line = await reader.readline()
+    if line.startswith(b"$") and not line.startswith(b"$-"):
+        await reader.readexactly(int(line[1:]) + 2)
+    return line
+
+
+async def usual_client(router: RunningRouter, name: str, seconds: float, usual: UsualClients) -> None:
+    """Read one key after another on one connection, and open another one if that is closed."""
+    end, number = time.monotonic() + seconds, 0
+    reader = asyncio.StreamReader()
+    writer: asyncio.StreamWriter | None = None
+    while time.monotonic() < end:
+        if writer is None or reader.at_eof():
+            reader, writer = await asyncio.open_connection("127.0.0.1", router.port)
+        number += 1
+        began = time.monotonic()
+        answer = b""
+        writer.write(get(f"{name}-{number}", f"u{name}{number % 50}", DEADLINE_MS))
+        with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            answer = await asyncio.wait_for(read_answer(reader), DEADLINE_MS / 1000 + LATE_S + 1)
+        usual.record(answer, time.monotonic() - began)
+        if not answer:
+            writer.close()
+            writer = None
+        await asyncio.sleep(USUAL_PAUSE_S)
+    if writer is not None:
+        writer.close()
+
+
+HostileClient = Callable[[RunningRouter, int], Awaitable[None]]
+
+
+async def play(router: RunningRouter, hostile: HostileClient, clients: int, seconds: float) -> UsualClients:
+    """Run so many hostile clients for some seconds beside the usual ones; return what the latter saw."""
+
+    async def guarded(number: int) -> None:
+        with suppress(OSError, asyncio.IncompleteReadError):
+            await hostile(router, number)
+
+    usual = UsualClients()
+    names = [f"n{number}" for number in range(USUAL_CLIENTS)]
+    usual_tasks = [asyncio.create_task(usual_client(router, name, seconds, usual)) for name in names]
+    await asyncio.sleep(SETTLE_S)
+    tasks = [asyncio.create_task(guarded(number)) for number in range(clients)]
+    await asyncio.gather(*usual_tasks)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return usual
+
+
+async def connect_slow_reader(router: RunningRouter) -> tuple[socket.socket, asyncio.AbstractEventLoop]:
+    """Connect a socket with a small receive buffer, for a client that reads slowly or not at all."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setblocking(False)
+    await loop.sock_connect(sock, ("127.0.0.1", router.port))
+    return sock, loop
+
+
+async def many_reads(router: RunningRouter, number: int) -> None:
+    """Send 2,000 reads of keys that no cache has at once."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", router.port)
+    writer.write(b"".join(get(f"m{number}-{i}", f"m{number}/{i}", DEADLINE_MS) for i in range(2000)))
+    while await reader.read(1 << 16):
+        pass
--- /dev/null
+++ b/tests/faults/test_memory_of_clients.py
@@ -0,0 +1,111 @@
+"""Hundreds of slow or stopped clients leave the router within its memory limit."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from pathlib import Path
+
+import pytest
+
+from tests.faults.crowd import (
+    DEADLINE_MS,
+    HostileClient,
+    MemoryWatch,
+    connect_slow_reader,
+    many_reads,
+    play,
+    running,
+)
+from tests.sockets import RunningRouter, bulk, get, put
+
+LONG = 4 << 20
+SECONDS = 6.0
+SIZES = {b"h": 64 << 10, b"l": LONG}
+SCALES = [(800, 192), (200, 32), (800, 32)]
+
+
+async def whole_writes(router: RunningRouter, number: int) -> None:
+    """Send six writes of 60 KB at once, and again once all are answered."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", router.port)
+    for turn in itertools.count():
+        for i in range(6):
+            writer.write(put(f"w{number}-{turn}-{i}", b"v" * 60_000, d=DEADLINE_MS))
+        for _ in range(6):
+            if not await reader.readline():
+                return
+
+
+def long_write(number: int) -> bytes:
+    return put(f"w{number}", b"v" * LONG, d=DEADLINE_MS)
+
+
+async def slow_write(router: RunningRouter, number: int) -> None:
+    """Send 200 KB of a long write, and then 16 KB each half second."""
+    _, writer = await asyncio.open_connection("127.0.0.1", router.port)
+    data, at = long_write(number), 200_000
+    writer.write(data[:at])
+    while at < len(data):
+        await asyncio.sleep(0.5)
+        writer.write(data[at : at + 16_000])
+        at += 16_000
+
+
+async def stopped_write(router: RunningRouter, number: int) -> None:
+    """Send 300 KB of a long write and no more, and again on a new connection once that is closed."""
+    while True:
+        reader, writer = await asyncio.open_connection("127.0.0.1", router.port)
+        writer.write(long_write(number)[:300_000])
+        await reader.read()
+        writer.close()
+
+
+async def slow_reads(router: RunningRouter, number: int, key: str, reads: int) -> None:
+    """Send reads at once, and read their answers at 16 KB a second."""
+    sock, loop = await connect_slow_reader(router)
+    try:
+        await loop.sock_sendall(
+            sock, b"".join(get(f"r{number}-{i}", f"{key}{number}/{i}", DEADLINE_MS) for i in range(reads))
+        )
+        while await loop.sock_recv(sock, 4096):
+            await asyncio.sleep(0.25)
+    finally:
+        sock.close()
+
+
+async def slow_short_reads(router: RunningRouter, number: int) -> None:
+    await slow_reads(router, number, "h", 40)
+
+
+async def slow_long_reads(router: RunningRouter, number: int) -> None:
+    await slow_reads(router, number, "l", 3)
+
+
+async def heads_of_many_fields(router: RunningRouter, number: int) -> None:
+    """Send a request whose list has thousands of fields, over and over, the last time without its end."""
+    fields = ",".join(f"f{i}=1" for i in range(1800))
+    request = bulk(b"KV.GET", b"u1", b"i%d" % number, f"c=get,t=acme,d={DEADLINE_MS},{fields}".encode())
+    reader, writer = await asyncio.open_connection("127.0.0.1", router.port)
+    writer.write(request * 20 + request[:-10])
+    while await reader.read(1 << 16):
+        pass
+
+
+@pytest.mark.parametrize(("clients", "memory_mb"), SCALES)
+@pytest.mark.parametrize(
+    "hostile",
+    [
+        whole_writes, slow_write, stopped_write, many_reads, slow_short_reads, slow_long_reads,
+        heads_of_many_fields,
+    ],
+)  # fmt: skip
+def test_memory_limit_holds_whatever_hundreds_of_clients_do(
+    tmp_path: Path, hostile: HostileClient, clients: int, memory_mb: int
+) -> None:
+    """Guards against a router killed for memory, with what hundreds of connections each make it keep."""
+    with running(tmp_path, memory_mb, SIZES) as router, MemoryWatch(router) as watch:
+        usual = asyncio.run(play(router, hostile, clients, SECONDS))
+        print(f"{watch.most_mb:.0f} MB; usual: {dict(usual.outcomes)}, median {usual.median_s:.3f} s")
+        assert router.process.poll() is None
+    assert watch.most_mb < memory_mb
+    assert usual.outcomes["lost"] == 0
