A close that leaves requests unanswered is logged and counted with its reason

Change: a close by the router with commands whose answers are not written logs one line with the reason (rate-limited as all lines), and /stats has closed_unanswered by reason. Closes by clients stay unlogged.

--- a/saltport/admin/figures.py
+++ b/saltport/admin/figures.py
@@ -13,6 +13,8 @@
         self.answered: Counter[str] = Counter()
         self.deferred: Counter[str] = Counter()
         self.errored: Counter[str] = Counter()
+        self.closed_unanswered: Counter[str] = Counter()
+        """Requests without a whole answer on connections that the router closed, by the reason."""
         self.current = 0
         """Number of requests received and not finished; a value that is still being sent is not finished."""
         self.conf_loaded = self.conf_invalid = 0
@@ -39,6 +41,7 @@
             "answered": self.answered,
             "deferred": self.deferred,
             "errored": self.errored,
+            "closed_unanswered": self.closed_unanswered,
             "sends": sends,
             "current": self.current,
             "cluster_size": cluster[0],
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -71,6 +71,9 @@
     def client_gone(self, reply: Reply) -> None:
         """Handle that the client waiting for this reply has disconnected."""
 
+    def closed_unanswered(self, reason: CloseReason, requests: int) -> None:
+        """Record that the router closed a connection on which so many requests had no whole answer."""
+
     def resume_value(self, value: PartialValue, descriptor: int, reply: Reply) -> StreamedValue:
         """Continue a value that another process began to stream for this reply.
 
@@ -214,6 +217,8 @@
         self.closed = True
         if self.server.access_log is not None:
             self._log_close(self.server.access_log, reason)
+        if reason.by_router and self.replies:
+            self.server.host.closed_unanswered(reason, len(self.replies))
         self.server.remove_connection(self)
         self.server.paused_reads.discard(self)
         if self._reserved:
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -46,6 +46,7 @@
 )
 from saltport.decisions.interface import NS_PER_S
 from saltport.decisions.ordering import KeyOrder
+from saltport.downstream.outcomes import CloseReason
 from saltport.downstream.replies import Reply
 from saltport.handover.record import PartialValue
 from saltport.lag import HEARTBEAT_NS, LagMeter
@@ -225,6 +226,11 @@
         if reply.request is not None:
             reply.request.client_gone()
 
+    def closed_unanswered(self, reason: CloseReason, requests: int) -> None:
+        """Log and count that the router closed a connection with requests that had no whole answer."""
+        log.warning("closed a connection with %d unanswered requests: %s", requests, reason.value)
+        self.figures.closed_unanswered[reason.name.lower()] += requests
+
     def resume_value(self, value: PartialValue, descriptor: int, reply: Reply) -> MovedValue:
         """Continue the relay of a value that another process started.
 
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -17,6 +17,7 @@
 from saltport.downstream.clients import ClientServer
 from saltport.downstream.connection import FIRST_REQUEST_GRACE_S, MAX_PIPELINE, ClientConnection
 from saltport.downstream.lingering_close import LINGER_TIMEOUT_S, MAX_LINGER_BYTES, STALL_TIMEOUT_S
+from saltport.downstream.outcomes import CloseReason
 from saltport.downstream.paused_reads import POLL_INTERVAL_S
 from saltport.downstream.replies import Reply
 from saltport.downstream.resp import RespDialect
@@ -36,6 +37,7 @@
     def __init__(self) -> None:
         self.requests: list[tuple[Request, Reply]] = []
         self.gone: list[Reply] = []
+        self.closed_unanswered_reasons: list[CloseReason] = []
 
     def begin_loop_iteration(self) -> None:
         pass
@@ -49,6 +51,9 @@
     def request_refused(self, asked: Request) -> None:
         pass
 
+    def closed_unanswered(self, reason: CloseReason, requests: int) -> None:
+        self.closed_unanswered_reasons.append(reason)
+
     def client_gone(self, reply: Reply) -> None:
         self.gone.append(reply)
 
--- a/tests/faults/test_slow_peers.py
+++ b/tests/faults/test_slow_peers.py
@@ -65,7 +65,9 @@
     origin = Peer(lambda *_: http_answer(200, other), is_http=True)
     with run_router(tmp_path, {"s1": breaking.peer}, origin, facts=FACTS) as router:
         client = router.client()
-        assert client.ask(get("a1", "long")).startswith(b"cut off after")
+        client.send(get("a1", "long") + get("a2", "k2"))
+        assert client.answer().startswith(b"cut off after")
+        router.until("closed_unanswered", {"value_cut": 2})
 
 
 def write_slowly(connection: socket.socket, answer: bytes, seconds: float, silent_s: float = 0.0) -> None:
