Clients' commands are handled in fair turns, a few at a time

Callers saw answers late, refused or not at all while one client sent at full speed on one connection. Cause: a read took up to 256 KiB, and the loop handled all commands in it before it polled the kernel again: 18,000 PINGs, or thousands of requests, in one turn. Change: a connection reads at most 16 KiB ahead, handles 512 bytes at once, and the rest in turns behind the other connections with a backlog; the loop polls the kernel at least every 4 ms of turns (downstream/turns.py, the one place; round robin). Before each turn it is asked whether the client has left, so what a client that closed had sent is dropped. A hand-over takes the unhandled bytes along.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -18,6 +18,7 @@
 from saltport.downstream.outcomes import CloseReason
 from saltport.downstream.paused_reads import PausedReads
 from saltport.downstream.receive_times import KernelClock
+from saltport.downstream.turns import TurnScheduler
 from saltport.handover.record import ConnectionRecord, RecordError, decode
 from saltport.messages import ClientDialect
 
@@ -43,6 +44,7 @@
         self.loop, self.host, self.dialect, self._limit = loop, host, dialect, limit
         self.budget = MemoryBudget(budget)
         self.paused_reads, self.lingering = PausedReads(loop), LingeringConnections(loop)
+        self.turns = TurnScheduler(loop)
         self.kernel_clock = KernelClock()
         self._connections: dict[ClientConnection, None] = {}
         self._acceptors = ClientAcceptors(loop, self._wait_for_room_s)
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -14,6 +14,7 @@
 from saltport.deadline import Received
 from saltport.decisions.ordering import KeyOrder
 from saltport.downstream.budget import MemoryBudget
+from saltport.downstream.command_input import CommandInput
 from saltport.downstream.connection_handover import (
     FrozenConnection,
     ReceivedConnection,
@@ -25,6 +26,7 @@
 from saltport.downstream.paused_reads import PausedReads
 from saltport.downstream.receive_times import KernelClock, ReceiveTimes
 from saltport.downstream.replies import Reply, StreamedValue
+from saltport.downstream.turns import TURN_BYTES, TurnScheduler
 from saltport.handover.exchange import ConnectionTransfer
 from saltport.handover.record import PartialValue
 from saltport.messages import Answers, ClientDialect, Malformed, Message, Ping, Request
@@ -37,6 +39,7 @@
 
 LARGE_COMMAND_BYTES = 64 << 10  # larger commands reserve memory before they are read
 MAX_PIPELINE = 256  # outstanding replies per connection; reading pauses at this number
+MAX_READ_AHEAD_BYTES = 16 << 10  # read at once from a connection, unless a longer command is being received
 HIGH_WATER_BYTES = 64 << 10  # unsent bytes at which the transport pauses writing
 # A well-behaved client may take 2 s to send the head of a command, and a misbehaving one must get an error or
 # a close within 3 s.
@@ -88,6 +91,7 @@
     host: Host
     budget: MemoryBudget
     paused_reads: PausedReads
+    turns: TurnScheduler
     lingering: LingeringConnections
     kernel_clock: KernelClock
     closing_when_answered: bool
@@ -141,6 +145,10 @@
         """Whether the write buffer is full; whether the connection has ended."""
         self.last_active_at = self.connected_at = server.loop.time()
         self._dialect = dialect()
+        self._input = CommandInput(self._dialect)
+        self._received: Received | None = None
+        """When the bytes arrived that are handled in several turns."""
+        self._read_size = READ_SIZE_BYTES
         self._reading = True
         self._reserved = 0  # bytes reserved for the command being received
         self.buffered_bytes = 0
@@ -221,6 +229,7 @@
             self.server.host.closed_unanswered(reason, len(self.replies))
         self.server.remove_connection(self)
         self.server.paused_reads.discard(self)
+        self.server.turns.discard(self)
         if self._reserved:
             self.release_memory(self._reserved)
         self._release_unsent()
@@ -240,14 +249,41 @@
         if self.transport is not None and reason is not CloseReason.ALL_ANSWERED:
             unsent = self.transport.get_write_buffer_size()
         unanswered = [reply.logged_id for reply in self.replies if reply.logged_id is not None]
-        access_log.closed(self.number, reason, unanswered, unsent, bool(self._dialect.needed_bytes))
+        access_log.closed(self.number, reason, unanswered, unsent, self._input.is_partial)
+
+    def read_size(self) -> int:
+        """Return the most bytes that the next read may return: the rest of a partial command, or more."""
+        size = min(max(self._input.missing_bytes, MAX_READ_AHEAD_BYTES), READ_SIZE_BYTES)
+        self._read_size = size
+        return size
 
     def data_received(self, data: bytes) -> None:
-        """Handle received data; an exception closes only this connection."""
+        """Handle the first of the received bytes at once; the others wait for further turns."""
+        self.server.host.begin_loop_iteration()
+        self.last_active_at = self.server.loop.time()
+        self._input.add(data)
+        now, emptied = time.monotonic_ns(), len(data) < self._read_size
+        if self._input.backlog_bytes > max(TURN_BYTES, self._input.missing_bytes):
+            times = self._receive_times
+            self._received = times.estimate_from_loop(now, 0) or times.record_read(now, emptied, False)
+        self._handle_turn(now, emptied)
+
+    def take_turn(self) -> None:
+        """Handle the next of the bytes that wait, unless the client has left."""
         self.server.host.begin_loop_iteration()
+        if self.client_has_left():
+            self.client_left()
+        elif self._has_capacity:
+            self._handle_turn(time.monotonic_ns(), False)
+
+    def _handle_turn(self, now: int, emptied: bool) -> None:
+        """Parse the bytes of one turn and handle their commands; an exception closes only this connection.
+
+        `emptied`: whether the latest read has emptied the kernel's buffer.
+        """
         self._in_batch = True
         try:
-            self._process_input(data)
+            self._process_input(now, emptied)
         except Exception:
             log.exception("client connection closed: handling received data failed")
             self.abort(CloseReason.FAULT)
@@ -255,21 +291,20 @@
             self._in_batch = False
         if not self.replies and self._closes_when_answered:
             self.remove_completed_replies()
+        if not self.closed and (self._input.backlog_bytes or not self._reading):
+            self._update_flow()
 
-    def _process_input(self, data: bytes) -> None:
-        """Parse received bytes into commands, and queue a reply for each command and start to handle it.
+    def _process_input(self, now: int, emptied: bool) -> None:
+        """Parse the bytes of one turn, and queue a reply for each command and start to handle it.
 
         For a command that is received in part, update its progress and reserve memory if it is long.
         """
         reader = self._dialect
-        self.last_active_at = self.server.loop.time()
         starts_command = not reader.needed_bytes
-        commands = reader.feed(data)
-        now, times = time.monotonic_ns(), self._receive_times
-        received = times.estimate_from_loop(now, _shortest_timeout_ms(commands))
-        if received is None:
-            is_last = len(commands) == 1 and not reader.needed_bytes
-            received = times.record_read(now, emptied=len(data) < READ_SIZE_BYTES, is_last=is_last)
+        size, commands = self._input.parse_turn()
+        received = self._received or self._estimate_arrival(now, emptied, commands)
+        if not self._input.backlog_bytes:
+            self._received = None
         for message, answers in commands:
             reply = Reply(self, answers)
             if self._reserved:
@@ -280,7 +315,7 @@
             self._end_stream()
         elif reader.needed_bytes:
             self._bytes_since_progress = (
-                0 if starts_command or commands else self._bytes_since_progress + len(data)
+                0 if starts_command or commands else self._bytes_since_progress + size
             )
             if not self._bytes_since_progress or self._bytes_since_progress >= COMMAND_PROGRESS_BYTES:
                 # Danger: a timeout over the entire command would disconnect good clients that send long
@@ -293,7 +328,17 @@
             self.release_memory(self._reserved)
             self._reserved = 0
         if len(self.replies) >= MAX_PIPELINE or self.server.budget.exhausted:
-            self._set_reading()
+            self._update_flow()
+
+    def _estimate_arrival(
+        self, now: int, emptied: bool, commands: Sequence[tuple[Message, Answers]]
+    ) -> Received:
+        """Return when the commands arrived that were read and parsed at once."""
+        received = self._receive_times.estimate_from_loop(now, _shortest_timeout_ms(commands))
+        if received is None:
+            is_last = len(commands) == 1 and not self._input.is_partial
+            received = self._receive_times.record_read(now, emptied=emptied, is_last=is_last)
+        return received
 
     def reserve(self) -> None:
         """Reserve memory for the long command being received; reading pauses until it is available."""
@@ -301,7 +346,7 @@
         if not self._awaiting_memory:
             self._reserved = self._dialect.needed_bytes
             self._progress_at = self.server.loop.time()
-        self._set_reading()
+        self._update_flow()
 
     def release_memory(self, size: int) -> None:
         """Release so many bytes of memory that were reserved for a command, or counted."""
@@ -327,7 +372,7 @@
         Called for an invalid stream, a command not completed in time, or the client's QUIT.
         """
         self._close_when_answered = True
-        self._set_reading()
+        self._update_flow()
         reply = Reply(self)
         self.replies.append(reply)
         reply.send(self._dialect.closing_reply())
@@ -381,7 +426,7 @@
             if self.server.successor is None or not self._hand_over_idle():
                 self._end()
         elif not self._reading:
-            self._set_reading()
+            self._update_flow()
 
     def _log_answer(self, reply: Reply, request_id: str) -> None:
         """Write the final answer of a request to the access log."""
@@ -406,7 +451,7 @@
         self._unsent_count = self.transport.get_write_buffer_size()
         self.add_buffered(self._unsent_count)
         self.last_active_at = self.server.loop.time()
-        self._set_reading()
+        self._update_flow()
         if self.replies and self.replies[0].source is not None:
             self.replies[0].source.pause()
 
@@ -414,7 +459,7 @@
         """Resume reading from the client and from the source of its answer."""
         self.writing_paused = False
         self._release_unsent()
-        self._set_reading()
+        self._update_flow()
         if self.replies:
             self.replies[0].start_writing()
             self.remove_completed_replies()
@@ -424,17 +469,26 @@
         size, self._unsent_count = self._unsent_count, 0
         self.remove_buffered(size)
 
-    def _set_reading(self) -> None:
-        """Resume or pause reading, as the connection has capacity for more commands or not."""
-        full = len(self.replies) >= MAX_PIPELINE
-        wanted = not (
-            self.writing_paused
+    @property
+    def _has_capacity(self) -> bool:
+        """Whether further commands may be handled."""
+        return not (
+            self.closed
+            or self.writing_paused
             or self._awaiting_memory
             or self._dialect.end_reason
-            or full
+            or len(self.replies) >= MAX_PIPELINE
             or (self.replies and self.server.budget.exhausted)
             or self._moves_to_successor
         )
+
+    def _update_flow(self) -> None:
+        """Ask for a turn, and resume or pause reading, as the connection has capacity for more commands."""
+        wanted = self._has_capacity
+        if self._input.backlog_bytes:
+            if wanted:
+                self.server.turns.add(self)
+            wanted = False
         if wanted == self._reading or self.transport is None or self.transport.is_closing():
             return
         self._reading = wanted
@@ -451,11 +505,13 @@
         """Whether no reply is outstanding and no command is partially received."""
         # Danger: data that can't be read for lack of memory may be a request, which the kernel has already
         # acknowledged to the client.
-        return not self.replies and not self._dialect.needed_bytes and not self._read_is_delayed
+        return not (self.replies or self._input.is_partial or self._has_unread_input)
 
     @property
-    def _read_is_delayed(self) -> bool:
-        return self.transport is not None and self.transport.is_out_of_memory
+    def _has_unread_input(self) -> bool:
+        """Whether received bytes, in this process or in the kernel, may be whole commands."""
+        is_delayed = self.transport is not None and self.transport.is_out_of_memory
+        return is_delayed or self._input.backlog_bytes > 0
 
     @property
     def awaits_first_request(self) -> bool:
@@ -468,8 +524,10 @@
     @property
     def _closes_when_answered(self) -> bool:
         """Whether the connection closes once no reply is outstanding."""
+        if self._input.backlog_bytes:
+            return False
         return self._close_when_answered or (
-            self.server.closing_when_answered and self.has_carried_request and not self._dialect.needed_bytes
+            self.server.closing_when_answered and self.has_carried_request and not self._input.is_partial
         )
 
     @property
@@ -491,11 +549,11 @@
             or (self.server.successor is not None and self._try_hand_over())
         ):
             return
-        if self.idle or (even_mid_command and not self.replies and not self._read_is_delayed):
+        if self.idle or (even_mid_command and not self.replies and not self._has_unread_input):
             self._end()
         else:
             self._close_when_answered = (
-                even_mid_command or not self._dialect.needed_bytes or self._close_when_answered
+                even_mid_command or not self._input.is_partial or self._close_when_answered
             )
 
     def _try_hand_over(self) -> bool:
@@ -504,7 +562,7 @@
         Return True if the connection has been passed on or will be once its outstanding replies permit, and
         False if it stays in this process.
         """
-        self._set_reading()
+        self._update_flow()
         if self._moves_to_successor:
             self.freeze()
             return True
@@ -515,7 +573,7 @@
 
         Nothing happens while its outstanding replies do not permit a hand-over; this is then called again.
         """
-        self._set_reading()
+        self._update_flow()
         transport, successor = self.transport, self.server.successor
         # Danger: within a batch, commands that were read but not handled yet would be lost.
         if self._in_batch or self._frozen is not None or self.closed:
@@ -542,8 +600,8 @@
         if self.server.access_log is not None:
             self._log_close(self.server.access_log, CloseReason.MOVED)
         replies, self.replies = self.replies, deque()
-        age_s = self.server.loop.time() - self._progress_at if self._dialect.needed_bytes else 0.0
-        record = frozen.record(self._dialect, self.has_carried_request, transport.unsent, replies, age_s)
+        age_s = self.server.loop.time() - self._progress_at if self._input.is_partial else 0.0
+        record = frozen.record(self._input, self.has_carried_request, transport.unsent, replies, age_s)
         for reply in replies:
             reply.drop_buffered()
         self._mark_closed(CloseReason.MOVED)
@@ -575,6 +633,7 @@
             len(partial_command) > MAX_PARTIAL_COMMAND_BYTES
             or self._reserved
             or self._awaiting_memory
+            or self._input.backlog_bytes
             or self._dialect.name != "resp"
         ):
             return False
@@ -615,7 +674,9 @@
             # indefinitely.
             self.finish(even_mid_command=False)
             return
-        midway = self._dialect.needed_bytes and not self._awaiting_memory and not self.replies
+        midway = self._input.is_partial and not (
+            self._awaiting_memory or self.replies or self._input.backlog_bytes
+        )
         if midway and now - self._progress_at > COMMAND_PROGRESS_TIMEOUT_S:
             log.warning("client did not complete its command in time; closing")
             self._end_stream()
--- a/saltport/downstream/connection_handover.py
+++ b/saltport/downstream/connection_handover.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Protocol
 
+from saltport.downstream.command_input import CommandInput
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import TransferDecision, decide_transfer
 from saltport.handover.exchange import ConnectionTransfer
@@ -16,7 +17,6 @@
     Segment,
     encode,
 )
-from saltport.messages import ClientDialect
 from saltport.transport.stream import TcpStream
 
 
@@ -87,7 +87,7 @@
 
     def record(
         self,
-        dialect: ClientDialect,
+        commands: CommandInput,
         has_carried_request: bool,
         unsent: bytes,
         replies: Iterable[Reply],
@@ -95,7 +95,8 @@
     ) -> bytes:
         """Return the encoded record from which the other process restores the connection.
 
-        `command_age_s`: how long ago the partial command began or last made progress.
+        `commands`: the received bytes that are not handled yet; `command_age_s`: how long ago the partial
+        command began or last made progress.
         """
         segments: list[Segment] = []
         buffered = [unsent]
@@ -109,7 +110,7 @@
         age_ms = min(int(command_age_s * 1000), MAX_COMMAND_AGE_MS)
         return encode(
             ConnectionRecord(
-                dialect.name, has_carried_request, dialect.partial_command, tuple(segments), age_ms
+                commands.dialect.name, has_carried_request, commands.unhandled, tuple(segments), age_ms
             )
         )
 
--- a/saltport/downstream/memcached.py
+++ b/saltport/downstream/memcached.py
@@ -137,6 +137,11 @@
         """Bytes that the partial packet needs at least, counted from its start; 0 between packets."""
         return 0 if self._quit else self._reader.needed_bytes
 
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes received of the partial packet."""
+        return self._reader.received_bytes
+
     @property
     def partial_command(self) -> bytes:
         """The received bytes of the partial packet, which is all the state that a hand-over needs."""
@@ -240,6 +245,11 @@
         """The name of the detected dialect; empty before the first byte."""
         return self._detected.name if self._detected is not None else ""
 
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes received of the partial command."""
+        return self._detected.received_bytes if self._detected is not None else 0
+
     @property
     def partial_command(self) -> bytes:
         """The received bytes of the partial command."""
--- a/saltport/downstream/resp.py
+++ b/saltport/downstream/resp.py
@@ -63,6 +63,11 @@
         """Bytes that the partial command needs at least, counted from its start; 0 between commands."""
         return self._reader.needed_bytes
 
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes received of the partial command."""
+        return self._reader.received_bytes
+
     @property
     def partial_command(self) -> bytes:
         """The received bytes of the partial command."""
--- a/saltport/messages.py
+++ b/saltport/messages.py
@@ -86,6 +86,10 @@
     def needed_bytes(self) -> int:
         """Bytes that the incomplete command needs at least, counted from its start; 0 between commands."""
 
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes received of the incomplete command."""
+
     @property
     def end_reason(self) -> str:
         """Why no further commands can be parsed: an invalid stream, or QUIT; empty while they can."""
--- a/saltport/transport/stream.py
+++ b/saltport/transport/stream.py
@@ -16,7 +16,9 @@
 
 from saltport.transport import shortage
 
-READ_SIZE_BYTES = 256 << 10  # most that one read returns; a shorter read has emptied the kernel's buffer
+READ_SIZE_BYTES = (
+    256 << 10
+)  # most that one read returns; one shorter than asked has emptied the kernel's buffer
 HIGH_WATER_BYTES = 64 << 10  # default limit of unsent data above which the protocol is paused
 FIRST_RETRY_PAUSE_S, MAX_RETRY_PAUSE_S = 0.004, 0.032
 """Pauses before a failed call is repeated: the first one, and the limit of their doubling."""
@@ -31,6 +33,10 @@
 class StreamProtocol(asyncio.Protocol):
     """A protocol that is also notified when the system lacks memory to read or write."""
 
+    def read_size(self) -> int:
+        """Return the most bytes that the next read may return, from 1 to READ_SIZE_BYTES."""
+        return READ_SIZE_BYTES
+
     def read_out_of_memory(self) -> None:
         """Called when a read failed as this machine lacks memory; the peer's data stays in the kernel."""
 
@@ -114,7 +120,7 @@
 
     def _read(self) -> None:
         try:
-            size = self._sock.recv_into(self._buffer)
+            size = self._sock.recv_into(self._buffer, self._protocol.read_size())
         except OSError as error:
             if error.errno in _RETRIABLE:
                 self._read_later(error.errno in shortage.RESOURCE_ERRORS)
--- a/saltport/wire/memcached.py
+++ b/saltport/wire/memcached.py
@@ -172,6 +172,11 @@
         self.framing_error = ""
         """The framing error that ended the stream; empty if there is none."""
 
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes received of the incomplete packet."""
+        return len(self._buffer)
+
     @property
     def pending(self) -> bytes:
         """The bytes received of the incomplete packet."""
