--- a/saltport/transport/stream.py
+++ b/saltport/transport/stream.py
@@ -120,7 +120,7 @@
 
     def _read(self) -> None:
         try:
-            size = self._sock.recv_into(self._buffer, self._protocol.read_size())
+            size = self._sock.recv_into(self._buffer[: self._protocol.read_size()])
         except OSError as error:
             if error.errno in _RETRIABLE:
                 self._read_later(error.errno in shortage.RESOURCE_ERRORS)
