A connection that carries requests is not closed to make room within its idle time

Callers saw their connection closed between two requests 50 ms apart, and the new one waiting in the kernel's queue behind hundreds of others until their time was over: with 800 clients on 573 places 4 to 12 usual reads in 6 s got no answer. Cause: at the limit the connection that has been idle longest is closed for a newcomer; beside clients that are never idle that is a usual one.

--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -723,3 +723,7 @@
             return 0
         shortest = min(shortest, message.timeout_ms) if shortest else message.timeout_ms
     return shortest
+        One that carries requests is kept while it may be used again, or new clients would drive it out.
+
+        if self.has_carried_request and self.server.loop.time() - self.last_active_at < IDLE_TIMEOUT_S:
+            return False
