--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from saltport.structures.slot_rankings import MAX_ROWS
+
 if TYPE_CHECKING:
     from saltport.decisions.topology import Topology
 
@@ -203,6 +205,8 @@
     """The names of the values in a load report, in their order."""
     slots: int = DEFAULT_SLOTS
     """The number of slots, equal at every router; far more than servers, so that a slot's load is small."""
+    stored_rankings: int = MAX_ROWS
+    """The number of slots whose rankings are stored, each in some 700 bytes."""
     vectors: bool = False
     """Whether large fleets are ranked with numpy, which takes about 17 MB of memory."""
     overload_target: int = 0
--- a/saltport/decisions/table.py
+++ b/saltport/decisions/table.py
@@ -24,7 +24,9 @@
         self.nodes: dict[str, Node] = {}
         self._settings = settings
         numpy = importlib.import_module("numpy") if settings.vectors else None
-        self._rankings = SlotRankings[Node](RANKING_LENGTH, STORED_RANKING_LENGTH, numpy)
+        self._rankings = SlotRankings[Node](
+            RANKING_LENGTH, STORED_RANKING_LENGTH, numpy, settings.stored_rankings
+        )
         self._cold_until = 0
 
     def apply_settings(self, settings: api.Settings) -> None:
--- a/saltport/router/config.py
+++ b/saltport/router/config.py
@@ -20,6 +20,7 @@
     PeerFeatures,
     read_features,
 )
+from saltport.structures.slot_rankings import MAX_ROWS, ROW_BYTES
 from saltport.transport import shortage
 
 if TYPE_CHECKING:
@@ -29,6 +30,8 @@
 DEFAULT_MAX_OPEN = 20_000  # client requests that are open at the same time
 DEFAULT_DIAL_TIMEOUT_NS = 250_000_000  # of connections to cache servers and the origin
 DEFAULT_IDLE_CLOSE_NS = 10_000_000_000  # after which a cache server closes an idle connection
+RANKINGS_MEMORY_SHARE = 1 / 16  # part of the memory limit for the rankings of slots
+MIN_STORED_RANKINGS = 1024
 DEFAULT_MEMORY_MB = 192  # memory limit, above which the platform kills the router
 DEFAULT_SOCKETS = 1024  # limit on open file descriptors
 START_ONLY_KEYS = {"known", "seed"}  # matter only at a start; a file for a reload may omit them
@@ -208,18 +211,24 @@
     return OwnersPlan(owners.voters, folder, owners.begin, owners.pieces, owners.trials, settings)
 
 
+def _stored_rankings(memory_bytes: int) -> int:
+    """Return how many slots' rankings are stored, for a memory limit of the process."""
+    return min(max(int(memory_bytes * RANKINGS_MEMORY_SHARE) // ROW_BYTES, MIN_STORED_RANKINGS), MAX_ROWS)
+
+
 def _parse_config(data: dict[str, Any], environ: Mapping[str, str]) -> Config:
     """Return the configuration without the features, from the decoded file and the environment."""
     facts = typed("settings", data["settings"], dict)
     ceilings = facts.get("ceilings") or {}
     limits = typed("limits", data.get("limits") or {}, dict)
     admin = environ.get("LB_ADMIN_ADDR") or data.get("admin_addr")
+    memory = _positive_or_default("limits.memory_mb", limits.get("memory_mb"), DEFAULT_MEMORY_MB) << 20
     return Config(
         name=environ.get("LB_NAME") or str(data.get("name") or "router"),
         listen=parse_address("listen", environ.get("LB_LISTEN") or data["listen"]),
         discovery=parse_address("discovery", environ.get("LB_DISCOVERY") or data["discovery"]),
         seed=int(str(data.get("seed") or "0"), 16),
-        settings=read_settings(facts),
+        settings=replace(read_settings(facts), stored_rankings=_stored_rankings(memory)),
         max_open=_positive_or_default("ceilings.maxOpen", ceilings.get("maxOpen"), DEFAULT_MAX_OPEN),
         dial_timeout=_positive_or_default(
             "ceilings.dialTimeoutNs", ceilings.get("dialTimeoutNs"), DEFAULT_DIAL_TIMEOUT_NS
@@ -227,7 +236,7 @@
         idle_close=_positive_or_default(
             "ceilings.idleCloseNs", ceilings.get("idleCloseNs"), DEFAULT_IDLE_CLOSE_NS
         ),
-        memory=_positive_or_default("limits.memory_mb", limits.get("memory_mb"), DEFAULT_MEMORY_MB) << 20,
+        memory=memory,
         sockets=_positive_or_default("limits.sockets", limits.get("sockets"), DEFAULT_SOCKETS),
         known=data.get("known"),
         admin=parse_address("admin_addr", admin) if admin else None,
