A long command that finds no memory in half of its time is refused, and its time runs on

Callers got the answer to a long write up to 2.3 s after its time: 24 and 30 of 40 writes of 2.5 MB at once, 1.2 s each, while the origin read nothing (test_slow_peers, limits of 192 and 32 MB, failed before). Cause: a command waited for memory as long as it took, and its deadline began when it had been read at last. Change: a command waits for half of the time that it states ahead of its value. Then what comes of it is discarded, and it is answered -BUSY in its turn (wire: discard; memcached packets too). What it waited is taken off the time of a command that is served. The budget is a third of what an idle process leaves where that is less than a fifth of the limit: beside other work whole_writes took 32.3 MB of 32 once.

--- a/saltport/deadline.py
+++ b/saltport/deadline.py
@@ -46,6 +46,11 @@
     earliest_ns: int
     latest_ns: int
 
+    def moved_back(self, span_ns: int) -> Received:
+        """Return the interval for a message that could have been read `span_ns` earlier."""
+        latest_ns = self.latest_ns - span_ns
+        return Received(min(self.earliest_ns, latest_ns), latest_ns)
+
     @property
     def uncertainty_ns(self) -> int:
         """The width of the arrival interval, which is subtracted from the remaining time sent to servers."""
--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -106,6 +106,10 @@
         self._free -= size
         return True
 
+    def can_ever_reserve(self, size: int) -> bool:
+        """Whether `size` bytes could be reserved if nothing else were kept."""
+        return size <= self.total * (1 - UNRESERVED_SHARE)
+
     def _may_reserve(self, size: int) -> bool:
         return size <= self._free - self.total * UNRESERVED_SHARE
 
--- a/saltport/downstream/command_input.py
+++ b/saltport/downstream/command_input.py
@@ -32,7 +32,7 @@
     @property
     def missing_bytes(self) -> int:
         """Bytes that the partial command needs at least beyond those that were parsed; 0 between commands."""
-        return max(self.dialect.needed_bytes - self.dialect.received_bytes, 0)
+        return self.dialect.missing_bytes
 
     @property
     def is_small(self) -> bool:
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -30,7 +30,7 @@
 from saltport.downstream.turns import TurnScheduler
 from saltport.handover.exchange import ConnectionTransfer
 from saltport.handover.record import PartialValue
-from saltport.messages import Answers, ClientDialect, Malformed, Message, Ping, Request
+from saltport.messages import Answers, ClientDialect, Discarded, Malformed, Message, Ping, Request
 from saltport.transport.readiness import Readiness
 from saltport.transport.stream import READ_SIZE_BYTES, StreamProtocol, TcpStream
 from saltport.transport.unacknowledged import unacknowledged_bytes
@@ -46,6 +46,8 @@
 COMMAND_PROGRESS_TIMEOUT_S = 2.4  # to complete a command or to receive COMMAND_PROGRESS_BYTES more of it
 COMMAND_PROGRESS_BYTES = 16 << 10  # that restart the time-out of a partially received command
 MAX_PARTIAL_COMMAND_BYTES = 64 << 10  # of a partial command passed to a successor that does not take records
+MEMORY_WAIT_SHARE = 0.5  # of a client's time-out, for which its long command may wait for memory
+UNKNOWN_TIMEOUT_MS = 200  # assumed for a long command that does not state its time-out first
 IDLE_TIMEOUT_S = 2.0  # a connection without an open request may be closed after this time
 FIRST_REQUEST_GRACE_S = 0.1  # a new client is expected to send its first request within this time
 
@@ -159,6 +161,8 @@
         self._progress_at = 0.0
         self._bytes_since_progress = 0  # received since `_progress_at`
         self._awaiting_memory = False  # queued in the memory budget
+        self._memory_wait_began_ns = self._memory_wait_ns = 0  # for the command being received
+        self._memory_timer: asyncio.TimerHandle | None = None
         self._close_when_answered = False
         self.refusing = False
         """Whether its requests are refused because there are too many clients."""
@@ -233,6 +237,8 @@
         self.server.paused_reads.discard(self)
         self.server.turns.discard(self)
         self._awaiting_memory = False
+        if self._memory_timer is not None:
+            self._memory_timer.cancel()
         self._input.close()
         self._count_input(0)
         self._release_unsent()
@@ -257,7 +263,7 @@
 
     def read_size(self) -> int:
         """Return the most bytes that the next read may return: the rest of a partial command, or more."""
-        if self._reserved:
+        if self._reserved or self._dialect.is_discarding:
             self._read_size = min(max(self._input.missing_bytes, MIN_READ_BYTES), READ_SIZE_BYTES)
         else:
             self._read_size = self.server.budget.read_size(COMMAND_READS, MAX_READ_AHEAD_BYTES)
@@ -317,6 +323,9 @@
         for message, answers in commands:
             reply = Reply(self, answers)
             self._add_reply(reply)
+            if self._memory_wait_ns:
+                # Danger: the client's time runs on while its command waits here for memory.
+                received, self._memory_wait_ns = received.moved_back(self._memory_wait_ns), 0
             self._handle_message(message, reply, received)
             self._reserved = 0
         self._count_input(0 if self.closed else max(self._reserved, self._input.held_bytes))
@@ -331,7 +340,7 @@
                 # values slowly, and one that each byte restarts would let bad clients hold a connection
                 # indefinitely.
                 self._progress_at, self._bytes_since_progress = self.last_active_at, 0
-            if reader.needed_bytes > max(LONG_COMMAND_BYTES, self._reserved):
+            if reader.needed_bytes > max(LONG_COMMAND_BYTES, self._reserved) and not reader.is_discarding:
                 self._reserve(reader.needed_bytes - self._input_count)
         if not self._has_capacity:
             self._update_flow()
@@ -350,12 +359,33 @@
 
     def _reserve(self, size: int) -> None:
         """Reserve memory for the rest of the long command; reading pauses until it is available."""
-        if self.server.budget.reserve_or_wait(self, size):
+        budget = self.server.budget
+        if not budget.can_ever_reserve(size):
+            self._discard_command()
+        elif budget.reserve_or_wait(self, size):
             self.memory_reserved()
         else:
             self._awaiting_memory = True
+            self._memory_wait_began_ns = time.monotonic_ns()
+            timeout_ms = self._dialect.partial_timeout_ms or UNKNOWN_TIMEOUT_MS
+            wait_s = timeout_ms / 1000 * MEMORY_WAIT_SHARE
+            self._memory_timer = self.server.loop.call_later(wait_s, self._discard_command)
             self._update_flow()
 
+    def _discard_command(self) -> None:
+        """Refuse the long command that finds no memory: what comes of it is discarded."""
+        if self.closed:
+            return
+        if not self._dialect.discard():
+            self.server.budget.count(self._dialect.needed_bytes - self._input_count)
+            self.memory_reserved()
+            return
+        self._awaiting_memory = False
+        self._memory_wait_ns = 0
+        self._count_input(self._input.held_bytes)
+        self._progress_at = self.server.loop.time()
+        self._update_flow()
+
     @property
     def awaits_memory(self) -> bool:
         """Whether the long command that is being received waits for memory."""
@@ -369,6 +399,9 @@
         self._progress_at = self.server.loop.time()
         if self._awaiting_memory:
             self._awaiting_memory = False
+            self._memory_wait_ns += time.monotonic_ns() - self._memory_wait_began_ns
+            if self._memory_timer is not None:
+                self._memory_timer.cancel()
             self._update_flow()
 
     def _count_input(self, size: int) -> None:
@@ -450,6 +483,10 @@
                 reply.send(reply.answers.pong(self.server.takes_clients))
             case Malformed():
                 reply.rejected(message.reason)
+            case Discarded():
+                if message.request is not None:
+                    self.server.host.request_refused(message.request)
+                reply.refused()
         reply.release_memory()
 
     def _log_request(self, access_log: AccessLog, request: Request, reply: Reply) -> None:
@@ -555,7 +592,10 @@
             self.server.paused_reads.discard(self)
         else:
             self.transport.pause_reading()
-            self._receive_times.reading_stopped(time.monotonic_ns())
+            if self._awaiting_memory:
+                self._receive_times.read_delayed(time.monotonic_ns())
+            else:
+                self._receive_times.reading_stopped(time.monotonic_ns())
             self.server.paused_reads.add(self)
 
     @property
@@ -634,7 +674,7 @@
         self._update_flow()
         transport, successor = self.transport, self.server.successor
         # Danger: within a batch, commands that were read but not handled yet would be lost.
-        if self._in_batch or self._frozen is not None or self.closed:
+        if self._in_batch or self._frozen is not None or self.closed or self._dialect.is_discarding:
             return
         if transport is None or transport.is_closing():
             return
@@ -693,6 +733,7 @@
             or self._reserved
             or self._awaiting_memory
             or self._input.backlog_bytes
+            or self._dialect.is_discarding
             or self._dialect.name != "resp"
         ):
             return False
--- a/saltport/downstream/memcached.py
+++ b/saltport/downstream/memcached.py
@@ -16,7 +16,7 @@
 from saltport import __version__
 from saltport.decisions.tenancy import Prefixes
 from saltport.downstream.keys import check_key
-from saltport.messages import Answers, ClientDialect, Malformed, Message, Ping, Request
+from saltport.messages import Answers, ClientDialect, Discarded, Malformed, Message, Ping, Request
 from saltport.wire.memcached import (
     REQUEST_MAGIC,
     RESPONSE_MAGIC,
@@ -139,9 +139,28 @@
 
     @property
     def received_bytes(self) -> int:
-        """Number of bytes received of the partial packet."""
+        """Number of bytes kept of the partial packet."""
         return self._reader.received_bytes
 
+    @property
+    def missing_bytes(self) -> int:
+        """Bytes that the partial packet needs at least beyond those received; 0 between packets."""
+        return self._reader.missing_bytes
+
+    @property
+    def partial_timeout_ms(self) -> int:
+        """How long a client waits for an answer, as the protocol does not state it."""
+        return self._rules.deadline_ms
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether the rest of the partial packet is discarded."""
+        return self._reader.is_discarding
+
+    def discard(self) -> bool:
+        """Discard what comes of the partial packet, and return whether that is possible."""
+        return self._reader.discard()
+
     @property
     def partial_command(self) -> bytes:
         """The received bytes of the partial packet, which is all the state that a hand-over needs."""
@@ -156,6 +175,10 @@
         """Parse received bytes; return the complete commands, each with its reply encoder."""
         messages: list[tuple[Message, Answers]] = []
         for packet in self._reader.feed(data):
+            if self._reader.first_is_discarded:
+                self._reader.first_is_discarded = False
+                messages.append((Discarded(None), MemcachedAnswers(packet)))
+                continue
             if packet.opcode in _QUITS and not packet.fault:
                 self._quit = packet
                 break
@@ -251,9 +274,28 @@
 
     @property
     def received_bytes(self) -> int:
-        """Number of bytes received of the partial command."""
+        """Number of bytes kept of the partial command."""
         return self._detected.received_bytes if self._detected is not None else 0
 
+    @property
+    def missing_bytes(self) -> int:
+        """Bytes that the partial command needs at least beyond those received; 0 between commands."""
+        return self._detected.missing_bytes if self._detected is not None else 0
+
+    @property
+    def partial_timeout_ms(self) -> int:
+        """How long the client waits for the answer to the partial command; 0 if that is not known yet."""
+        return self._detected.partial_timeout_ms if self._detected is not None else 0
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether the rest of the partial command is discarded."""
+        return self._detected is not None and self._detected.is_discarding
+
+    def discard(self) -> bool:
+        """Discard what comes of the partial command, and return whether that is possible."""
+        return self._detected is not None and self._detected.discard()
+
     @property
     def partial_command(self) -> bytes:
         """The received bytes of the partial command."""
--- a/saltport/downstream/resp.py
+++ b/saltport/downstream/resp.py
@@ -6,7 +6,7 @@
 from functools import lru_cache
 
 from saltport.downstream.keys import check_key
-from saltport.messages import Answers, Malformed, Message, Ping, Request
+from saltport.messages import Answers, Discarded, Malformed, Message, Ping, Request
 from saltport.wire.resp import MAX_COMMAND_OVERHEAD_BYTES, CommandReader, bulk, parse_info
 
 
@@ -65,9 +65,31 @@
 
     @property
     def received_bytes(self) -> int:
-        """Number of bytes received of the partial command."""
+        """Number of bytes kept of the partial command."""
         return self._reader.received_bytes
 
+    @property
+    def missing_bytes(self) -> int:
+        """Bytes that the partial command needs at least beyond those received; 0 between commands."""
+        return self._reader.missing_bytes
+
+    @property
+    def partial_timeout_ms(self) -> int:
+        """How long the client waits for the answer to the partial command; 0 if that is not known yet."""
+        try:
+            return parse_request([*self._reader.complete_words(), b""]).timeout_ms
+        except ValueError:
+            return 0
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether the rest of the partial command is discarded."""
+        return self._reader.is_discarding
+
+    def discard(self) -> bool:
+        """Discard what comes of the partial command, and return whether that is possible."""
+        return self._reader.discard()
+
     @property
     def partial_command(self) -> bytes:
         """The received bytes of the partial command."""
@@ -80,7 +102,14 @@
 
     def feed(self, data: bytes) -> list[tuple[Message, Answers]]:
         """Parse received bytes; return the complete commands, each with its reply encoder."""
-        return [(_message(words), ANSWERS) for words in self._reader.feed(data)]
+        messages: list[tuple[Message, Answers]] = [
+            (_message(words), ANSWERS) for words in self._reader.feed(data)
+        ]
+        if messages and self._reader.first_is_discarded:
+            self._reader.first_is_discarded = False
+            message = messages[0][0]
+            messages[0] = Discarded(message if isinstance(message, Request) else None), ANSWERS
+        return messages
 
     def drop_partial(self) -> None:
         """Drop the partial command, as the connection has ended."""
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -54,7 +54,12 @@
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
 ADMIN_DESCRIPTORS = 36  # the operators' listener and its maximum number of connections
 CLIENT_DESCRIPTOR_SHARE = 0.6  # part of the descriptors that client connections may use
-BUDGET_MEMORY_SHARE = 0.2  # part of the memory limit for long commands and answers that wait
+RESIDENT_BYTES = 17 << 20  # memory of an idle process
+BUDGET_MEMORY_SHARE = 0.2  # part of the memory limit for commands, requests and answers
+BUDGET_FREE_MEMORY_SHARE = (
+    1 / 3
+)  # the same, of what an idle process leaves: objects and the allocator need some
+USED_IDS_MEMORY_SHARE = 1 / 128  # part of the memory limit for the ids of requests that may have run
 BANS_FOLDER = "saltport.out"
 LAG_WINDOW_NS = 500_000_000  # the longest loop delay in this window extends the time allowed to peers
 
@@ -86,7 +91,12 @@
         self._host = RouterHost(loop, config.settings, config.seed, self._pool, config.max_open)
         self._pool.on_event = self._host.begin_loop_iteration
         self._memcached = _memcached(config.memcached) if config.memcached.on else None
-        memory_budget = int(config.memory * BUDGET_MEMORY_SHARE)
+        memory_budget = int(
+            min(
+                config.memory * BUDGET_MEMORY_SHARE,
+                max(config.memory - RESIDENT_BYTES, 0) * BUDGET_FREE_MEMORY_SHARE,
+            )
+        )
         self._clients = ClientServer(
             loop, self._host, self._default_dialect(), client_descriptors, memory_budget
         )
--- a/saltport/messages.py
+++ b/saltport/messages.py
@@ -38,7 +38,15 @@
     reason: str
 
 
-Message = Request | Ping | Malformed
+@dataclass(frozen=True, slots=True)
+class Discarded:
+    """A command whose bytes were discarded as they came, for lack of memory; it must be refused."""
+
+    request: Request | None
+    """The request without its value; None if it can't be told."""
+
+
+Message = Request | Ping | Malformed | Discarded
 
 
 class ValueSource(Protocol):
@@ -88,7 +96,25 @@
 
     @property
     def received_bytes(self) -> int:
-        """Number of bytes received of the incomplete command."""
+        """Number of bytes kept of the incomplete command."""
+
+    @property
+    def missing_bytes(self) -> int:
+        """Bytes that the incomplete command needs at least beyond those received; 0 between commands."""
+
+    @property
+    def partial_timeout_ms(self) -> int:
+        """How long the client waits for the answer to the incomplete command; 0 if that is not known yet."""
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether the rest of the incomplete command is discarded."""
+
+    def discard(self) -> bool:
+        """Discard what comes of the incomplete command, which `feed` then returns as `Discarded`.
+
+        Return False, without effect, if the command's length is not known yet; that is for a few bytes.
+        """
 
     @property
     def end_reason(self) -> str:
--- a/saltport/wire/memcached.py
+++ b/saltport/wire/memcached.py
@@ -171,12 +171,40 @@
         """Bytes that the incomplete packet needs at least, counted from its start; 0 between packets."""
         self.framing_error = ""
         """The framing error that ended the stream; empty if there is none."""
+        self._left_to_discard = 0
+        self._discarded_head = b""  # the packet that is being discarded, without its value
+        self.first_is_discarded = False
+        """Whether the first packet that `feed` returns next has lost its value."""
 
     @property
     def received_bytes(self) -> int:
-        """Number of bytes received of the incomplete packet."""
+        """Number of bytes kept of the incomplete packet."""
         return len(self._buffer)
 
+    @property
+    def missing_bytes(self) -> int:
+        """Bytes that the incomplete packet needs at least beyond those received; 0 between packets."""
+        return self._left_to_discard or max(self.needed_bytes - len(self._buffer), 0)
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether the rest of an incomplete packet is discarded."""
+        return bool(self._left_to_discard)
+
+    def discard(self) -> bool:
+        """Discard the rest of the incomplete packet; `feed` then returns it without a body.
+
+        Return False if its header is incomplete.
+        """
+        if len(self._buffer) < HEADER.size:
+            return False
+        head = bytearray(self._buffer[: HEADER.size])
+        magic, opcode, _, _, kind, status, _, opaque, cas = HEADER.unpack(head)
+        self._discarded_head = HEADER.pack(magic, opcode, 0, 0, kind, status, 0, opaque, cas)
+        self._left_to_discard = self.needed_bytes - len(self._buffer)
+        self._buffer.clear()
+        return True
+
     def drop_partial(self) -> None:
         """Drop the incomplete packet, after which the reader must not be used again."""
         self._buffer.clear()
@@ -190,7 +218,14 @@
         """Return the packets completed by `data`; a framing error sets `framing_error` and ends the list."""
         if self.framing_error:
             return []
-        if self.needed_bytes:
+        if self._left_to_discard:
+            dropped = min(len(data), self._left_to_discard)
+            self._left_to_discard -= dropped
+            if self._left_to_discard:
+                return []
+            data = self._discarded_head + data[dropped:]
+            self._discarded_head, self.needed_bytes, self.first_is_discarded = b"", 0, True
+        elif self.needed_bytes:
             self._buffer += data
             if len(self._buffer) < self.needed_bytes:
                 return []
--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -39,12 +39,62 @@
         """Bytes that the incomplete command needs at least, counted from its start; 0 between commands."""
         self.framing_error = ""
         """The framing error that ended the stream; empty if there is none."""
+        self._left_to_discard = 0
+        self._discarded_head = (
+            b""  # the command that is being discarded, with an empty string for the long one
+        )
+        self.first_is_discarded = False
+        """Whether the first command that `feed` returns next has lost a string."""
 
     @property
     def received_bytes(self) -> int:
-        """Number of bytes received of the incomplete command."""
+        """Number of bytes kept of the incomplete command."""
         return len(self._buffer)
 
+    @property
+    def missing_bytes(self) -> int:
+        """Bytes that the incomplete command needs at least beyond those received; 0 between commands."""
+        return self._left_to_discard or max(self.needed_bytes - len(self._buffer), 0)
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether the rest of an incomplete string is discarded."""
+        return bool(self._left_to_discard)
+
+    def discard(self) -> bool:
+        """Discard the rest of the incomplete string; `feed` then returns its command with an empty one.
+
+        Return False if no string is incomplete, but the line with its length.
+        """
+        _, position = self._complete_words()
+        try:
+            size, start = read_length_line(bytes(self._buffer), position, b"$")
+        except IncompleteError:
+            return False
+        end = start + size + len(CRLF)
+        self._discarded_head = bytes(self._buffer[:position]) + bulk(b"")
+        self._left_to_discard = end - len(self._buffer)
+        self._buffer.clear()
+        return True
+
+    def complete_words(self) -> list[bytes]:
+        """Return the words of the incomplete command that are complete."""
+        return self._complete_words()[0] if self._buffer else []
+
+    def _complete_words(self) -> tuple[list[bytes], int]:
+        """Return the complete words of the incomplete command, and the position behind them."""
+        words: list[bytes] = []
+        data = bytes(self._buffer)
+        position = 0
+        try:
+            _, position = read_length_line(data, 0, b"*")
+            while True:
+                size, start = read_length_line(data, position, b"$")
+                word, position = read_bulk_string(data, start, size)
+                words.append(word)
+        except IncompleteError:
+            return words, position
+
     def drop_partial(self) -> None:
         """Drop the incomplete command, after which the reader must not be used again."""
         self._buffer.clear()
@@ -56,7 +106,14 @@
 
     def feed(self, data: bytes) -> list[list[bytes]]:
         """Return the commands completed by `data`; a framing error sets `framing_error` and ends the list."""
-        if self.needed_bytes:
+        if self._left_to_discard:
+            dropped = min(len(data), self._left_to_discard)
+            self._left_to_discard -= dropped
+            if self._left_to_discard:
+                return []
+            data = self._discarded_head + data[dropped:]
+            self._discarded_head, self.needed_bytes, self.first_is_discarded = b"", 0, True
+        elif self.needed_bytes:
             self._buffer += data
             if len(self._buffer) < self.needed_bytes:
                 return []
--- a/tests/wire/test_memcached.py
+++ b/tests/wire/test_memcached.py
@@ -167,3 +167,18 @@
         encode(Packet(Opcode.GET, b"k" * 70_000), REQUEST_MAGIC)
     with pytest.raises(ValueError, match="memcached"):
         encode(Packet(Opcode.GET, b"k", opaque=2**32), REQUEST_MAGIC)
+
+
+def test_discarded_packet_is_returned_without_its_body_and_the_next_one_whole() -> None:
+    write = encode(Packet(Opcode.SET, b"k", b"e" * 8, b"v" * 90_000, opaque=7), REQUEST_MAGIC)
+    noop = Packet(Opcode.NOOP, opaque=8)
+    stream = write + encode(noop, REQUEST_MAGIC)
+    reader = PacketReader(REQUEST_MAGIC)
+    assert reader.feed(stream[:20]) == []
+    assert not reader.discard()
+    assert reader.feed(stream[20:5000]) == []
+    assert reader.discard()
+    assert reader.feed(stream[5000:50_000]) == []
+    discarded, after = reader.feed(stream[50_000:])
+    assert (discarded.opcode, discarded.opaque, discarded.value) == (Opcode.SET, 7, b"")
+    assert after == noop
--- a/tests/wire/test_resp.py
+++ b/tests/wire/test_resp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, strategies
 from hypothesis import settings as profile
 
@@ -73,3 +74,29 @@
     assert (message.request_class, message.timeout_ms, message.tenant) == ("get", 5, None)
     short = parse_request([b"KV.GET", b"k", b"id", b"c=get,t=a,d=7,r=1"])
     assert (short.tenant, short.timeout_ms, short.retry) == ("a", 7, True)
+
+
+@pytest.mark.parametrize("received", [150, 5000, 80_000])
+@pytest.mark.parametrize("step", [1000, 1 << 20])
+def test_discarded_command_is_returned_without_its_value_and_the_next_ones_whole(
+    received: int, step: int
+) -> None:
+    write, read = command(b"KV.SET", b"k", b"id", b"c=put,d=9", b"v" * 90_000), command(b"KV.GET", b"k")
+    stream = write + read
+    reader = CommandReader()
+    assert reader.feed(stream[:received]) == []
+    assert reader.complete_words() == [b"KV.SET", b"k", b"id", b"c=put,d=9"]
+    assert reader.discard()
+    assert (reader.received_bytes, reader.missing_bytes) == (0, len(write) - received)
+    commands = []
+    for at in range(received, len(stream), step):
+        commands += reader.feed(stream[at : at + step])
+    assert commands == [[b"KV.SET", b"k", b"id", b"c=put,d=9", b""], [b"KV.GET", b"k"]]
+    assert reader.first_is_discarded
+    assert (reader.needed_bytes, reader.framing_error) == (0, "")
+
+
+def test_command_whose_length_has_not_come_is_not_discarded() -> None:
+    reader = CommandReader()
+    assert reader.feed(b"*5\r\n$6\r\nKV.SET\r\n$900") == []
+    assert not reader.discard()
