The id of a write that may have run is kept, and both processes of an upgrade know it

Cause: an id was known while its request was open, to its process only. Two processes tell each other before the first attempt leaves, and read what the other has said before they take such a request (messages I and F on the take-over link; older versions ignore them). A repeat gets '-ERR duplicate id', as beside the open request before. Reads may be repeated and are not kept. Not covered: two clients within the time that a message takes between processes whose link is full.

--- a/saltport/handover/exchange.py
+++ b/saltport/handover/exchange.py
@@ -3,6 +3,8 @@
 The first byte of a message from the sender is its type: `l` a part of the learned state, `L` its last or only
 part, `C` an idle connection (for a receiver that announces no record version), `P` a part of a connection
 record, `M` its last part, which carries all descriptors.
+Both send `I` with digests of request ids that are used, and `F` with those that are free again, as each takes
+clients while the other runs. Receivers of earlier versions ignore these two.
 The receiver sends `H` with the record version that it accepts, `A` when it has taken over a connection, and
 `N` with the reason when it rejects one.
 
@@ -33,6 +35,8 @@
 MAX_LEARNED_BYTES = 8 << 20  # some 60,000 servers
 LEARNED_PART, LEARNED_LAST, IDLE_CONNECTION, RECORD_PART, RECORD_LAST = b"l", b"L", b"C", b"P", b"M"
 HELLO, ACCEPTED, REJECTED = b"H", b"A", b"N"
+USED_IDS, FREE_IDS = b"I", b"F"
+MAX_IDS_PER_MESSAGE = 4096
 
 
 @dataclass(slots=True)
@@ -90,6 +94,11 @@
         self._learned.extend(LEARNED_PART + part for part in parts[:-1])
         self._learned.append(LEARNED_LAST + parts[-1])
 
+    def send_used_ids(self, digests: Sequence[bytes]) -> None:
+        """Queue the ids that are used so far, to be sent ahead of the learned state that follows."""
+        for at in range(0, len(digests), MAX_IDS_PER_MESSAGE):
+            self._learned.append(USED_IDS + b"".join(digests[at : at + MAX_IDS_PER_MESSAGE]))
+
     def enqueue(self, transfer: ConnectionTransfer) -> None:
         """Queue a frozen connection, to be sent when the link has capacity."""
         self._queue.append(transfer)
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -21,6 +21,7 @@
 from saltport.admin.calls import CallError
 from saltport.decisions import ListKind, ServersChanged
 from saltport.decisions.interface import NS_PER_S
+from saltport.decisions.used_ids import UsedIds
 from saltport.downstream.clients import ClientServer
 from saltport.downstream.resp import RespDialect
 from saltport.lifecycle.bans import Bans, BanStore
@@ -88,7 +89,8 @@
         client_descriptors = int(descriptors * CLIENT_DESCRIPTOR_SHARE)
         dial_timeout_s, idle_close_s = config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S
         self._pool = Pool(loop, descriptors - client_descriptors, dial_timeout_s, idle_close_s)
-        self._host = RouterHost(loop, config.settings, config.seed, self._pool, config.max_open)
+        used_ids = UsedIds(int(config.memory * USED_IDS_MEMORY_SHARE))
+        self._host = RouterHost(loop, config.settings, config.seed, self._pool, config.max_open, used_ids)
         self._pool.on_event = self._host.begin_loop_iteration
         self._memcached = _memcached(config.memcached) if config.memcached.on else None
         memory_budget = int(
@@ -130,11 +132,20 @@
         )
         self._failover = _failover_link(loop, config, self._peers, self._owners, self._host)
         self._takeover = (
-            Takeover(loop, Path(folder), self._clients.adopt, self._on_links_changed, self._learned_state)
+            Takeover(
+                loop,
+                Path(folder),
+                self._clients.adopt,
+                self._on_links_changed,
+                self._learned_state,
+                self._host.used_ids,
+            )
             if folder and config.listen_fd is not None
             else None
         )
 
+        if self._takeover is not None:
+            self._host.id_sharing = self._takeover
     def _default_dialect(self) -> Callable[[], ClientDialect]:
         """Return a function that creates the dialect of a connection to the clients' main listener."""
         if self._memcached is None or not self._config.memcached.shared:
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -13,13 +13,16 @@
 import socket
 import stat
 import struct
+import time
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
 
+from saltport.decisions.used_ids import DIGEST_BYTES, UsedIds
 from saltport.handover.exchange import (
     ACCEPTED,
+    FREE_IDS,
     HELLO,
     IDLE_CONNECTION,
     LEARNED_LAST,
@@ -27,6 +30,7 @@
     RECORD_LAST,
     RECORD_PART,
     REJECTED,
+    USED_IDS,
     ConnectionTransfer,
     TransferReceiver,
     TransferSender,
@@ -57,10 +61,13 @@
         adopt: Callable[[ConnectionRecord, Sequence[int]], None],
         links_changed: Callable[[], None],
         learned_state: Callable[[], bytes],
+        used_ids: UsedIds,
     ) -> None:
         """`adopt` takes over a received connection or raises RecordError; `links_changed` is called when a
-        link opens or closes; `learned_state` returns the serialized state for the successor.
+        link opens or closes; `learned_state` returns the serialized state for the successor; `used_ids` gets
+        the ids that the other process uses.
         """
+        self._used_ids = used_ids
         self._loop, self._folder, self._adopt, self._links_changed = loop, folder, adopt, links_changed
         self._learned_state = learned_state
         self.inherited_state = b""
@@ -125,6 +132,43 @@
             return
         self._acceptor = Acceptor(self._loop, listener, self._accepted)
 
+    # The ids of requests that may have taken effect
+
+    def receive(self) -> None:
+        """Process the messages that the other process has sent so far."""
+        if self._acceptor is not None and not self._successor:
+            self._acceptor.accept_pending()
+        for link in (self._predecessor, self._successor):
+            if link is not None:
+                link.receive_pending()
+
+    def used(self, digest: bytes) -> None:
+        """Tell the other process that a request with this id may take effect."""
+        self._tell_ids(USED_IDS + digest)
+
+    def released(self, digest: bytes) -> None:
+        """Tell the other process that a request with this id surely never ran."""
+        self._tell_ids(FREE_IDS + digest)
+
+    def _tell_ids(self, message: bytes) -> None:
+        for link in (self._predecessor, self._successor):
+            if link is not None:
+                link.answer(message)
+
+    def _receive_ids(self, message: bytes) -> bool:
+        """Process a message with ids; return False if it is another one."""
+        kind, digests = message[:1], message[1:]
+        if kind not in (USED_IDS, FREE_IDS):
+            return False
+        now = time.monotonic_ns()
+        for at in range(0, len(digests) - DIGEST_BYTES + 1, DIGEST_BYTES):
+            digest = digests[at : at + DIGEST_BYTES]
+            if kind == USED_IDS:
+                self._used_ids.add(digest, now)
+            else:
+                self._used_ids.discard(digest)
+        return True
+
     def accept_rest(self) -> None:
         """Accept a successor that has connected but has not been accepted yet."""
         if self._acceptor is not None:
@@ -147,6 +191,7 @@
             # Danger: a successor that died before it took over must not block the next one.
             self._close_successor()
         self._successor = PacketLink(self._loop, link, self._receive_from_successor, MAX_REPLY_BYTES)
+        self.sender.send_used_ids(list(self._used_ids))
         self.sender.send_learned(self._learned_state())
         self._send_queued()
         self._links_changed()
@@ -160,6 +205,8 @@
             self._close_successor()
             self._links_changed()
             return
+        if self._receive_ids(packet.data):
+            return
         if reason := self.sender.receive(packet.data):
             log.warning("the next process rejected a connection: %s", reason)
         self._send_queued()
@@ -224,6 +271,9 @@
             self._links_changed()
             return
         kind = message[:1]
+        if self._receive_ids(message):
+            _close_all(descriptors)
+            return
         if kind in (LEARNED_PART, LEARNED_LAST):
             self.inherited_state = self._receiver.receive_learned(message) or self.inherited_state
             self._has_inherited = kind == LEARNED_LAST
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter, deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from saltport.address import Address
 from saltport.admin.figures import Figures
@@ -18,6 +18,7 @@
     AttemptEnded,
     Copy,
     CopyEnded,
+    Effect,
     Event,
     Fail,
     Invalidate,
@@ -46,6 +47,7 @@
 )
 from saltport.decisions.interface import NS_PER_S
 from saltport.decisions.ordering import KeyOrder
+from saltport.decisions.used_ids import UsedIds, digest_of
 from saltport.downstream.outcomes import CloseReason
 from saltport.downstream.replies import Reply
 from saltport.handover.record import PartialValue
@@ -69,13 +71,47 @@
 log = logging.getLogger("saltport")
 
 
+class IdSharing(Protocol):
+    """Tells the other process of this router, if there is one, which ids are used."""
+
+    def receive(self) -> None:
+        """Process what the other process has sent."""
+
+    def used(self, digest: bytes) -> None:
+        """Tell that a request with this id may take effect."""
+
+    def released(self, digest: bytes) -> None:
+        """Tell that a request with this id surely never ran."""
+
+
+class NoIdSharing:
+    """For a router that has one process."""
+
+    def receive(self) -> None:
+        """Do nothing."""
+
+    def used(self, digest: bytes) -> None:
+        """Do nothing."""
+
+    def released(self, digest: bytes) -> None:
+        """Do nothing."""
+
+
 class RouterHost:
     """Passes events to the decision module one at a time and carries out the resulting actions."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, settings: Settings, seed: int, pool: Pool, max_open: int
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: Settings,
+        seed: int,
+        pool: Pool,
+        max_open: int,
+        used_ids: UsedIds | None = None,
     ) -> None:
         self.loop, self.settings = loop, settings
+        self.used_ids = UsedIds(0) if used_ids is None else used_ids
+        self.id_sharing: IdSharing = NoIdSharing()
         self.ready = False
         self.final_deadline = NEVER
         """Latest time for all final answers, once the process is shutting down."""
@@ -160,11 +196,11 @@
     def _use_settings(self, settings: Settings) -> None:
         """Store the settings and what is derived from them."""
         self.settings = settings
-        self._classes = {cls.name for cls in settings.classes}
+        self._effects = {cls.name: cls.effect for cls in settings.classes}
         self._probe_timeout = min(cls.aim for cls in settings.classes)
         self.late_answer_wait_s = max(cls.deadline for cls in settings.classes) / NS_PER_S
         """How long a connection stays reserved for the answer to an attempt that has timed out."""
-        self.figures.add_classes(sorted(self._classes))
+        self.figures.add_classes(sorted(self._effects))
 
     def apply_settings(self, settings: Settings) -> None:
         """Apply all new settings at once; open requests keep the ones that they arrived with."""
@@ -198,10 +234,11 @@
         more closely than from the loop's lag.
         """
         request_id = message.id.decode("ascii")
-        if message.request_class not in self._classes:
+        if message.request_class not in self._effects:
             reply.rejected("unknown class")
-        elif request_id in self._requests:
-            # Danger: two open requests with one id would share attempts, and get each other's answers.
+        elif request_id in self._requests or self._is_used(message):
+            # Danger: two open requests with one id would share attempts, and get each other's answers; one
+            # that comes again later would take effect twice.
             reply.rejected("duplicate id")
         elif len(self._requests) >= self._max_open:
             self.request_refused(message)
@@ -216,9 +253,29 @@
             return
         reply.release_memory()
 
+    def _is_used(self, message: Request) -> bool:
+        """Whether an earlier request with this id may have taken effect, in any process of this router."""
+        if self._effects[message.request_class] is Effect.SAFE:
+            return False
+        self.id_sharing.receive()
+        return digest_of(message.id) in self.used_ids
+
+    def _use_id(self, request: OpenRequest) -> None:
+        """Record and tell the other process, before the first attempt, that a request may take effect."""
+        if self._effects.get(request.message.request_class, Effect.SAFE) is not Effect.SAFE:
+            request.id_digest = digest_of(request.message.id)
+            self.used_ids.add(request.id_digest, time.monotonic_ns())
+            self.id_sharing.used(request.id_digest)
+
+    def _release_id(self, request: OpenRequest) -> None:
+        """Allow the id of a request that surely never ran to come again."""
+        if request.id_digest and not request.has_run:
+            self.used_ids.discard(request.id_digest)
+            self.id_sharing.released(request.id_digest)
+
     def request_refused(self, message: Request) -> None:
         """Count a request that was refused before it was accepted."""
-        if message.request_class in self._classes:
+        if message.request_class in self._effects:
             self.figures.deferred[message.request_class] += 1
 
     def client_gone(self, reply: Reply) -> None:
@@ -245,6 +302,7 @@
         """Remove a request that has its final answer and no open attempts."""
         if request.closed and not request.open_attempts and request.id in self._requests:
             del self._requests[request.id]
+            self._release_id(request)
             request.reply.release_memory()
             # Danger: the two refer to each other, and such cycles are collected rarely. Until then the value
             # of a write would stay in memory.
@@ -431,6 +489,8 @@
         """Send the client the origin's answer to a write, deferred until all copies were invalidated."""
         request = self._requests.get(request_id)
         if request is None or request.closed or request.deferred_answer is None:
+        if not request.attempts:
+            self._use_id(request)
             return
         request.closed = True
         self.count_end(request, self.figures.answered)
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -76,9 +76,9 @@
     """A client's request that has no final answer yet, or still has open attempts."""
 
     __slots__ = (
-        "_host", "_order", "_stage", "_timer", "arrival_uncertainty_ns", "attempt", "attempts", "closed",
-        "counted", "deadline", "deferred_answer", "id", "max_attempts", "may_have_run", "message",
-        "open_attempts", "reply",
+        "_host", "_order", "_stage", "_timer", "arrival_uncertainty_ns", "attempt", "attempts",
+        "broken_value", "closed", "counted", "deadline", "deferred_answer", "has_run", "id", "id_digest",
+        "max_attempts", "may_have_run", "message", "open_attempts", "reply",
     )  # fmt: skip
 
     def __init__(
@@ -107,6 +107,10 @@
         """Whether the request's end is counted in the figures."""
         self.attempt: Attempt | None = None
         """The latest attempt, until it ends."""
+        self.has_run = False
+        """Whether an attempt ended whose server has executed the request, or may have or may yet."""
+        self.id_digest = b""
+        """Digest of the id, if it is recorded as used."""
         self.deferred_answer: bytes | None = None
         """The origin's answer to a write, which the client receives once the decision module releases it."""
 
@@ -419,9 +423,10 @@
         if request.attempt is self:
             request.attempt = None
         unsent = not self._written_at
-        request.may_have_run = request.may_have_run or not (
-            outcome is Outcome.OK or outcome.never_ran or unsent
-        )
+        never_ran = outcome.never_ran or unsent
+        request.has_run = request.has_run or not never_ran
+        request.may_have_run = request.may_have_run or not (outcome is Outcome.OK or never_ran)
+        broke_off = False
         if self._source is not None:
             self._source = None
             if outcome is Outcome.OK:
--- a/saltport/transport/packets.py
+++ b/saltport/transport/packets.py
@@ -83,15 +83,25 @@
         self._read_retry = None
         self._loop.add_reader(self._sock.fileno(), self._read)
 
+    def receive_pending(self) -> None:
+        """Process the messages that have arrived, without waiting for the event loop to report them."""
+        while self._read_retry is None and self._sock.fileno() >= 0 and self._receive():
+            pass
+
     def _read(self) -> None:
+        self._receive()
+
+    def _receive(self) -> bool:
+        """Receive one message and process it; return whether there was one."""
         try:
             data, descriptors, flags, _ = socket.recv_fds(self._sock, self._max_size, self._max_descriptors)
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError as error:
             if error.errno in shortage.RESOURCE_ERRORS:
                 self._loop.remove_reader(self._sock.fileno())
                 self._read_retry = self._loop.call_later(RETRY_PAUSE_S, self._resume_reading)
-                return
+                return False
             data, descriptors, flags = b"", [], 0
         self._on_packet(Packet(data, descriptors, bool(flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC))))
+        return bool(data)
--- a/tests/faults/test_repeated_ids.py
+++ b/tests/faults/test_repeated_ids.py
@@ -64,6 +64,17 @@
         assert router.client().ask(put("w1", cls="once")).startswith(b"-BUSY")
 
 
+def test_id_of_a_write_that_the_origin_has_not_begun_may_come_again(tmp_path: Path) -> None:
+    """Guards against an id that is kept for good as soon as it was sent."""
+    answers = [http_answer(503, b"", "Not-Started: 1")]
+    origin = Peer(lambda *_: answers[-1], is_http=True)
+    with run_router(tmp_path, {"s1": cache_of({})}, origin) as router:
+        assert router.client().ask(put("w1", cls="once", d=300)).startswith(b"-BUSY")
+        assert origin.seen
+        answers.append(http_answer(200, b"done"))
+        assert router.client().ask(put("w1", cls="once")) == b"done"
+
+
 @pytest.mark.parametrize("effect", ["once", "put"])
 @pytest.mark.parametrize("pause_s", [0.0, 0.6])
 @pytest.mark.parametrize("back", [False, True])
