A value that breaks off is continued by a further attempt, if its begin is the same

Callers lost the requests that they had sent behind a read whose long value broke off: the router closed the connection, as no client can be told within a value that it has failed (test_slow_peers, cache and origin, failed before; two reads behind each got nothing). Cause: Reply.abort_value closes the connection with all that was read on it, and nothing tried to make the value whole. Change: the decision module gets such an end as one of an attempt whose request is open (broke_off), and sends a further one within the request's time, attempts and limits as after any other; the origin is asked once more. Its answer continues the value if it has the same length and the same checksum over what the client has (router/resumption.py). What is left: after the client's time, or when no server has the same value, the requests behind are lost still; a value from another process is not continued.

--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -312,6 +312,8 @@
     """The size of the value in bytes, 0 where unknown."""
     unsent: bool = False
     """Whether no byte of the request was sent, so that it had no effect whatever the outcome."""
+    broke_off: bool = False
+    """Whether the client has a part of the value, which only a further attempt can make whole."""
 
     @property
     def never_ran(self) -> bool:
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -272,7 +272,7 @@
         elif outcome is Outcome.OK:
             pass  # a write whose answer is deferred until its copies are invalidated
         elif fetched:
-            self._fetch_failed(request, outcome, late, stale_connection)
+            self._fetch_failed(request, outcome, late, stale_connection or event.broke_off)
         else:
             # A server whose only fault is one unanswered attempt that was not late is tried once more.
             if outcome not in UNANSWERED or late or node.unanswered_in_a_row > 1:
@@ -307,13 +307,14 @@
             if change.readmitted:
                 node.limit = Limit(self._now)
 
-    def _fetch_failed(self, request: Request, outcome: Outcome, late: bool, stale_connection: bool) -> None:
+    def _fetch_failed(self, request: Request, outcome: Outcome, late: bool, repeat: bool) -> None:
         """Retry a failed write after a pause; give up a failed read, which the client may retry.
 
         Not retrying reads limits the load on the origin. A lost attempt (a stale connection or an early
-        time-out) is repeated once without a pause, as it shows no fault of the origin.
+        time-out) is repeated once without a pause, as it shows no fault of the origin; so is one whose
+        client has a part of the value (`repeat` stands for this and the stale connection).
         """
-        if (stale_connection or (outcome is Outcome.TIMEOUT and not late)) and not request.refetching:
+        if (repeat or (outcome is Outcome.TIMEOUT and not late)) and not request.refetching:
             request.refetching = True
             self._fetch(request)
             return
--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -151,6 +151,12 @@
         if not self._write(self.answers.head(length)) or self._connection.writing_paused:
             source.pause()
 
+    def resume(self, source: StreamedValue) -> None:
+        """Continue a streamed answer from another source, which is paused while the client takes nothing."""
+        self.source = source
+        if self._must_wait:
+            source.pause()
+
     def send_part(self, data: bytes) -> None:
         """Write the next part of a streamed value."""
         if not self.tail:
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -313,6 +313,10 @@
         request = self._requests.get(request_id)
         if request is None or request.closed:
             return
+        if request.broken_value is not None:
+            self.cut_off(request)
+            self.forget_if_finished(request)
+            return
         request.closed = True
         figures = self.figures
         self.count_end(request, figures.errored if retry_after is None else figures.deferred)
@@ -324,6 +328,12 @@
             request.attempt.stop_sending()
         self.forget_if_finished(request)
 
+    def cut_off(self, request: OpenRequest) -> None:
+        """Close the connection of a request whose value has begun and can't be continued."""
+        request.closed, request.broken_value = True, None
+        self.count_end(request, self.figures.errored)
+        request.reply.abort_value()
+
     def refuse(self, request: OpenRequest) -> None:
         """Refuse a request that was never passed to the decision module."""
         self._finish_request(request.id, 0)
@@ -479,6 +489,8 @@
         if request is None:
             log.error("decision module returned a Send for a request that has already ended")
             return
+        if not request.attempts:
+            self._use_id(request)
         now = time.monotonic_ns()
         attempt = Attempt(self, request, action)
         last = request.deadline.at_ns
@@ -489,8 +501,6 @@
         """Send the client the origin's answer to a write, deferred until all copies were invalidated."""
         request = self._requests.get(request_id)
         if request is None or request.closed or request.deferred_answer is None:
-        if not request.attempts:
-            self._use_id(request)
             return
         request.closed = True
         self.count_end(request, self.figures.answered)
--- a/saltport/router/relay.py
+++ b/saltport/router/relay.py
@@ -11,6 +11,7 @@
 from saltport.handover.choice import ValueProgress
 from saltport.handover.record import PartialValue
 from saltport.messages import ValueSource
+from saltport.router.resumption import PrefixCheck, PrefixDiffersError, RelayedValue
 from saltport.upstream.connection import Exchange
 
 VALUE_STALL_TIMEOUT_S = 2.0  # servers pause within a value for 0.1 s at most
@@ -32,6 +33,9 @@
     _relay_started_at = 0.0
     _relayed_bytes = _value_bytes = 0
     _timer: asyncio.TimerHandle | None = None
+    _relayed: RelayedValue | None = None
+    _prefix_check: PrefixCheck | None = None
+    """Compares the answer's begin with what another attempt has passed on, until that is done."""
 
     def __init__(self, host: RelayHost, reply: Reply, request_class: str) -> None:
         self._host, self._reply, self._class = host, reply, request_class
@@ -49,7 +53,26 @@
             # it: a server that is not being read would be given up as silent.
             self._last_data_at = max(self._last_data_at, self._host.loop.time())
             self._relayed_bytes += len(data)
-            self._reply.send_part(data)
+            if self._prefix_check is not None:
+                data = self._without_prefix(self._prefix_check, data)
+            if self._relayed is not None:
+                self._relayed.add(data)
+            if data:
+                self._reply.send_part(data)
+
+    def _without_prefix(self, check: PrefixCheck, data: bytes) -> bytes:
+        """Return what the client does not have yet of a part; end the relay if the prefix differs."""
+        try:
+            data = check.rest(data)
+        except PrefixDiffersError:
+            self.prefix_differs()
+            return b""
+        if check.is_complete:
+            self._prefix_check = None
+        return data
+
+    def prefix_differs(self) -> None:
+        """Called when the answer can't continue the value that the client has a part of."""
 
     def pause(self) -> None:
         """Stop reading from the server because the client's buffer is full."""
@@ -86,7 +109,9 @@
     @property
     def movable(self) -> bool:
         """Whether another process could take over the relay now."""
-        return self._source is not None and self.connection is not None and self.connection.movable
+        if self._source is None or self._prefix_check is not None:
+            return False
+        return self.connection is not None and self.connection.movable
 
     def copy_descriptor(self) -> int:
         """Return a duplicate of the server connection's descriptor, which the caller owns; raises OSError."""
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -31,6 +31,7 @@
 from saltport.messages import Request, ValueSource
 from saltport.router.event_host import EventHost
 from saltport.router.relay import Relay, RelayHost
+from saltport.router.resumption import PrefixCheck, RelayedValue
 from saltport.wire.resp import parse_load_report
 
 Order: TypeAlias = "KeyOrder[OpenRequest]"
@@ -63,6 +64,9 @@
     def refuse(self, request: OpenRequest) -> None:
         """Refuse a request that was never passed to the decision module."""
 
+    def cut_off(self, request: OpenRequest) -> None:
+        """Close the connection of a request whose value has begun and can't be continued."""
+
 
 class Stage(Enum):
     """State of a request in the order of its connection's commands for the same key."""
@@ -103,14 +107,16 @@
         self.closed = False
         self.may_have_run = False
         """Whether an attempt ended whose server may have executed the request, or still may."""
-        self.counted = False
-        """Whether the request's end is counted in the figures."""
-        self.attempt: Attempt | None = None
-        """The latest attempt, until it ends."""
         self.has_run = False
         """Whether an attempt ended whose server has executed the request, or may have or may yet."""
         self.id_digest = b""
         """Digest of the id, if it is recorded as used."""
+        self.counted = False
+        """Whether the request's end is counted in the figures."""
+        self.attempt: Attempt | None = None
+        """The latest attempt, until it ends."""
+        self.broken_value: RelayedValue | None = None
+        """What the client has of a value that broke off, while a further attempt may continue it."""
         self.deferred_answer: bytes | None = None
         """The origin's answer to a write, which the client receives once the decision module releases it."""
 
@@ -396,6 +402,9 @@
         """
         self._latency = self._elapsed()
         request = self._request
+        if request.broken_value is not None and not request.closed:
+            self._resume_value(request.broken_value, length, source)
+            return
         if not request.closed and request.message.value is None and not request.reply.may_buffer(1):
             self._host.refuse(request)
             self.give_up(Outcome.CANCELLED)
@@ -406,11 +415,43 @@
         if self._timer is not None:
             self._timer.cancel()
         request.closed = True
+        self._relayed = RelayedValue(length)
         self._relay(length, source)
         request.complete_in_order()
         request.reply.start(length, self)
         self._host.dispatch(StreamStarted(request.id, self._number))
 
+    def _resume_value(self, broken: RelayedValue, length: int, source: ValueSource) -> None:
+        """Continue the value that broke off with this answer, or close the connection if it is another."""
+        request = self._request
+        if length != broken.length:
+            self.prefix_differs()
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        request.closed, request.broken_value = True, None
+        self._relayed, self._prefix_check = broken, PrefixCheck(broken)
+        self._relay(length, source)
+        request.reply.resume(self)
+        self._host.dispatch(StreamStarted(request.id, self._number))
+
+    def prefix_differs(self) -> None:
+        """Close the client's connection: its value can't be continued."""
+        self._source = None
+        self._host.cut_off(self._request)
+        self.give_up(Outcome.CANCELLED)
+
+    def _may_resume(self, outcome: Outcome) -> bool:
+        """Whether a further attempt may continue the value that ended with this outcome."""
+        request = self._request
+        return (
+            outcome is not Outcome.CANCELLED
+            and request.message.value is None
+            and request.attempts < request.max_attempts
+            and not request.deadline.expired(time.monotonic_ns())
+            and not request.reply.client_has_left()
+        )
+
     def _stop_counting(self) -> None:
         self._host.count_end(self._request, None)
 
@@ -432,11 +473,16 @@
             if outcome is Outcome.OK:
                 self._host.count_end(request, self._host.figures.answered)
                 reply.finish()
+            elif self._may_resume(outcome):
+                broke_off, reply.source = True, None
+                request.closed, request.broken_value = False, self._relayed
             else:
                 self._host.count_end(request, self._host.figures.errored)
                 reply.abort_value()
         elif outcome is Outcome.OK and not request.closed and value is not None:
-            if self._defer_answer:
+            if request.broken_value is not None:
+                self._host.cut_off(request)
+            elif self._defer_answer:
                 request.deferred_answer = value
             elif request.message.value is None and not reply.may_buffer(len(value)):
                 self._host.refuse(request)  # a read, which is harmless to repeat
@@ -458,6 +504,7 @@
             self.connection_reused,
             self._value_bytes if value is None else len(value),
             unsent,
+            broke_off,
         )
         self._host.forget_if_finished(request)
         self._host.dispatch(event, value)
--- a/tests/faults/test_slow_peers.py
+++ b/tests/faults/test_slow_peers.py
@@ -18,11 +18,12 @@
 SLOW_DEADLINE_MS = 349
 
 
-class BreakingOnce:
-    """A server that resets the first connection half-way through a long value, and then serves it whole."""
+class BreakingServer:
+    """A server that resets its connection half-way through a long value, the first times."""
 
-    def __init__(self, encode: Callable[[bytes], bytes], is_http: bool) -> None:
+    def __init__(self, encode: Callable[[bytes], bytes], is_http: bool, times: int = 1) -> None:
         self.long_reads = 0
+        self._times = times
         self._encode = encode
         self.peer = Peer(self._serve, is_http)
 
@@ -31,7 +32,7 @@
             return self._encode(b"short")
         self.long_reads += 1
         answer = self._encode(LONG)
-        if self.long_reads > 1:
+        if self.long_reads > self._times:
             return answer
         connection.sendall(answer[: len(answer) // 2])
         time.sleep(0.1)
@@ -46,10 +47,10 @@
 def test_requests_behind_a_value_whose_server_breaks_off_are_answered(tmp_path: Path, at: str) -> None:
     """Guards against a close that loses the requests behind a value that broke off."""
     if at == "cache":
-        breaking = BreakingOnce(hit, is_http=False)
+        breaking = BreakingServer(hit, is_http=False)
         cache, origin = breaking.peer, Peer(lambda *_: http_answer(200, LONG), is_http=True)
     else:
-        breaking = BreakingOnce(encode_http, is_http=True)
+        breaking = BreakingServer(encode_http, is_http=True)
         cache, origin = Peer(lambda *_: MISS), breaking.peer
     with run_router(tmp_path, {"s1": cache}, origin, facts=FACTS) as router:
         client = router.client()
@@ -60,7 +61,7 @@
 
 def test_value_that_broke_off_is_not_continued_with_another_value(tmp_path: Path) -> None:
     """Guards against a value that is put together from two different ones."""
-    breaking = BreakingOnce(hit, is_http=False)
+    breaking = BreakingServer(hit, is_http=False, times=10)
     other = LONG[: len(LONG) // 4] + b"?" + LONG[len(LONG) // 4 + 1 :]
     origin = Peer(lambda *_: http_answer(200, other), is_http=True)
     with run_router(tmp_path, {"s1": breaking.peer}, origin, facts=FACTS) as router:
