A process that is told to end goes on with values that have begun until it is killed

Callers got the first half of a value of 1 MiB that came over 4 s when the process was told to end 0.2 s after it began; it exited by itself ahead of the earliest SIGKILL (test_slow_peers, failed before). Nobody waits for the exit but the platform, which kills.

--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -51,6 +51,7 @@
 POLL_S = 0.01  # between two checks of a drain, or of the readiness to accept
 RELOAD_RETRY_S = 0.05  # retry delay while the machine lacks the resources to read the configuration
 LAST_REPLIES_S = MAX_STEP_DELAY_S / 2  # to send the last replies before SIGKILL can arrive
+VALUES_TIMEOUT_S = 30.0  # to send the rest of values, where the platform does not kill this process earlier
 BAN_SYNC_S = 0.1  # between two checks for bans changed by another process
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
 ADMIN_DESCRIPTORS = 36  # the operators' listener and its maximum number of connections
@@ -143,9 +144,9 @@
             if folder and config.listen_fd is not None
             else None
         )
-
         if self._takeover is not None:
             self._host.id_sharing = self._takeover
+
     def _default_dialect(self) -> Callable[[], ClientDialect]:
         """Return a function that creates the dialect of a connection to the clients' main listener."""
         if self._memcached is None or not self._config.memcached.shared:
@@ -412,8 +413,14 @@
         await self._drain_connections(plan, close_health_checks=True)
         self._host.finish_all_requests()
         self._clients.finish(even_mid_command=True)
-        expired_at = self._loop.time()
-        while self._clients.connected and self._loop.time() - expired_at < LAST_REPLIES_S:
+        # Values that have begun go on until the platform kills this process: an exit would cut them off.
+        await self._wait_while(lambda: self._host.figures.current > 0, VALUES_TIMEOUT_S)
+        await self._wait_while(lambda: self._clients.connected > 0, LAST_REPLIES_S)
+
+    async def _wait_while(self, condition: Callable[[], bool], timeout_s: float) -> None:
+        """Wait while the condition is true, at most `timeout_s` seconds."""
+        expires_at = self._loop.time() + timeout_s
+        while condition() and self._loop.time() < expires_at:
             await asyncio.sleep(POLL_S)
 
     @property
