--- a/tests/test_harness.py
+++ b/tests/test_harness.py
@@ -51,16 +51,21 @@
 def test_a_node_killed_in_the_middle_of_a_value_is_reported_to_the_client_and_restarts(
     tmp_path: Path,
 ) -> None:
-    """Half of the values are long and sent slowly, so that the kill happens in the middle of them."""
+    """Half of the values are long and sent slowly, so that the kill happens in the middle of them.
+
+    The origin is down then: it would continue them.
+    """
 
     async def scene(harness: Harness) -> None:
         for node in harness.addresses["nodes"]:
             await harness.control.call("strike", kind="trickle", target=node, figures={"rate": 40_000})
         await asyncio.sleep(0.6)
+        await harness.control.call("strike", kind="origin_down", target="origin")
         for node in harness.addresses["nodes"]:
             await harness.control.call("mend", target=node)
             await harness.control.call("strike", kind="kill", target=node)
         await asyncio.sleep(0.3)
+        await harness.control.call("mend", target="origin")
         for node in harness.addresses["nodes"]:
             await harness.control.call("mend", target=node)
 
