The oldest value of unknown length always grows, so that the smaller budget can't stall it

Change: the oldest one may exceed the total, by one value at the most; the others ask for room from 16 KiB on instead of 64; a growing value is read 256 KiB at a time, as it has asked for them. An open request counts 2.5 KB (measured: 2.0 KB each with its reply, 4,000 open).

--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -20,7 +20,7 @@
 """The free memory divided by these may be read at once from a server and from a client."""
 MIN_READ_BYTES = 1 << 10  # that may be read at once, however little is free
 UNRESERVED_SHARE = 0.1  # part of the total that long commands leave to all else
-REQUEST_BYTES = 4 << 10  # memory of an open request, its attempts and timers, beside its text and value
+REQUEST_BYTES = 5 << 9  # memory of an open request, its attempts and timers, beside its text and value
 REPLY_BYTES = 512  # memory of a reply that is not written yet, beside its bytes
 
 
@@ -126,9 +126,14 @@
             self._retry()
 
     def may_grow(self, value: GrowingValue) -> bool:
-        """Return whether a value of unknown length may grow by what a stream reads at once."""
+        """Return whether a value of unknown length may grow by what a stream reads at once.
+
+        The oldest one with a turn always may, as it has to complete before the others: what others have
+        taken meanwhile may then exceed the total, by one value at the most.
+        """
         self._growing.setdefault(value)
-        return READ_SIZE_BYTES + self._kept_back_from(value) <= self._free
+        kept_back = self._kept_back_from(value)
+        return not kept_back or READ_SIZE_BYTES + kept_back <= self._free
 
     def wait(self, waiter: Waiter) -> None:
         """Queue a waiter until memory is released."""
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -59,9 +59,7 @@
 CLIENT_DESCRIPTOR_SHARE = 0.6  # part of the descriptors that client connections may use
 RESIDENT_BYTES = 17 << 20  # memory of an idle process
 BUDGET_MEMORY_SHARE = 0.2  # part of the memory limit for commands, requests and answers
-BUDGET_FREE_MEMORY_SHARE = (
-    1 / 3
-)  # the same, of what an idle process leaves: objects and the allocator need some
+BUDGET_FREE_MEMORY_SHARE = 0.33  # the same, of what an idle process leaves: its objects need some too
 USED_IDS_MEMORY_SHARE = 1 / 128  # part of the memory limit for the ids of requests that may have run
 BANS_FOLDER = "saltport.out"
 LAG_WINDOW_NS = 500_000_000  # the longest loop delay in this window extends the time allowed to peers
--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -6,12 +6,14 @@
 
 from saltport.decisions import Outcome
 from saltport.handover.record import ReadPosition
+from saltport.transport.stream import READ_SIZE_BYTES
 from saltport.upstream.connection import Connection, Exchange, Server
 from saltport.upstream.unknown_length import UnknownLengthValue
 from saltport.wire.http import HttpError, HttpReader, request
 from saltport.wire.resp import MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES, with_remaining_time
 
 _NEVER_RAN = (503, 504)
+FREE_GROWTH_BYTES = 16 << 10  # of a value of unknown length, before it asks for room
 KEY_SAFE = "/:@!$&'()*+,;=-._~"  # characters that a path may contain unescaped
 
 
@@ -131,6 +133,10 @@
         if self._skipped_bytes > MAX_VALUE_BYTES:
             raise HttpError("value too long")
 
+    def read_size(self) -> int:
+        """Return the most bytes that the next read may return; a growing value has asked for room already."""
+        return READ_SIZE_BYTES if self._unknown_length is not None else super().read_size()
+
     # A value of unknown length: no dialect towards clients can begin it before its length is known.
 
     def _grow(self, unknown: UnknownLengthValue, data: bytes) -> None:
@@ -140,7 +146,7 @@
             self._skip(len(data))
             return
         unknown.add(data)
-        if unknown.size > STREAMING_THRESHOLD_BYTES and not self._awaits_memory:
+        if unknown.size > FREE_GROWTH_BYTES and not self._awaits_memory:
             self.reserve()
 
     def _deliver(self, unknown: UnknownLengthValue) -> bytes | None:
