Requests of a client that closed with much unread are not sent on

Cause: while much is unread, the client's kernel holds back the end of its connection behind it, and neither POLLRDHUP nor a read shows it. Fair turns read little ahead, so this lasted longer than before them. A paused connection with 32 KiB or more unread is read on too. Where the end may still be hidden and no answer has been sent for 50 ms (the answer to a closed socket is a reset), nothing is sent on: new requests are refused, further attempts not begun. Time behind earlier replies still does not count for a deadline.

--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -19,6 +19,7 @@
 ANSWER_READS, COMMAND_READS = 64, 512
 """The free memory divided by these may be read at once from a server and from a client."""
 MIN_READ_BYTES = 1 << 10  # that may be read at once, however little is free
+NOT_READ_AHEAD_SHARE = 0.5  # part of the total that commands which wait for their turn leave to all else
 UNRESERVED_SHARE = 0.1  # part of the total that long commands leave to all else
 REQUEST_BYTES = 5 << 9  # memory of an open request, its attempts and timers, beside its text and value
 REPLY_BYTES = 512  # memory of a reply that is not written yet, beside its bytes
@@ -106,6 +107,10 @@
         self._free -= size
         return True
 
+    def may_read_ahead(self, used: int) -> bool:
+        """Whether bytes that only wait for their turn may be read for a client that keeps `used` bytes."""
+        return used <= (self._free - self.total * NOT_READ_AHEAD_SHARE) * FREE_SHARE
+
     def can_ever_reserve(self, size: int) -> bool:
         """Whether `size` bytes could be reserved if nothing else were kept."""
         return size <= self.total * (1 - UNRESERVED_SHARE)
--- a/saltport/downstream/command_input.py
+++ b/saltport/downstream/command_input.py
@@ -2,22 +2,39 @@
 
 from __future__ import annotations
 
+from collections import deque
+from typing import NamedTuple
+
+from saltport.deadline import Received
 from saltport.downstream.turns import TURN_BYTES
 from saltport.messages import Answers, ClientDialect, Message
 
 
+class Turn(NamedTuple):
+    """What one turn has parsed."""
+
+    size: int
+    """Number of bytes."""
+    received: Received | None
+    """When these bytes arrived, if that was recorded."""
+    commands: list[tuple[Message, Answers]]
+    """The commands that are now complete."""
+
+
 class CommandInput:
     """Received bytes that are not parsed yet, in front of the parser of the connection's dialect."""
 
     def __init__(self, dialect: ClientDialect) -> None:
         self.dialect = dialect
-        self._unparsed = b""
-        self._position = 0  # in `_unparsed`, of the next byte to parse
+        self._unparsed: bytes | bytearray = b""
+        """The bytes of one read, or a buffer for those of several reads."""
+        self._reads: deque[tuple[int, Received | None]] = deque()
+        """How many bytes of each read wait, and when they arrived."""
 
     @property
     def backlog_bytes(self) -> int:
         """Number of bytes that wait to be parsed, in which whole commands may be."""
-        return len(self._unparsed) - self._position
+        return len(self._unparsed)
 
     @property
     def held_bytes(self) -> int:
@@ -36,35 +53,56 @@
 
     @property
     def is_small(self) -> bool:
-        """Whether the bytes that wait may be parsed at once, out of turn: a few, or a part of a command."""
+        """Whether the bytes that wait may be parsed at once, out of turn: few, or a part of a command."""
         return self.backlog_bytes < self.missing_bytes or self.held_bytes <= TURN_BYTES
 
     @property
     def unhandled(self) -> bytes:
         """All received bytes of commands that were not returned yet, for another parser to continue."""
-        return self.dialect.partial_command + self._unparsed[self._position :]
-
-    def add(self, data: bytes) -> None:
-        """Add received bytes behind those that wait."""
-        self._unparsed = self._unparsed[self._position :] + data if self.backlog_bytes else data
-        self._position = 0
-
-    def parse_turn(self) -> tuple[int, list[tuple[Message, Answers]]]:
-        """Parse the bytes of one turn; return their number and the commands that are now complete.
+        return self.dialect.partial_command + self._unparsed
+
+    def add(self, data: bytes, received: Received | None) -> None:
+        """Add the bytes of a read behind those that wait; `received`: when they arrived, if that is known."""
+        if not self._unparsed:
+            self._unparsed = data
+        else:
+            self._unparsed = (
+                bytearray(self._unparsed) if isinstance(self._unparsed, bytes) else self._unparsed
+            )
+            self._unparsed += data
+        self._reads.append((len(data), received))
+
+    def set_received(self, received: Received) -> None:
+        """Set when the bytes of the latest read arrived."""
+        self._reads[-1] = self._reads[-1][0], received
+
+    def parse_turn(self) -> Turn:
+        """Parse the bytes of one turn.
 
         The rest of a partial command is parsed at once: it is one command, whatever its length.
         """
-        begin = self._position
-        end = min(begin + max(TURN_BYTES, self.missing_bytes), len(self._unparsed))
-        is_all = begin == 0 and end == len(self._unparsed)
-        part = self._unparsed if is_all else self._unparsed[begin:end]
-        self._position = end
-        if end == len(self._unparsed):
+        received = self._reads[0][1] if self._reads else None
+        part = bytes(self._unparsed[: max(TURN_BYTES, self.missing_bytes)])
+        if len(part) == len(self._unparsed):
             self.drop_backlog()
+        else:
+            self._drop_parsed(len(part))
         commands = self.dialect.feed(part)
         if self.dialect.end_reason:
             self.drop_backlog()
-        return len(part), commands
+        return Turn(len(part), received, commands)
+
+    def _drop_parsed(self, size: int) -> None:
+        """Remove parsed bytes from the front."""
+        if isinstance(self._unparsed, bytes):
+            self._unparsed = bytearray(self._unparsed)
+        del self._unparsed[:size]
+        while size:
+            left, received = self._reads.popleft()
+            if left > size:
+                self._reads.appendleft((left - size, received))
+                return
+            size -= left
 
     def close(self) -> None:
         """Drop all bytes, as the connection has ended.
@@ -76,4 +114,5 @@
 
     def drop_backlog(self) -> None:
         """Drop the bytes that wait, as the stream has ended."""
-        self._unparsed, self._position = b"", 0
+        self._unparsed = b""
+        self._reads.clear()
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -14,7 +14,14 @@
 
 from saltport.deadline import Received
 from saltport.decisions.ordering import KeyOrder
-from saltport.downstream.budget import COMMAND_READS, MIN_READ_BYTES, REPLY_BYTES, REQUEST_BYTES, MemoryBudget
+from saltport.downstream.budget import (
+    ANSWER_READS,
+    COMMAND_READS,
+    MIN_READ_BYTES,
+    REPLY_BYTES,
+    REQUEST_BYTES,
+    MemoryBudget,
+)
 from saltport.downstream.command_input import CommandInput
 from saltport.downstream.connection_handover import (
     FrozenConnection,
@@ -34,13 +41,20 @@
 from saltport.transport.readiness import Readiness
 from saltport.transport.stream import READ_SIZE_BYTES, StreamProtocol, TcpStream
 from saltport.transport.unacknowledged import unacknowledged_bytes
+from saltport.transport.unread import unread_bytes
 
 if TYPE_CHECKING:
     from saltport.downstream.access_log import AccessLog
 
 LONG_COMMAND_BYTES = 4 << 10  # longer commands reserve memory before they are read
 MAX_PIPELINE = 256  # outstanding replies per connection; reading pauses at this number
-MAX_READ_AHEAD_BYTES = 4 << 10  # read at once from a connection, unless a longer command is being received
+USUAL_READ_BYTES = 4 << 10  # read at once from a connection, unless more is known to be there
+MAX_READ_AHEAD_BYTES = 64 << 10  # read at once while earlier bytes wait for turns
+MAX_BACKLOG_BYTES = 1 << 20  # that wait for turns, as far as the memory budget allows
+# Unread bytes from which a client's kernel may hold back the end of its connection; a receive window has
+# twice as much at the least.
+HIDDEN_END_BYTES = 32 << 10
+CLIENT_SEEN_TIMEOUT_S = 0.05  # the terms allow an attempt to begin 0.1 s after its client has left
 # A well-behaved client may take 2 s to send the head of a command, and a misbehaving one must get an error or
 # a close within 3 s.
 COMMAND_PROGRESS_TIMEOUT_S = 2.4  # to complete a command or to receive COMMAND_PROGRESS_BYTES more of it
@@ -148,8 +162,12 @@
         self.last_active_at = self.connected_at = server.loop.time()
         self._dialect = dialect()
         self._input = CommandInput(self._dialect)
-        self._received: Received | None = None
-        """When the bytes arrived that are handled in several turns."""
+        self._waits_for_replies = False
+        """Whether bytes that were read have waited because too many replies were outstanding."""
+        self._has_more_unread = False
+        """Whether the latest read has not emptied the kernel's buffer."""
+        self._client_seen_at = server.loop.time()
+        """When the client surely had not left: nothing was unread, or an answer was sent and not reset."""
         self._read_size = READ_SIZE_BYTES
         self._reading = True
         self._reserved = 0  # bytes reserved for the command being received
@@ -264,22 +282,29 @@
     def read_size(self) -> int:
         """Return the most bytes that the next read may return: the rest of a partial command, or more."""
         if self._reserved or self._dialect.is_discarding:
-            self._read_size = min(max(self._input.missing_bytes, MIN_READ_BYTES), READ_SIZE_BYTES)
+            size = min(max(self._input.missing_bytes, MIN_READ_BYTES), READ_SIZE_BYTES)
+        elif self._has_more_unread:
+            size = self.server.budget.read_size(ANSWER_READS, MAX_READ_AHEAD_BYTES)
         else:
-            self._read_size = self.server.budget.read_size(COMMAND_READS, MAX_READ_AHEAD_BYTES)
-        return self._read_size
+            size = self.server.budget.read_size(COMMAND_READS, USUAL_READ_BYTES)
+        self._read_size = size
+        return size
 
     def data_received(self, data: bytes) -> None:
         """Handle few received bytes at once; more of them wait for turns."""
         self.server.host.begin_loop_iteration()
         self.last_active_at = self.server.loop.time()
-        self._input.add(data)
         now, emptied = time.monotonic_ns(), len(data) < self._read_size
-        if self._input.is_small:
+        self._has_more_unread = not emptied
+        if emptied:
+            self._client_seen_at = self.last_active_at
+        is_first = not self._input.backlog_bytes
+        self._input.add(data, None)
+        if is_first and self._input.is_small:
             self._handle_turn(now, emptied)
             return
         times = self._receive_times
-        self._received = times.estimate_from_loop(now, 0) or times.record_read(now, emptied, False)
+        self._input.set_received(times.estimate_from_loop(now, 0) or times.record_read(now, emptied, False))
         self._count_input(max(self._reserved, self._input.held_bytes))
         self._update_flow()
 
@@ -316,10 +341,15 @@
         """
         reader = self._dialect
         starts_command = not reader.needed_bytes
-        size, commands = self._input.parse_turn()
-        received = self._received or self._estimate_arrival(now, emptied, commands)
+        size, received, commands = self._input.parse_turn()
+        if received is None:
+            received = self._estimate_arrival(now, emptied, commands)
+        elif self._waits_for_replies:
+            # Danger: for the answer's deadline, the time that a request waited behind earlier requests of its
+            # connection does not count.
+            received = Received(received.earliest_ns, now)
         if not self._input.backlog_bytes:
-            self._received = None
+            self._waits_for_replies = False
         for message, answers in commands:
             reply = Reply(self, answers)
             self._add_reply(reply)
@@ -447,9 +477,12 @@
         self.count_memory(REPLY_BYTES)
 
     def _admit(self, request: Request, reply: Reply) -> bool:
-        """Count the memory of a request; return False if there is none, so that it must be refused."""
+        """Count the memory of a request; return False if it must be refused.
+
+        That is if there is no memory, or its client may have left unseen.
+        """
         size = REQUEST_BYTES + len(request.key) + len(request.info) + len(request.value or b"")
-        if not self._reserved and not self.server.budget.has_room(size):
+        if self.may_have_left or not (self._reserved or self.server.budget.has_room(size)):
             return False
         reply.reserved = size
         self.count_memory(size)
@@ -497,6 +530,7 @@
         """Write bytes to the client."""
         if self.transport is not None:
             self.transport.write(data)
+            self._client_seen_at = self.server.loop.time()
 
     def remove_completed_replies(self) -> None:
         """Remove the completed replies, which are written already, from the head of the queue.
@@ -583,7 +617,9 @@
         if self._input.backlog_bytes:
             if wanted:
                 self.server.turns.add(self)
-            wanted = False
+            elif not self.closed:
+                self._waits_for_replies = True
+            wanted = self._reads_ahead
         if wanted == self._reading or self.transport is None or self.transport.is_closing():
             return
         self._reading = wanted
@@ -598,6 +634,39 @@
                 self._receive_times.reading_stopped(time.monotonic_ns())
             self.server.paused_reads.add(self)
 
+    @property
+    def _reads_ahead(self) -> bool:
+        """Whether to read on although received bytes wait.
+
+        Danger: the end of a connection behind much unread data is not visible, and its requests would be sent
+        on for a client that has left.
+        """
+        return (
+            self._has_more_unread
+            and self._input.backlog_bytes < MAX_BACKLOG_BYTES
+            and self.server.budget.may_read_ahead(self._used)
+            and not (self.closed or self._awaiting_memory or self._dialect.end_reason)
+            and not self._moves_to_successor
+        )
+
+    def look_behind_unread(self) -> None:
+        """Read on if so much is unread that the end of the connection may be hidden behind it."""
+        if not self._reading and not self._has_more_unread and self._hides_end:
+            self._has_more_unread = True
+            self._update_flow()
+
+    @property
+    def _hides_end(self) -> bool:
+        """Whether the client's kernel may hold back the end of the connection, as much is unread here."""
+        return unread_bytes(self.descriptor) >= HIDDEN_END_BYTES if self.descriptor >= 0 else False
+
+    @property
+    def may_have_left(self) -> bool:
+        """Whether the client may have left without a sign of it, so that nothing may be sent on for it."""
+        if self._reading or self.server.loop.time() - self._client_seen_at < CLIENT_SEEN_TIMEOUT_S:
+            return False
+        return self._hides_end
+
     @property
     def idle(self) -> bool:
         """Whether no reply is outstanding and no command is partially received."""
--- a/saltport/downstream/paused_reads.py
+++ b/saltport/downstream/paused_reads.py
@@ -24,6 +24,9 @@
     def client_left(self) -> None:
         """Handle that the client has ended or reset the connection."""
 
+    def look_behind_unread(self) -> None:
+        """Read on if so much is unread that the end of the connection may be hidden behind it."""
+
 
 class PausedReads:
     """The connections with paused reading, polled periodically for a disconnect.
@@ -59,6 +62,8 @@
                 poller.register(descriptor, select.POLLRDHUP)
         for descriptor, events in poll_now(poller) or ():
             if events & _HANGUP_EVENTS:
-                by_descriptor[descriptor].client_left()
+                by_descriptor.pop(descriptor).client_left()
+        for connection in by_descriptor.values():
+            connection.look_behind_unread()
         if self._connections and self._timer is None:
             self._timer = self._loop.call_later(POLL_INTERVAL_S, self._poll)
--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -62,6 +62,10 @@
     def client_has_left(self) -> bool:
         """Whether the kernel reports that the client ended or reset the connection, even if unread."""
 
+    @property
+    def may_have_left(self) -> bool:
+        """Whether the client may have left without a sign of it, so that nothing may be sent on for it."""
+
     def release_memory(self, size: int) -> None:
         """Release so many bytes of memory that were reserved for a command, or counted."""
 
@@ -241,8 +245,9 @@
         self._connection.abort(CloseReason.VALUE_CUT)
 
     def client_has_left(self) -> bool:
-        """Whether the client has disconnected, even if the connection has not been notified yet."""
-        return self._connection.closed or self._connection.client_has_left()
+        """Whether the client has disconnected, or may have, even if the connection has not been notified."""
+        connection = self._connection
+        return connection.closed or connection.client_has_left() or connection.may_have_left
 
     def release_memory(self) -> None:
         """Release the memory reserved for the command, which the host no longer needs."""
--- a/tests/downstream/test_turns.py
+++ b/tests/downstream/test_turns.py
@@ -70,10 +70,10 @@
     commands = CommandInput(RespDialect())
     found: list[str] = []
     for at in range(0, len(stream), read_bytes):
-        commands.add(stream[at : at + read_bytes])
+        commands.add(stream[at : at + read_bytes], None)
         while commands.backlog_bytes:
             missing = commands.missing_bytes
-            size, messages = commands.parse_turn()
+            size, _, messages = commands.parse_turn()
             assert size <= max(TURN_BYTES, missing)
             found += [message.id.decode() for message, _ in messages]  # type: ignore[union-attr]
     assert found == [*ids[:30], "w", *ids[30:]]
@@ -83,7 +83,7 @@
 
 def test_nothing_is_parsed_behind_the_end_of_a_stream() -> None:
     commands = CommandInput(RespDialect())
-    commands.add(get("r1") + b"?" + get("r2") * 100)
-    _, messages = commands.parse_turn()
+    commands.add(get("r1") + b"?" + get("r2") * 100, None)
+    _, _, messages = commands.parse_turn()
     assert len(messages) == 1
     assert commands.backlog_bytes == 0
--- a/tests/faults/crowd.py
+++ b/tests/faults/crowd.py
@@ -45,10 +45,12 @@
 
 
 @contextmanager
-def running(folder: Path, memory_mb: int, sizes: dict[str, int] | None = None) -> Iterator[RunningRouter]:
+def running(
+    folder: Path, memory_mb: int, sizes: dict[str, int] | None = None, record: Path | None = None
+) -> Iterator[RunningRouter]:
     """Run a router with cache servers and an origin; the usual clients' keys begin with `u`."""
     limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
-    with server_process(CACHES, {"u": 100, **(sizes or {})}) as (caches, origin):  # noqa: SIM117
+    with server_process(CACHES, {"u": 100, **(sizes or {})}, record) as (caches, origin):  # noqa: SIM117
         with run_router(folder, caches, origin, limits=limits, facts=FACTS) as router:
             yield router
 
