--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -19,7 +19,7 @@
 ANSWER_READS, COMMAND_READS = 64, 512
 """The free memory divided by these may be read at once from a server and from a client."""
 MIN_READ_BYTES = 1 << 10  # that may be read at once, however little is free
-NOT_READ_AHEAD_SHARE = 0.5  # part of the total that commands which wait for their turn leave to all else
+NOT_READ_AHEAD_SHARE = 0.75  # part of the total that commands which wait for their turn leave to all else
 UNRESERVED_SHARE = 0.1  # part of the total that long commands leave to all else
 REQUEST_BYTES = 5 << 9  # memory of an open request, its attempts and timers, beside its text and value
 REPLY_BYTES = 512  # memory of a reply that is not written yet, beside its bytes
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -15,7 +15,6 @@
 from saltport.deadline import Received
 from saltport.decisions.ordering import KeyOrder
 from saltport.downstream.budget import (
-    ANSWER_READS,
     COMMAND_READS,
     MIN_READ_BYTES,
     REPLY_BYTES,
@@ -283,10 +282,9 @@
         """Return the most bytes that the next read may return: the rest of a partial command, or more."""
         if self._reserved or self._dialect.is_discarding:
             size = min(max(self._input.missing_bytes, MIN_READ_BYTES), READ_SIZE_BYTES)
-        elif self._has_more_unread:
-            size = self.server.budget.read_size(ANSWER_READS, MAX_READ_AHEAD_BYTES)
         else:
-            size = self.server.budget.read_size(COMMAND_READS, USUAL_READ_BYTES)
+            most = MAX_READ_AHEAD_BYTES if self._has_more_unread else USUAL_READ_BYTES
+            size = self.server.budget.read_size(COMMAND_READS, most)
         self._read_size = size
         return size
 
