Memory, presence and the host of a client connection in modules of their own

No change of behaviour. Measured: 1,218 tests of crossings, downstream, lifecycle, hand-over processes, limits, slow peers and repeated ids pass.

--- /dev/null
+++ b/saltport/downstream/client_memory.py
@@ -0,0 +1,173 @@
+"""What one client connection keeps in the memory budget, and how its long command gets memory."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from saltport.downstream.budget import REPLY_BYTES, REQUEST_BYTES, MemoryBudget
+from saltport.downstream.command_input import CommandInput
+from saltport.messages import Request
+
+LONG_COMMAND_BYTES = 4 << 10  # longer commands reserve memory before they are read
+MEMORY_WAIT_SHARE = 0.5  # of a client's time-out, for which its long command may wait for memory
+UNKNOWN_TIMEOUT_MS = 200  # assumed for a long command that does not state its time-out first
+
+
+class ClientMemory:
+    """Counts what is kept for one client: received commands, open requests, replies, and unsent bytes.
+
+    A long command reserves its bytes. If there is no memory it waits, and reading with it; after half of the
+    client's time what comes of it is discarded, and the command is refused.
+    """
+
+    def __init__(
+        self,
+        budget: MemoryBudget,
+        loop: asyncio.AbstractEventLoop,
+        commands: CommandInput,
+        on_change: Callable[[], None],
+    ) -> None:
+        """`on_change` is called when a wait of the long command begins or ends."""
+        self._budget, self._loop, self._commands, self._on_change = budget, loop, commands, on_change
+        self.used = 0
+        """Number of bytes that count in the budget for this client."""
+        self.reserved = 0
+        """Number of bytes that are reserved for the command being received."""
+        self.buffered_bytes = 0
+        """Number of bytes that replies have buffered, and that the kernel had not taken at the last pause."""
+        self.granted_at = 0.0
+        """Loop time since when the latest long command can be received, or is discarded."""
+        self.waited_ns = 0
+        """For how long the command being received has waited."""
+        self.awaits_memory = False
+        """Whether the long command that is being received waits for memory."""
+        self._input_count = 0  # of received commands, with what is reserved
+        self._wait_began_ns = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._closed = False
+
+    # What is kept
+
+    def count(self, size: int) -> None:
+        """Count so many more bytes."""
+        self.used += size
+        self._budget.count(size)
+
+    def release(self, size: int) -> None:
+        """Count so many bytes less."""
+        self.used -= size
+        self._budget.release_memory(size)
+
+    def add_buffered(self, size: int) -> None:
+        """Count so many more bytes as buffered for the client."""
+        self.buffered_bytes += size
+        self.count(size)
+
+    def remove_buffered(self, size: int) -> None:
+        """Count so many bytes as no longer buffered for the client."""
+        self.buffered_bytes -= size
+        self.release(size)
+
+    def add_reply(self) -> None:
+        """Count one more outstanding reply, without its bytes."""
+        self.count(REPLY_BYTES)
+
+    def remove_replies(self, number: int = 1) -> None:
+        """Count outstanding replies as written or dropped."""
+        self.release(REPLY_BYTES * number)
+
+    def may_buffer(self, size: int) -> bool:
+        """Whether there is room for an answer of `size` bytes that has to wait."""
+        return self._budget.has_room(size) and self._budget.may_keep(self.buffered_bytes)
+
+    @property
+    def has_share(self) -> bool:
+        """Whether the client may make the router keep more, beside what it keeps."""
+        return self._budget.may_keep(self.used)
+
+    @property
+    def may_read_ahead(self) -> bool:
+        """Whether commands that only wait for their turn may be read."""
+        return self._budget.may_read_ahead(self.used)
+
+    def read_size(self, reads: int, most: int) -> int:
+        """Return how many bytes may be read at once, see MemoryBudget."""
+        return self._budget.read_size(reads, most)
+
+    def admit(self, request: Request) -> int:
+        """Count an open request and return its bytes; 0 if there is no room, so that it must be refused."""
+        size = REQUEST_BYTES + len(request.key) + len(request.info) + len(request.value or b"")
+        if not self.reserved and not self._budget.has_room(size):
+            return 0
+        self.count(size)
+        return size
+
+    # The command being received
+
+    def count_input(self) -> None:
+        """Count the received bytes of commands that are not handled yet, and reserve for a long one."""
+        if self._closed:
+            return
+        self._set_input_count(max(self.reserved, self._commands.held_bytes))
+        needed = self._commands.dialect.needed_bytes
+        is_long = needed > max(LONG_COMMAND_BYTES, self.reserved)
+        if is_long and not self.awaits_memory and not self._commands.dialect.is_discarding:
+            self._reserve(needed - self._input_count)
+
+    def _set_input_count(self, size: int) -> None:
+        growth, self._input_count = size - self._input_count, size
+        if growth > 0:
+            self.count(growth)
+        elif growth:
+            self.release(-growth)
+
+    def _reserve(self, size: int) -> None:
+        """Reserve memory for the rest of the long command; it waits until there is some."""
+        if not self._budget.can_ever_reserve(size):
+            self._discard()
+        elif self._budget.reserve_or_wait(self, size):
+            self.memory_reserved()
+        else:
+            self.awaits_memory = True
+            self._wait_began_ns = time.monotonic_ns()
+            timeout_ms = self._commands.dialect.partial_timeout_ms or UNKNOWN_TIMEOUT_MS
+            self._timer = self._loop.call_later(timeout_ms / 1000 * MEMORY_WAIT_SHARE, self._discard)
+            self._on_change()
+
+    def memory_reserved(self) -> None:
+        """Receive the rest of the long command, as its memory is reserved."""
+        needed = self._commands.dialect.needed_bytes
+        self.used += needed - self._input_count
+        self.reserved = self._input_count = needed
+        self.granted_at = self._loop.time()
+        if self.awaits_memory:
+            self.waited_ns += time.monotonic_ns() - self._wait_began_ns
+            self._end_wait()
+
+    def _discard(self) -> None:
+        """Refuse the long command that finds no memory: what comes of it is discarded."""
+        if not self._commands.dialect.discard():
+            self._budget.count(self._commands.dialect.needed_bytes - self._input_count)
+            self.memory_reserved()
+            return
+        self.waited_ns = 0
+        self.granted_at = self._loop.time()
+        self._set_input_count(self._commands.held_bytes)
+        self._end_wait()
+
+    def _end_wait(self) -> None:
+        self.awaits_memory = False
+        if self._timer is not None:
+            self._timer.cancel()
+        self._on_change()
+
+    def close(self) -> None:
+        """Release what counts for received commands, as the connection has ended."""
+        self._closed = True
+        self.awaits_memory = False
+        if self._timer is not None:
+            self._timer.cancel()
+        self._commands.close()
+        self._set_input_count(0)
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -12,12 +12,13 @@
 from saltport.address import Address
 from saltport.downstream.acceptors import ClientAcceptors
 from saltport.downstream.budget import MemoryBudget
-from saltport.downstream.connection import IDLE_TIMEOUT_S, ClientConnection, Host
+from saltport.downstream.connection import IDLE_TIMEOUT_S, ClientConnection
 from saltport.downstream.connection_handover import ReceivedConnection, Successor
 from saltport.downstream.lingering_close import LingeringConnections
 from saltport.downstream.outcomes import CloseReason
 from saltport.downstream.paused_reads import PausedReads
 from saltport.downstream.receive_times import KernelClock
+from saltport.downstream.request_host import Host
 from saltport.downstream.turns import TurnScheduler
 from saltport.handover.record import ConnectionRecord, RecordError, decode
 from saltport.messages import ClientDialect
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -14,13 +14,9 @@
 
 from saltport.deadline import Received
 from saltport.decisions.ordering import KeyOrder
-from saltport.downstream.budget import (
-    COMMAND_READS,
-    MIN_READ_BYTES,
-    REPLY_BYTES,
-    REQUEST_BYTES,
-    MemoryBudget,
-)
+from saltport.downstream.budget import COMMAND_READS, MIN_READ_BYTES, MemoryBudget
+from saltport.downstream.client_memory import ClientMemory
+from saltport.downstream.client_presence import ClientPresence
 from saltport.downstream.command_input import CommandInput
 from saltport.downstream.connection_handover import (
     FrozenConnection,
@@ -32,73 +28,33 @@
 from saltport.downstream.outcomes import CloseReason
 from saltport.downstream.paused_reads import PausedReads
 from saltport.downstream.receive_times import KernelClock, ReceiveTimes
-from saltport.downstream.replies import Reply, StreamedValue
+from saltport.downstream.replies import Reply
+from saltport.downstream.request_host import Host
 from saltport.downstream.turns import TurnScheduler
 from saltport.handover.exchange import ConnectionTransfer
-from saltport.handover.record import PartialValue
 from saltport.messages import Answers, ClientDialect, Discarded, Malformed, Message, Ping, Request
 from saltport.transport.readiness import Readiness
 from saltport.transport.stream import READ_SIZE_BYTES, StreamProtocol, TcpStream
 from saltport.transport.unacknowledged import unacknowledged_bytes
-from saltport.transport.unread import unread_bytes
 
 if TYPE_CHECKING:
     from saltport.downstream.access_log import AccessLog
 
-LONG_COMMAND_BYTES = 4 << 10  # longer commands reserve memory before they are read
 MAX_PIPELINE = 256  # outstanding replies per connection; reading pauses at this number
 USUAL_READ_BYTES = 4 << 10  # read at once from a connection, unless more is known to be there
 MAX_READ_AHEAD_BYTES = 64 << 10  # read at once while earlier bytes wait for turns
 MAX_BACKLOG_BYTES = 1 << 20  # that wait for turns, as far as the memory budget allows
-# Unread bytes from which a client's kernel may hold back the end of its connection; a receive window has
-# twice as much at the least.
-HIDDEN_END_BYTES = 32 << 10
-CLIENT_SEEN_TIMEOUT_S = 0.05  # the terms allow an attempt to begin 0.1 s after its client has left
 # A well-behaved client may take 2 s to send the head of a command, and a misbehaving one must get an error or
 # a close within 3 s.
 COMMAND_PROGRESS_TIMEOUT_S = 2.4  # to complete a command or to receive COMMAND_PROGRESS_BYTES more of it
 COMMAND_PROGRESS_BYTES = 16 << 10  # that restart the time-out of a partially received command
 MAX_PARTIAL_COMMAND_BYTES = 64 << 10  # of a partial command passed to a successor that does not take records
-MEMORY_WAIT_SHARE = 0.5  # of a client's time-out, for which its long command may wait for memory
-UNKNOWN_TIMEOUT_MS = 200  # assumed for a long command that does not state its time-out first
 IDLE_TIMEOUT_S = 2.0  # a connection without an open request may be closed after this time
 FIRST_REQUEST_GRACE_S = 0.1  # a new client is expected to send its first request within this time
 
 log = logging.getLogger("saltport")
 
 
-class Host(Protocol):
-    """The router core that handles the requests of all client connections."""
-
-    ready: bool
-
-    def begin_loop_iteration(self) -> None:
-        """Record that the event loop handles data or an event of a client connection, for the lag meter."""
-
-    def unread_since(self, now_ns: int) -> int:
-        """Return the earliest time at which data read at `now_ns` can have arrived in the kernel."""
-
-    def request_arrived(
-        self, request: Request, reply: Reply, order: KeyOrder[Any], received: Received
-    ) -> None:
-        """Handle a complete request; `order` serializes commands on the same key of its connection."""
-
-    def request_refused(self, request: Request) -> None:
-        """Record that a request is refused because there are too many clients."""
-
-    def client_gone(self, reply: Reply) -> None:
-        """Handle that the client waiting for this reply has disconnected."""
-
-    def closed_unanswered(self, reason: CloseReason, requests: int) -> None:
-        """Record that the router closed a connection on which so many requests had no whole answer."""
-
-    def resume_value(self, value: PartialValue, descriptor: int, reply: Reply) -> StreamedValue:
-        """Continue a value that another process began to stream for this reply.
-
-        The host takes ownership of `descriptor`, the server connection on which the value arrives.
-        """
-
-
 class ConnectionServer(Protocol):
     """The part of the client server that its connections use."""
 
@@ -154,7 +110,6 @@
         self.number = server.next_number()
         """Number of the connection in the access log."""
         self.transport: TcpStream | None = None
-        self._hangup_poll: Readiness | None = None
         self.replies: deque[Reply] = deque()
         self.writing_paused = self.closed = False
         """Whether the write buffer is full; whether the connection has ended."""
@@ -165,21 +120,14 @@
         """Whether bytes that were read have waited because too many replies were outstanding."""
         self._has_more_unread = False
         """Whether the latest read has not emptied the kernel's buffer."""
-        self._client_seen_at = server.loop.time()
-        """When the client surely had not left: nothing was unread, or an answer was sent and not reset."""
+        self._presence = ClientPresence(server.loop.time)
         self._read_size = READ_SIZE_BYTES
         self._reading = True
-        self._reserved = 0  # bytes reserved for the command being received
-        self._input_count = 0  # bytes that received commands count in the budget, with what is reserved
-        self._used = 0  # bytes that this connection and its open requests count in the budget
-        self.buffered_bytes = 0
-        """Number of bytes that replies have buffered, and that the kernel had not taken at the last pause."""
+        self.memory = ClientMemory(server.budget, server.loop, self._input, self._memory_changed)
+        """What is kept for this client."""
         self._unsent_count = 0  # bytes counted in the budget that the kernel had not taken at a pause
         self._progress_at = 0.0
         self._bytes_since_progress = 0  # received since `_progress_at`
-        self._awaiting_memory = False  # queued in the memory budget
-        self._memory_wait_began_ns = self._memory_wait_ns = 0  # for the command being received
-        self._memory_timer: asyncio.TimerHandle | None = None
         self._close_when_answered = False
         self.refusing = False
         """Whether its requests are refused because there are too many clients."""
@@ -191,7 +139,7 @@
         self.transport = cast(TcpStream, transport)
         self.transport.set_write_buffer_limits(high=0)  # so that all that the kernel does not take counts
         self._receive_times = self._new_receive_times()
-        self._hangup_poll = Readiness(self.transport.get_extra_info("socket"), select.POLLRDHUP)
+        self._presence.connected(self.transport)
         self.server.add_connection(self)
         if self._received_connection is not None:
             received_connection, self._received_connection = self._received_connection, None
@@ -253,16 +201,12 @@
         self.server.remove_connection(self)
         self.server.paused_reads.discard(self)
         self.server.turns.discard(self)
-        self._awaiting_memory = False
-        if self._memory_timer is not None:
-            self._memory_timer.cancel()
-        self._input.close()
-        self._count_input(0)
+        self.memory.close()
         self._release_unsent()
         replies, self.replies = self.replies, deque()
         for reply in replies:
             reply.drop_buffered()
-            self.release_memory(REPLY_BYTES)
+            self.memory.remove_replies()
         # Danger: in forward order, dropping one request could start another that waits behind it on this
         # closed connection.
         for reply in reversed(replies):
@@ -280,11 +224,11 @@
 
     def read_size(self) -> int:
         """Return the most bytes that the next read may return: the rest of a partial command, or more."""
-        if self._reserved or self._dialect.is_discarding:
+        if self.memory.reserved or self._dialect.is_discarding:
             size = min(max(self._input.missing_bytes, MIN_READ_BYTES), READ_SIZE_BYTES)
         else:
             most = MAX_READ_AHEAD_BYTES if self._has_more_unread else USUAL_READ_BYTES
-            size = self.server.budget.read_size(COMMAND_READS, most)
+            size = self.memory.read_size(COMMAND_READS, most)
         self._read_size = size
         return size
 
@@ -295,7 +239,7 @@
         now, emptied = time.monotonic_ns(), len(data) < self._read_size
         self._has_more_unread = not emptied
         if emptied:
-            self._client_seen_at = self.last_active_at
+            self._presence.seen()
         is_first = not self._input.backlog_bytes
         self._input.add(data, None)
         if is_first and self._input.is_small:
@@ -303,7 +247,7 @@
             return
         times = self._receive_times
         self._input.set_received(times.estimate_from_loop(now, 0) or times.record_read(now, emptied, False))
-        self._count_input(max(self._reserved, self._input.held_bytes))
+        self.memory.count_input()
         self._update_flow()
 
     def take_turn(self) -> None:
@@ -351,12 +295,11 @@
         for message, answers in commands:
             reply = Reply(self, answers)
             self._add_reply(reply)
-            if self._memory_wait_ns:
+            if self.memory.waited_ns:
                 # Danger: the client's time runs on while its command waits here for memory.
-                received, self._memory_wait_ns = received.moved_back(self._memory_wait_ns), 0
+                received, self.memory.waited_ns = received.moved_back(self.memory.waited_ns), 0
             self._handle_message(message, reply, received)
-            self._reserved = 0
-        self._count_input(0 if self.closed else max(self._reserved, self._input.held_bytes))
+            self.memory.reserved = 0
         if reader.end_reason:
             self._end_stream()
         elif reader.needed_bytes:
@@ -368,8 +311,7 @@
                 # values slowly, and one that each byte restarts would let bad clients hold a connection
                 # indefinitely.
                 self._progress_at, self._bytes_since_progress = self.last_active_at, 0
-            if reader.needed_bytes > max(LONG_COMMAND_BYTES, self._reserved) and not reader.is_discarding:
-                self._reserve(reader.needed_bytes - self._input_count)
+        self.memory.count_input()
         if not self._has_capacity:
             self._update_flow()
 
@@ -383,88 +325,6 @@
             received = self._receive_times.record_read(now, emptied=emptied, is_last=is_last)
         return received
 
-    # Memory
-
-    def _reserve(self, size: int) -> None:
-        """Reserve memory for the rest of the long command; reading pauses until it is available."""
-        budget = self.server.budget
-        if not budget.can_ever_reserve(size):
-            self._discard_command()
-        elif budget.reserve_or_wait(self, size):
-            self.memory_reserved()
-        else:
-            self._awaiting_memory = True
-            self._memory_wait_began_ns = time.monotonic_ns()
-            timeout_ms = self._dialect.partial_timeout_ms or UNKNOWN_TIMEOUT_MS
-            wait_s = timeout_ms / 1000 * MEMORY_WAIT_SHARE
-            self._memory_timer = self.server.loop.call_later(wait_s, self._discard_command)
-            self._update_flow()
-
-    def _discard_command(self) -> None:
-        """Refuse the long command that finds no memory: what comes of it is discarded."""
-        if self.closed:
-            return
-        if not self._dialect.discard():
-            self.server.budget.count(self._dialect.needed_bytes - self._input_count)
-            self.memory_reserved()
-            return
-        self._awaiting_memory = False
-        self._memory_wait_ns = 0
-        self._count_input(self._input.held_bytes)
-        self._progress_at = self.server.loop.time()
-        self._update_flow()
-
-    @property
-    def awaits_memory(self) -> bool:
-        """Whether the long command that is being received waits for memory."""
-        return self._awaiting_memory
-
-    def memory_reserved(self) -> None:
-        """Receive the rest of the long command, as its memory is reserved."""
-        needed = self._dialect.needed_bytes
-        self._used += needed - self._input_count
-        self._reserved = self._input_count = needed
-        self._progress_at = self.server.loop.time()
-        if self._awaiting_memory:
-            self._awaiting_memory = False
-            self._memory_wait_ns += time.monotonic_ns() - self._memory_wait_began_ns
-            if self._memory_timer is not None:
-                self._memory_timer.cancel()
-            self._update_flow()
-
-    def _count_input(self, size: int) -> None:
-        """Count so many bytes for received commands that are not handled yet."""
-        growth, self._input_count = size - self._input_count, size
-        if growth > 0:
-            self.count_memory(growth)
-        elif growth:
-            self.release_memory(-growth)
-
-    def count_memory(self, size: int) -> None:
-        """Count so many more bytes that are kept for this client."""
-        self._used += size
-        self.server.budget.count(size)
-
-    def release_memory(self, size: int) -> None:
-        """Count so many bytes less that are kept for this client."""
-        self._used -= size
-        self.server.budget.release_memory(size)
-
-    def add_buffered(self, size: int) -> None:
-        """Count so many more bytes as buffered, in the memory budget too."""
-        self.buffered_bytes += size
-        self.count_memory(size)
-
-    def remove_buffered(self, size: int) -> None:
-        """Count so many bytes as no longer buffered."""
-        self.buffered_bytes -= size
-        self.release_memory(size)
-
-    def has_memory(self, size: int) -> bool:
-        """Whether the memory budget has room for `size` more bytes for this client."""
-        budget = self.server.budget
-        return budget.has_room(size) and budget.may_keep(self.buffered_bytes)
-
     def keeps_up(self) -> bool:
         """Whether the client has acknowledged all that was written to it, so that the kernel takes more."""
         return self.transport is not None and not unacknowledged_bytes(self.transport)
@@ -472,19 +332,13 @@
     def _add_reply(self, reply: Reply) -> None:
         """Queue the reply to a command."""
         self.replies.append(reply)
-        self.count_memory(REPLY_BYTES)
+        self.memory.add_reply()
 
     def _admit(self, request: Request, reply: Reply) -> bool:
-        """Count the memory of a request; return False if it must be refused.
-
-        That is if there is no memory, or its client may have left unseen.
-        """
-        size = REQUEST_BYTES + len(request.key) + len(request.info) + len(request.value or b"")
-        if self.may_have_left or not (self._reserved or self.server.budget.has_room(size)):
-            return False
-        reply.reserved = size
-        self.count_memory(size)
-        return True
+        """Whether a request is handled: there is memory for it, and its client has not left unseen."""
+        if not self.may_have_left:
+            reply.reserved = self.memory.admit(request)
+        return reply.reserved > 0
 
     def _end_stream(self) -> None:
         """Send the dialect's closing reply after the outstanding ones, and then close the connection.
@@ -528,7 +382,7 @@
         """Write bytes to the client."""
         if self.transport is not None:
             self.transport.write(data)
-            self._client_seen_at = self.server.loop.time()
+            self._presence.seen()
 
     def remove_completed_replies(self) -> None:
         """Remove the completed replies, which are written already, from the head of the queue.
@@ -539,7 +393,7 @@
         replies = self.replies
         while replies and replies[0].written:
             reply = replies.popleft()
-            self.release_memory(REPLY_BYTES)
+            self.memory.remove_replies()
             if reply.logged_id is not None:
                 self._log_answer(reply, reply.logged_id)
             self.last_active_at = self.server.loop.time()
@@ -565,7 +419,7 @@
         if self.transport is not None and not self.closed and not self.transport.is_closing():
             unsent, self._unsent_count = self._unsent_count, 0
             self._mark_closed(CloseReason.ALL_ANSWERED)
-            self.server.lingering.add(self.transport, partial(self.remove_buffered, unsent))
+            self.server.lingering.add(self.transport, partial(self.memory.remove_buffered, unsent))
 
     def read_out_of_memory(self) -> None:
         """Record that a read failed for lack of memory, so that the data ages in the kernel meanwhile."""
@@ -576,7 +430,7 @@
         self.writing_paused = True
         assert self.transport is not None
         self._unsent_count = self.transport.get_write_buffer_size()
-        self.add_buffered(self._unsent_count)
+        self.memory.add_buffered(self._unsent_count)
         self.last_active_at = self.server.loop.time()
         self._update_flow()
         if self.replies and self.replies[0].source is not None:
@@ -594,7 +448,7 @@
     def _release_unsent(self) -> None:
         """Release the memory that was counted for bytes that the kernel has not taken."""
         size, self._unsent_count = self._unsent_count, 0
-        self.remove_buffered(size)
+        self.memory.remove_buffered(size)
 
     @property
     def _has_capacity(self) -> bool:
@@ -602,10 +456,10 @@
         return not (
             self.closed
             or self.writing_paused
-            or self._awaiting_memory
+            or self.memory.awaits_memory
             or self._dialect.end_reason
             or len(self.replies) >= MAX_PIPELINE
-            or (self.replies and not self.server.budget.may_keep(self._used))
+            or (self.replies and not self.memory.has_share)
             or self._moves_to_successor
         )
 
@@ -626,7 +480,7 @@
             self.server.paused_reads.discard(self)
         else:
             self.transport.pause_reading()
-            if self._awaiting_memory:
+            if self.memory.awaits_memory:
                 self._receive_times.read_delayed(time.monotonic_ns())
             else:
                 self._receive_times.reading_stopped(time.monotonic_ns())
@@ -642,28 +496,26 @@
         return (
             self._has_more_unread
             and self._input.backlog_bytes < MAX_BACKLOG_BYTES
-            and self.server.budget.may_read_ahead(self._used)
-            and not (self.closed or self._awaiting_memory or self._dialect.end_reason)
+            and self.memory.may_read_ahead
+            and not (self.closed or self.memory.awaits_memory or self._dialect.end_reason)
             and not self._moves_to_successor
         )
 
     def look_behind_unread(self) -> None:
         """Read on if so much is unread that the end of the connection may be hidden behind it."""
-        if not self._reading and not self._has_more_unread and self._hides_end:
+        if not self._reading and not self._has_more_unread and self._presence.end_may_be_hidden:
             self._has_more_unread = True
             self._update_flow()
 
-    @property
-    def _hides_end(self) -> bool:
-        """Whether the client's kernel may hold back the end of the connection, as much is unread here."""
-        return unread_bytes(self.descriptor) >= HIDDEN_END_BYTES if self.descriptor >= 0 else False
-
     @property
     def may_have_left(self) -> bool:
         """Whether the client may have left without a sign of it, so that nothing may be sent on for it."""
-        if self._reading or self.server.loop.time() - self._client_seen_at < CLIENT_SEEN_TIMEOUT_S:
-            return False
-        return self._hides_end
+        return not self._reading and self._presence.is_doubtful
+
+    def _memory_changed(self) -> None:
+        """Pause or resume reading, as a long command waits for memory or has it."""
+        if not self.closed:
+            self._update_flow()
 
     @property
     def idle(self) -> bool:
@@ -765,7 +617,7 @@
         if self.server.access_log is not None:
             self._log_close(self.server.access_log, CloseReason.MOVED)
         replies, self.replies = self.replies, deque()
-        self.release_memory(REPLY_BYTES * len(replies))
+        self.memory.remove_replies(len(replies))
         age_s = self.server.loop.time() - self._progress_at if self._input.is_partial else 0.0
         record = frozen.record(self._input, self.has_carried_request, transport.unsent, replies, age_s)
         for reply in replies:
@@ -797,8 +649,8 @@
             return False
         if (
             len(partial_command) > MAX_PARTIAL_COMMAND_BYTES
-            or self._reserved
-            or self._awaiting_memory
+            or self.memory.reserved
+            or self.memory.awaits_memory
             or self._input.backlog_bytes
             or self._dialect.is_discarding
             or self._dialect.name != "resp"
@@ -819,7 +671,7 @@
 
     def client_has_left(self) -> bool:
         """Whether the kernel reports that the client ended or reset the connection."""
-        return self._hangup_poll is not None and self._hangup_poll.is_ready()
+        return self._presence.has_left
 
     def client_left(self) -> None:
         """Close the connection: its client disconnected while reading was paused."""
@@ -842,9 +694,9 @@
             self.finish(even_mid_command=False)
             return
         midway = self._input.is_partial and not (
-            self._awaiting_memory or self.replies or self._input.backlog_bytes
+            self.memory.awaits_memory or self.replies or self._input.backlog_bytes
         )
-        if midway and now - self._progress_at > COMMAND_PROGRESS_TIMEOUT_S:
+        if midway and now - max(self._progress_at, self.memory.granted_at) > COMMAND_PROGRESS_TIMEOUT_S:
             log.warning("client did not complete its command in time; closing")
             self._end_stream()
 
--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import Protocol
 
+from saltport.downstream.client_memory import ClientMemory
 from saltport.downstream.outcomes import CloseReason, FinalAnswer
 from saltport.handover.choice import ValueProgress
 from saltport.handover.record import PartialValue, Segment
@@ -66,20 +67,8 @@
     def may_have_left(self) -> bool:
         """Whether the client may have left without a sign of it, so that nothing may be sent on for it."""
 
-    def release_memory(self, size: int) -> None:
-        """Release so many bytes of memory that were reserved for a command, or counted."""
-
-    buffered_bytes: int
-    """Number of bytes that replies have buffered."""
-
-    def add_buffered(self, size: int) -> None:
-        """Count so many more bytes as buffered, in the memory budget too."""
-
-    def remove_buffered(self, size: int) -> None:
-        """Count so many bytes as no longer buffered."""
-
-    def has_memory(self, size: int) -> bool:
-        """Whether the memory budget has room for `size` more bytes for this client."""
+    memory: ClientMemory
+    """What is kept for this client."""
 
     def keeps_up(self) -> bool:
         """Whether the client has acknowledged all that was written to it, so that the kernel takes more."""
@@ -193,13 +182,13 @@
     @property
     def buffered_bytes(self) -> int:
         """Number of bytes that are buffered for the client."""
-        return self._connection.buffered_bytes
+        return self._connection.memory.buffered_bytes
 
     def may_buffer(self, size: int) -> bool:
         """Whether an answer of `size` bytes can be written now, or the memory budget has room for it."""
         connection = self._connection
         # Danger: a closed connection has no replies any more, not even this one.
-        if connection.closed or connection.has_memory(size):
+        if connection.closed or connection.memory.may_buffer(size):
             return True
         return not self._must_wait and connection.keeps_up()
 
@@ -233,12 +222,12 @@
         if self._buffered is None:
             self._buffered = deque()
         self._buffered.append(data)
-        self._connection.add_buffered(len(data))
+        self._connection.memory.add_buffered(len(data))
 
     def drop_buffered(self) -> None:
         """Drop the buffered bytes: the connection has ended here."""
         while self._buffered:
-            self._connection.remove_buffered(len(self._buffered.popleft()))
+            self._connection.memory.remove_buffered(len(self._buffered.popleft()))
 
     def abort_value(self) -> None:
         """Close the connection so that the client sees that the streamed value is incomplete."""
@@ -252,7 +241,7 @@
     def release_memory(self) -> None:
         """Release the memory reserved for the command, which the host no longer needs."""
         if self.reserved:
-            self._connection.release_memory(self.reserved)
+            self._connection.memory.release(self.reserved)
             self.reserved = 0
 
     def start_writing(self) -> None:
@@ -264,6 +253,6 @@
         while self._buffered and not connection.writing_paused:
             data = self._buffered.popleft()
             connection.write(data)
-            connection.remove_buffered(len(data))
+            connection.memory.remove_buffered(len(data))
         if self.source is not None and not connection.writing_paused:
             self.source.resume()
