--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from saltport.transport.stream import READ_SIZE_BYTES
@@ -36,15 +38,14 @@
         """Request the memory again; called when some has been released."""
 
 
-class LongCommand(Protocol):
-    """A connection that waits for the memory of the long command which it receives."""
+@dataclass(eq=False, slots=True)
+class MemoryRequest:
+    """A wait for the memory of a long command."""
 
-    @property
-    def awaits_memory(self) -> bool:
-        """Whether it still waits."""
-
-    def memory_reserved(self) -> None:
-        """Receive the command: its memory is reserved."""
+    size: int
+    on_reserved: Callable[[], None]
+    """Called once, when the memory is reserved."""
+    is_cancelled: bool = False
 
 
 class GrowingValue(Waiter, Protocol):
@@ -72,8 +73,7 @@
     def __init__(self, total: int) -> None:
         self.total = self._free = total
         self._waiting: deque[Waiter] = deque()
-        self._waiting_commands: deque[tuple[LongCommand, int]] = deque()
-        """Connections that wait to reserve memory, each with the number of bytes."""
+        self._requests: deque[MemoryRequest] = deque()
         self._growing: dict[GrowingValue, None] = {}
         """Connections that read a value of unknown length, the one that began first in front."""
 
@@ -99,14 +99,17 @@
         """Whether a client that keeps `used` bytes may keep more."""
         return used <= self._free * FREE_SHARE
 
-    def reserve_or_wait(self, command: LongCommand, size: int) -> bool:
-        """Reserve `size` bytes and return True, or return False and call `memory_reserved` later."""
-        if not self._may_reserve(size) or self._waiting_commands:
-            self._waiting_commands.append((command, size))
+    def reserve(self, size: int) -> bool:
+        """Reserve `size` bytes for a long command; return False if it has to wait."""
+        if self._requests or not self._may_reserve(size):
             return False
         self._free -= size
         return True
 
+    def request(self, request: MemoryRequest) -> None:
+        """Reserve memory as soon as there is some, behind earlier requests."""
+        self._requests.append(request)
+
     def may_read_ahead(self, used: int) -> bool:
         """Whether bytes that only wait for their turn may be read for a client that keeps `used` bytes."""
         return used <= (self._free - self.total * NOT_READ_AHEAD_SHARE) * FREE_SHARE
@@ -125,8 +128,8 @@
     def release_memory(self, size: int) -> None:
         """Release reserved or counted bytes, and let each waiter that is still open request memory again."""
         self._free += size
-        if self._waiting_commands:
-            self._reserve_for_commands()
+        if self._requests:
+            self._serve_requests()
         if self._waiting:
             self._retry()
 
@@ -157,17 +160,17 @@
             del self._growing[value]
             self._retry()
 
-    def _reserve_for_commands(self) -> None:
-        """Reserve memory for the commands that wait, in their order, as far as it suffices."""
-        while self._waiting_commands:
-            command, size = self._waiting_commands[0]
-            if command.awaits_memory:
-                if not self._may_reserve(size):
+    def _serve_requests(self) -> None:
+        """Reserve memory for the requests that wait, in their order, as far as it suffices."""
+        while self._requests:
+            request = self._requests[0]
+            if not request.is_cancelled:
+                if not self._may_reserve(request.size):
                     return
-                self._free -= size
-            self._waiting_commands.popleft()
-            if command.awaits_memory:
-                command.memory_reserved()
+                self._free -= request.size
+            self._requests.popleft()
+            if not request.is_cancelled:
+                request.on_reserved()
 
     def _retry(self) -> None:
         waiting, self._waiting = self._waiting, deque()
--- a/saltport/downstream/client_memory.py
+++ b/saltport/downstream/client_memory.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from saltport.downstream.budget import REPLY_BYTES, REQUEST_BYTES, MemoryBudget
+from saltport.downstream.budget import REPLY_BYTES, REQUEST_BYTES, MemoryBudget, MemoryRequest
 from saltport.downstream.command_input import CommandInput
 from saltport.messages import Request
 
@@ -41,13 +41,17 @@
         """Loop time since when the latest long command can be received, or is discarded."""
         self.waited_ns = 0
         """For how long the command being received has waited."""
-        self.awaits_memory = False
-        """Whether the long command that is being received waits for memory."""
+        self._request: MemoryRequest | None = None
         self._input_count = 0  # of received commands, with what is reserved
         self._wait_began_ns = 0
         self._timer: asyncio.TimerHandle | None = None
         self._closed = False
 
+    @property
+    def awaits_memory(self) -> bool:
+        """Whether the long command that is being received waits for memory."""
+        return self._request is not None
+
     # What is kept
 
     def count(self, size: int) -> None:
@@ -127,16 +131,17 @@
         """Reserve memory for the rest of the long command; it waits until there is some."""
         if not self._budget.can_ever_reserve(size):
             self._discard()
-        elif self._budget.reserve_or_wait(self, size):
-            self.memory_reserved()
+        elif self._budget.reserve(size):
+            self._reserved()
         else:
-            self.awaits_memory = True
+            self._request = MemoryRequest(size, self._reserved)
+            self._budget.request(self._request)
             self._wait_began_ns = time.monotonic_ns()
             timeout_ms = self._commands.dialect.partial_timeout_ms or UNKNOWN_TIMEOUT_MS
             self._timer = self._loop.call_later(timeout_ms / 1000 * MEMORY_WAIT_SHARE, self._discard)
             self._on_change()
 
-    def memory_reserved(self) -> None:
+    def _reserved(self) -> None:
         """Receive the rest of the long command, as its memory is reserved."""
         needed = self._commands.dialect.needed_bytes
         self.used += needed - self._input_count
@@ -145,29 +150,31 @@
         if self.awaits_memory:
             self.waited_ns += time.monotonic_ns() - self._wait_began_ns
             self._end_wait()
+            self._on_change()
 
     def _discard(self) -> None:
         """Refuse the long command that finds no memory: what comes of it is discarded."""
         if not self._commands.dialect.discard():
             self._budget.count(self._commands.dialect.needed_bytes - self._input_count)
-            self.memory_reserved()
+            self._reserved()
             return
         self.waited_ns = 0
         self.granted_at = self._loop.time()
-        self._set_input_count(self._commands.held_bytes)
         self._end_wait()
+        self._set_input_count(self._commands.held_bytes)
+        self._on_change()
 
     def _end_wait(self) -> None:
-        self.awaits_memory = False
+        """End the wait for memory, if there is one."""
+        if self._request is not None:
+            self._request.is_cancelled = True
+            self._request = None
         if self._timer is not None:
             self._timer.cancel()
-        self._on_change()
 
     def close(self) -> None:
         """Release what counts for received commands, as the connection has ended."""
         self._closed = True
-        self.awaits_memory = False
-        if self._timer is not None:
-            self._timer.cancel()
+        self._end_wait()
         self._commands.close()
         self._set_input_count(0)
