--- a/tests/faults/test_slow_peers.py
+++ b/tests/faults/test_slow_peers.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -80,9 +81,11 @@
         time.sleep(seconds / 28)
 
 
-@pytest.mark.parametrize("silent_s", [0.0, 0.2, 0.3])
+@pytest.mark.parametrize(("silent_s", "memory_mb"), [(0.0, 192), (0.2, 192), (0.3, 192), (0.2, 32)])
 @pytest.mark.parametrize("at", ["cache", "origin"])
-def test_long_value_that_is_written_slowly_comes_whole(tmp_path: Path, at: str, silent_s: float) -> None:
+def test_long_value_that_is_written_slowly_comes_whole(
+    tmp_path: Path, at: str, silent_s: float, memory_mb: int
+) -> None:
     """Guards against a value that is cut off while its server is still writing."""
 
     def serve(connection: socket.socket, message: list[bytes]) -> bytes:
@@ -93,7 +96,8 @@
         return b""
 
     cache, origin = Peer(serve), Peer(serve, is_http=True)
-    with run_router(tmp_path, {"s1": cache}, origin, facts=FACTS) as router:
+    limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
+    with run_router(tmp_path, {"s1": cache}, origin, limits=limits, facts=FACTS) as router:
         client = router.client()
         client.send(get("a1", "long", SLOW_DEADLINE_MS) + get("a2", "long2", SLOW_DEADLINE_MS))
         assert client.answer() == LONG
@@ -122,25 +126,33 @@
         router.process.wait(10)
 
 
+class SlowReader(Peer):
+    """An origin that reads so many bytes a second of each connection, and answers nothing."""
+
+    def __init__(self, bytes_per_s: int) -> None:
+        self.ended = threading.Event()
+        self._bytes_per_s = bytes_per_s
+        super().__init__(lambda *_: b"", is_http=True)
+
+    def _serve(self, connection: socket.socket) -> None:
+        with suppress(OSError):
+            while not self.ended.wait(0.05):
+                if self._bytes_per_s and not connection.recv(self._bytes_per_s // 20):
+                    break
+        connection.close()
+
+
 @pytest.mark.parametrize(
     ("size", "memory_mb"), [(2_500_000, 192), (4 << 20, 192), (2_500_000, 32), (100_000, 32)]
 )
-def test_writes_get_their_answer_in_time_though_the_origin_reads_nothing(
-    tmp_path: Path, size: int, memory_mb: int
+@pytest.mark.parametrize("bytes_per_s", [0, 1 << 20])
+def test_writes_get_their_answer_in_time_though_the_origin_reads_slowly(
+    tmp_path: Path, size: int, memory_mb: int, bytes_per_s: int
 ) -> None:
     """Guards against a time that begins anew for a command that waited for memory."""
-    ended = threading.Event()
-
-    class Hanging(Peer):
-        def _serve(self, connection: socket.socket) -> None:
-            ended.wait(30)
-            connection.close()
-
     limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
-    cache = cache_of({b"u": 100})
-    with run_router(
-        tmp_path, {"s1": cache}, Hanging(lambda *_: b"", is_http=True), limits=limits, facts=FACTS
-    ) as router:
+    cache, origin = cache_of({b"u": 100}), SlowReader(bytes_per_s)
+    with run_router(tmp_path, {"s1": cache}, origin, limits=limits, facts=FACTS) as router:
         took_s: list[float] = []
         answers: list[bytes] = []
 
@@ -158,7 +170,7 @@
             thread.start()
         for thread in threads:
             thread.join()
-        ended.set()
+        origin.ended.set()
         late = sorted(took for took in took_s if took > DEADLINE_MS / 1000 + LATE_S)
         print(f"{max(took_s):.3f} s at most")
         assert late == []
