A short read between two commands is handled without the bookkeeping of turns

Change: what is read between two commands and is short is parsed at once; replies count in the budget with their request, or where they wait; bytes of commands are counted only where some wait.

--- a/saltport/downstream/client_memory.py
+++ b/saltport/downstream/client_memory.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from saltport.downstream.budget import REPLY_BYTES, REQUEST_BYTES, MemoryBudget, MemoryRequest
+from saltport.downstream.budget import BUFFERED_PART_BYTES, REQUEST_BYTES, MemoryBudget, MemoryRequest
 from saltport.downstream.command_input import CommandInput
 from saltport.messages import Request
 
@@ -42,7 +42,8 @@
         self.waited_ns = 0
         """For how long the command being received has waited."""
         self._request: MemoryRequest | None = None
-        self._input_count = 0  # of received commands, with what is reserved
+        self.input_count = 0
+        """Number of bytes that count for received commands, with what is reserved."""
         self._wait_began_ns = 0
         self._timer: asyncio.TimerHandle | None = None
         self._closed = False
@@ -65,22 +66,16 @@
         self._budget.release_memory(size)
 
     def add_buffered(self, size: int) -> None:
-        """Count so many more bytes as buffered for the client."""
-        self.buffered_bytes += size
-        self.count(size)
+        """Count a part of a reply of so many bytes as buffered for the client."""
+        if size:
+            self.buffered_bytes += size
+            self.count(size + BUFFERED_PART_BYTES)
 
     def remove_buffered(self, size: int) -> None:
-        """Count so many bytes as no longer buffered for the client."""
-        self.buffered_bytes -= size
-        self.release(size)
-
-    def add_reply(self) -> None:
-        """Count one more outstanding reply, without its bytes."""
-        self.count(REPLY_BYTES)
-
-    def remove_replies(self, number: int = 1) -> None:
-        """Count outstanding replies as written or dropped."""
-        self.release(REPLY_BYTES * number)
+        """Count a part of a reply of so many bytes as no longer buffered for the client."""
+        if size:
+            self.buffered_bytes -= size
+            self.release(size + BUFFERED_PART_BYTES)
 
     def may_buffer(self, size: int) -> bool:
         """Whether there is room for an answer of `size` bytes that has to wait."""
@@ -96,10 +91,6 @@
         """Whether commands that only wait for their turn may be read."""
         return self._budget.may_read_ahead(self.used)
 
-    def read_size(self, reads: int, most: int) -> int:
-        """Return how many bytes may be read at once, see MemoryBudget."""
-        return self._budget.read_size(reads, most)
-
     def admit(self, request: Request) -> int:
         """Count an open request and return its bytes; 0 if there is no room, so that it must be refused."""
         size = REQUEST_BYTES + len(request.key) + len(request.info) + len(request.value or b"")
@@ -118,10 +109,10 @@
         needed = self._commands.dialect.needed_bytes
         is_long = needed > max(LONG_COMMAND_BYTES, self.reserved)
         if is_long and not self.awaits_memory and not self._commands.dialect.is_discarding:
-            self._reserve(needed - self._input_count)
+            self._reserve(needed - self.input_count)
 
     def _set_input_count(self, size: int) -> None:
-        growth, self._input_count = size - self._input_count, size
+        growth, self.input_count = size - self.input_count, size
         if growth > 0:
             self.count(growth)
         elif growth:
@@ -144,8 +135,8 @@
     def _reserved(self) -> None:
         """Receive the rest of the long command, as its memory is reserved."""
         needed = self._commands.dialect.needed_bytes
-        self.used += needed - self._input_count
-        self.reserved = self._input_count = needed
+        self.used += needed - self.input_count
+        self.reserved = self.input_count = needed
         self.granted_at = self._loop.time()
         if self.awaits_memory:
             self.waited_ns += time.monotonic_ns() - self._wait_began_ns
@@ -155,7 +146,7 @@
     def _discard(self) -> None:
         """Refuse the long command that finds no memory: what comes of it is discarded."""
         if not self._commands.dialect.discard():
-            self._budget.count(self._commands.dialect.needed_bytes - self._input_count)
+            self._budget.count(self._commands.dialect.needed_bytes - self.input_count)
             self._reserved()
             return
         self.waited_ns = 0
--- a/saltport/downstream/client_presence.py
+++ b/saltport/downstream/client_presence.py
@@ -33,9 +33,9 @@
         self._transport = transport
         self._hangup_poll = Readiness(transport.get_extra_info("socket"), select.POLLRDHUP)
 
-    def seen(self) -> None:
+    def seen(self, at: float) -> None:
         """Record that the client has not left: nothing is unread, or it was sent something just now."""
-        self._seen_at = self._now()
+        self._seen_at = at
 
     @property
     def has_left(self) -> bool:
--- a/saltport/downstream/command_input.py
+++ b/saltport/downstream/command_input.py
@@ -28,6 +28,8 @@
         self.dialect = dialect
         self._unparsed: bytes | bytearray = b""
         """The bytes of one read, or a buffer for those of several reads."""
+        self.is_between_commands = True
+        """Whether no byte waits and no command is partial."""
         self._reads: deque[tuple[int, Received | None]] = deque()
         """How many bytes of each read wait, and when they arrived."""
 
@@ -63,6 +65,7 @@
 
     def add(self, data: bytes, received: Received | None) -> None:
         """Add the bytes of a read behind those that wait; `received`: when they arrived, if that is known."""
+        self.is_between_commands = False
         if not self._unparsed:
             self._unparsed = data
         else:
@@ -76,6 +79,12 @@
         """Set when the bytes of the latest read arrived."""
         self._reads[-1] = self._reads[-1][0], received
 
+    def parse_read(self, data: bytes) -> Turn:
+        """Parse the few bytes of one read at once; nothing may wait before them."""
+        commands = self.dialect.feed(data)
+        self.is_between_commands = not self.dialect.needed_bytes
+        return Turn(len(data), None, commands)
+
     def parse_turn(self) -> Turn:
         """Parse the bytes of one turn.
 
@@ -90,6 +99,7 @@
         commands = self.dialect.feed(part)
         if self.dialect.end_reason:
             self.drop_backlog()
+        self.is_between_commands = not (self._unparsed or self.dialect.needed_bytes)
         return Turn(len(part), received, commands)
 
     def _drop_parsed(self, size: int) -> None:
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -17,7 +17,7 @@
 from saltport.downstream.budget import COMMAND_READS, MIN_READ_BYTES, MemoryBudget
 from saltport.downstream.client_memory import ClientMemory
 from saltport.downstream.client_presence import ClientPresence
-from saltport.downstream.command_input import CommandInput
+from saltport.downstream.command_input import CommandInput, Turn
 from saltport.downstream.connection_handover import (
     FrozenConnection,
     ReceivedConnection,
@@ -30,7 +30,7 @@
 from saltport.downstream.receive_times import KernelClock, ReceiveTimes
 from saltport.downstream.replies import Reply
 from saltport.downstream.request_host import Host
-from saltport.downstream.turns import TurnScheduler
+from saltport.downstream.turns import TURN_BYTES, TurnScheduler
 from saltport.handover.exchange import ConnectionTransfer
 from saltport.messages import Answers, ClientDialect, Discarded, Malformed, Message, Ping, Request
 from saltport.transport.readiness import Readiness
@@ -163,7 +163,7 @@
         for segment in record.segments:
             reply = Reply(self)
             reply.restore(segment)
-            self._add_reply(reply)
+            self.replies.append(reply)
             if segment.value is not None:
                 reply.source = self.server.host.resume_value(segment.value, received_connection.take(), reply)
                 if len(self.replies) > 1:
@@ -206,7 +206,6 @@
         replies, self.replies = self.replies, deque()
         for reply in replies:
             reply.drop_buffered()
-            self.memory.remove_replies()
         # Danger: in forward order, dropping one request could start another that waits behind it on this
         # closed connection.
         for reply in reversed(replies):
@@ -224,11 +223,11 @@
 
     def read_size(self) -> int:
         """Return the most bytes that the next read may return: the rest of a partial command, or more."""
-        if self.memory.reserved or self._dialect.is_discarding:
+        if not self._input.is_between_commands and (self.memory.reserved or self._dialect.is_discarding):
             size = min(max(self._input.missing_bytes, MIN_READ_BYTES), READ_SIZE_BYTES)
         else:
             most = MAX_READ_AHEAD_BYTES if self._has_more_unread else USUAL_READ_BYTES
-            size = self.memory.read_size(COMMAND_READS, most)
+            size = self.server.budget.read_size(COMMAND_READS, most)
         self._read_size = size
         return size
 
@@ -239,7 +238,10 @@
         now, emptied = time.monotonic_ns(), len(data) < self._read_size
         self._has_more_unread = not emptied
         if emptied:
-            self._presence.seen()
+            self._presence.seen(self.last_active_at)
+        if self._input.is_between_commands and len(data) <= TURN_BYTES:
+            self._handle_turn(now, emptied, data)
+            return
         is_first = not self._input.backlog_bytes
         self._input.add(data, None)
         if is_first and self._input.is_small:
@@ -258,14 +260,17 @@
         elif self._has_capacity:
             self._handle_turn(time.monotonic_ns(), False)
 
-    def _handle_turn(self, now: int, emptied: bool) -> None:
+    def _handle_turn(self, now: int, emptied: bool, data: bytes = b"") -> None:
         """Parse the bytes of one turn and handle their commands; an exception closes only this connection.
 
-        `emptied`: whether the latest read has emptied the kernel's buffer.
+        `emptied`: whether the latest read has emptied the kernel's buffer; `data`: the bytes of a read that
+        is handled at once.
         """
         self._in_batch = True
         try:
-            self._process_input(now, emptied)
+            starts_command = not self._dialect.needed_bytes
+            turn = self._input.parse_read(data) if data else self._input.parse_turn()
+            self._process_turn(turn, starts_command, now, emptied)
         except Exception:
             log.exception("client connection closed: handling received data failed")
             self.abort(CloseReason.FAULT)
@@ -273,28 +278,28 @@
             self._in_batch = False
         if not self.replies and self._closes_when_answered:
             self.remove_completed_replies()
-        if not self.closed and (self._input.backlog_bytes or not self._reading):
+        if not self.closed and not (self._reading and self._input.is_between_commands):
             self._update_flow()
 
-    def _process_input(self, now: int, emptied: bool) -> None:
-        """Parse the bytes of one turn, and queue a reply for each command and start to handle it.
+    def _process_turn(self, turn: Turn, starts_command: bool, now: int, emptied: bool) -> None:
+        """Queue a reply for each command that is complete, and start to handle it.
 
         For a command that is received in part, update its progress and reserve memory if it is long.
+        `starts_command`: whether the first of the bytes was that of a command.
         """
         reader = self._dialect
-        starts_command = not reader.needed_bytes
-        size, received, commands = self._input.parse_turn()
+        size, received, commands = turn
         if received is None:
             received = self._estimate_arrival(now, emptied, commands)
         elif self._waits_for_replies:
             # Danger: for the answer's deadline, the time that a request waited behind earlier requests of its
             # connection does not count.
             received = Received(received.earliest_ns, now)
-        if not self._input.backlog_bytes:
+        if self._input.is_between_commands:
             self._waits_for_replies = False
         for message, answers in commands:
             reply = Reply(self, answers)
-            self._add_reply(reply)
+            self.replies.append(reply)
             if self.memory.waited_ns:
                 # Danger: the client's time runs on while its command waits here for memory.
                 received, self.memory.waited_ns = received.moved_back(self.memory.waited_ns), 0
@@ -311,7 +316,8 @@
                 # values slowly, and one that each byte restarts would let bad clients hold a connection
                 # indefinitely.
                 self._progress_at, self._bytes_since_progress = self.last_active_at, 0
-        self.memory.count_input()
+        if self.memory.input_count or not self._input.is_between_commands:
+            self.memory.count_input()
         if not self._has_capacity:
             self._update_flow()
 
@@ -329,11 +335,6 @@
         """Whether the client has acknowledged all that was written to it, so that the kernel takes more."""
         return self.transport is not None and not unacknowledged_bytes(self.transport)
 
-    def _add_reply(self, reply: Reply) -> None:
-        """Queue the reply to a command."""
-        self.replies.append(reply)
-        self.memory.add_reply()
-
     def _admit(self, request: Request, reply: Reply) -> bool:
         """Whether a request is handled: there is memory for it, and its client has not left unseen."""
         if not self.may_have_left:
@@ -348,7 +349,7 @@
         self._close_when_answered = True
         self._update_flow()
         reply = Reply(self)
-        self._add_reply(reply)
+        self.replies.append(reply)
         reply.send(self._dialect.closing_reply())
 
     def _handle_message(self, message: Message, reply: Reply, received: Received) -> None:
@@ -382,7 +383,8 @@
         """Write bytes to the client."""
         if self.transport is not None:
             self.transport.write(data)
-            self._presence.seen()
+            if not self._reading:
+                self._presence.seen(self.server.loop.time())
 
     def remove_completed_replies(self) -> None:
         """Remove the completed replies, which are written already, from the head of the queue.
@@ -393,7 +395,6 @@
         replies = self.replies
         while replies and replies[0].written:
             reply = replies.popleft()
-            self.memory.remove_replies()
             if reply.logged_id is not None:
                 self._log_answer(reply, reply.logged_id)
             self.last_active_at = self.server.loop.time()
@@ -617,7 +618,6 @@
         if self.server.access_log is not None:
             self._log_close(self.server.access_log, CloseReason.MOVED)
         replies, self.replies = self.replies, deque()
-        self.memory.remove_replies(len(replies))
         age_s = self.server.loop.time() - self._progress_at if self._input.is_partial else 0.0
         record = frozen.record(self._input, self.has_carried_request, transport.unsent, replies, age_s)
         for reply in replies:
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -532,7 +532,8 @@
         self._is_reading = True
         try:
             self.answer_received(data)
-            self.keep(self.needed_bytes)
+            if (needed := self.needed_bytes) or self._kept_bytes:
+                self.keep(needed)
         except Exception:
             log.exception("%s: reading an answer failed", self.server.id)
             self.close_with_error("reading an answer failed")
