One base for the readers of partial messages, one for their dialects, one memory watch in tests

Cause: the two wire readers and the two dialects kept, discarded and reported partial messages in the same lines twice, and two test modules had their own watch of a process's memory. No change of behaviour; assertions are the same.

--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -23,9 +23,7 @@
 MIN_READ_BYTES = 1 << 10  # that may be read at once, however little is free
 NOT_READ_AHEAD_SHARE = 0.75  # part of the total that commands which wait for their turn leave to all else
 UNRESERVED_SHARE = 0.1  # part of the total that long commands leave to all else
-REQUEST_BYTES = (
-    3 << 10
-)  # memory of an open request, its reply, attempts and timers, beside its text and value
+REQUEST_BYTES = 3 << 10  # memory of an open request, its reply and attempts, beside its text and value
 BUFFERED_PART_BYTES = 512  # memory of a part of a reply that waits, beside its bytes
 
 
--- a/saltport/downstream/memcached.py
+++ b/saltport/downstream/memcached.py
@@ -16,6 +16,7 @@
 from saltport import __version__
 from saltport.decisions.tenancy import Prefixes
 from saltport.downstream.keys import check_key
+from saltport.downstream.reader_dialect import ReaderDialect
 from saltport.messages import Answers, ClientDialect, Discarded, Malformed, Message, Ping, Request
 from saltport.wire.memcached import (
     REQUEST_MAGIC,
@@ -118,7 +119,7 @@
         return self._packet()
 
 
-class MemcachedDialect:
+class MemcachedDialect(ReaderDialect[PacketReader]):
     """The memcached reader of one client connection, see ClientDialect."""
 
     name = "memcached"
@@ -126,8 +127,8 @@
     _prefix = os.urandom(4).hex()
 
     def __init__(self, rules: MemcachedRules) -> None:
+        super().__init__(PacketReader(REQUEST_MAGIC))
         self._rules = rules
-        self._reader = PacketReader(REQUEST_MAGIC)
         self._quit: Packet | None = None
         self._in_batch = False
         """Whether the previous command was quiet."""
@@ -137,35 +138,11 @@
         """Bytes that the partial packet needs at least, counted from its start; 0 between packets."""
         return 0 if self._quit else self._reader.needed_bytes
 
-    @property
-    def received_bytes(self) -> int:
-        """Number of bytes kept of the partial packet."""
-        return self._reader.received_bytes
-
-    @property
-    def missing_bytes(self) -> int:
-        """Bytes that the partial packet needs at least beyond those received; 0 between packets."""
-        return self._reader.missing_bytes
-
     @property
     def partial_timeout_ms(self) -> int:
         """How long a client waits for an answer, as the protocol does not state it."""
         return self._rules.deadline_ms
 
-    @property
-    def is_discarding(self) -> bool:
-        """Whether the rest of the partial packet is discarded."""
-        return self._reader.is_discarding
-
-    def discard(self) -> bool:
-        """Discard what comes of the partial packet, and return whether that is possible."""
-        return self._reader.discard()
-
-    @property
-    def partial_command(self) -> bytes:
-        """The received bytes of the partial packet, which is all the state that a hand-over needs."""
-        return self._reader.pending
-
     @property
     def end_reason(self) -> str:
         """Why no further packets can be parsed: a framing error, or `quit`; empty while they can."""
@@ -185,10 +162,6 @@
             messages.append(self._message(packet))
         return messages
 
-    def drop_partial(self) -> None:
-        """Drop the partial packet, as the connection has ended."""
-        self._reader.drop_partial()
-
     def closing_reply(self) -> bytes:
         """Return the last packet before the close: the reply to QUIT, or an error for an invalid stream."""
         if self._quit is not None:
--- a/saltport/downstream/resp.py
+++ b/saltport/downstream/resp.py
@@ -6,6 +6,7 @@
 from functools import lru_cache
 
 from saltport.downstream.keys import check_key
+from saltport.downstream.reader_dialect import ReaderDialect
 from saltport.messages import Answers, Discarded, Malformed, Message, Ping, Request
 from saltport.wire.resp import MAX_COMMAND_OVERHEAD_BYTES, CommandReader, bulk, parse_info
 
@@ -50,28 +51,13 @@
 _TEXT = re.compile(rb"[ -~\x80-\xff]+").fullmatch  # names of classes and tenants may be non-ASCII
 
 
-class RespDialect:
+class RespDialect(ReaderDialect[CommandReader]):
     """The RESP2 reader of one client connection, see ClientDialect."""
 
     name = "resp"
 
     def __init__(self) -> None:
-        self._reader = CommandReader()
-
-    @property
-    def needed_bytes(self) -> int:
-        """Bytes that the partial command needs at least, counted from its start; 0 between commands."""
-        return self._reader.needed_bytes
-
-    @property
-    def received_bytes(self) -> int:
-        """Number of bytes kept of the partial command."""
-        return self._reader.received_bytes
-
-    @property
-    def missing_bytes(self) -> int:
-        """Bytes that the partial command needs at least beyond those received; 0 between commands."""
-        return self._reader.missing_bytes
+        super().__init__(CommandReader())
 
     @property
     def partial_timeout_ms(self) -> int:
@@ -81,25 +67,6 @@
         except ValueError:
             return 0
 
-    @property
-    def is_discarding(self) -> bool:
-        """Whether the rest of the partial command is discarded."""
-        return self._reader.is_discarding
-
-    def discard(self) -> bool:
-        """Discard what comes of the partial command, and return whether that is possible."""
-        return self._reader.discard()
-
-    @property
-    def partial_command(self) -> bytes:
-        """The received bytes of the partial command."""
-        return self._reader.pending
-
-    @property
-    def end_reason(self) -> str:
-        """The framing error that ended the stream; empty if there is none."""
-        return self._reader.framing_error
-
     def feed(self, data: bytes) -> list[tuple[Message, Answers]]:
         """Parse received bytes; return the complete commands, each with its reply encoder."""
         messages: list[tuple[Message, Answers]] = [
@@ -111,10 +78,6 @@
             messages[0] = Discarded(message if isinstance(message, Request) else None), ANSWERS
         return messages
 
-    def drop_partial(self) -> None:
-        """Drop the partial command, as the connection has ended."""
-        self._reader.drop_partial()
-
     def closing_reply(self) -> bytes:
         """Return the protocol error that is sent before the close, in the form RESP servers use."""
         return ANSWERS.rejected(f"Protocol error: {self.end_reason or 'command not finished in time'}")
--- a/saltport/wire/memcached.py
+++ b/saltport/wire/memcached.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from saltport.wire.partial_message import MessageReader
+
 HEADER = struct.Struct(">BBHBBHIIQ")
 REQUEST_MAGIC, RESPONSE_MAGIC = 0x80, 0x81
 MAX_KEY_BYTES = 250
@@ -161,35 +163,12 @@
     return b"".join((head, packet.extras, packet.key, packet.value))
 
 
-class PacketReader:
+class PacketReader(MessageReader):
     """Splits a byte stream into packets; buffers at most one incomplete packet."""
 
     def __init__(self, magic: int, max_value_bytes: int = MAX_VALUE_BYTES) -> None:
+        super().__init__()
         self._magic, self._max_value_bytes = magic, max_value_bytes
-        self._buffer = bytearray()
-        self.needed_bytes = 0
-        """Bytes that the incomplete packet needs at least, counted from its start; 0 between packets."""
-        self.framing_error = ""
-        """The framing error that ended the stream; empty if there is none."""
-        self._left_to_discard = 0
-        self._discarded_head = b""  # the packet that is being discarded, without its value
-        self.first_is_discarded = False
-        """Whether the first packet that `feed` returns next has lost its value."""
-
-    @property
-    def received_bytes(self) -> int:
-        """Number of bytes kept of the incomplete packet."""
-        return len(self._buffer)
-
-    @property
-    def missing_bytes(self) -> int:
-        """Bytes that the incomplete packet needs at least beyond those received; 0 between packets."""
-        return self._left_to_discard or max(self.needed_bytes - len(self._buffer), 0)
-
-    @property
-    def is_discarding(self) -> bool:
-        """Whether the rest of an incomplete packet is discarded."""
-        return bool(self._left_to_discard)
 
     def discard(self) -> bool:
         """Discard the rest of the incomplete packet; `feed` then returns it without a body.
@@ -198,40 +177,19 @@
         """
         if len(self._buffer) < HEADER.size:
             return False
-        head = bytearray(self._buffer[: HEADER.size])
-        magic, opcode, _, _, kind, status, _, opaque, cas = HEADER.unpack(head)
-        self._discarded_head = HEADER.pack(magic, opcode, 0, 0, kind, status, 0, opaque, cas)
-        self._left_to_discard = self.needed_bytes - len(self._buffer)
-        self._buffer.clear()
+        magic, opcode, _, _, kind, status, _, opaque, cas = HEADER.unpack_from(self._buffer)
+        head = HEADER.pack(magic, opcode, 0, 0, kind, status, 0, opaque, cas)
+        self._discard_rest(head, self.needed_bytes - len(self._buffer))
         return True
 
-    def drop_partial(self) -> None:
-        """Drop the incomplete packet, after which the reader must not be used again."""
-        self._buffer.clear()
-
-    @property
-    def pending(self) -> bytes:
-        """The bytes received of the incomplete packet."""
-        return bytes(self._buffer)
-
     def feed(self, data: bytes) -> list[Packet]:
         """Return the packets completed by `data`; a framing error sets `framing_error` and ends the list."""
         if self.framing_error:
             return []
-        if self._left_to_discard:
-            dropped = min(len(data), self._left_to_discard)
-            self._left_to_discard -= dropped
-            if self._left_to_discard:
-                return []
-            data = self._discarded_head + data[dropped:]
-            self._discarded_head, self.needed_bytes, self.first_is_discarded = b"", 0, True
-        elif self.needed_bytes:
-            self._buffer += data
-            if len(self._buffer) < self.needed_bytes:
-                return []
-            data = bytes(self._buffer)
-            self._buffer.clear()
-            self.needed_bytes = 0
+        parseable = self._parseable(data)
+        if parseable is None:
+            return []
+        data = parseable
         packets: list[Packet] = []
         at = 0
         while at < len(data):
--- /dev/null
+++ b/saltport/wire/partial_message.py
@@ -0,0 +1,74 @@
+"""The incomplete message at the end of a byte stream: what a reader keeps of it, or discards. No I/O."""
+
+from __future__ import annotations
+
+from abc import abstractmethod
+
+
+class MessageReader:
+    """Base of the readers that split the bytes of a client into messages."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self.needed_bytes = 0
+        """Bytes that the incomplete message needs at least, counted from its start; 0 between messages."""
+        self.framing_error = ""
+        """The framing error that ended the stream; empty if there is none."""
+        self._left_to_discard = 0
+        self._discarded_head = b""  # of the message that is being discarded, whole without its long part
+        self.first_is_discarded = False
+        """Whether the first message that `feed` returns next has lost its long part."""
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes kept of the incomplete message."""
+        return len(self._buffer)
+
+    @property
+    def missing_bytes(self) -> int:
+        """Bytes that the incomplete message needs at least beyond those received; 0 between messages."""
+        return self._left_to_discard or max(self.needed_bytes - len(self._buffer), 0)
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether the rest of the long part is discarded."""
+        return bool(self._left_to_discard)
+
+    @property
+    def pending(self) -> bytes:
+        """The bytes received of the incomplete message."""
+        return bytes(self._buffer)
+
+    @abstractmethod
+    def discard(self) -> bool:
+        """Discard the rest of the long part; `feed` then returns the message without it.
+
+        Return False, without effect, if the length of that part is not known yet.
+        """
+
+    def drop_partial(self) -> None:
+        """Drop the incomplete message, after which the reader must not be used again."""
+        self._buffer.clear()
+
+    def _discard_rest(self, head: bytes, size: int) -> None:
+        """Discard the next `size` bytes, and then parse `head` in place of what was received before."""
+        self._discarded_head, self._left_to_discard = head, size
+        self._buffer.clear()
+
+    def _parseable(self, data: bytes) -> bytes | None:
+        """Return received bytes with the incomplete message before them; None if that needs more."""
+        if self._left_to_discard:
+            dropped = min(len(data), self._left_to_discard)
+            self._left_to_discard -= dropped
+            if self._left_to_discard:
+                return None
+            data = self._discarded_head + data[dropped:]
+            self._discarded_head, self.needed_bytes, self.first_is_discarded = b"", 0, True
+        elif self.needed_bytes:
+            self._buffer += data
+            if len(self._buffer) < self.needed_bytes:
+                return None
+            data = bytes(self._buffer)
+            self._buffer.clear()
+            self.needed_bytes = 0
+        return data
--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -8,6 +8,8 @@
 
 import math
 
+from saltport.wire.partial_message import MessageReader
+
 MAX_VALUE_BYTES = 4 << 20  # PROTOCOL: the maximum length of a value
 STREAMING_THRESHOLD_BYTES = 64 << 10  # longer values are passed on in parts
 MAX_FAST_PATH_BYTES = 2048
@@ -30,37 +32,9 @@
         self.needed_bytes = needed_bytes
 
 
-class CommandReader:
+class CommandReader(MessageReader):
     """Splits the bytes of a client into commands, each a list of words."""
 
-    def __init__(self) -> None:
-        self._buffer = bytearray()
-        self.needed_bytes = 0
-        """Bytes that the incomplete command needs at least, counted from its start; 0 between commands."""
-        self.framing_error = ""
-        """The framing error that ended the stream; empty if there is none."""
-        self._left_to_discard = 0
-        self._discarded_head = (
-            b""  # the command that is being discarded, with an empty string for the long one
-        )
-        self.first_is_discarded = False
-        """Whether the first command that `feed` returns next has lost a string."""
-
-    @property
-    def received_bytes(self) -> int:
-        """Number of bytes kept of the incomplete command."""
-        return len(self._buffer)
-
-    @property
-    def missing_bytes(self) -> int:
-        """Bytes that the incomplete command needs at least beyond those received; 0 between commands."""
-        return self._left_to_discard or max(self.needed_bytes - len(self._buffer), 0)
-
-    @property
-    def is_discarding(self) -> bool:
-        """Whether the rest of an incomplete string is discarded."""
-        return bool(self._left_to_discard)
-
     def discard(self) -> bool:
         """Discard the rest of the incomplete string; `feed` then returns its command with an empty one.
 
@@ -72,9 +46,7 @@
         except IncompleteError:
             return False
         end = start + size + len(CRLF)
-        self._discarded_head = bytes(self._buffer[:position]) + bulk(b"")
-        self._left_to_discard = end - len(self._buffer)
-        self._buffer.clear()
+        self._discard_rest(bytes(self._buffer[:position]) + bulk(b""), end - len(self._buffer))
         return True
 
     def complete_words(self) -> list[bytes]:
@@ -95,31 +67,12 @@
         except IncompleteError:
             return words, position
 
-    def drop_partial(self) -> None:
-        """Drop the incomplete command, after which the reader must not be used again."""
-        self._buffer.clear()
-
-    @property
-    def pending(self) -> bytes:
-        """The bytes received of the incomplete command."""
-        return bytes(self._buffer)
-
     def feed(self, data: bytes) -> list[list[bytes]]:
         """Return the commands completed by `data`; a framing error sets `framing_error` and ends the list."""
-        if self._left_to_discard:
-            dropped = min(len(data), self._left_to_discard)
-            self._left_to_discard -= dropped
-            if self._left_to_discard:
-                return []
-            data = self._discarded_head + data[dropped:]
-            self._discarded_head, self.needed_bytes, self.first_is_discarded = b"", 0, True
-        elif self.needed_bytes:
-            self._buffer += data
-            if len(self._buffer) < self.needed_bytes:
-                return []
-            data = bytes(self._buffer)
-            self._buffer.clear()
-            self.needed_bytes = 0
+        parseable = self._parseable(data)
+        if parseable is None:
+            return []
+        data = parseable
         words = _fast_path_command(data)
         if words is not None:
             return [words]
--- a/tests/crossings/test_memory_of_answers.py
+++ b/tests/crossings/test_memory_of_answers.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from tests.memory import MemoryWatch
 from tests.sockets import MISS, Peer, RunningRouter, eventually, get, hit, put, reset, run_router
 
 LONG, SHORT = 4 << 20, 64 << 10
@@ -59,33 +60,6 @@
         yield router
 
 
-def own_memory_mb(router: RunningRouter) -> float:
-    """Return the resident memory of the router's process, without files that it has mapped."""
-    status = Path(f"/proc/{router.process.pid}/status").read_text()
-    return int(status.split("RssAnon:")[1].split()[0]) / 1024
-
-
-class Watch:
-    """Samples the router's memory until the test ends."""
-
-    def __init__(self, router: RunningRouter) -> None:
-        self.most_mb = 0.0
-        self._router, self._over = router, threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def _run(self) -> None:
-        while not self._over.wait(0.01):
-            self.most_mb = max(self.most_mb, own_memory_mb(self._router))
-
-    def __enter__(self) -> Watch:
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._over.set()
-        self._thread.join()
-
-
 def read_all(router: RunningRouter, name: str, reads: int, pause_s: float = 0.0) -> Counter[str]:
     """Send so many reads at once, wait for `pause_s`, and read their answers; return how often each came."""
     client, outcomes = router.client(), Counter[str]()
@@ -126,7 +100,7 @@
     """Guards against a router that is killed for memory: it held each such answer whole, without a bound."""
     with (
         running(tmp_path, origin_without_lengths(LONG, framing), memory_mb) as router,
-        Watch(router) as watch,
+        MemoryWatch(router) as watch,
     ):
         outcomes = read_from_all(router, clients=8, reads=40)
         assert outcomes.keys() <= {"served", "-BUSY"}, "each read has its value, or is refused"
@@ -137,7 +111,7 @@
 
 def test_slow_client_does_not_keep_the_answers_of_others_from_memory(tmp_path: Path) -> None:
     """Guards against a budget that one client which does not read can hold for good."""
-    with running(tmp_path, origin_without_lengths(1 << 20, "none")) as router, Watch(router) as watch:
+    with running(tmp_path, origin_without_lengths(1 << 20, "none")) as router, MemoryWatch(router) as watch:
         slow = router.client()
         slow.send(b"".join(get(f"slow-{i}", f"slow/{i}", DEADLINE_MS) for i in range(40)))
         outcomes: Counter[str] = Counter()
@@ -162,7 +136,7 @@
     """Guards against answers that pile up behind unread ones: each is short, and there are thousands."""
     caches = {f"s{i}": Peer(lambda _, words: hit(words[1].ljust(SHORT, b"."))) for i in range(8)}
     limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
-    with run_router(tmp_path, caches, limits=limits, facts=FACTS) as router, Watch(router) as watch:
+    with run_router(tmp_path, caches, limits=limits, facts=FACTS) as router, MemoryWatch(router) as watch:
         pauses = {f"c{i}": 1.0 for i in range(20)}
         outcomes = read_from_all(router, clients=20, reads=200, **pauses)
         assert outcomes.keys() <= {"served", "-BUSY"}
@@ -189,7 +163,7 @@
 
 def test_values_of_ended_writes_do_not_stay_in_memory(tmp_path: Path) -> None:
     """Guards against values that are kept by objects that refer to each other, until the collector runs."""
-    with running(tmp_path, HangingPeer()) as router, Watch(router) as watch:
+    with running(tmp_path, HangingPeer()) as router, MemoryWatch(router) as watch:
         answers: list[bytes] = []
 
         def run(number: int) -> None:
--- a/tests/faults/test_crowds.py
+++ b/tests/faults/test_crowds.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from tests.faults.crowd import DEADLINE_MS, MemoryWatch, connected, play, running
+from tests.faults.crowd import DEADLINE_MS, connected, play, running
 from tests.faults.servers import read_record
+from tests.memory import MemoryWatch
 from tests.sockets import RunningRouter, bulk, get
 
 SECONDS = 4.0
--- a/tests/faults/test_flooding_clients.py
+++ b/tests/faults/test_flooding_clients.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from tests.faults.crowd import DEADLINE_MS, FACTS, MemoryWatch, many_reads, own_memory_mb, play, running
+from tests.faults.crowd import DEADLINE_MS, FACTS, many_reads, play, running
+from tests.memory import MemoryWatch, own_memory_mb
 from tests.sockets import RunningRouter, bulk, get, put
 
 SECONDS = 6.0
--- a/tests/faults/test_memory_of_clients.py
+++ b/tests/faults/test_memory_of_clients.py
@@ -11,13 +11,13 @@
 from tests.faults.crowd import (
     DEADLINE_MS,
     HostileClient,
-    MemoryWatch,
     connect_slow_reader,
     connected,
     many_reads,
     play,
     running,
 )
+from tests.memory import MemoryWatch
 from tests.sockets import RunningRouter, bulk, get, put
 
 LONG = 4 << 20
