An ended connection leaves no cycle of references behind

Cause: a stream and its protocol, a client's memory account and its connection, a reply and the relay of its value, and an HTTP reader and its parser refer to each other. What has ended waited for Python's collector, whose oldest generation runs after some two million objects here.

Change: a closed stream drops its protocol, an account its callback, a closed connection the sources of its replies, a lost connection its parser.

--- a/saltport/downstream/client_memory.py
+++ b/saltport/downstream/client_memory.py
@@ -15,6 +15,10 @@
 UNKNOWN_TIMEOUT_MS = 200  # assumed for a long command that does not state its time-out first
 
 
+def _ignore_change() -> None:
+    """Do nothing: the connection has ended."""
+
+
 class ClientMemory:
     """Counts what is kept for one client: received commands, open requests, replies, and unsent bytes.
 
@@ -162,10 +166,12 @@
             self._request = None
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
 
     def close(self) -> None:
         """Release what counts for received commands, as the connection has ended."""
         self._closed = True
         self._end_wait()
+        self._on_change = _ignore_change
         self._commands.close()
         self._set_input_count(0)
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -211,6 +211,7 @@
         for reply in reversed(replies):
             if not reply.done:
                 self.server.host.client_gone(reply)
+            reply.source = None
 
     def _log_close(self, access_log: AccessLog, reason: CloseReason) -> None:
         """Write the close of the connection to the access log."""
@@ -622,6 +623,7 @@
         record = frozen.record(self._input, self.has_carried_request, transport.unsent, replies, age_s)
         for reply in replies:
             reply.drop_buffered()
+            reply.source = None
         self._mark_closed(CloseReason.MOVED)
         successor.offer(
             ConnectionTransfer(record, frozen.descriptors, self.server.restorer(record, frozen.descriptors))
--- a/saltport/membership/registry.py
+++ b/saltport/membership/registry.py
@@ -128,6 +128,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._fail(ConnectionResetError("discovery closed the connection"))
+        self.drop_parser()
 
     def _fail(self, error: Exception) -> None:
         if self._answer is not None and not self._answer.done():
--- a/saltport/transport/stream.py
+++ b/saltport/transport/stream.py
@@ -48,6 +48,10 @@
         return True
 
 
+_CLOSED = StreamProtocol()
+"""The protocol of all streams that have closed."""
+
+
 class _ReadBuffer(threading.local):
     """The read buffer that all streams of a thread share; a read ends before the next begins."""
 
@@ -376,6 +380,8 @@
         try:
             self._protocol.connection_lost(error)
         finally:
+            # Danger: the protocol refers to its stream, and cycles of references are collected rarely.
+            self._protocol = _CLOSED
             self._unsent.clear()
             self._sock.close()
 
--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -204,3 +204,4 @@
             self._unknown_length = None
         self.server.pool.memory.end_growth(self)
         super().connection_lost(exc)
+        self.drop_parser()
--- a/saltport/wire/http.py
+++ b/saltport/wire/http.py
@@ -87,6 +87,10 @@
         self._reset_parser()
         return keep_alive
 
+    def drop_parser(self) -> None:
+        """Free the parser, which refers to this reader; nothing may be read any more."""
+        del self._parser
+
     def on_status(self, reason: bytes) -> None:
         """Check the reason phrase, or a part of it (called by httptools)."""
         self._count_header_bytes(len(reason))
