A long command stands in memory once from its first byte to its last attempt

Cause: the reader copied a complete command out of its buffer, and the value out of that copy; each attempt encoded the value into its request, and the stream copied what the kernel did not take. The budget counts one copy.

Change: a long command is taken in the buffer that it was received in, and its value stays there. A request to a server is its head, the value and its end; the stream sends the value in place (transport/send_buffer.py). Short requests are joined as before.

--- a/saltport/downstream/resp.py
+++ b/saltport/downstream/resp.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Sequence
 from functools import lru_cache
 
 from saltport.downstream.keys import check_key
 from saltport.downstream.reader_dialect import ReaderDialect
-from saltport.messages import Answers, Discarded, Malformed, Message, Ping, Request
+from saltport.messages import Answers, Data, Discarded, Malformed, Message, Ping, Request
 from saltport.wire.resp import MAX_COMMAND_OVERHEAD_BYTES, CommandReader, bulk, parse_info
 
 
@@ -83,7 +84,7 @@
         return ANSWERS.rejected(f"Protocol error: {self.end_reason or 'command not finished in time'}")
 
 
-def _message(words: list[bytes]) -> Message:
+def _message(words: Sequence[Data]) -> Message:
     """Return the command that consists of these words, as a message."""
     if len(words) == 1 and words[0].upper() == b"PING":
         return Ping()
@@ -93,7 +94,7 @@
         return Malformed(str(error))
 
 
-def parse_request(words: list[bytes]) -> Request:
+def parse_request(words: Sequence[Data]) -> Request:
     """Parse the words of a command into a request; raise ValueError with a message for the client."""
     name = words[0].upper()
     if name not in (b"KV.GET", b"KV.SET"):
@@ -101,7 +102,7 @@
     is_write = name == b"KV.SET"
     if len(words) != (5 if is_write else 4):
         raise ValueError(f"wrong number of arguments for {name.decode()}")
-    key, request, info = words[1:4]
+    key, request, info = bytes(words[1]), bytes(words[2]), bytes(words[3])
     if len(key) + len(request) + len(info) > MAX_COMMAND_OVERHEAD_BYTES:
         raise ValueError("key, id or list too long")
     # Danger: these words become HTTP header lines to the origin, where a line break would inject a header.
--- a/saltport/messages.py
+++ b/saltport/messages.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypeAlias
+
+Data: TypeAlias = bytes | bytearray
+"""Received bytes; a buffer among them is not changed any more."""
 
 
 @dataclass(slots=True)  # not frozen: creating a frozen one takes four times as long
@@ -18,8 +21,8 @@
     tenant: str | None
     timeout_ms: int
     """How long the client waits for the answer, counted from the arrival of the request's last byte."""
-    value: bytes | None
-    """The value to write; None for a read."""
+    value: Data | None
+    """The value to write, which is not changed any more; None for a read."""
     retry: bool
     """Whether the client marked the request as a retry."""
     info: bytes
--- a/saltport/transport/stream.py
+++ b/saltport/transport/stream.py
@@ -15,6 +15,7 @@
 import threading
 
 from saltport.transport import shortage
+from saltport.transport.send_buffer import SendBuffer
 
 READ_SIZE_BYTES = (
     256 << 10
@@ -79,7 +80,7 @@
         self._loop, self._sock = loop, sock
         self._protocol = protocol
         self._buffer = _read_buffer.view
-        self._unsent = bytearray()
+        self._unsent = SendBuffer()
         self._high, self._low = HIGH_WATER_BYTES, HIGH_WATER_BYTES // 4
         self._protocol_paused = self._closing = self._lost = self._eof_requested = False
         self._reading = True
@@ -177,9 +178,18 @@
             if self._closing or sent == len(data):
                 return
             data = memoryview(data)[sent:]
-        self._unsent += data
+        self._unsent.append(data)
         self._pause_protocol()
 
+    def write_unchanged(self, data: bytes | bytearray) -> None:
+        """Write as `write` does, without a copy: `data` must not be changed as long as it is unsent."""
+        if self._closing:
+            return
+        sent = self._send(data) if not self._unsent else 0
+        if not self._closing:
+            self._unsent.append_in_place(memoryview(data)[sent:])
+            self._pause_protocol()
+
     def write_now(self, data: bytes) -> bool:
         """Write as `write` does, but return False, with nothing queued, if no byte can be sent now.
 
@@ -191,7 +201,7 @@
         if not sent and not self._closing:
             return False
         if sent is not None and sent < len(data) and not self._closing:
-            self._unsent += memoryview(data)[sent:]
+            self._unsent.append(memoryview(data)[sent:])
             self._start_writing()
             self._pause_protocol()
         return True
@@ -256,7 +266,7 @@
         """Send unsent bytes now that the socket is writable; then resume the protocol, or close."""
         if not self._protocol.may_continue_writing():
             return
-        sent = self._send(self._unsent)
+        sent = self._send(self._unsent.first)
         if self._lost:
             return
         if not sent and self._has_writer:
@@ -264,9 +274,11 @@
             # a writer on the loop would repeat the call in a busy loop.
             self._write_later()
             return
-        del self._unsent[:sent]
+        self._unsent.remove(sent)
         if not self._unsent:
             self._stop_writing()
+        elif sent:
+            self._start_writing()
         if self._protocol_paused and len(self._unsent) <= self._low:
             self._protocol_paused = False
             self._protocol.resume_writing()
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -11,14 +11,14 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
-from typing import Protocol, cast
+from typing import NamedTuple, Protocol, cast
 
 from saltport.address import Address
 from saltport.decisions import CacheStatus, Outcome
 from saltport.decisions.transmission import LONG_VALUE_BYTES
 from saltport.downstream.budget import ANSWER_READS, MemoryBudget
 from saltport.handover.record import ReadPosition
-from saltport.messages import Request, ValueSource
+from saltport.messages import Data, Request, ValueSource
 from saltport.transport.readiness import Readiness
 from saltport.transport.stream import (
     READ_SIZE_BYTES,
@@ -51,6 +51,14 @@
     SHORTAGE = "this machine could not write, and nothing was done"
 
 
+class RequestParts(NamedTuple):
+    """An encoded request; its value is not copied."""
+
+    head: bytes
+    value: Data = b""
+    end: bytes = b""
+
+
 class ConnectionOwner(Protocol):
     """The part of the pool that connections use."""
 
@@ -329,16 +337,21 @@
         remaining_ms = exchange.remaining_ms()
         if not remaining_ms:
             return StartResult.TOO_LATE
-        request_bytes = self.request_bytes(exchange, exchange.stated_time_ms(remaining_ms))
-        self._is_long_request = len(request_bytes) > LONG_VALUE_BYTES
+        head, value, end = self.request_parts(exchange, exchange.stated_time_ms(remaining_ms))
+        self._is_long_request = len(head) + len(value) > LONG_VALUE_BYTES
         if self._is_long_request and not self._limits_kernel:
             self._limits_kernel = True
             limit_unsent_in_kernel(self.transport.get_extra_info("socket"), MAX_UNSENT_IN_KERNEL_BYTES)
         self._counts_as_send = int(exchange.request is not None)
         self.server.pool.sends += self._counts_as_send
-        if not self.transport.write_now(request_bytes):
+        if not self._is_long_request and (value or end):
+            head = b"".join((head, value, end))
+        if not self.transport.write_now(head):
             self.server.pool.sends -= self._counts_as_send
             return StartResult.SHORTAGE
+        if self._is_long_request:
+            self.transport.write_unchanged(value)
+            self.transport.write(end)
         self.exchange, exchange.connection, exchange.connection_reused = exchange, self, self.used_before
         self.started_at = self.server.pool.loop.time()
         self._copy_may_come = self.started_at < self.settled_at
@@ -541,7 +554,7 @@
             self._is_reading = False
 
     @abstractmethod
-    def request_bytes(self, exchange: Exchange, remaining_ms: int) -> bytes:
+    def request_parts(self, exchange: Exchange, remaining_ms: int) -> RequestParts:
         """Return the request or probe in the server's protocol, with `remaining_ms` as its time left."""
 
     @abstractmethod
--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -7,9 +7,9 @@
 from saltport.decisions import Outcome
 from saltport.handover.record import ReadPosition
 from saltport.transport.stream import READ_SIZE_BYTES
-from saltport.upstream.connection import Connection, Exchange, Server
+from saltport.upstream.connection import Connection, Exchange, RequestParts, Server
 from saltport.upstream.unknown_length import UnknownLengthValue
-from saltport.wire.http import HttpError, HttpReader, request
+from saltport.wire.http import HttpError, HttpReader, content_length, request
 from saltport.wire.resp import MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES, with_remaining_time
 
 _NEVER_RAN = (503, 504)
@@ -44,23 +44,20 @@
         self._length, self._left = flow.length, flow.left
         self.read(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % flow.left)
 
-    def request_bytes(self, exchange: Exchange, remaining_ms: int) -> bytes:
+    def request_parts(self, exchange: Exchange, remaining_ms: int) -> RequestParts:
         """Return a GET for a read, a PUT for a write, or a probe; `d` in Request-Info is the time left."""
         client_request, (host, port) = exchange.request, self.server.address
         if client_request is None:
-            return request("GET", "/stats" if exchange.wants_load else "/health/live", f"{host}:{port}")
-        method = "GET" if client_request.value is None else "PUT"
+            target = "/stats" if exchange.wants_load else "/health/live"
+            return RequestParts(request("GET", target, f"{host}:{port}"))
         headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (
             client_request.id,
             with_remaining_time(client_request.info, remaining_ms),
         )
-        return request(
-            method,
-            "/" + quote(client_request.key, safe=KEY_SAFE),
-            f"{host}:{port}",
-            headers,
-            client_request.value,
-        )
+        target, value = "/" + quote(client_request.key, safe=KEY_SAFE), client_request.value
+        if value is None:
+            return RequestParts(request("GET", target, f"{host}:{port}", headers))
+        return RequestParts(request("PUT", target, f"{host}:{port}", headers + content_length(value)), value)
 
     def answer_received(self, data: bytes) -> None:
         """Parse a part of the answer."""
--- a/saltport/upstream/resp.py
+++ b/saltport/upstream/resp.py
@@ -4,8 +4,8 @@
 
 from saltport.decisions import CacheStatus, Outcome
 from saltport.handover.record import ReadPosition
-from saltport.upstream.connection import Connection, Exchange, Server
-from saltport.wire.resp import FramingError, command, with_remaining_time
+from saltport.upstream.connection import Connection, Exchange, RequestParts, Server
+from saltport.wire.resp import CRLF, FramingError, command, command_head, with_remaining_time
 from saltport.wire.resp_answers import (
     ANSWER_ELEMENTS,
     Answer,
@@ -24,6 +24,9 @@
 }
 
 
+LOAD_QUERY, PING = (b"INFO", b"load"), (b"PING",)
+
+
 class CacheConnection(Connection):
     """A RESP2 connection to one cache server."""
 
@@ -56,21 +59,21 @@
         """Continue to read a long value from the state in which another process stopped."""
         self._reader.resume(flow.length, flow.left, flow.rest)
 
-    def request_bytes(self, exchange: Exchange, remaining_ms: int) -> bytes:
+    def request_parts(self, exchange: Exchange, remaining_ms: int) -> RequestParts:
         """Return the client's command with its time left, a command of the router's own, or a probe."""
         request = exchange.request
         if request is None:
-            if words := exchange.plain_command(remaining_ms):
-                return command(*words)
-            return command(b"INFO", b"load") if exchange.wants_load else command(b"PING")
+            words = exchange.plain_command(remaining_ms)
+            return RequestParts(command(*(words or (LOAD_QUERY if exchange.wants_load else PING))))
         info = with_remaining_time(request.info, remaining_ms)
         if request.value is None:
             key, name = request.key, request.id
             # The most common command, formatted directly for speed.
-            return b"*4\r\n$6\r\nKV.GET\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n" % (
+            return RequestParts(b"*4\r\n$6\r\nKV.GET\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n" % (
                 len(key), key, len(name), name, len(info), info
-            )  # fmt: skip
-        return command(b"KV.SET", request.key, request.id, info, request.value)
+            ))  # fmt: skip
+        head = command_head(b"KV.SET", request.key, request.id, info, value_length=len(request.value))
+        return RequestParts(head, request.value, CRLF)
 
     def answer_received(self, data: bytes) -> None:
         """Parse a part of the answer; a protocol error closes the connection."""
--- a/saltport/wire/http.py
+++ b/saltport/wire/http.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from saltport.messages import Data
+
 MAX_HEADER_BYTES = 32 << 10
 """Limit for a header, and for consecutive bytes outside a body (chunk extensions, trailers)."""
 MAX_INTERIM_ANSWERS = 16
@@ -161,8 +163,12 @@
         raise NotImplementedError
 
 
-def request(method: str, target: str, host: str, headers: bytes = b"", body: bytes | None = None) -> bytes:
-    """Return an encoded request; `headers` are complete header lines with their line ends."""
-    length = b"" if body is None else b"Content-Length: %d\r\n" % len(body)
+def request(method: str, target: str, host: str, headers: bytes = b"") -> bytes:
+    """Return an encoded request without a body; `headers` are complete header lines with their line ends."""
     head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n".encode("ascii")
-    return b"%b%b%b\r\n%b" % (head, headers, length, body or b"")
+    return b"%b%b\r\n" % (head, headers)
+
+
+def content_length(body: Data) -> bytes:
+    """Return the header line that announces a body."""
+    return b"Content-Length: %d\r\n" % len(body)
--- a/saltport/wire/memcached.py
+++ b/saltport/wire/memcached.py
@@ -15,7 +15,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from saltport.wire.partial_message import MessageReader
+from saltport.messages import Data
+from saltport.wire.partial_message import MessageReader, take_part
 
 HEADER = struct.Struct(">BBHBBHIIQ")
 REQUEST_MAGIC, RESPONSE_MAGIC = 0x80, 0x81
@@ -136,7 +137,7 @@
     """May be a value that is not in `Opcode`; such a request is answered as an unknown command."""
     key: bytes = b""
     extras: bytes = b""
-    value: bytes = b""
+    value: Data = b""
     status: int = 0
     """The status of a response; in a request the vbucket, which is not used."""
     opaque: int = 0
@@ -189,7 +190,10 @@
         parseable = self._parseable(data)
         if parseable is None:
             return []
-        data = parseable
+        return self._packets(parseable)
+
+    def _packets(self, data: Data) -> list[Packet]:
+        """Return the packets in `data`, and keep the incomplete one at its end."""
         packets: list[Packet] = []
         at = 0
         while at < len(data):
@@ -211,9 +215,9 @@
             key_start, value_start = start + extras, start + extras + key
             packet = Packet(
                 opcode,
-                data[key_start:value_start],
-                data[start:key_start],
-                data[value_start:end],
+                bytes(data[key_start:value_start]),
+                bytes(data[start:key_start]),
+                take_part(data, value_start, end, end),
                 status,
                 opaque,
                 cas,
--- a/saltport/wire/partial_message.py
+++ b/saltport/wire/partial_message.py
@@ -4,6 +4,26 @@
 
 from abc import abstractmethod
 
+from saltport.messages import Data
+
+LONG_PART_BYTES = 64 << 10
+"""Longer parts of a message are never copied once they are received."""
+
+
+def take_part(data: Data, start: int, end: int, message_end: int) -> Data:
+    """Return a part of the message that ends at `message_end`.
+
+    A long part of the last message in a buffer is not copied: the buffer itself becomes that part, and must
+    not be read any more.
+    """
+    if isinstance(data, bytes):
+        return data[start:end]
+    if message_end != len(data) or end - start <= LONG_PART_BYTES:
+        return bytes(data[start:end])
+    del data[end:]
+    del data[:start]
+    return data
+
 
 class MessageReader:
     """Base of the readers that split the bytes of a client into messages."""
@@ -55,8 +75,11 @@
         self._discarded_head, self._left_to_discard = head, size
         self._buffer.clear()
 
-    def _parseable(self, data: bytes) -> bytes | None:
-        """Return received bytes with the incomplete message before them; None if that needs more."""
+    def _parseable(self, data: bytes) -> Data | None:
+        """Return received bytes with the incomplete message before them; None if that needs more.
+
+        A long message is returned in the buffer that it was received in, which the caller then owns.
+        """
         if self._left_to_discard:
             dropped = min(len(data), self._left_to_discard)
             self._left_to_discard -= dropped
@@ -68,7 +91,11 @@
             self._buffer += data
             if len(self._buffer) < self.needed_bytes:
                 return None
-            data = bytes(self._buffer)
-            self._buffer.clear()
-            self.needed_bytes = 0
+            return self._take_buffer()
         return data
+
+    def _take_buffer(self) -> Data:
+        """Return the received bytes, and begin with an empty buffer."""
+        buffer, self._buffer = self._buffer, bytearray()
+        self.needed_bytes = 0
+        return buffer if len(buffer) > LONG_PART_BYTES else bytes(buffer)
--- a/saltport/wire/resp.py
+++ b/saltport/wire/resp.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 
-from saltport.wire.partial_message import MessageReader
+from saltport.messages import Data
+from saltport.wire.partial_message import MessageReader, take_part
 
 MAX_VALUE_BYTES = 4 << 20  # PROTOCOL: the maximum length of a value
 STREAMING_THRESHOLD_BYTES = 64 << 10  # longer values are passed on in parts
@@ -67,16 +69,17 @@
         except IncompleteError:
             return words, position
 
-    def feed(self, data: bytes) -> list[list[bytes]]:
+    def feed(self, data: bytes) -> Sequence[Sequence[Data]]:
         """Return the commands completed by `data`; a framing error sets `framing_error` and ends the list."""
         parseable = self._parseable(data)
         if parseable is None:
             return []
-        data = parseable
-        words = _fast_path_command(data)
-        if words is not None:
-            return [words]
-        commands: list[list[bytes]] = []
+        words = _fast_path_command(parseable) if isinstance(parseable, bytes) else None
+        return [words] if words is not None else self._commands(parseable)
+
+    def _commands(self, data: Data) -> list[list[Data]]:
+        """Return the commands in `data`, and keep the incomplete one at its end."""
+        commands: list[list[Data]] = []
         position = 0
         while position < len(data):
             try:
@@ -92,24 +95,25 @@
             position = end
         return commands
 
-    def _command(self, data: bytes, begin: int) -> tuple[list[bytes], int]:
+    def _command(self, data: Data, begin: int) -> tuple[list[Data], int]:
         """Return the command at `begin` and its end; raises IncompleteError or FramingError."""
         count, position = read_length_line(data, begin, b"*")
         if not 1 <= count <= MAX_WORDS:
             raise FramingError("invalid multibulk length")
-        words: list[bytes] = []
-        while len(words) < count:
+        spans: list[tuple[int, int]] = []
+        while len(spans) < count:
             size, start = read_length_line(data, position, b"$")
             if size > MAX_VALUE_BYTES:
                 raise FramingError("value too long")
             if start + size + len(CRLF) - begin > MAX_VALUE_BYTES + MAX_COMMAND_OVERHEAD_BYTES:
                 raise FramingError("command too long")
-            word, position = read_bulk_string(data, start, size)
-            words.append(word)
-        return words, position
+            position = bulk_string_end(data, start, size)
+            spans.append((start, start + size))
+        # The last word is taken last: it may take the buffer with it.
+        return [take_part(data, start, end, position) for start, end in spans], position
 
 
-def read_length_line(data: bytes, begin: int, mark: bytes) -> tuple[int, int]:
+def read_length_line(data: Data, begin: int, mark: bytes) -> tuple[int, int]:
     """Return the number in a length line and the end of the line; raises IncompleteError or FramingError."""
     end = data.find(CRLF, begin, begin + MAX_LENGTH_LINE_BYTES)
     if end < 0 and len(data) - begin < MAX_LENGTH_LINE_BYTES and mark.startswith(data[begin : begin + 1]):
@@ -122,12 +126,18 @@
 
 def read_bulk_string(data: bytes, start: int, size: int) -> tuple[bytes, int]:
     """Return a bulk string of `size` bytes and its end; raises IncompleteError or FramingError."""
-    end = start + size
-    if len(data) < end + len(CRLF):
-        raise IncompleteError(end + len(CRLF))
-    if data[end : end + len(CRLF)] != CRLF:
+    end = bulk_string_end(data, start, size)
+    return data[start : start + size], end
+
+
+def bulk_string_end(data: Data, start: int, size: int) -> int:
+    """Return the end of a bulk string of `size` bytes; raises IncompleteError or FramingError."""
+    end = start + size + len(CRLF)
+    if len(data) < end:
+        raise IncompleteError(end)
+    if data[end - len(CRLF) : end] != CRLF:
         raise FramingError("bulk string without its end")
-    return data[start:end], end + len(CRLF)
+    return end
 
 
 def _fast_path_command(data: bytes) -> list[bytes] | None:
@@ -193,3 +203,9 @@
 def command(*words: bytes) -> bytes:
     """Return an encoded command."""
     return b"*%d\r\n%b" % (len(words), b"".join([b"$%d\r\n%b\r\n" % (len(word), word) for word in words]))
+
+
+def command_head(*words: bytes, value_length: int) -> bytes:
+    """Return the begin of a command whose last word, a value of this length, and CRLF follow."""
+    encoded = b"".join([b"$%d\r\n%b\r\n" % (len(word), word) for word in words])
+    return b"*%d\r\n%b$%d\r\n" % (len(words) + 1, encoded, value_length)
--- a/tests/load/test_driver.py
+++ b/tests/load/test_driver.py
@@ -34,7 +34,7 @@
     def data_received(self, data: bytes) -> None:
         for words in self._reader.feed(data):
             Scripted.seen += 1
-            self.transport.write(self._script(words, Scripted.seen, self.transport))
+            self.transport.write(self._script([bytes(word) for word in words], Scripted.seen, self.transport))
 
 
 def value_for(words: list[bytes]) -> bytes:
--- a/tests/router/test_order.py
+++ b/tests/router/test_order.py
@@ -93,7 +93,7 @@
     @staticmethod
     def _packet_answer(packet: Packet) -> bytes:
         answers = {Status.BUSY: b"busy", Status.TEMPORARY_FAILURE: b"failed"}
-        return answers[Status(packet.status)] if packet.status else packet.value or b"stored"
+        return answers[Status(packet.status)] if packet.status else bytes(packet.value) or b"stored"
 
 
 Setup = tuple[Origin, Wire, RunningRouter]
--- a/tests/wire/test_resp.py
+++ b/tests/wire/test_resp.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import pytest
 from hypothesis import given, strategies
 from hypothesis import settings as profile
 
 from saltport.downstream.resp import RespDialect, parse_request
-from saltport.messages import Request
+from saltport.messages import Data, Request
 from saltport.wire import resp
 from saltport.wire.resp import CommandReader, command
 
@@ -36,7 +38,7 @@
 ).map(b"".join)
 
 
-def read_with_full_parser(data: bytes) -> tuple[list[list[bytes]], str, int]:
+def read_with_full_parser(data: bytes) -> tuple[Sequence[Sequence[Data]], str, int]:
     """Return commands, error and needed bytes as the full parser alone reads them."""
     reader = CommandReader()
     original, resp.MAX_FAST_PATH_BYTES = resp.MAX_FAST_PATH_BYTES, -1
@@ -50,7 +52,8 @@
 @profile(derandomize=True, max_examples=300, deadline=None)
 def test_any_command_survives_any_split(words: list[bytes], cuts: list[int]) -> None:
     stream = command(*words) * 2
-    reader, read = CommandReader(), []
+    reader = CommandReader()
+    read: list[Sequence[Data]] = []
     at = 0
     for cut in sorted({min(cut, len(stream)) for cut in cuts} | {len(stream)}):
         read += reader.feed(stream[at:cut])
@@ -88,7 +91,7 @@
     assert reader.complete_words() == [b"KV.SET", b"k", b"id", b"c=put,d=9"]
     assert reader.discard()
     assert (reader.received_bytes, reader.missing_bytes) == (0, len(write) - received)
-    commands = []
+    commands: list[Sequence[Data]] = []
     for at in range(received, len(stream), step):
         commands += reader.feed(stream[at : at + step])
     assert commands == [[b"KV.SET", b"k", b"id", b"c=put,d=9", b""], [b"KV.GET", b"k"]]
