Timers and late answers of ended attempts no longer keep the value of a write

Cause: an attempt asks to be ended at the latest time for its last byte, and the timer stayed when the attempt had ended: it refers to the attempt, which refers to the request and its value, so that each value stayed for up to its client's time-out after its answer. An abandoned write was kept whole for as long as its connection waited for the late answer.

What showed it: the kernel's list of the process's areas had some 50 of 4 MiB each while held_bytes was 12 to 20 MB, and the number of ended writes in a second times their time-out is that many.

Change: the timer is cancelled with its attempt; the exchange that waits for a late answer keeps the request without its value.

The plays of returning clients give each visit a number of its own: a write whose id had been used was refused, and hid most of this.

--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -216,6 +216,7 @@
     _written_at = 0
     _stated_until_ns = 0  # when the time that a long request states goes stale; 0 for others
     _timeout = 0
+    _send_timer: asyncio.TimerHandle | None = None
     _delayed_by_shortage = False
     _lateness_checked = False
 
@@ -289,8 +290,17 @@
         elif self.connection is not None and self.connection.unsent:
             self.stop_sending()
         elif self.connection is not None and self.connection.has_incomplete_request:
-            limit = send_limit_after_disconnect(self._send_limit_ns, time.monotonic_ns())
-            self._host.call_at(limit, self.stop_sending)
+            self._stop_sending_at(send_limit_after_disconnect(self._send_limit_ns, time.monotonic_ns()))
+
+    def _stop_sending_at(self, limit_ns: int) -> None:
+        """Call `stop_sending` at this time, unless the attempt has ended by then."""
+        self._cancel_send_timer()
+        self._send_timer = self._host.call_at(limit_ns, self.stop_sending)
+
+    def _cancel_send_timer(self) -> None:
+        """Cancel the call of `stop_sending`, which would keep the request and its value until then."""
+        if self._send_timer is not None:
+            self._send_timer.cancel()
 
     def stop_sending(self) -> None:
         """Give the attempt up unless its server has the whole request, which nothing takes back."""
@@ -374,8 +384,7 @@
         """Note that the request has been written to a connection."""
         self._written_at = time.monotonic_ns()
         if self._stated_until_ns or self._send_limit_ns < self._request.deadline.at_ns:
-            limit = send_limit(self._stated_until_ns, self._send_limit_ns)
-            self._host.call_at(limit, self.stop_sending)
+            self._stop_sending_at(send_limit(self._stated_until_ns, self._send_limit_ns))
         if self.waits_for_resources or self._delayed_by_shortage or self.settles_at:
             if self._timer is not None:
                 self._timer.cancel()
@@ -459,6 +468,7 @@
         """Report the attempt's end to the decision module; the first success answers the client."""
         if self._timer is not None:
             self._timer.cancel()
+        self._cancel_send_timer()
         request, reply = self._request, self._reply
         request.open_attempts -= 1
         if request.attempt is self:
--- a/saltport/upstream/connection.py
+++ b/saltport/upstream/connection.py
@@ -10,6 +10,7 @@
 from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from enum import Enum
 from typing import NamedTuple, Protocol, cast
 
@@ -191,7 +192,10 @@
     discards_value = True
 
     def __init__(self, late: Exchange) -> None:
+        """Take the place of `late`; the value of a write, which is not sent again, is not kept."""
         self.request = late.request
+        if self.request is not None and self.request.value:
+            self.request = replace(self.request, value=b"")
 
     def remaining_ms(self) -> int:
         """Return 0: the request was sent before, and is never sent again."""
--- a/tests/faults/hostile_clients.py
+++ b/tests/faults/hostile_clients.py
@@ -28,12 +28,12 @@
 
 
 # The parts of a long write that are sent, built once: the event loop of the clients must not be held up.
-LONG_WRITE = memoryview(put("w####", b"v" * LONG, d=DEADLINE_MS))
+LONG_WRITE = memoryview(put("w########", b"v" * LONG, d=DEADLINE_MS))
 HEAD_BYTES = 200
 
 
 def long_write_head(number: int) -> bytes:
-    return bytes(LONG_WRITE[:HEAD_BYTES]).replace(b"####", b"%04d" % number)
+    return bytes(LONG_WRITE[:HEAD_BYTES]).replace(b"########", b"%08d" % number)
 
 
 async def slow_write(router: RunningRouter, number: int) -> None:
@@ -79,12 +79,12 @@
 
 
 MANY_FIELDS = ",".join(f"f{i}=1" for i in range(1800))
-HEAD_OF_MANY_FIELDS = bulk(b"KV.GET", b"u1", b"i####", f"c=get,t=acme,d={DEADLINE_MS},{MANY_FIELDS}".encode())
+HEAD_OF_MANY_FIELDS = bulk(b"KV.GET", b"u1", b"i########", f"c=get,d={DEADLINE_MS},{MANY_FIELDS}".encode())
 
 
 async def heads_of_many_fields(router: RunningRouter, number: int) -> None:
     """Send a request whose list has thousands of fields, over and over, the last time without its end."""
-    request = HEAD_OF_MANY_FIELDS.replace(b"####", b"%04d" % number)
+    request = HEAD_OF_MANY_FIELDS.replace(b"########", b"%08d" % number)
     async with connected(router) as (reader, writer):
         writer.write(request * 20 + request[:-10])
         while await reader.read(1 << 16):
@@ -93,8 +93,8 @@
 
 # Visits: each ends after a few seconds at the latest, and its client may come back.
 
-WRITE_OF_60_KB = put("p####", WRITTEN, d=DEADLINE_MS)
-WRITE_OF_4_KB = put("q####", b"v" * 4000, d=DEADLINE_MS)
+WRITE_OF_60_KB = put("p########", WRITTEN, d=DEADLINE_MS)
+WRITE_OF_4_KB = put("q########", b"v" * 4000, d=DEADLINE_MS)
 LEAVE_AFTER_S = 1.0
 PATIENCE_S = 5.0
 BYTE_PAUSE_S = 0.05
@@ -119,14 +119,14 @@
 async def write_without_its_end(router: RunningRouter, number: int) -> None:
     """Send a write of 60 KB without its last bytes, and wait for the end of the connection."""
     async with connected(router) as (reader, writer):
-        writer.write(WRITE_OF_60_KB.replace(b"####", b"%04d" % number)[:-10])
+        writer.write(WRITE_OF_60_KB.replace(b"########", b"%08d" % number)[:-10])
         await reader.read()
 
 
 async def abandoned_write(router: RunningRouter, number: int) -> None:
     """Send half of a write of 4 KB, and leave."""
     async with connected(router) as (_, writer):
-        writer.write(WRITE_OF_4_KB.replace(b"####", b"%04d" % number)[:2000])
+        writer.write(WRITE_OF_4_KB.replace(b"########", b"%08d" % number)[:2000])
         await asyncio.sleep(LEAVE_AFTER_S)
 
 
@@ -171,7 +171,4 @@
 
 async def any_of_them(router: RunningRouter, number: int) -> None:
     """Be another kind of client at each visit."""
-    await VISITS[next(_visit_numbers) % len(VISITS)](router, number)
-
-
-_visit_numbers = itertools.count()
+    await VISITS[number % len(VISITS)](router, number)
--- a/tests/faults/test_returning_crowds.py
+++ b/tests/faults/test_returning_crowds.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 from contextlib import suppress
 from pathlib import Path
@@ -37,12 +38,13 @@
 
 
 def returning(visit: HostileClient) -> HostileClient:
-    """Return a client that pays one visit after another."""
+    """Return a client that pays one visit after another; each has a number of its own."""
+    numbers = itertools.count()
 
-    async def client(router: RunningRouter, number: int) -> None:
+    async def client(router: RunningRouter, _: int) -> None:
         while True:
             with suppress(OSError, asyncio.IncompleteReadError):
-                await visit(router, number)
+                await visit(router, next(numbers))
             await asyncio.sleep(COME_BACK_S)
 
     return client
