A router starts without OpenSSL, which only imports brought in

Cause: asyncio imports ssl, and hashlib imports _hashlib; both map OpenSSL. No router has TLS, and its hashes are Python's own.

Change: the entry point keeps both modules out before anything else is imported, as both importers provide for; the process moved to lifecycle/process.py, where what it imports may be imported.

The new test found both libraries mapped before.

--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -16,10 +16,10 @@
 import orjson
 
 from saltport.decisions import RequestClass, Settings
+from saltport.lifecycle.process import GC_THRESHOLD
 from saltport.membership.listing import read_listing
 from saltport.membership.start_times import StartTimes
 from saltport.membership.steps import ListSteps
-from saltport.router.__main__ import GC_THRESHOLD
 from saltport.router.host import RouterHost
 from saltport.upstream.pool import Pool
 
--- a/benchmarks/scale/discovery.py
+++ b/benchmarks/scale/discovery.py
@@ -27,11 +27,11 @@
 import uvloop
 
 from benchmarks.scale import fit
+from saltport.lifecycle.process import GC_THRESHOLD
 from saltport.membership.listing import Listing
 from saltport.membership.registry import Discovery
 from saltport.membership.start_times import StartTimes
 from saltport.membership.steps import ListSteps
-from saltport.router.__main__ import GC_THRESHOLD
 from saltport.standins.ledger import Ledger
 from saltport.standins.registry import Registry
 
--- a/benchmarks/scale/membership.py
+++ b/benchmarks/scale/membership.py
@@ -28,12 +28,12 @@
 from benchmarks.scale import fit
 from benchmarks.scale.hollow import SETTINGS, HollowFleet, SealingAgent, free_addresses, slow_time
 from saltport.address import Address
+from saltport.lifecycle.process import GC_THRESHOLD
 from saltport.peers.agent import Agent
 from saltport.peers.members import DIGEST_PARTS
 from saltport.peers.messages import Alive, Packet, encode
 from saltport.peers.messages import Sync as SyncBody
 from saltport.peers.settings import NS_PER_S
-from saltport.router.__main__ import GC_THRESHOLD
 
 SCENARIOS = ("alone", "sync", "joins", "calm", "sockets", "deaths", "faults", "all")
 SETTLE_S, IDLE_S = 4, 8
--- a/benchmarks/scale/slot_table.py
+++ b/benchmarks/scale/slot_table.py
@@ -27,10 +27,10 @@
 from benchmarks.scale.stand_ins import load_average
 from saltport.decisions import RequestClass, Server, Settings
 from saltport.decisions.table import SlotTable
+from saltport.lifecycle.process import GC_THRESHOLD
 from saltport.membership.listing import read_entry
 from saltport.membership.start_times import StartTimes
 from saltport.membership.steps import ListSteps
-from saltport.router.__main__ import GC_THRESHOLD
 from saltport.router.host import RouterHost
 from saltport.standins.spoil import http_answer
 from saltport.structures.slot_rankings import MAX_ROWS
--- a/tests/dissemination/test_config.py
+++ b/tests/dissemination/test_config.py
@@ -44,7 +44,7 @@
 
 def test_the_running_programs_dont_import_dissemination() -> None:
     code = (
-        "import sys, saltport.cli, saltport.router.__main__;"
+        "import sys, saltport.cli, saltport.lifecycle.process;"
         "print([name for name in sys.modules if name.startswith('saltport.dissemination')])"
     )
     run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, check=True)
--- a/tests/failover/test_plan.py
+++ b/tests/failover/test_plan.py
@@ -110,7 +110,7 @@
 
 def test_failover_modules_are_not_imported_while_failover_is_off() -> None:
     program = (
-        "import sys, saltport.router.__main__, saltport.simulator.adapter\n"
+        "import sys, saltport.lifecycle.process, saltport.simulator.adapter\n"
         "off = ('saltport.failover', 'saltport.decisions.zoned', 'saltport.decisions.topology')\n"
         "sys.exit(any(name.startswith(off) for name in sys.modules))"
     )
--- a/tests/faults/hostile_clients.py
+++ b/tests/faults/hostile_clients.py
@@ -79,7 +79,8 @@
 
 
 MANY_FIELDS = ",".join(f"f{i}=1" for i in range(1800))
-HEAD_OF_MANY_FIELDS = bulk(b"KV.GET", b"u1", b"i########", f"c=get,d={DEADLINE_MS},{MANY_FIELDS}".encode())
+LIST_OF_MANY_FIELDS = f"c=get,t=acme,d={DEADLINE_MS},{MANY_FIELDS}".encode()
+HEAD_OF_MANY_FIELDS = bulk(b"KV.GET", b"u1", b"i########", LIST_OF_MANY_FIELDS)
 
 
 async def heads_of_many_fields(router: RunningRouter, number: int) -> None:
--- a/tests/owners/test_plan.py
+++ b/tests/owners/test_plan.py
@@ -77,7 +77,7 @@
 
 def test_where_it_is_off_nothing_of_it_is_imported() -> None:
     program = (
-        "import sys, saltport.router.__main__, saltport.simulator.adapter\n"
+        "import sys, saltport.lifecycle.process, saltport.simulator.adapter\n"
         "sys.exit(any(name.startswith('saltport.owners') for name in sys.modules))"
     )
     assert subprocess.run([sys.executable, "-c", program], cwd=ROOT, check=False).returncode == 0
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -186,7 +186,7 @@
 
 def test_where_it_is_off_nothing_of_it_is_imported() -> None:
     program = (
-        "import sys, saltport.router.__main__, saltport.simulator.adapter\n"
+        "import sys, saltport.lifecycle.process, saltport.simulator.adapter\n"
         "sys.exit(any(name.startswith(('msgspec', 'saltport.peers')) for name in sys.modules))"
     )
     assert subprocess.run([sys.executable, "-c", program], cwd=ROOT, check=False).returncode == 0
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,7 +16,7 @@
 from click.testing import CliRunner, Result
 
 from saltport.cli import cli
-from tests.sockets import ROOT, TIMEOUT_S, eventually, free_port, is_ready
+from tests.sockets import ROOT, TIMEOUT_S, echo_cache, eventually, free_port, is_ready, run_router
 
 DEMO_TIMEOUT_S = 60.0
 
@@ -123,13 +123,21 @@
         "click", "jsonschema", "hdrh", "plotext", "saltport.standins", "saltport.load", "saltport.cli",
         "saltport.audit", "saltport.simulator", "saltport.downstream.access_log",
     ]  # fmt: skip
-    code = f"import sys, saltport.router.__main__; print([m for m in {unneeded!r} if m in sys.modules])"
+    code = f"import sys, saltport.lifecycle.process; print([m for m in {unneeded!r} if m in sys.modules])"
     result = subprocess.run(
         [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
     )
     assert result.stdout == "[]\n"
 
 
+def test_a_running_router_maps_no_library_that_it_does_not_use(tmp_path: Path) -> None:
+    """Guards against memory that only imports of the standard library take."""
+    with run_router(tmp_path, {"s1": echo_cache()}) as router:
+        mapped = Path(f"/proc/{router.process.pid}/maps").read_text()
+    assert "libc.so" in mapped
+    assert not {library for library in ("libssl", "libcrypto", "_ssl", "_hashlib") if library in mapped}
+
+
 def demo_lines(process: subprocess.Popen[str]) -> tuple[Any, Any, str]:
     output, errors = process.communicate(timeout=DEMO_TIMEOUT_S)
     lines = output.splitlines()
