--- a/benchmarks/scale/data_path.py
+++ b/benchmarks/scale/data_path.py
@@ -326,7 +326,7 @@
     elif arguments.profile:
         for row in uvloop.run(profile_functions(arguments.size, 2_000)):
             print(orjson.dumps(row).decode())
-    elif arguments.run_at_rate:
+    elif arguments.paced:
         measure_rates(
             arguments.per_s or [ROUTER_PEAK_PER_S],
             arguments.size,
