The end of a discarded command no longer waits in memory for a turn

Cause: what comes of a refused command is read in full reads, however little memory is free, and dropped, but for the last read, which completes the command: it waited for a turn whole, with up to 256 KB.

What showed it (800 clients, 32 MB): at 65.3 MB of whole RSS 35.5 MB were unparsed bytes of 148 connections with 190 to 255 KB each; the budget had them counted, beyond its bound.

Change: the end of a discarded command is handled as its parts are, at once.

The new test failed before.

--- a/saltport/downstream/command_input.py
+++ b/saltport/downstream/command_input.py
@@ -55,8 +55,12 @@
 
     @property
     def is_small(self) -> bool:
-        """Whether the bytes that wait may be parsed at once, out of turn: few, or a part of a command."""
-        return self.backlog_bytes < self.missing_bytes or self.held_bytes <= TURN_BYTES
+        """Whether the bytes that wait may be parsed at once, out of turn: few, or a part of a command.
+
+        Danger: what is only discarded is read however little memory is free, so none of it may wait.
+        """
+        is_discarded = self.dialect.is_discarding and self.backlog_bytes <= self.missing_bytes
+        return is_discarded or self.backlog_bytes < self.missing_bytes or self.held_bytes <= TURN_BYTES
 
     @property
     def unhandled(self) -> bytes:
--- a/tests/downstream/test_turns.py
+++ b/tests/downstream/test_turns.py
@@ -87,3 +87,16 @@
     _, _, messages = commands.parse_turn()
     assert len(messages) == 1
     assert commands.backlog_bytes == 0
+
+
+def test_nothing_of_a_discarded_command_waits_for_a_turn() -> None:
+    """Guards against the ends of many discarded commands, which are read however little memory is free."""
+    write = put("w", b"v" * 300_000)
+    commands = CommandInput(RespDialect())
+    commands.add(write[:1000], None)
+    commands.parse_turn()
+    assert commands.dialect.discard()
+    commands.add(write[1000:], None)
+    assert commands.is_small
+    commands.parse_turn()
+    assert commands.held_bytes == 0
