Freed memory goes back to the kernel: bounds for what the allocator keeps

Cause: glibc raises the size from which blocks are mapped, and so unmapped when they are freed, to the largest block that was freed. After one value of 4 MiB all later ones come from the heap, which fragments.

--- a/saltport/lifecycle/process.py
+++ b/saltport/lifecycle/process.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from saltport.lifecycle.allocator import limit_kept_memory
 from saltport.lifecycle.service import START_TIMEOUT_S, Service
 from saltport.router.config import Config, ConfigError, ConfigUnavailableError, load_config
 from saltport.router.log import configure_logger
@@ -62,6 +63,7 @@
     if with_files:
         settings = config.settings
         log.info("table: %d slots%s", settings.slots, ", ranked with numpy" if settings.vectors else "")
+    limit_kept_memory()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     try:
