The kernel's count of a router's memory bounds what its clients may take

Each difference between the two was found by a kill.

Nothing compared them.

What is left of the limit bounds the memory budget; with little left, freed memory goes back to the kernel; with none, requests are refused, connections that are owed nothing are closed, and newcomers take another's place. /state and the log show it. What follows from a reading is downstream/memory_pressure.py, without I/O.

--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from saltport.transport.stream import READ_SIZE_BYTES
-from saltport.wire.resp import MAX_VALUE_BYTES
+from saltport.wire.resp import MAX_COMMAND_OVERHEAD_BYTES, MAX_VALUE_BYTES
 
 FREE_SHARE = 0.5
 """Part of the free memory that one client may keep before it has to wait or its answers are refused."""
@@ -23,6 +23,8 @@
 MIN_READ_BYTES = 1 << 10  # that may be read at once, however little is free
 NOT_READ_AHEAD_SHARE = 0.75  # part of the total that commands which wait for their turn leave to all else
 UNRESERVED_SHARE = 0.1  # part of the total that long commands leave to all else
+MIN_TOTAL_BYTES = int((MAX_VALUE_BYTES + MAX_COMMAND_OVERHEAD_BYTES) / (1 - UNRESERVED_SHARE)) + 1
+"""Total with which the longest command can be received."""
 REQUEST_BYTES = 3 << 10  # memory of an open request, its reply and attempts, beside its text and value
 BUFFERED_PART_BYTES = 512  # memory of a part of a reply that waits, beside its bytes
 
@@ -71,7 +73,7 @@
     """
 
     def __init__(self, total: int) -> None:
-        self.total = self._free = total
+        self.total = self._bound = self._free = total
         self._waiting: deque[Waiter] = deque()
         self._requests: deque[MemoryRequest] = deque()
         self._growing: dict[GrowingValue, None] = {}
@@ -80,7 +82,14 @@
     @property
     def held(self) -> int:
         """Number of bytes that are reserved or counted."""
-        return self.total - self._free
+        return self._bound - self._free
+
+    def set_bound(self, size: int) -> None:
+        """Bound the total by what the process has left; less than what is held refuses all that is new."""
+        growth, self._bound = min(size, self.total) - self._bound, min(size, self.total)
+        self._free += growth
+        if growth > 0:
+            self._serve_waiters()
 
     @property
     def exhausted(self) -> bool:
@@ -128,6 +137,10 @@
     def release_memory(self, size: int) -> None:
         """Release reserved or counted bytes, and let each waiter that is still open request memory again."""
         self._free += size
+        self._serve_waiters()
+
+    def _serve_waiters(self) -> None:
+        """Let those that wait for memory request it again."""
         if self._requests:
             self._serve_requests()
         if self._waiting:
--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -28,6 +28,7 @@
 
 SWEEP_INTERVAL_S = 0.2  # between two checks of all connections for timeouts
 MAX_REFUSED_CONNECTIONS = 32  # accepted beyond the limit so that their requests can be refused
+MIN_CONNECTIONS = 32  # accepted and kept however short the memory is
 ACCEPT_RETRY_S = 0.01  # before the limit is checked again when no connection can be evicted
 
 
@@ -51,6 +52,8 @@
         self._acceptors = ClientAcceptors(loop, self._wait_for_room_s)
         self.closing_when_answered = False
         """Whether connections that carried a request close once no reply is outstanding."""
+        self.is_short_of_memory = False
+        """Whether the process is so near its memory limit that a new client has to take another's place."""
         self.draining = False
         """Whether health checks are answered negatively so that clients go to other routers."""
         self.successor: Successor | None = None
@@ -82,7 +85,9 @@
 
     def _wait_for_room_s(self) -> float:
         """Return the seconds to wait before accepting the next client; 0 if there is room for it now."""
-        if self.connected + len(self._acceptors) < self._limit + MAX_REFUSED_CONNECTIONS:
+        connected = self.connected + len(self._acceptors)
+        has_memory = not self.is_short_of_memory or connected < MIN_CONNECTIONS
+        if has_memory and connected < self._limit + MAX_REFUSED_CONNECTIONS:
             return 0.0
         return 0.0 if self.lingering.make_room() or self._evict() else ACCEPT_RETRY_S
 
@@ -138,6 +143,24 @@
                 return True
         return False
 
+    def shed(self, count: int) -> None:
+        """Close up to `count` connections that are owed nothing: idle ones, then incomplete commands.
+
+        Few connections are not worth it: what takes the memory is not theirs.
+        """
+        count = min(count, self.connected - MIN_CONNECTIONS)
+        for close_one in (self.lingering.make_room, self._evict, self._end_incomplete):
+            while count > 0 and close_one():
+                count -= 1
+
+    def _end_incomplete(self) -> bool:
+        """End the command that has made no progress for longest; return False if there is none."""
+        candidates = [connection for connection in self._connections if connection.awaits_rest_of_command]
+        if not candidates:
+            return False
+        min(candidates, key=lambda candidate: candidate.progress_at).end_incomplete_command()
+        return True
+
     def remove_connection(self, connection: ClientConnection) -> None:
         """Unregister a closed connection."""
         self._connections.pop(connection, None)
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -695,12 +695,25 @@
             # indefinitely.
             self.finish(even_mid_command=False)
             return
-        midway = self._input.is_partial and not (
+        if self.awaits_rest_of_command and now - self.progress_at > COMMAND_PROGRESS_TIMEOUT_S:
+            log.warning("client did not complete its command in time; closing")
+            self.end_incomplete_command()
+
+    @property
+    def awaits_rest_of_command(self) -> bool:
+        """Whether nothing is due but the client's own bytes, the rest of its command."""
+        return self._input.is_partial and not (
             self.memory.awaits_memory or self.replies or self._input.backlog_bytes
         )
-        if midway and now - max(self._progress_at, self.memory.granted_at) > COMMAND_PROGRESS_TIMEOUT_S:
-            log.warning("client did not complete its command in time; closing")
-            self._end_stream()
+
+    @property
+    def progress_at(self) -> float:
+        """Loop time at which the incomplete command began, made progress, or had its memory reserved."""
+        return max(self._progress_at, self.memory.granted_at)
+
+    def end_incomplete_command(self) -> None:
+        """Answer an incomplete command with an error, and close the connection."""
+        self._end_stream()
 
     def _client_is_reading(self, now: float) -> bool:
         """Whether the client still acknowledges buffered bytes, so that it is slow rather than idle."""
--- /dev/null
+++ b/saltport/downstream/memory_pressure.py
@@ -0,0 +1,62 @@
+"""How near a router is to its memory limit, and what follows for its clients. No I/O.
+
+The memory budget counts what the router knows that it keeps. The platform kills for what the kernel counts:
+all processes of a router, with mapped files, freed memory that the allocator has kept, and files in memory.
+So the kernel's figure bounds the budget (a feedback loop like Envoy's overload manager).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+MARGIN_SHARE = 1 / 32
+"""Part of the limit that stays free, for what grows between two readings."""
+MIN_MARGIN_BYTES = 2 << 20
+RECLAIM_SHARE = 1 / 8
+"""With less headroom than this part of the limit, freed memory goes back to the kernel."""
+MIN_BUDGET_BYTES = 512 << 10
+"""For clients in any case, so that a router which is near its limit for other reasons still answers."""
+
+
+class Pressure(IntEnum):
+    """What a router does about its memory, the mildest first."""
+
+    NONE = 0
+    RECLAIM = 1
+    """Give freed memory back to the kernel."""
+    SHED = 2
+    """Also close connections that are owed nothing, and accept none without closing another."""
+
+
+def margin_bytes(limit_bytes: int) -> int:
+    """Return how much of a memory limit has to stay free."""
+    return max(int(limit_bytes * MARGIN_SHARE), MIN_MARGIN_BYTES)
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryReading:
+    """The memory of a router at one moment, as the kernel counts it."""
+
+    limit_bytes: int
+    used_bytes: int
+    """Memory of all processes of this router, and of its files."""
+    processes: int = 1
+    """Number of processes of this router, which share what is left."""
+
+    @property
+    def headroom_bytes(self) -> int:
+        """Bytes by which this process may grow; negative beyond the limit less its margin."""
+        return (self.limit_bytes - margin_bytes(self.limit_bytes) - self.used_bytes) // self.processes
+
+    @property
+    def pressure(self) -> Pressure:
+        """What is to be done."""
+        if self.headroom_bytes <= 0:
+            return Pressure.SHED
+        is_low = self.headroom_bytes < self.limit_bytes * RECLAIM_SHARE
+        return Pressure.RECLAIM if is_low else Pressure.NONE
+
+    def budget_bytes(self, held_bytes: int) -> int:
+        """Return how much clients may make this process keep in all; it keeps `held_bytes` now."""
+        return max(held_bytes + self.headroom_bytes, MIN_BUDGET_BYTES)
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -22,11 +22,14 @@
 from saltport.decisions import ListKind, ServersChanged
 from saltport.decisions.interface import NS_PER_S
 from saltport.decisions.used_ids import UsedIds
+from saltport.downstream.budget import MIN_TOTAL_BYTES
 from saltport.downstream.clients import ClientServer
+from saltport.downstream.memory_pressure import margin_bytes
 from saltport.downstream.resp import RespDialect
 from saltport.lifecycle.bans import Bans, BanStore
 from saltport.lifecycle.drain import MAX_STEP_DELAY_S, OPERATOR_DRAIN, DrainPlan, shutdown_plan
-from saltport.lifecycle.memory import private_memory_bytes
+from saltport.lifecycle.memory import private_memory_bytes, resident_memory_bytes
+from saltport.lifecycle.memory_monitor import MemoryMonitor
 from saltport.lifecycle.reload import plan_reload
 from saltport.lifecycle.takeover import Takeover
 from saltport.membership.listing import Listing, read_listing
@@ -57,9 +60,8 @@
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
 ADMIN_DESCRIPTORS = 36  # the operators' listener and its maximum number of connections
 CLIENT_DESCRIPTOR_SHARE = 0.6  # part of the descriptors that client connections may use
-RESIDENT_BYTES = 17 << 20  # memory of an idle process
 BUDGET_MEMORY_SHARE = 0.2  # part of the memory limit for commands, requests and answers
-BUDGET_FREE_MEMORY_SHARE = 0.33  # the same, of what an idle process leaves: its objects need some too
+BUDGET_FREE_MEMORY_SHARE = 0.5  # the same, of what an idle process leaves: its objects need some too
 USED_IDS_MEMORY_SHARE = 1 / 128  # part of the memory limit for the ids of requests that may have run
 BANS_FOLDER = "saltport.out"
 LAG_WINDOW_NS = 500_000_000  # the longest loop delay in this window extends the time allowed to peers
@@ -94,14 +96,9 @@
         self._host = RouterHost(loop, config.settings, config.seed, self._pool, config.max_open, used_ids)
         self._pool.on_event = self._host.begin_loop_iteration
         self._memcached = _memcached(config.memcached) if config.memcached.on else None
-        memory_budget = int(
-            min(
-                config.memory * BUDGET_MEMORY_SHARE,
-                max(config.memory - RESIDENT_BYTES, 0) * BUDGET_FREE_MEMORY_SHARE,
-            )
-        )
+        budget_bytes = _budget_bytes(config.memory, resident_memory_bytes() or 0)
         self._clients = ClientServer(
-            loop, self._host, self._default_dialect(), client_descriptors, memory_budget
+            loop, self._host, self._default_dialect(), client_descriptors, budget_bytes
         )
         self._pool.memory = self._clients.budget
         self._clients.dialects[RespDialect.name] = RespDialect
@@ -146,6 +143,13 @@
         )
         if self._takeover is not None:
             self._host.id_sharing = self._takeover
+        self._memory_monitor = MemoryMonitor(
+            loop, config.memory, self._clients, Path(folder) if folder else None, self._other_process_id
+        )
+
+    def _other_process_id(self) -> int | None:
+        """Return the id of the other process of this router; None if there is none."""
+        return self._takeover.other_process_id if self._takeover is not None else None
 
     def _default_dialect(self) -> Callable[[], ClientDialect]:
         """Return a function that creates the dialect of a connection to the clients' main listener."""
@@ -165,6 +169,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._terminated.set)
         # Danger: without a handler, SIGHUP ends the process and loses all requests it has received.
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._memory_monitor.start()
         self._bans.sync()
         known = self._read_cached_list()
         # Danger: sent even without a list, as the first watch follows from this event if discovery needs a
@@ -211,6 +216,7 @@
         self._clients.close()
         if self._clients.access_log is not None:
             self._clients.access_log.close()
+        self._memory_monitor.close()
         self._discovery.close()
         self._pool.close()
         await asyncio.sleep(0)
@@ -302,6 +308,9 @@
             "held_bytes": self._clients.budget.held,
             "budget_bytes": self._clients.budget.total,
             "private_bytes": private_memory_bytes(),
+            "resident_bytes": self._memory_monitor.reading.used_bytes,
+            "memory_limit_bytes": self._memory_monitor.reading.limit_bytes,
+            "memory_pressure": self._memory_monitor.reading.pressure.name.lower(),
         }
         registries = {
             "generation": self._discovery.generation,
@@ -463,6 +472,16 @@
             self._discovery.change_address(plan.config.discovery)
 
 
+def _budget_bytes(limit_bytes: int, idle_bytes: int) -> int:
+    """Return the memory budget of clients, for a process that has `idle_bytes` without them.
+
+    It has room for the longest command at any limit; the memory monitor lowers it where that is too much.
+    """
+    free_bytes = limit_bytes - margin_bytes(limit_bytes) - idle_bytes
+    share = min(limit_bytes * BUDGET_MEMORY_SHARE, free_bytes * BUDGET_FREE_MEMORY_SHARE)
+    return max(int(share), MIN_TOTAL_BYTES)
+
+
 def _owners_link(
     loop: asyncio.AbstractEventLoop, plan: OwnersPlan, peers: PeerLink, host: RouterHost, seed: int
 ) -> OwnersLink:
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -12,7 +12,6 @@
 import os
 import socket
 import stat
-import struct
 import time
 from collections.abc import Callable, Sequence
 from contextlib import suppress
@@ -37,7 +36,7 @@
 )
 from saltport.handover.record import MAX_VALUES_IN_PROGRESS, RECORD_VERSION, ConnectionRecord, RecordError
 from saltport.transport.acceptor import Acceptor
-from saltport.transport.packets import Packet, PacketLink
+from saltport.transport.packets import Packet, PacketLink, peer_credentials
 from saltport.transport.shortage import DIAL_ERRORS, retry_on_shortage
 
 SOCKET_NAME = "saltport.takeover"
@@ -46,7 +45,6 @@
 MAX_REPLY_BYTES = 256  # of a message to the predecessor
 OPEN_TIMEOUT_S = 5.0  # for retries while the machine lacks the resources to open a socket
 RETRY_S = 0.01  # delay before a full link is tried again; the other process frees it by receiving
-CREDENTIALS = struct.Struct("3i")
 
 log = logging.getLogger("saltport")
 
@@ -87,6 +85,12 @@
         """Whether another process of this router runs, as far as the links show."""
         return self._predecessor is not None or self._successor is not None
 
+    @property
+    def other_process_id(self) -> int | None:
+        """Id of the other process of this router, 0 if the kernel does not tell it; None if there is none."""
+        link = self._successor or self._predecessor
+        return link.peer_process_id if link is not None else None
+
     @property
     def awaits_learned_state(self) -> bool:
         """Whether the predecessor runs and has not completely sent its learned state."""
@@ -342,8 +346,7 @@
 
 
 def _same_user(link: socket.socket) -> bool:
-    credentials = link.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size)
-    return int(CREDENTIALS.unpack(credentials)[1]) == os.getuid()
+    return peer_credentials(link).user_id == os.getuid()
 
 
 def _check_sockets(descriptors: Sequence[int]) -> None:
--- a/saltport/transport/packets.py
+++ b/saltport/transport/packets.py
@@ -4,16 +4,35 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from saltport.transport import shortage
 
+_CREDENTIALS = struct.Struct("3i")
 RETRY_PAUSE_S = 0.01
 """Pause before a call is repeated that failed for lack of resources or because the link was full."""
 
 
+class PeerCredentials(NamedTuple):
+    """The process at the other end of a Unix socket (`struct ucred`)."""
+
+    process_id: int
+    user_id: int
+    group_id: int
+
+
+def peer_credentials(sock: socket.socket) -> PeerCredentials:
+    """Return whose process is at the other end; raises OSError."""
+    return PeerCredentials(
+        *_CREDENTIALS.unpack(sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, _CREDENTIALS.size))
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Packet:
     """One received message."""
@@ -43,9 +62,18 @@
         self._unsent_answers: deque[bytes] = deque()
         self._read_retry: asyncio.TimerHandle | None = None
         self._answer_retry: asyncio.TimerHandle | None = None
+        self._peer_process_id = 0
         sock.setblocking(False)
         self._resume_reading()
 
+    @property
+    def peer_process_id(self) -> int:
+        """Id of the process at the other end; 0 while the kernel does not tell it."""
+        if not self._peer_process_id:
+            with suppress(OSError):
+                self._peer_process_id = peer_credentials(self._sock).process_id
+        return self._peer_process_id
+
     def send(self, data: bytes, descriptors: Sequence[int] = ()) -> bool:
         """Send a message; return whether the link took it, which is all or nothing."""
         try:
--- /dev/null
+++ b/tests/downstream/test_memory_pressure.py
@@ -0,0 +1,68 @@
+"""What the kernel counts for a router bounds what its clients may make it keep."""
+
+from __future__ import annotations
+
+import pytest
+
+from saltport.downstream.budget import MemoryBudget, MemoryRequest
+from saltport.downstream.memory_pressure import (
+    MIN_BUDGET_BYTES,
+    MemoryReading,
+    Pressure,
+    margin_bytes,
+)
+
+MIB = 1 << 20
+LIMIT = 64 * MIB
+TOTAL = 8 * MIB
+
+
+@pytest.mark.parametrize(
+    ("used_mib", "pressure"),
+    [
+        (20, Pressure.NONE),
+        (53, Pressure.NONE),
+        (55, Pressure.RECLAIM),
+        (61, Pressure.RECLAIM),
+        (62, Pressure.SHED),
+    ],
+)
+def test_pressure_rises_before_the_limit_is_reached(used_mib: int, pressure: Pressure) -> None:
+    assert MemoryReading(LIMIT, used_mib * MIB).pressure is pressure
+
+
+@pytest.mark.parametrize("limit_mib", [16, 32, 64, 192, 2048])
+def test_what_may_be_kept_and_what_is_used_stay_within_the_limit(limit_mib: int) -> None:
+    limit = limit_mib * MIB
+    for used in range(0, limit, MIB):
+        for held in (0, MIB, 5 * MIB):
+            reading = MemoryReading(limit, used)
+            growth = reading.budget_bytes(held) - held
+            assert used + growth <= limit - margin_bytes(limit) or growth <= MIN_BUDGET_BYTES
+
+
+def test_two_processes_share_what_is_left() -> None:
+    alone, shared = MemoryReading(LIMIT, 40 * MIB), MemoryReading(LIMIT, 40 * MIB, processes=2)
+    assert shared.headroom_bytes == alone.headroom_bytes // 2
+
+
+def test_budget_beyond_its_bound_takes_nothing_new() -> None:
+    budget = MemoryBudget(TOTAL)
+    budget.count(2 * MIB)
+    budget.set_bound(MIB)
+    assert (budget.held, budget.exhausted, budget.has_room(1)) == (2 * MIB, True, False)
+    assert not budget.reserve(1)
+    budget.release_memory(2 * MIB)
+    assert budget.has_room(MIB)
+    assert not budget.has_room(MIB + 1)
+
+
+def test_rise_of_the_bound_serves_those_that_wait() -> None:
+    """Guards against commands that wait for memory which is there again."""
+    budget, served = MemoryBudget(TOTAL), []
+    budget.set_bound(MIB)
+    budget.request(MemoryRequest(2 * MIB, lambda: served.append(1)))
+    budget.set_bound(100 * TOTAL)
+    assert served == [1]
+    assert budget.held == 2 * MIB
+    assert not budget.has_room(TOTAL)
--- a/tests/faults/test_ended_connections.py
+++ b/tests/faults/test_ended_connections.py
@@ -94,7 +94,9 @@
     entries = [entry(peer, name) for name, peer in caches.items()]
     discovery = DiscoveryPeer([*entries, entry(origin, "origin", "origin")])
     port, path = free_port(), folder / "config.json"
-    path.write_text(json.dumps(configuration(port, discovery, facts=FACTS)))
+    # The memory of this process is that of the clients and servers too.
+    limits = {"cores": 1.0, "memory_mb": 8192, "sockets": 1024}
+    path.write_text(json.dumps({**configuration(port, discovery, facts=FACTS), "limits": limits}))
     gc.collect()
     gc.disable()
     try:
--- a/tests/faults/test_returning_crowds.py
+++ b/tests/faults/test_returning_crowds.py
@@ -30,7 +30,7 @@
 WHOLE = os.environ.get("SALTPORT_CROWDS") == "whole"
 COME_BACK_S = 0.01  # after an end without an answer, so that the clients do not hold up each other
 SHORT_PLAYS = [
-    (long_write, 5, 32), (long_write, 5, 192), (stopped_long_write, 800, 32), (abandoned_write, 800, 32),
+    (long_write, 5, 32), (long_write, 5, 192), (long_write, 800, 32), (stopped_long_write, 800, 32), (abandoned_write, 800, 32),
     (any_of_them, 800, 32),
 ]  # fmt: skip
 WHOLE_PLAYS = [(visit, clients, mb) for visit in VISITS for clients in (5, 800) for mb in (32, 64, 192)]
