A process keeps memory free for the one that will replace it in an upgrade

Cause: the process alone uses the limit, and the next one needs some 23 MB at once, and 28 to 30 with its first clients. When both run each takes the margin of one reading, and both may grow between two readings.

Change: on a platform that upgrades in place a process keeps a third more than its own idle memory free, where two processes fit at all (60 MB); the margin counts for each process.

At 32 MB two processes do not fit: they have 45 MB at rest.

--- a/saltport/downstream/memory_pressure.py
+++ b/saltport/downstream/memory_pressure.py
@@ -10,11 +10,15 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from saltport.downstream.budget import MIN_TOTAL_BYTES
+
 MARGIN_SHARE = 1 / 32
-"""Part of the limit that stays free, for what grows between two readings."""
+"""Part of the limit that stays free for each process, for what grows between two readings."""
 MIN_MARGIN_BYTES = 2 << 20
 RECLAIM_SHARE = 1 / 8
 """With less headroom than this part of the limit, freed memory goes back to the kernel."""
+SUCCESSOR_SHARE = 4 / 3
+"""Memory of a process that has begun to serve, as a multiple of that of an idle one."""
 MIN_BUDGET_BYTES = 512 << 10
 """For clients in any case, so that a router which is near its limit for other reasons still answers."""
 
@@ -30,10 +34,21 @@
 
 
 def margin_bytes(limit_bytes: int) -> int:
-    """Return how much of a memory limit has to stay free."""
+    """Return how much of a memory limit has to stay free for each process."""
     return max(int(limit_bytes * MARGIN_SHARE), MIN_MARGIN_BYTES)
 
 
+def successor_bytes(limit_bytes: int, idle_bytes: int) -> int:
+    """Return the memory to keep free for the process that will replace this one, in an upgrade.
+
+    `idle_bytes` is what this process had without clients. Nothing is kept free if the limit is too low for
+    both of them and the longest command.
+    """
+    successor = int(idle_bytes * SUCCESSOR_SHARE)
+    usable_bytes = limit_bytes - margin_bytes(limit_bytes)
+    return successor if usable_bytes >= idle_bytes + successor + MIN_TOTAL_BYTES else 0
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryReading:
     """The memory of a router at one moment, as the kernel counts it."""
@@ -43,11 +58,14 @@
     """Memory of all processes of this router, and of its files."""
     processes: int = 1
     """Number of processes of this router, which share what is left."""
+    reserved_bytes: int = 0
+    """Memory that a process needs which is not running yet."""
 
     @property
     def headroom_bytes(self) -> int:
-        """Bytes by which this process may grow; negative beyond the limit less its margin."""
-        return (self.limit_bytes - margin_bytes(self.limit_bytes) - self.used_bytes) // self.processes
+        """Bytes by which this process may grow; negative beyond the limit less a margin for each process."""
+        left_bytes = self.limit_bytes - self.reserved_bytes - self.used_bytes
+        return left_bytes // self.processes - margin_bytes(self.limit_bytes)
 
     @property
     def pressure(self) -> Pressure:
--- a/saltport/lifecycle/memory_monitor.py
+++ b/saltport/lifecycle/memory_monitor.py
@@ -33,11 +33,14 @@
         clients: ClientServer,
         folder: Path | None,
         other_process: Callable[[], int | None],
+        successor_bytes: int = 0,
     ) -> None:
         """`folder` is kept in memory; `other_process` returns the id of the router's other process, if any.
 
         An id of 0 stands for a process that this one can't see; it counts as much as this one.
+        `successor_bytes` stay free for another process while there is none.
         """
+        self._successor_bytes = successor_bytes
         self._loop, self._limit_bytes, self._clients = loop, limit_bytes, clients
         self._folder, self._other_process = folder, other_process
         self._own_bytes = self._other_bytes = self._files_bytes = 0
@@ -84,7 +87,9 @@
             self._files_read_at = self._loop.time()
             self._files_bytes = folder_bytes(self._folder)
         used_bytes = self._own_bytes + self._other_bytes + self._files_bytes
-        return MemoryReading(self._limit_bytes, used_bytes, 1 if other is None else 2)
+        if other is None:
+            return MemoryReading(self._limit_bytes, used_bytes, reserved_bytes=self._successor_bytes)
+        return MemoryReading(self._limit_bytes, used_bytes, processes=2)
 
     def _reclaim(self) -> bool:
         """Give freed memory back to the kernel; return False if that was done a short while ago."""
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -24,7 +24,7 @@
 from saltport.decisions.used_ids import UsedIds
 from saltport.downstream.budget import MIN_TOTAL_BYTES
 from saltport.downstream.clients import ClientServer
-from saltport.downstream.memory_pressure import margin_bytes
+from saltport.downstream.memory_pressure import margin_bytes, successor_bytes
 from saltport.downstream.resp import RespDialect
 from saltport.lifecycle.bans import Bans, BanStore
 from saltport.lifecycle.drain import MAX_STEP_DELAY_S, OPERATOR_DRAIN, DrainPlan, shutdown_plan
@@ -96,7 +96,8 @@
         self._host = RouterHost(loop, config.settings, config.seed, self._pool, config.max_open, used_ids)
         self._pool.on_event = self._host.begin_loop_iteration
         self._memcached = _memcached(config.memcached) if config.memcached.on else None
-        budget_bytes = _budget_bytes(config.memory, resident_memory_bytes() or 0)
+        idle_bytes = resident_memory_bytes() or 0
+        budget_bytes = _budget_bytes(config.memory, idle_bytes)
         self._clients = ClientServer(
             loop, self._host, self._default_dialect(), client_descriptors, budget_bytes
         )
@@ -144,7 +145,12 @@
         if self._takeover is not None:
             self._host.id_sharing = self._takeover
         self._memory_monitor = MemoryMonitor(
-            loop, config.memory, self._clients, Path(folder) if folder else None, self._other_process_id
+            loop,
+            config.memory,
+            self._clients,
+            Path(folder) if folder else None,
+            self._other_process_id,
+            successor_bytes(config.memory, idle_bytes) if self._takeover is not None else 0,
         )
 
     def _other_process_id(self) -> int | None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -443,9 +443,11 @@
         eventually(lambda: is_ready(port) or process.poll() is not None, "the router is ready")
         assert process.poll() is None, f"the router ended at its start: {process.communicate()[1]}"
         yield router
+        process = router.process  # a test may have replaced it
         if process.poll() is None and router.discovery.raw_answer is None and not router.is_terminated:
             router.check_memory_is_released()
     finally:
+        process = router.process
         router.stop()
         _, log = process.communicate(timeout=TIMEOUT_S)
         for peer in [*caches.values(), discovery.peer, *([origin] if origin else [])]:
