A small reserve admits requests of clients that keep little when memory is used up

Cause: a request is admitted if the budget has room, whoever has filled it; the fair share bounds one client, not hundreds of them.

Change: a client that keeps up to 8 KiB, its request among them, may use 512 KiB beyond the total, an eighth of the margin at the least limit and less above.

--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -25,6 +25,7 @@
 UNRESERVED_SHARE = 0.1  # part of the total that long commands leave to all else
 MIN_TOTAL_BYTES = int((MAX_VALUE_BYTES + MAX_COMMAND_OVERHEAD_BYTES) / (1 - UNRESERVED_SHARE)) + 1
 """Total with which the longest command can be received."""
+RESERVE_BYTES = 512 << 10  # beyond the total, for clients that keep little (sparse flows first, RFC 8290)
 REQUEST_BYTES = 3 << 10  # memory of an open request, its reply and attempts, beside its text and value
 BUFFERED_PART_BYTES = 512  # memory of a part of a reply that waits, beside its bytes
 
@@ -100,6 +101,10 @@
         """Whether `size` more bytes are within the total."""
         return size <= self._free
 
+    def has_reserve(self, size: int) -> bool:
+        """Whether `size` more bytes are within the reserve for clients that keep little."""
+        return size <= self._free + RESERVE_BYTES
+
     def read_size(self, reads: int, most: int) -> int:
         """Return how many bytes may be read at once: what is free divided by `reads`, at most `most`."""
         return min(max(self._free // reads, MIN_READ_BYTES), most)
--- a/saltport/downstream/client_memory.py
+++ b/saltport/downstream/client_memory.py
@@ -11,6 +11,7 @@
 from saltport.messages import Request
 
 LONG_COMMAND_BYTES = 4 << 10  # longer commands reserve memory before they are read
+SPARSE_CLIENT_BYTES = 8 << 10  # that a client may keep, a request among them, to use the reserve
 MEMORY_WAIT_SHARE = 0.5  # of a client's time-out, for which its long command may wait for memory
 UNKNOWN_TIMEOUT_MS = 200  # assumed for a long command that does not state its time-out first
 
@@ -98,11 +99,15 @@
     def admit(self, request: Request) -> int:
         """Count an open request and return its bytes; 0 if there is no room, so that it must be refused."""
         size = REQUEST_BYTES + len(request.key) + len(request.info) + len(request.value or b"")
-        if not self.reserved and not self._budget.has_room(size):
+        if not (self.reserved or self._budget.has_room(size) or self._may_use_reserve(size)):
             return 0
         self.count(size)
         return size
 
+    def _may_use_reserve(self, size: int) -> bool:
+        """Whether the client keeps so little that it may use the memory that is reserved for such clients."""
+        return self.used + size <= SPARSE_CLIENT_BYTES and self._budget.has_reserve(size)
+
     # The command being received
 
     def count_input(self) -> None:
