Signals before the handlers and behind the event loop no longer end a process

Cause: with signals in series a SIGHUP that comes before its handler is installed ends the process by the default action; one that comes while the event loop closes meets a closed wake-up pipe, and SIGTERM behind that the default action again.

--- a/saltport/lifecycle/process.py
+++ b/saltport/lifecycle/process.py
@@ -7,6 +7,7 @@
 import gc
 import logging
 import os
+import signal
 import sys
 import time
 from collections.abc import Sequence
@@ -19,6 +20,7 @@
 from saltport.transport import shortage
 from saltport.transport.loop import run_on_router_loop
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 GC_THRESHOLD = 20_000  # young objects; requests create few cycles, and each collection delays all requests
 
 log = logging.getLogger("saltport")
@@ -26,7 +28,12 @@
 
 async def serve(config: Config, with_files: Sequence[Path] = ()) -> None:
     """Run the router until SIGTERM, and then until all accepted requests are answered; raises OSError."""
-    await Service(asyncio.get_running_loop(), config, dict(os.environ), with_files).run()
+    try:
+        await Service(asyncio.get_running_loop(), config, dict(os.environ), with_files).run()
+    finally:
+        # Danger: a later signal of a series would meet an event loop that is half closed, or end the process
+        # by the signal's default action.
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 def _with_files(arguments: Sequence[str]) -> list[Path]:
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -175,6 +175,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._terminated.set)
         # Danger: without a handler, SIGHUP ends the process and loses all requests it has received.
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])
         self._memory_monitor.start()
         self._bans.sync()
         known = self._read_cached_list()
