--- a/tests/memory.py
+++ b/tests/memory.py
@@ -57,23 +57,8 @@
         self._thread.join()
 
 
-class MemoryWatch:
-    """Samples the router's memory within a `with` block."""
+class MemoryWatch(WholeMemoryWatch):
+    """Samples the memory of a router of one process within a `with` block."""
 
     def __init__(self, router: RunningRouter) -> None:
-        self.most_mb = 0.0
-        self._router, self._over = router, threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def _run(self) -> None:
-        while not self._over.wait(0.01):
-            with suppress(OSError):
-                self.most_mb = max(self.most_mb, own_memory_mb(self._router))
-
-    def __enter__(self) -> MemoryWatch:
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._over.set()
-        self._thread.join()
+        super().__init__(router.folder, lambda: [router.process.pid])
