Values of unknown length no longer all read into the room that one of them has

Cause: such a value asks for room before its next read, and the room is counted after it. Sixteen connections to one origin found the same 256 KB free, and all of them read.

Change: the size of the read itself is what is free at that moment, but for the value that is next to be passed on, which may always grow.

The new unit test asks for a size that did not exist before.

--- a/saltport/downstream/budget.py
+++ b/saltport/downstream/budget.py
@@ -161,6 +161,15 @@
         kept_back = self._kept_back_from(value)
         return not kept_back or READ_SIZE_BYTES + kept_back <= self._free
 
+    def growth_size(self, value: GrowingValue) -> int:
+        """Return how many bytes of a value of unknown length may be read at once.
+
+        Danger: several values may have found the same room, which the first read of one of them takes.
+        """
+        kept_back = self._kept_back_from(value)
+        room = self._free - kept_back if kept_back else READ_SIZE_BYTES
+        return min(max(room, MIN_READ_BYTES), READ_SIZE_BYTES)
+
     def wait(self, waiter: Waiter) -> None:
         """Queue a waiter until memory is released."""
         self._waiting.append(waiter)
--- a/saltport/upstream/http.py
+++ b/saltport/upstream/http.py
@@ -6,7 +6,6 @@
 
 from saltport.decisions import Outcome
 from saltport.handover.record import ReadPosition
-from saltport.transport.stream import READ_SIZE_BYTES
 from saltport.upstream.connection import Connection, Exchange, RequestParts, Server
 from saltport.upstream.unknown_length import UnknownLengthValue
 from saltport.wire.http import HttpError, HttpReader, content_length, request
@@ -131,8 +130,10 @@
             raise HttpError("value too long")
 
     def read_size(self) -> int:
-        """Return the most bytes that the next read may return; a growing value has asked for room already."""
-        return READ_SIZE_BYTES if self._unknown_length is not None else super().read_size()
+        """Return the most bytes that the next read may return: for a growing value, what it has room for."""
+        if self._unknown_length is None:
+            return super().read_size()
+        return self.server.pool.memory.growth_size(self)
 
     # A value of unknown length: no dialect towards clients can begin it before its length is known.
 
--- a/tests/downstream/test_budget.py
+++ b/tests/downstream/test_budget.py
@@ -122,3 +122,16 @@
     assert budget.read_size(64, READ_SIZE_BYTES) == TOTAL // 2 // 64
     budget.count(TOTAL)
     assert budget.read_size(64, READ_SIZE_BYTES) == MIN_READ_BYTES
+
+
+def test_values_that_found_the_same_room_do_not_all_take_it() -> None:
+    """Guards against a room that each of many values is granted before any of them has read."""
+    room = READ_SIZE_BYTES
+    budget = MemoryBudget(MAX_VALUE_BYTES + room)
+    oldest, *others = (Value(budget) for _ in range(8))
+    assert budget.may_grow(oldest)
+    assert all(budget.may_grow(value) for value in others)
+    for value in others:
+        budget.count(budget.growth_size(value))
+    assert budget.held <= room + len(others) * MIN_READ_BYTES
+    assert budget.growth_size(oldest) == READ_SIZE_BYTES
