The memory budget's total is worked out beside what bounds it

It moved from the service to memory_pressure.py, with the shares and a test: room for the longest command at any limit, a fifth of the limit at most. No change of behaviour.

--- a/saltport/downstream/memory_pressure.py
+++ b/saltport/downstream/memory_pressure.py
@@ -15,6 +15,8 @@
 MARGIN_SHARE = 1 / 32
 """Part of the limit that stays free for each process, for what grows between two readings."""
 MIN_MARGIN_BYTES = 3 << 20
+BUDGET_SHARE = 0.2  # part of the limit for commands, requests and answers
+BUDGET_FREE_SHARE = 0.5  # the same, of what an idle process leaves: its objects need some too
 RECLAIM_SHARE = 1 / 8
 """With less headroom than this part of the limit, freed memory goes back to the kernel."""
 SUCCESSOR_SHARE = 1.5
@@ -38,6 +40,17 @@
     return max(int(limit_bytes * MARGIN_SHARE), MIN_MARGIN_BYTES)
 
 
+def total_budget_bytes(limit_bytes: int, idle_bytes: int) -> int:
+    """Return the memory budget of clients, for a process that has `idle_bytes` without them.
+
+    It has room for the longest command at any limit; the process's own memory lowers it where that is too
+    much.
+    """
+    free_bytes = limit_bytes - margin_bytes(limit_bytes) - idle_bytes
+    share = min(limit_bytes * BUDGET_SHARE, free_bytes * BUDGET_FREE_SHARE)
+    return max(int(share), MIN_TOTAL_BYTES)
+
+
 def successor_bytes(limit_bytes: int, idle_bytes: int) -> int:
     """Return the memory to keep free for the process that will replace this one, in an upgrade.
 
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -22,9 +22,8 @@
 from saltport.decisions import ListKind, ServersChanged
 from saltport.decisions.interface import NS_PER_S
 from saltport.decisions.used_ids import UsedIds
-from saltport.downstream.budget import MIN_TOTAL_BYTES
 from saltport.downstream.clients import ClientServer
-from saltport.downstream.memory_pressure import margin_bytes, successor_bytes
+from saltport.downstream.memory_pressure import successor_bytes, total_budget_bytes
 from saltport.downstream.resp import RespDialect
 from saltport.lifecycle.bans import Bans, BanStore
 from saltport.lifecycle.drain import MAX_STEP_DELAY_S, OPERATOR_DRAIN, DrainPlan, shutdown_plan
@@ -60,8 +59,6 @@
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
 ADMIN_DESCRIPTORS = 36  # the operators' listener and its maximum number of connections
 CLIENT_DESCRIPTOR_SHARE = 0.6  # part of the descriptors that client connections may use
-BUDGET_MEMORY_SHARE = 0.2  # part of the memory limit for commands, requests and answers
-BUDGET_FREE_MEMORY_SHARE = 0.5  # the same, of what an idle process leaves: its objects need some too
 USED_IDS_MEMORY_SHARE = 1 / 128  # part of the memory limit for the ids of requests that may have run
 BANS_FOLDER = "saltport.out"
 LAG_WINDOW_NS = 500_000_000  # the longest loop delay in this window extends the time allowed to peers
@@ -97,9 +94,12 @@
         self._pool.on_event = self._host.begin_loop_iteration
         self._memcached = _memcached(config.memcached) if config.memcached.on else None
         idle_bytes = resident_memory_bytes() or 0
-        budget_bytes = _budget_bytes(config.memory, idle_bytes)
         self._clients = ClientServer(
-            loop, self._host, self._default_dialect(), client_descriptors, budget_bytes
+            loop,
+            self._host,
+            self._default_dialect(),
+            client_descriptors,
+            total_budget_bytes(config.memory, idle_bytes),
         )
         self._pool.memory = self._clients.budget
         self._clients.dialects[RespDialect.name] = RespDialect
@@ -479,16 +479,6 @@
             self._discovery.change_address(plan.config.discovery)
 
 
-def _budget_bytes(limit_bytes: int, idle_bytes: int) -> int:
-    """Return the memory budget of clients, for a process that has `idle_bytes` without them.
-
-    It has room for the longest command at any limit; the memory monitor lowers it where that is too much.
-    """
-    free_bytes = limit_bytes - margin_bytes(limit_bytes) - idle_bytes
-    share = min(limit_bytes * BUDGET_MEMORY_SHARE, free_bytes * BUDGET_FREE_MEMORY_SHARE)
-    return max(int(share), MIN_TOTAL_BYTES)
-
-
 def _owners_link(
     loop: asyncio.AbstractEventLoop, plan: OwnersPlan, peers: PeerLink, host: RouterHost, seed: int
 ) -> OwnersLink:
--- a/tests/downstream/test_memory_pressure.py
+++ b/tests/downstream/test_memory_pressure.py
@@ -4,14 +4,16 @@
 
 import pytest
 
-from saltport.downstream.budget import MemoryBudget, MemoryRequest
+from saltport.downstream.budget import MIN_TOTAL_BYTES, MemoryBudget, MemoryRequest
 from saltport.downstream.memory_pressure import (
     MIN_BUDGET_BYTES,
     MemoryReading,
     Pressure,
     margin_bytes,
     successor_bytes,
+    total_budget_bytes,
 )
+from saltport.wire.resp import MAX_COMMAND_OVERHEAD_BYTES, MAX_VALUE_BYTES
 
 MIB = 1 << 20
 LIMIT = 64 * MIB
@@ -42,6 +44,13 @@
             assert used + growth <= limit - margin_bytes(limit) or growth <= MIN_BUDGET_BYTES
 
 
+@pytest.mark.parametrize("limit_mib", [16, 32, 48, 192])
+def test_budget_has_room_for_the_longest_command_and_a_fifth_of_the_limit_at_most(limit_mib: int) -> None:
+    total = total_budget_bytes(limit_mib * MIB, 23 * MIB)
+    assert MemoryBudget(total).can_ever_reserve(MAX_VALUE_BYTES + MAX_COMMAND_OVERHEAD_BYTES)
+    assert total <= max(limit_mib * MIB / 5, MIN_TOTAL_BYTES)
+
+
 def test_two_processes_share_what_is_left() -> None:
     alone, shared = MemoryReading(LIMIT, 40 * MIB), MemoryReading(LIMIT, 40 * MIB, processes=2)
     margin = margin_bytes(LIMIT)
