--- a/saltport/lifecycle/memory_monitor.py
+++ b/saltport/lifecycle/memory_monitor.py
@@ -47,6 +47,7 @@
         self._own_bytes = self._other_bytes = self._files_bytes = 0
         self._files_read_at = self._reclaimed_at = self._collected_at = -FILES_INTERVAL_S - COLLECT_INTERVAL_S
         self._timer: asyncio.TimerHandle | None = None
+        self._logged_tenths = 0
         self.reading = MemoryReading(limit_bytes, 0)
         """The latest reading."""
 
@@ -74,7 +75,10 @@
             # Danger: the connection whose event led here may be among those that are closed.
             self._loop.call_soon(self._clients.shed, SHED_CONNECTIONS)
         if (pressure is Pressure.SHED) != (before is Pressure.SHED):
-            self._log_change()
+            self._log("is short" if pressure is Pressure.SHED else "suffices again", logging.WARNING)
+        elif (tenths := self.reading.used_bytes * 10 // self._limit_bytes) > self._logged_tenths:
+            self._logged_tenths = tenths
+            self._log("has grown", logging.INFO)
         interval_s = READ_INTERVAL_S if pressure is Pressure.NONE else PRESSED_READ_INTERVAL_S
         self._schedule(interval_s)
 
@@ -114,12 +118,13 @@
         release_freed_memory()
         return True
 
-    def _log_change(self) -> None:
-        """Log that the memory has become short, or that it is not any more."""
+    def _log(self, change: str, level: int) -> None:
+        """Log a change of the memory in use: short, sufficient again, or a further tenth of the limit."""
         reading, budget = self.reading, self._clients.budget
-        log.warning(
+        log.log(
+            level,
             "memory %s: %.1f of %.1f MiB in use by %d processes, %.1f MiB held for %d clients",
-            "is short" if reading.pressure is Pressure.SHED else "suffices again",
+            change,
             reading.used_bytes / (1 << 20),
             reading.limit_bytes / (1 << 20),
             reading.processes,
