--- a/saltport/soak.py
+++ b/saltport/soak.py
@@ -14,11 +14,15 @@
 from saltport.address import Address
 from saltport.audit import Limits, Verdict
 from saltport.harness import Harness, run_load
+from saltport.lifecycle.memory import resident_memory_bytes
 from saltport.load.plan import LoadPlan, Step
 from saltport.standins.faults import KINDS
 from saltport.standins.profile import Profile, with_faster_work, with_shorter_deadlines
+from saltport.wire.resp import command
 
 IDLE_RECONNECT_DELAY_S = 0.05
+MEMORY_SAMPLE_S = 0.05
+HALF_COMMAND = command(b"KV.SET", b"half", b"half", b"c=put,d=500", bytes(64 << 10))[: 32 << 10]
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +52,12 @@
     Shorter deadlines also let SIGKILL follow SIGTERM sooner.
     """
     idle_connections: int = 0
-    """The number of idle connections to each router; a closed one is opened again."""
+    """The number of idle connections to each router; a closed one is opened again.
+
+    Every second one sends half of a command.
+    """
+    memory_mb: int = 192
+    """The memory limit of each router."""
     sockets: int = 1024
     """The limit of open sockets of each router."""
     environ: Mapping[str, str] = field(default_factory=dict)
@@ -64,14 +73,33 @@
     fault_counts: dict[str, int]
     """The number of injected faults by kind."""
     schedule: list[dict[str, Any]]
+    most_memory_bytes: int
+    """The most resident memory that a router process had, with mapped files."""
+
+
+class MemoryWatch:
+    """Samples the memory of all routers of a harness."""
 
+    def __init__(self, harness: Harness) -> None:
+        self._harness = harness
+        self.most_bytes = 0
 
-async def keep_idle_connection(address: Address, seconds: float) -> None:
-    """Keep one idle connection open, and open it again whenever it is closed."""
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        while True:
+            for router in self._harness.router_processes:
+                if router.process is not None and router.alive:
+                    self.most_bytes = max(self.most_bytes, resident_memory_bytes(router.process.pid) or 0)
+            await asyncio.sleep(MEMORY_SAMPLE_S)
+
+
+async def keep_idle_connection(address: Address, seconds: float, greeting: bytes = b"") -> None:
+    """Keep one idle connection open, and open it again whenever it is closed; `greeting` is sent at first."""
     end = time.monotonic() + seconds
     while time.monotonic() < end:
         try:
             reader, writer = await asyncio.open_connection(*address)
+            writer.write(greeting)
             await reader.read(1)
             writer.close()
         except OSError:
@@ -86,7 +114,7 @@
     profile = with_shorter_deadlines(with_faster_work(Profile(), soak.work_divisor), soak.deadline_divisor)
 
     def configure(_: str, config: dict[str, Any]) -> dict[str, str]:
-        config["limits"]["sockets"] = soak.sockets
+        config["limits"] |= {"sockets": soak.sockets, "memory_mb": soak.memory_mb}
         return {}
 
     harness = Harness(
@@ -98,10 +126,14 @@
             "play", seed=soak.seed, seconds=soak.seconds, kinds=list(soak.kinds), every_s=soak.fault_every_s
         )
         idle_tasks = [
-            asyncio.get_running_loop().create_task(keep_idle_connection(router.address, soak.seconds))
+            asyncio.get_running_loop().create_task(
+                keep_idle_connection(router.address, soak.seconds, HALF_COMMAND if number % 2 else b"")
+            )
             for router in harness.router_processes
-            for _ in range(soak.idle_connections)
+            for number in range(soak.idle_connections)
         ]
+        memory = MemoryWatch(harness)
+        idle_tasks.append(asyncio.get_running_loop().create_task(memory.run()))
         load = asyncio.get_running_loop().create_task(run_load(harness, plan, progress=progress))
         if soak.restart_every_s:
             restarts = asyncio.get_running_loop().create_task(
@@ -119,4 +151,5 @@
             task.cancel()
         await asyncio.gather(*idle_tasks, return_exceptions=True)
     fault_counts = Counter(record["fault"] for record in harness.fleet_records() if record["kind"] == "fault")
-    return SoakResult(summary, harness.audit([ledger], limits), dict(fault_counts), played["schedule"])
+    verdict = harness.audit([ledger], limits)
+    return SoakResult(summary, verdict, dict(fault_counts), played["schedule"], memory.most_bytes)
--- a/tests/test_soak_shutdown.py
+++ b/tests/test_soak_shutdown.py
@@ -22,6 +22,7 @@
 
 SEEDS = int(os.environ.get("SALTPORT_SOAK_SEEDS", "8"))
 SOAK_S = 9.0
+MEMORY_LIMITS_MB = (32, 192, 64, 48)
 IDLE_CONNECTIONS, SCARCE_SOCKETS = 140, 200
 # A machine that is busy with other tests may stall a router for longer than the audit's default of 50 ms.
 GENEROUS = Limits(3_000, 3_000, 3_000, 3_000)
@@ -47,6 +48,10 @@
         calls.step_wall_clock(rng.choice(STEPS_S))
 
 
+def memory_limit_mb(seed: int) -> int:
+    return MEMORY_LIMITS_MB[seed % len(MEMORY_LIMITS_MB)]
+
+
 def play(seed: int, folder: Path) -> SoakResult:
     """Every third seed has idle connections, the others failing calls; even seeds have short deadlines."""
     rng = random.Random(seed)
@@ -56,7 +61,7 @@
         SOAK_S, nodes=12, routers=3, rate=60, seed=seed, fault_every_s=0.6, restart_every_s=1.2,
         work_divisor=4, keys=300, deadline_divisor=1.0 if seed % 2 else 4.0,
         idle_connections=idle_connections, sockets=SCARCE_SOCKETS if idle_connections else 1024,
-        environ=calls.environ,
+        memory_mb=memory_limit_mb(seed), environ=calls.environ,
     )  # fmt: skip
 
     async def run() -> SoakResult:
@@ -77,6 +82,7 @@
     result = play(seed, tmp_path)
     assert result.verdict.violations == []
     assert result.verdict.checked["answers"] > 100
+    assert result.most_memory_bytes < memory_limit_mb(seed) << 20
     assert result.summary["served"] > result.summary["requests"] / 5
     for log in tmp_path.glob("*/log"):
         assert "Traceback" not in log.read_text()
