--- a/saltport/lifecycle/memory_monitor.py
+++ b/saltport/lifecycle/memory_monitor.py
@@ -19,6 +19,7 @@
 RECLAIM_INTERVAL_S = 0.5
 COLLECT_INTERVAL_S = 5.0  # between two runs of Python's collector of reference cycles
 FILES_INTERVAL_S = 1.0  # between two readings of the size of files
+UNLOGGED_TENTHS = 7  # of the limit; a log has room for few lines in each second
 SHED_CONNECTIONS = 8  # closed after one reading; the next one shows what that freed
 
 log = logging.getLogger("saltport")
@@ -47,7 +48,7 @@
         self._own_bytes = self._other_bytes = self._files_bytes = 0
         self._files_read_at = self._reclaimed_at = self._collected_at = -FILES_INTERVAL_S - COLLECT_INTERVAL_S
         self._timer: asyncio.TimerHandle | None = None
-        self._logged_tenths = 0
+        self._logged_tenths = UNLOGGED_TENTHS
         self.reading = MemoryReading(limit_bytes, 0)
         """The latest reading."""
 
