Information in the log no longer takes the place of a warning

Cause: a log has room for five lines a second, whatever they tell.

Change: warnings have five lines a second of their own; short and sufficient memory in turn is one line a second at most.

--- a/saltport/lifecycle/memory_monitor.py
+++ b/saltport/lifecycle/memory_monitor.py
@@ -20,6 +20,7 @@
 COLLECT_INTERVAL_S = 5.0  # between two runs of Python's collector of reference cycles
 FILES_INTERVAL_S = 1.0  # between two readings of the size of files
 UNLOGGED_TENTHS = 7  # of the limit; a log has room for few lines in each second
+LOG_INTERVAL_S = 1.0  # between two lines on short memory
 SHED_CONNECTIONS = 8  # closed after one reading; the next one shows what that freed
 
 log = logging.getLogger("saltport")
@@ -48,6 +49,7 @@
         self._own_bytes = self._other_bytes = self._files_bytes = 0
         self._files_read_at = self._reclaimed_at = self._collected_at = -FILES_INTERVAL_S - COLLECT_INTERVAL_S
         self._timer: asyncio.TimerHandle | None = None
+        self._change_logged_at = -LOG_INTERVAL_S
         self._logged_tenths = UNLOGGED_TENTHS
         self.reading = MemoryReading(limit_bytes, 0)
         """The latest reading."""
@@ -75,7 +77,7 @@
         if pressure is Pressure.SHED:
             # Danger: the connection whose event led here may be among those that are closed.
             self._loop.call_soon(self._clients.shed, SHED_CONNECTIONS)
-        if (pressure is Pressure.SHED) != (before is Pressure.SHED):
+        if (pressure is Pressure.SHED) != (before is Pressure.SHED) and self._may_log_change():
             self._log("is short" if pressure is Pressure.SHED else "suffices again", logging.WARNING)
         elif (tenths := self.reading.used_bytes * 10 // self._limit_bytes) > self._logged_tenths:
             self._logged_tenths = tenths
@@ -119,6 +121,14 @@
         release_freed_memory()
         return True
 
+    def _may_log_change(self) -> bool:
+        """Whether a change between short and sufficient memory is logged: it may come many times a second."""
+        now = self._loop.time()
+        if now - self._change_logged_at < LOG_INTERVAL_S:
+            return False
+        self._change_logged_at = now
+        return True
+
     def _log(self, change: str, level: int) -> None:
         """Log a change of the memory in use: short, sufficient again, or a further tenth of the limit."""
         reading, budget = self.reading, self._clients.budget
--- a/saltport/router/log.py
+++ b/saltport/router/log.py
@@ -5,17 +5,30 @@
 import logging
 import time
 
-MAX_LINES_PER_S = 5  # of the log; further lines are dropped and counted
+MAX_LINES_PER_S = 5  # of warnings, and of information; further lines are dropped and counted
 
 
 class _RateLimitFilter(logging.Filter):
-    """Passes up to `MAX_LINES_PER_S` log records in each second, and counts the others."""
+    """Passes up to `MAX_LINES_PER_S` warnings in each second, as much information, and counts the others."""
 
     def __init__(self) -> None:
         super().__init__()
-        self._second, self._lines, self._dropped = 0, 0, 0
+        self._warnings, self._information = _RateLimit(), _RateLimit()
 
     def filter(self, record: logging.LogRecord) -> bool:
+        # Danger: information must not take the place of a warning.
+        limit = self._warnings if record.levelno >= logging.WARNING else self._information
+        return limit.passes(record)
+
+
+class _RateLimit:
+    """The lines of one kind in the present second."""
+
+    def __init__(self) -> None:
+        self._second, self._lines, self._dropped = 0, 0, 0
+
+    def passes(self, record: logging.LogRecord) -> bool:
+        """Whether the line is within the limit; the first one of a second tells how many were dropped."""
         second = int(time.monotonic())
         if second != self._second:
             if self._dropped:
