Plays with replaced processes end after a whole replacement

The play cancelled the task that kills and starts processes; a cancellation between the kill and the next start, while the task waits for the end of the killed process, left no process at all.

Now a flag ends the loop and the replacement that runs is awaited. The same for the play with upgrades, which set up alike.

--- a/tests/faults/test_returning_crowds.py
+++ b/tests/faults/test_returning_crowds.py
@@ -9,13 +9,14 @@
 import asyncio
 import itertools
 import os
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import cast
 
 import pytest
 
-from benchmarks.platform import Platform, platform
+from benchmarks.platform import platform
 from tests.faults.crowd import CACHES, DEADLINE_MS, FACTS, HostileClient, UsualClients, play, running
 from tests.faults.hostile_clients import (
     SIZES,
@@ -55,6 +56,28 @@
     return client
 
 
+async def play_beside(
+    replace_process: Callable[[], Awaitable[None]], router: RunningRouter, clients: int
+) -> UsualClients:
+    """Play a crowd of all kinds of clients, and replace the router's process again and again meanwhile."""
+    is_over = asyncio.Event()
+
+    async def replace_until_over() -> None:
+        while True:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(is_over.wait(), SECONDS / RESTARTS)
+                return
+            await replace_process()
+
+    replacing = asyncio.create_task(replace_until_over())
+    try:
+        return await play(router, returning(any_of_them), clients, SECONDS)
+    finally:
+        # A cancellation could leave the router without a process, between a kill and the next start.
+        is_over.set()
+        await replacing
+
+
 @pytest.mark.parametrize(("visit", "clients", "memory_mb"), WHOLE_PLAYS if WHOLE else SHORT_PLAYS)
 def test_whole_memory_stays_within_the_limit_while_a_crowd_comes_back(
     tmp_path: Path, visit: HostileClient, clients: int, memory_mb: int
@@ -80,25 +103,16 @@
 ) -> None:
     """Guards against a process that is killed again right after its start, by all clients at once."""
 
-    async def kill_and_restart(router: RunningRouter) -> None:
-        while True:
-            await asyncio.sleep(SECONDS / RESTARTS)
-            router.process.kill()
-            await asyncio.to_thread(router.process.communicate)
-            router.process = start_router(tmp_path, router.read_configuration())
-
-    async def play_and_restart(router: RunningRouter) -> UsualClients:
-        restarting = asyncio.create_task(kill_and_restart(router))
-        try:
-            return await play(router, returning(any_of_them), 800, SECONDS)
-        finally:
-            restarting.cancel()
+    async def kill_and_restart() -> None:
+        router.process.kill()
+        await asyncio.to_thread(router.process.communicate)
+        router.process = start_router(tmp_path, router.read_configuration())
 
     with (
         running(tmp_path, memory_mb, SIZES) as router,
         WholeMemoryWatch(tmp_path, lambda: [router.process.pid]) as watch,
     ):
-        usual = asyncio.run(play_and_restart(router))
+        usual = asyncio.run(play_beside(kill_and_restart, router, 800))
         print(f"restarted, {memory_mb}: {watch.most_mb:.1f} MB; usual: {dict(usual.outcomes)}")
         eventually(lambda: is_ready(router.port), "the last process is ready")
     assert watch.most_mb < memory_mb
@@ -110,22 +124,13 @@
 ) -> None:
     """Guards against two processes that each take what is left of one limit."""
 
-    async def upgrade_again_and_again(cluster: Platform) -> None:
-        while True:
-            await asyncio.sleep(SECONDS / RESTARTS)
-            old, new = cluster.processes[-1], cluster.start()
-            await asyncio.to_thread(new.wait_until_healthy)
-            old.terminate()
-            await asyncio.sleep(KILL_AFTER_S)
-            old.process.kill()
-            await asyncio.to_thread(old.process.communicate)
-
-    async def play_and_upgrade(cluster: Platform) -> UsualClients:
-        upgrading = asyncio.create_task(upgrade_again_and_again(cluster))
-        try:
-            return await play(cast(RunningRouter, cluster), returning(any_of_them), 400, SECONDS)
-        finally:
-            upgrading.cancel()
+    async def upgrade() -> None:
+        old, new = cluster.processes[-1], cluster.start()
+        await asyncio.to_thread(new.wait_until_healthy)
+        old.terminate()
+        await asyncio.sleep(KILL_AFTER_S)
+        old.process.kill()
+        await asyncio.to_thread(old.process.communicate)
 
     with (
         server_process(CACHES, {"u": 100, **SIZES}) as (caches, origin),
@@ -137,7 +142,7 @@
         with WholeMemoryWatch(
             tmp_path, lambda: [process.process.pid for process in cluster.processes]
         ) as watch:
-            usual = asyncio.run(play_and_upgrade(cluster))
+            usual = asyncio.run(play_beside(upgrade, cast(RunningRouter, cluster), 400))
         print(f"upgraded, {memory_mb}: {watch.most_mb:.1f} MB; usual: {dict(usual.outcomes)}")
         print("of each process, and files, MB:", [round(part, 1) for part in watch.most_parts_mb])
     assert len(cluster.processes) > 1
