Usual clients have a process of their own beside a crowd

Crowd and usual clients shared one event loop, and each client of the crowd gave asyncio 4 MiB at once, which copied the rest and moved it at each partial send.

Now the usual clients run in a process of their own (as the servers do), with the same deadline, slack and check, and the crowd writes in parts of 64 KiB.

--- a/tests/faults/hostile_clients.py
+++ b/tests/faults/hostile_clients.py
@@ -6,7 +6,8 @@
 import itertools
 from contextlib import suppress
 
-from tests.faults.crowd import DEADLINE_MS, connect_slow_reader, connected
+from tests.faults.crowd import connect_slow_reader, connected
+from tests.faults.usual_clients import DEADLINE_MS
 from tests.sockets import RunningRouter, bulk, get, put
 
 LONG = 4 << 20
@@ -30,6 +31,7 @@
 # The parts of a long write that are sent, built once: the event loop of the clients must not be held up.
 LONG_WRITE = memoryview(put("w########", b"v" * LONG, d=DEADLINE_MS))
 HEAD_BYTES = 200
+PART_BYTES = 64 << 10  # written at once, so that the crowd does not copy whole values
 
 
 def long_write_head(number: int) -> bytes:
@@ -105,7 +107,9 @@
     """Send a write of 4 MiB, and read its answer."""
     async with connected(router) as (reader, writer):
         writer.write(long_write_head(number))
-        writer.write(LONG_WRITE[HEAD_BYTES:])
+        for at in range(HEAD_BYTES, len(LONG_WRITE), PART_BYTES):
+            writer.write(LONG_WRITE[at : at + PART_BYTES])
+            await writer.drain()
         await reader.readline()
 
 
--- a/tests/faults/test_crowds.py
+++ b/tests/faults/test_crowds.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from tests.faults.crowd import DEADLINE_MS, connected, play, running
+from tests.faults.crowd import connected, play, running
 from tests.faults.servers import read_record
+from tests.faults.usual_clients import DEADLINE_MS
 from tests.memory import MemoryWatch
 from tests.sockets import RunningRouter, bulk, get
 
--- a/tests/faults/test_flooding_clients.py
+++ b/tests/faults/test_flooding_clients.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from tests.faults.crowd import DEADLINE_MS, FACTS, many_reads, play, running
+from tests.faults.crowd import FACTS, many_reads, play, running
+from tests.faults.usual_clients import DEADLINE_MS
 from tests.memory import MemoryWatch, own_memory_mb
 from tests.sockets import RunningRouter, bulk, get, put
 
--- a/tests/faults/test_returning_crowds.py
+++ b/tests/faults/test_returning_crowds.py
@@ -17,7 +17,7 @@
 import pytest
 
 from benchmarks.platform import platform
-from tests.faults.crowd import CACHES, DEADLINE_MS, FACTS, HostileClient, UsualClients, play, running
+from tests.faults.crowd import CACHES, FACTS, HostileClient, play, running
 from tests.faults.hostile_clients import (
     SIZES,
     VISITS,
@@ -27,6 +27,7 @@
     stopped_long_write,
 )
 from tests.faults.servers import server_process
+from tests.faults.usual_clients import DEADLINE_MS, UsualClients
 from tests.memory import WholeMemoryWatch
 from tests.sockets import RunningRouter, entry, eventually, is_ready, start_router
 
--- a/tests/faults/test_slow_peers.py
+++ b/tests/faults/test_slow_peers.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from tests.faults.crowd import DEADLINE_MS, FACTS, LATE_S, cache_of
+from tests.faults.crowd import FACTS, cache_of
+from tests.faults.usual_clients import DEADLINE_MS, LATE_S
 from tests.sockets import MISS, Client, Peer, eventually, get, hit, http_answer, put, reset, run_router
 
 LONG = random.Random(11).randbytes(1 << 20)
