Only files of a private temporary folder count as the router's memory

The size of all files below $TMPDIR counts against the memory limit, which holds where the platform gives each router a private folder that is kept in memory.

The check that the hand-over's socket needed already decides now; it and the private subfolder are a module of their own.

--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -29,6 +29,7 @@
 from saltport.lifecycle.drain import MAX_STEP_DELAY_S, OPERATOR_DRAIN, DrainPlan, shutdown_plan
 from saltport.lifecycle.memory import private_memory_bytes, resident_memory_bytes
 from saltport.lifecycle.memory_monitor import MemoryMonitor
+from saltport.lifecycle.private_folder import is_private
 from saltport.lifecycle.reload import plan_reload
 from saltport.lifecycle.takeover import Takeover
 from saltport.membership.listing import Listing, read_listing
@@ -148,7 +149,7 @@
             loop,
             config.memory,
             self._clients,
-            Path(folder) if folder else None,
+            _folder_in_memory(folder),
             self._other_process_id,
             successor_bytes(config.memory, idle_bytes) if self._takeover is not None else 0,
         )
@@ -540,6 +541,17 @@
     return copy
 
 
+def _folder_in_memory(folder: str | None) -> Path | None:
+    """Return the folder for temporary files if its files count as this router's memory (DEPLOY), else None.
+
+    In a folder that is shared with other users, most files are not the router's.
+    """
+    if not folder:
+        return None
+    path = Path(folder).resolve()
+    return path if is_private(path) else None
+
+
 def _access_log(loop: asyncio.AbstractEventLoop, config: Config) -> AccessLog:
     """Return the log of client requests, in a file of this process in the configured folder."""
     from saltport.downstream.access_log import AccessLog  # imported only if enabled
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -11,7 +11,6 @@
 import logging
 import os
 import socket
-import stat
 import time
 from collections.abc import Callable, Sequence
 from contextlib import suppress
@@ -35,6 +34,7 @@
     TransferSender,
 )
 from saltport.handover.record import MAX_VALUES_IN_PROGRESS, RECORD_VERSION, ConnectionRecord, RecordError
+from saltport.lifecycle.private_folder import private_folder
 from saltport.transport.acceptor import Acceptor
 from saltport.transport.packets import Packet, PacketLink, peer_credentials
 from saltport.transport.shortage import DIAL_ERRORS, retry_on_shortage
@@ -323,28 +323,6 @@
             self._acceptor = None
 
 
-def private_folder(folder: Path) -> Path:
-    """Return a folder in which only this user can create files: `folder` itself or a subfolder.
-
-    Raises OSError if there is no such folder.
-    """
-    if _is_private(folder):
-        return folder
-    inner = folder / f"saltport-{os.getuid()}"
-    with suppress(FileExistsError):
-        inner.mkdir(0o700)
-    if not _is_private(inner):
-        raise OSError(f"{inner} is not private to this user")
-    return inner
-
-
-def _is_private(folder: Path) -> bool:
-    """Whether only the user of this process can write to the folder, which is no symbolic link."""
-    status = os.lstat(folder)
-    private = not status.st_mode & (stat.S_IWGRP | stat.S_IWOTH)
-    return stat.S_ISDIR(status.st_mode) and status.st_uid == os.getuid() and private
-
-
 def _same_user(link: socket.socket) -> bool:
     return peer_credentials(link).user_id == os.getuid()
 
