Four MiB stay free of a small memory limit, in place of three

Beside 800 clients of all kinds at 32 MB the whole RSS reached 31.5 MB: what a process grows by after the account refuses (freed blocks that the allocator keeps between two uses, objects that no account counts) was up to 2.5 of the margin of 3. A trace of the readings showed it: memory in use 29.0 to 30.6 with the same or less held, and 1.6 MB back after the next time that freed memory was given back.

The memory that idle connections no longer take pays for the margin.

--- a/saltport/downstream/memory_pressure.py
+++ b/saltport/downstream/memory_pressure.py
@@ -14,7 +14,7 @@
 
 MARGIN_SHARE = 1 / 32
 """Part of the limit that stays free for each process, for what grows between two readings."""
-MIN_MARGIN_BYTES = 3 << 20
+MIN_MARGIN_BYTES = 4 << 20
 BUDGET_SHARE = 0.2  # part of the limit for commands, requests and answers
 BUDGET_FREE_SHARE = 0.5  # the same, of what an idle process leaves: its objects need some too
 RECLAIM_SHARE = 1 / 8
