A queued request is refused at its deadline, not one loop iteration later

One part: a time-out that is late waits until the loop has polled once more, as an answer may be unread. A request that waits for a free connection has no answer to wait for, and may not be sent any more.

At its deadline it is refused at once now, with the same outcome.

--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -333,9 +333,15 @@
         host, now = self._host, time.monotonic_ns()
         host.begin_loop_iteration()
         settling = not self._written_at and host.loop.time() < self.settles_at
-        if (self.waits_for_resources or settling) and not self._request.deadline.expired(now):
+        has_time = not self._request.deadline.expired(now)
+        if (self.waits_for_resources or settling) and has_time:
             self._restart_timeout(now)
             return
+        # An attempt that waits for a free connection never ran, so it says nothing about the server.
+        queued = not self._written_at and (self.waits_for_resources or not host.dialing(self._server))
+        if queued and not has_time:
+            self.give_up(Outcome.NOT_SENT)
+            return
         if self.connection is not None and self.connection.awaits_memory:
             self._wait_for_memory(now)
             return
@@ -352,9 +358,7 @@
             if late > LOOP_DELAY_THRESHOLD_NS or (self.connection is not None and self.connection.unread):
                 self._timer = host.loop.call_later(LOOP_POLL_WAIT_S, self._timed_out)
                 return
-        # An attempt that waits for a free connection never ran, so it says nothing about the server.
-        queued = not self._written_at and (self.waits_for_resources or not host.dialing(self._server))
-        if self._written_at and self._request.deadline.expired(now):
+        if self._written_at and not has_time:
             self.abandon(Outcome.TIMEOUT, host.late_answer_wait_s)
         else:
             self.give_up(Outcome.NOT_SENT if queued else Outcome.TIMEOUT)
