Test of slow start names the reads that got another answer, and what they got

Cause: the listed failure of the test with the wall clock says only that some answer of 300 was not its value, so it can't be traced.

Change: the check compares the answers by name, as strictly; a failure lists those that differ.

--- a/tests/faults/test_wall_clock.py
+++ b/tests/faults/test_wall_clock.py
@@ -22,8 +22,8 @@
     """Return the share of reads for new keys that a server receives."""
     client = router.client()
     client.send(b"".join(get(f"{prefix}{number}", f"{prefix}{number}") for number in range(READS)))
-    answers = [client.answer() for _ in range(READS)]
-    assert all(answer == f"{prefix}{number}".encode() for number, answer in enumerate(answers))
+    answers = {f"{prefix}{number}": client.answer().decode() for number in range(READS)}
+    assert {number: answer for number, answer in answers.items() if answer != number} == {}
     return sum(words[2].startswith(prefix.encode()) for words in router.caches[name.decode()].seen) / READS
 
 
