--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,9 +8,13 @@
 
 LONGEST_FIRST = (
     "tests/faults/test_memory_of_clients.py",
+    "tests/test_soak_shutdown.py",
     "tests/faults/test_crowds.py",
     "tests/nemesis/test_zone_processes.py",
     "tests/router/test_routing.py",
+    "tests/faults/test_matrix_reload.py",
+    "tests/failover/test_world.py",
+    "tests/faults/test_returning_crowds.py",
     "tests/handover/test_processes.py",
     "tests/nemesis/",
     "tests/test_soak.py",
--- a/tests/crossings/test_memory_of_answers.py
+++ b/tests/crossings/test_memory_of_answers.py
@@ -189,7 +189,7 @@
 
 
 def is_served(router: RunningRouter, name: str) -> bool:
-    """Whether a read is served; nothing but the tenant's rate limit, low after slow fetches, may refuse it."""
+    """Whether a read is served; only the tenant's rate limit, low after slow fetches, may refuse it."""
     suppressed = suppressed_fetches(router)
     outcome = read_all(router, name, 1)
     assert outcome == {"served": 1} or suppressed_fetches(router) == suppressed + 1
