A simulated server that is down keeps its port

Within the origin's outage (11:15:49 to 11:15:56) four routers log "origin: sent its latest answer again": someone whose answers are all alike answered at the origin's address. The outage closes the listener, which frees its port, and another test's server, in the same run, may be given it.

A peer holds a second socket from its first start to its end, bound and not listening, as harness.reserve_port does for processes. tests/standins/test_peer.py failed before (another socket could bind the port). That the other server was a test's is concluded, not seen.

--- a/saltport/standins/peer.py
+++ b/saltport/standins/peer.py
@@ -53,6 +53,18 @@
         """Called when the peer resumes after a suspension: pending replies may be sent."""
 
 
+def _bound_socket(address: Address) -> socket.socket:
+    """Return a socket bound to an address, which others with SO_REUSEADDR may share. Raises OSError."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind(address)
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
 class Peer:
     """A simulated server's listener, which accepts connections itself to simulate ways of not responding."""
 
@@ -62,6 +74,8 @@
         self.address: Address = (host, 0)
         self.suspended = False
         self._suspended_span = (0, 0)
+        self._reservation: socket.socket | None = None
+        """Bound to the address and not listening: keeps the port while connections are refused."""
         self._listener: socket.socket | None = None
         self._accepting = False
         self._backlog_fillers: list[socket.socket] = []
@@ -69,16 +83,16 @@
 
     def open(self) -> None:
         """Start listening, on the same address as before if it was open already."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self._reservation is None:
+            self._reservation = _bound_socket(self.address)
+            self.address = self._reservation.getsockname()
+        listener = _bound_socket(self.address)
         listener.setblocking(False)
         try:
-            listener.bind(self.address)
             listener.listen(BACKLOG)
         except OSError:
             listener.close()
             raise
-        self.address = listener.getsockname()
         self._listener = listener
         self.set_accepting(True)
 
@@ -182,3 +196,6 @@
             filler.close()
         self._backlog_fillers.clear()
         self.crash()
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
