--- a/review/rig2.py
+++ b/review/rig2.py
@@ -159,7 +159,7 @@
 
 
 class Origin:
-    """The origin over HTTP/1.1; `handle` returns status and body for method, key, headers, body; None: reset."""
+    """The origin over HTTP/1.1; `handle` takes method, key, headers, body and returns status and body."""
 
     def __init__(
         self,
