--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A class is dropped and comes back with another effect while a request of the old class waits for its turn."""
+"""A class is dropped and comes back with another effect, while a request of the old one waits for its turn."""
 
 from __future__ import annotations
 
@@ -60,7 +60,8 @@
     temporary.mkdir(mode=0o700)
     port = rig2.free_port()
     config = {
-        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": registry.address, "seed": "8c1f30d27a5be964",
+        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": registry.address,
+        "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
     }  # fmt: skip
     path, admin = platform.folder / "config.json", f"127.0.0.1:{rig2.free_port()}"
