--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A class is dropped and comes back with another effect, while a request of the old one waits for its turn."""
+"""A class is dropped and comes back with another effect; a request of the old one waits for its turn."""
 
 from __future__ import annotations
 
