Review case 8: requests behind a long value that breaks off late get no answer

Cause: a value is continued from another server only within its client's time, and else its connection is closed. Change: the case with its claim, from an entry; a reset in the stand-ins. Nothing is mended.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A new process that is killed before it takes over, then the upgrade again: values under way are cut off."""
+"""A class is dropped and comes back with another effect; a request of the old one waits for its turn."""
 
 from __future__ import annotations
 
@@ -6,106 +6,93 @@
 import json
 import os
 import signal
-import socket
 import sys
-import time
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import rig2
 
-LENGTH = 4 << 20
-WHOLE = len(b"$4194304\r\n") + LENGTH + 2
-RATE = 400_000  # bytes a second that a slow cache server sends, in pieces
-READERS = 4
-LONGEST_DEADLINE_S = 1.2
+SLOW_S = 1.5  # that the origin takes for the first write
 
 
-async def handle(words: list[bytes]) -> bytes | None:
-    """Answer each read with a value for its request."""
-    name, key = words[2], words[1]
-    if key.startswith(b"long"):
-        return rig2.answer_of(name + b"." * (LENGTH - len(name)))
-    return rig2.answer_of(b"value for " + name)
-
-
-async def read_long(record: rig2.Record, address: tuple[str, int], number: int) -> str:
-    """Ask for one long value and read what comes; return what was wrong, or nothing."""
-    reader, writer = await asyncio.open_connection(*address)
-    name = f"long{number:012d}"
-    started = time.monotonic()
-    writer.write(rig2.get_command(f"long{number}", name, "c=fetch,t=public,d=1200"))
-    data, first_s = bytearray(), 0.0
-    try:
-        while len(data) < WHOLE:
-            async with asyncio.timeout(10):
-                part = await reader.read(64 << 10)
-            first_s = first_s or time.monotonic() - started
-            if not part:
-                break
-            data += part
-    except (OSError, TimeoutError) as error:
-        record.write("client error", id=name, error=repr(error))
-    writer.close()
-    whole = len(data) == WHOLE and name.encode() in data[:40]
-    record.write("long answer", id=name, first_s=round(first_s, 3), bytes=len(data), whole=whole)
-    return "" if whole else f"{name}: begun after {first_s:.2f} s, cut off after {len(data)} of {WHOLE} bytes"
+def settings_with(effect: str | None) -> dict[str, Any]:
+    """Return the settings with a class `promote` of this effect, or without it."""
+    settings = rig2.example_settings()
+    if effect is not None:
+        promote = {"name": "promote", "aimNs": 1000 * rig2.MS, "giveUpNs": 3 * rig2.S, "semantics": effect}
+        settings["classes"].append(promote)
+    return settings
 
 
 async def case(record: rig2.Record) -> Sequence[str]:
     """Play the case."""
+    runs: Counter[str] = Counter()
+
+    async def handle(words: list[bytes]) -> bytes | None:
+        return rig2.answer_of(b"value for " + words[2])
+
+    async def apply(method: str, key: str, headers: dict[str, str], body: bytes) -> tuple[int, bytes] | None:
+        name = headers["request-id"]
+        if name.startswith("first"):
+            await asyncio.sleep(SLOW_S)
+        runs[name] += 1
+        record.write("run", id=name, method=method, times=runs[name])
+        # The second write runs, and then the origin fails: an answer that says that it may have run.
+        if name.startswith("second") and runs[name] == 1:
+            return 500, b"failed"
+        return 200, f"{name} receipt".encode()
+
     registry = rig2.Registry(record)
     await registry.open()
     for number in range(4):
-        server = rig2.CacheServer(f"s-{number}", record, handle, RATE)
+        server = rig2.CacheServer(f"s-{number}", record, handle)
         await server.open()
         registry.put(server.name, server.address)
+    origin = rig2.Origin(record, apply)
+    await origin.open()
+    registry.put("origin", origin.address, "origin")
     platform = rig2.Platform(record)
-    listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
-    address = listener.getsockname()
     temporary = platform.folder / "tmp"
     temporary.mkdir(mode=0o700)
+    port = rig2.free_port()
     config = {
-        "name": "n0", "listen": f"127.0.0.1:{address[1]}", "discovery": registry.address,
-        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "settings": rig2.example_settings(),
+        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": registry.address,
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
     }  # fmt: skip
-    path = platform.folder / "config.json"
-    path.write_text(json.dumps(config))
-    admins = [f"127.0.0.1:{rig2.free_port()}" for _ in range(3)]
+    path, admin = platform.folder / "config.json", f"127.0.0.1:{rig2.free_port()}"
+
+    def replace_config(effect: str | None) -> None:
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps({**config, "settings": settings_with(effect)}))
+        new.replace(path)
+        record.write("configuration", promote=effect or "dropped")
+
+    replace_config("fragile")
     try:
-        old = await platform.start(path, temporary, listener, LB_ADMIN_ADDR=admins[0])
-        await rig2.until_yes(admins[0])
+        router = await platform.start(path, temporary, LB_ADMIN_ADDR=admin)
+        await rig2.until_yes(admin)
+        await asyncio.sleep(1.5)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for name in ("first00000000001", "second0000000001"):
+            writer.write(rig2.set_command("package", name, "c=promote,t=public,d=3000", name.encode()))
+            record.write("sent", id=name)
         if rig2.TROUBLE:
-            first = await platform.start(path, temporary, listener, LB_ADMIN_ADDR=admins[1])
-            await rig2.until_yes(admins[1])
-            platform.signal(first, signal.SIGKILL)
-            await first.wait()
-        await asyncio.sleep(2)
-        # All readers are taken by the old process, as no other one runs.
-        readers = [asyncio.create_task(read_long(record, address, number)) for number in range(READERS)]
-        await asyncio.sleep(0.5)
-        new = await platform.start(path, temporary, listener, LB_ADMIN_ADDR=admins[2])
-        await rig2.until_yes(admins[2], 6)
-        record.write(
-            "state of the new process",
-            state=json.loads((await rig2.call(admins[2], "GET", "/state"))[1] or b"{}"),
-        )
-        platform.signal(old, signal.SIGTERM)
-        try:
-            async with asyncio.timeout(LONGEST_DEADLINE_S + 0.7):
-                await old.wait()
-            record.write("old process ended", status=old.returncode)
-        except TimeoutError:
-            platform.signal(old, signal.SIGKILL)
-        broken = [text for text in await asyncio.gather(*readers) if text]
-        if new.returncode is not None:
-            broken.append("the new process ended")
-        return broken
+            for effect in (None, "retryable"):
+                await asyncio.sleep(0.4)
+                replace_config(effect)
+                platform.signal(router, signal.SIGHUP)
+        async with asyncio.timeout(6):
+            for name in ("first00000000001", "second0000000001"):
+                answer, text = await rig2.read_answer(reader)
+                record.write("answer", id=name, answer=answer, text=str(text[:60]))
+        record.write("figures", text=str((await rig2.call(admin, "GET", "/stats"))[1][:600]))
+        return [f"{name}: not safe to repeat, run {times} times" for name, times in runs.items() if times > 1]
     finally:
-        listener.close()
         await platform.close()
 
 
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -134,27 +134,34 @@
     ) -> None:
         self.name, self.record, self._handle, self._piece = name, record, handle, rate // 20
         self.address = ""
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._answering: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> None:
         """Listen on a free port."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=8 << 20)
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
+    def reset(self) -> None:
+        """Reset the connections with an answer under way; the server goes on."""
+        for writer in list(self._answering):
+            self.record.write("reset", server=self.name)
+            writer.transport.abort()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 words = await read_command(reader)
                 self.record.write("server got", server=self.name, words=[str(w[:80]) for w in words[:4]])
                 answer = await self._handle(words)
+                self._answering.add(writer)
                 while answer:
                     size = self._piece or len(answer)
                     writer.write(answer[:size])
                     await writer.drain()
                     if answer := answer[size:]:
                         await asyncio.sleep(0.05)
-        self._writers.discard(writer)
+                self._answering.discard(writer)
+        self._answering.discard(writer)
         writer.close()
 
 
