--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,15 +1,14 @@
-"""Writes that are turned away for want of memory while they are received, and an upgrade in that moment."""
+"""Many long values asked for on one connection, and an upgrade while they are under way."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import os
 import signal
 import socket
 import sys
-import time
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -17,67 +16,50 @@
 
 import rig2
 
-WRITERS = 16
-SIZE = 1536 << 10
-SECONDS = 3.0  # that a client takes to send its value, in small pieces
-PIECE_S = 0.02
-DEADLINE_S = 1.2  # also the longest of the deployment
+READS = 120
+LENGTH = 1 << 20
+RATE = 4_000_000  # bytes a second that the client reads
+LONGEST_DEADLINE_S = 1.2
 
 
 async def handle(words: list[bytes]) -> bytes | None:
     """Answer each read with a value for its request."""
-    return rig2.answer_of(b"value for " + words[2])
+    return rig2.answer_of(words[2] + b"." * (LENGTH - len(words[2])))
 
 
-async def apply(method: str, key: str, headers: dict[str, str], body: bytes) -> tuple[int, bytes] | None:
-    """Carry a write out, or return a value."""
-    await asyncio.sleep(0.02)
-    return 200, f"{headers['request-id']} {method}".encode()
-
-
-async def write(record: rig2.Record, address: tuple[str, int], number: int) -> str:
-    """Send one write slowly, and return what was wrong with its answer, or nothing."""
-    name = f"write{number:011d}"
-    reader, writer = await asyncio.open_connection(*address)
-    command = rig2.set_command(f"key{number}", name, f"c=publish,t=public,d=1200,k=k{number}", bytes(SIZE))
-    answering = asyncio.create_task(rig2.read_answer(reader))
-    pieces = int(SECONDS / PIECE_S)
-    size = -(-len(command) // pieces)
-    started = time.monotonic()
-    with contextlib.suppress(OSError):
-        for at in range(0, len(command), size):
-            writer.write(command[at : at + size])
-            await writer.drain()
-            if answering.done():
-                break
-            await asyncio.sleep(max(started + at / size * PIECE_S - time.monotonic(), 0))
-    whole = at + size >= len(command) and not writer.transport.get_write_buffer_size()
-    sent = time.monotonic()
-    try:
-        async with asyncio.timeout(DEADLINE_S + 1):
-            answer, text = await answering
-    except (OSError, EOFError, TimeoutError) as error:
-        answer, text = "none", repr(error).encode()
-    waited = time.monotonic() - sent
-    record.write("write", id=name, sent_whole=whole, sent_s=round(sent - started, 3), answer=answer,
-                 text=str(text[:60]), waited_s=round(waited, 3))  # fmt: skip
+async def read_all(record: rig2.Record, address: tuple[str, int]) -> list[str]:
+    """Send all reads at once, and read their answers at a steady pace; return what was wrong."""
+    reader, writer = await asyncio.open_connection(*address, limit=1 << 18)
+    for number in range(READS):
+        writer.write(rig2.get_command(f"key{number}", f"read{number:012d}", "c=fetch,t=public,d=1200"))
+    answers: Counter[str] = Counter()
+    for number in range(READS):
+        try:
+            async with asyncio.timeout(10):
+                answer, text = await rig2.read_answer(reader)
+        except (OSError, EOFError, TimeoutError) as error:
+            record.write("no whole answer", id=f"read{number:012d}", error=repr(error)[:120])
+            break
+        if answer == "served" and not text.startswith(b"read%012d" % number):
+            answer = "foreign"
+        answers[answer] += 1
+        if answer == "served":
+            await asyncio.sleep(LENGTH / RATE)
     writer.close()
-    if answer == "none" and whole:
-        return f"{name}: its last byte was written after {sent - started:.2f} s, no answer: {text.decode()}"
-    return ""
+    record.write("answers", **answers)
+    left = READS - answers.total()
+    broken = [f"{left} of {READS} reads got no whole answer"] if left else []
+    return broken + ([f"{answers['foreign']} foreign values"] if answers["foreign"] else [])
 
 
 async def case(record: rig2.Record) -> Sequence[str]:
     """Play the case."""
     registry = rig2.Registry(record)
     await registry.open()
-    for number in range(4):
+    for number in range(12):
         server = rig2.CacheServer(f"s-{number}", record, handle)
         await server.open()
         registry.put(server.name, server.address)
-    origin = rig2.Origin(record, apply)
-    await origin.open()
-    registry.put("origin", origin.address, "origin")
     platform = rig2.Platform(record)
     listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
     address = listener.getsockname()
@@ -85,7 +67,7 @@
     temporary.mkdir(mode=0o700)
     config = {
         "name": "n0", "listen": f"127.0.0.1:{address[1]}", "discovery": registry.address,
-        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 1024},
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "settings": rig2.example_settings(),
     }  # fmt: skip
     path = platform.folder / "config.json"
@@ -94,19 +76,19 @@
     try:
         old = await platform.start(path, temporary, listener, LB_ADMIN_ADDR=admins[0])
         await rig2.until_yes(admins[0])
-        writers = [asyncio.create_task(write(record, address, number)) for number in range(WRITERS)]
-        await asyncio.sleep(1.7)
+        reading = asyncio.create_task(read_all(record, address))
+        await asyncio.sleep(0.5)
         if rig2.TROUBLE:
             await platform.start(path, temporary, listener, LB_ADMIN_ADDR=admins[1])
             await rig2.until_yes(admins[1], 6)
             platform.signal(old, signal.SIGTERM)
             try:
-                async with asyncio.timeout(DEADLINE_S + 0.7):
+                async with asyncio.timeout(LONGEST_DEADLINE_S + 0.7):
                     await old.wait()
                 record.write("old process ended", status=old.returncode)
             except TimeoutError:
                 platform.signal(old, signal.SIGKILL)
-        return [text for text in await asyncio.gather(*writers) if text]
+        return await reading
     finally:
         listener.close()
         await platform.close()
