Hand-over: a connection with over 64 values in progress moves, its descriptors in several messages

Cause: can_hand_over allowed at most 64 values, as all descriptors of a record went with its last message. Change: descriptors that are too many for one message go with the parts of the record, 65 at most with each; the receiver announces with `E` that it accepts that. Receivers of earlier versions get connections as before.

--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -605,7 +605,8 @@
             return
         if successor is None or self.server.handovers_in_progress >= successor.free_capacity:
             return  # retried at the next drain step; until then its values keep streaming
-        if can_hand_over(self.replies, self.server.exits_at - self.server.loop.time()):
+        remaining_s = self.server.exits_at - self.server.loop.time()
+        if can_hand_over(self.replies, remaining_s, successor.max_values):
             try:
                 self._frozen = FrozenConnection(transport, self.replies)
             except OSError:
--- a/saltport/downstream/connection_handover.py
+++ b/saltport/downstream/connection_handover.py
@@ -10,13 +10,7 @@
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import TransferDecision, decide_transfer
 from saltport.handover.exchange import ConnectionTransfer
-from saltport.handover.record import (
-    MAX_COMMAND_AGE_MS,
-    MAX_VALUES_IN_PROGRESS,
-    ConnectionRecord,
-    Segment,
-    encode,
-)
+from saltport.handover.record import MAX_COMMAND_AGE_MS, ConnectionRecord, Segment, encode
 from saltport.transport.stream import TcpStream
 
 
@@ -27,6 +21,10 @@
     def takes_records(self) -> bool:
         """Whether it accepts `ConnectionRecord`s, and so connections with outstanding replies."""
 
+    @property
+    def max_values(self) -> int:
+        """The most values in progress that it accepts with one connection."""
+
     @property
     def free_capacity(self) -> int:
         """The number of connections that may be frozen for it now, besides those already queued or sent."""
@@ -44,17 +42,18 @@
         """
 
 
-def can_hand_over(replies: Iterable[Reply], remaining_s: float) -> bool:
+def can_hand_over(replies: Iterable[Reply], remaining_s: float, max_values: int) -> bool:
     """Whether a connection with these outstanding replies can be handed over now.
 
-    `remaining_s`: time until this process exits.
+    `remaining_s`: time until this process exits. `max_values`: the most values in progress that the successor
+    accepts.
     """
     unanswered = [reply for reply in replies if not reply.done]
     sources = [reply.source for reply in unanswered if reply.source is not None]
     progress = [source.progress for source in sources]
     if decide_transfer(len(unanswered) - len(sources), progress, remaining_s) is not TransferDecision.MOVE:
         return False
-    return len(sources) <= MAX_VALUES_IN_PROGRESS and all(source.movable for source in sources)
+    return len(sources) <= max_values and all(source.movable for source in sources)
 
 
 class FrozenConnection:
--- a/saltport/handover/exchange.py
+++ b/saltport/handover/exchange.py
@@ -2,11 +2,13 @@
 
 The first byte of a message from the sender is its type: `l` a part of the learned state, `L` its last or only
 part, `C` an idle connection (for a receiver that announces no record version), `P` a part of a connection
-record, `M` its last part, which carries all descriptors.
+record, `M` its last part. The descriptors go with the last part; those that are too many for one message go
+with the parts before it, in their order.
 Both send `I` with digests of request ids that are used, and `F` with those that are free again, as each takes
 clients while the other runs. Receivers of earlier versions ignore these two.
-The receiver sends `H` with the record version that it accepts, `A` when it has taken over a connection, and
-`N` with the reason when it rejects one.
+The receiver sends `E` if it accepts descriptors in several messages, `H` with the record version that it
+accepts, `A` when it has taken over a connection, and `N` with the reason when it rejects one. Senders of
+earlier versions ignore `E`.
 
 From the moment its last part is sent, a record belongs to the receiver: if both processes could continue the
 connection, requests would be executed twice. The sender keeps the descriptors until the receiver answers, as
@@ -22,19 +24,22 @@
 from saltport.handover.record import (
     MAX_COMMAND_BYTES,
     MAX_REPLY_BYTES,
+    MAX_VALUES_IN_ONE_MESSAGE,
+    MAX_VALUES_IN_PROGRESS,
     ConnectionRecord,
     RecordError,
     decode,
 )
 
 RECORD_PART_BYTES = 64 << 10  # size of the messages into which a longer connection record is split
+MAX_DESCRIPTORS_PER_MESSAGE = 1 + MAX_VALUES_IN_ONE_MESSAGE  # the kernel passes at most 253
 # Frozen, queued or sent connections at a time: bounds memory, descriptors and the pause of each connection.
 MAX_IN_FLIGHT = 32
 MAX_RECORD_BYTES = MAX_REPLY_BYTES + MAX_COMMAND_BYTES
 LEARNED_PART_BYTES = 95 << 10  # receivers of earlier versions read one message of 96 KiB, and know no parts
 MAX_LEARNED_BYTES = 8 << 20  # some 60,000 servers
 LEARNED_PART, LEARNED_LAST, IDLE_CONNECTION, RECORD_PART, RECORD_LAST = b"l", b"L", b"C", b"P", b"M"
-HELLO, ACCEPTED, REJECTED = b"H", b"A", b"N"
+EXTENDED, HELLO, ACCEPTED, REJECTED = b"E", b"H", b"A", b"N"
 USED_IDS, FREE_IDS = b"I", b"F"
 MAX_IDS_PER_MESSAGE = 4096
 
@@ -49,6 +54,22 @@
     """Resumes the connection in this process, and takes ownership of the descriptors."""
     sent_bytes: int = field(default=0)
     """Bytes of the record that have been sent."""
+    sent_descriptors: int = field(default=0)
+
+    def next_message(self) -> Message:
+        """Return the message that is to be sent next."""
+        part = self.record[self.sent_bytes : self.sent_bytes + RECORD_PART_BYTES]
+        unsent = self.descriptors[self.sent_descriptors :]
+        has_more_descriptors = len(unsent) > MAX_DESCRIPTORS_PER_MESSAGE
+        if self.sent_bytes + len(part) < len(self.record) or has_more_descriptors:
+            return Message(
+                RECORD_PART + part, unsent[:MAX_DESCRIPTORS_PER_MESSAGE] if has_more_descriptors else ()
+            )
+        return Message(RECORD_LAST + part, unsent)
+
+    def restart(self) -> None:
+        """Begin again with the first message."""
+        self.sent_bytes = self.sent_descriptors = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +92,7 @@
         self._unacknowledged: deque[ConnectionTransfer] = deque()
         self.receiver_version = 0
         """The record version that the receiver announced; 0 if it announced none."""
+        self._receiver_is_extended = False
         self.accepted = self.rejected = 0
         """Numbers of connections that the receiver accepted and rejected."""
 
@@ -79,6 +101,11 @@
         """The number of connections that may still be frozen."""
         return MAX_IN_FLIGHT - len(self._queue) - len(self._unacknowledged)
 
+    @property
+    def max_values(self) -> int:
+        """The most values in progress that the receiver accepts with one connection."""
+        return MAX_VALUES_IN_PROGRESS if self._receiver_is_extended else MAX_VALUES_IN_ONE_MESSAGE
+
     @property
     def busy(self) -> bool:
         """Whether a connection is queued, or sent and not yet answered."""
@@ -109,11 +136,7 @@
             return Message(self._learned[0])
         if not self._queue:
             return None
-        transfer = self._queue[0]
-        part = transfer.record[transfer.sent_bytes : transfer.sent_bytes + RECORD_PART_BYTES]
-        if transfer.sent_bytes + len(part) < len(transfer.record):
-            return Message(RECORD_PART + part)
-        return Message(RECORD_LAST + part, transfer.descriptors)
+        return self._queue[0].next_message()
 
     def message_sent(self) -> None:
         """Record that the link has taken the message that `next_message` returned last."""
@@ -121,13 +144,17 @@
             self._learned.popleft()
             return
         transfer = self._queue[0]
-        transfer.sent_bytes += RECORD_PART_BYTES
-        if transfer.sent_bytes >= len(transfer.record):
+        message = transfer.next_message()
+        transfer.sent_bytes += len(message.data) - len(RECORD_PART)
+        transfer.sent_descriptors += len(message.descriptors)
+        if message.data[:1] == RECORD_LAST:
             self._unacknowledged.append(self._queue.popleft())
 
     def receive(self, data: bytes) -> str:
         """Process a message of the receiver; return the reason of a rejection, otherwise an empty text."""
-        if data[:1] == HELLO:
+        if data[:1] == EXTENDED:
+            self._receiver_is_extended = True
+        elif data[:1] == HELLO:
             self.receiver_version = int(data[1:]) if data[1:].isdigit() and len(data) < 6 else 0
         elif data[:1] in (ACCEPTED, REJECTED) and self._unacknowledged:
             transfer = self._unacknowledged.popleft()
@@ -145,11 +172,11 @@
         self._learned.clear()
         unacknowledged, self._unacknowledged = self._unacknowledged, deque()
         queue, self._queue = self._queue, deque()
-        self.receiver_version = 0
+        self.receiver_version, self._receiver_is_extended = 0, False
         for transfer in unacknowledged:
             self._close_descriptors(transfer.descriptors)
         for transfer in queue:
-            transfer.sent_bytes = 0
+            transfer.restart()
             transfer.resume()
 
 
@@ -183,10 +210,12 @@
         return b"".join(parts)
 
     def receive_record(self, data: bytes, descriptors: int) -> ConnectionRecord | None:
-        """Add a part of a record; return the record with its last part, which brought so many descriptors.
+        """Add a part of a record; return the record with its last part.
+
+        `descriptors`: how many came with all parts so far.
 
-        Raises RecordError with the last part of an invalid record. The caller closes descriptors that came
-        with parts for which no record is returned, and answers each last part.
+        Raises RecordError with the last part of an invalid record. The caller keeps the descriptors until
+        then, closes those of an invalid record, and answers each last part.
         """
         self._size += len(data) - 1
         if self._size <= MAX_RECORD_BYTES:
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -20,11 +20,13 @@
 from saltport.decisions.used_ids import DIGEST_BYTES, UsedIds
 from saltport.handover.exchange import (
     ACCEPTED,
+    EXTENDED,
     FREE_IDS,
     HELLO,
     IDLE_CONNECTION,
     LEARNED_LAST,
     LEARNED_PART,
+    MAX_DESCRIPTORS_PER_MESSAGE,
     RECORD_LAST,
     RECORD_PART,
     REJECTED,
@@ -33,7 +35,7 @@
     TransferReceiver,
     TransferSender,
 )
-from saltport.handover.record import MAX_VALUES_IN_PROGRESS, RECORD_VERSION, ConnectionRecord, RecordError
+from saltport.handover.record import RECORD_VERSION, ConnectionRecord, RecordError
 from saltport.lifecycle.private_folder import private_folder
 from saltport.transport.acceptor import Acceptor
 from saltport.transport.packets import Packet, PacketLink, peer_credentials
@@ -76,6 +78,10 @@
         self._acceptor: Acceptor | None = None
         self.sender = TransferSender(_close_all)
         self._receiver = TransferReceiver()
+        self._record_descriptors: list[int] = []
+        """The descriptors that came with the parts of the record that is being received."""
+        self._record_is_cut = False
+        """Whether descriptors of that record are missing."""
         self._retry: asyncio.TimerHandle | None = None
         self.adopted = 0
         """Number of connections adopted with requests or a partial command in progress."""
@@ -124,7 +130,7 @@
                 link,
                 self._receive_from_predecessor,
                 MAX_MESSAGE_BYTES,
-                1 + MAX_VALUES_IN_PROGRESS,
+                MAX_DESCRIPTORS_PER_MESSAGE,
             )
             self._links_changed()
         try:
@@ -227,6 +233,11 @@
         """Whether the successor accepts connections with outstanding replies as well as idle ones."""
         return self._successor is not None and self.sender.receiver_version == RECORD_VERSION
 
+    @property
+    def max_values(self) -> int:
+        """The most values in progress that the successor accepts with one connection."""
+        return self.sender.max_values
+
     @property
     def free_capacity(self) -> int:
         """How many more connections may be frozen for the successor now."""
@@ -268,7 +279,7 @@
         assert self._predecessor is not None
         message, descriptors = packet.data, packet.descriptors
         if not message:
-            _close_all(descriptors)
+            _close_all([*descriptors, *self._take_record_descriptors()])
             self._predecessor.close()
             self._predecessor = None
             self._receiver = TransferReceiver()
@@ -296,20 +307,28 @@
         An invalid record is discarded with its descriptors, and the reason is sent to the predecessor.
         """
         reply = ACCEPTED
+        self._record_descriptors += descriptors
+        self._record_is_cut = self._record_is_cut or is_cut
+        count = -1 if self._record_is_cut else len(self._record_descriptors)
         try:
-            record = self._receiver.receive_record(message, -1 if is_cut else len(descriptors))
+            record = self._receiver.receive_record(message, count)
             if record is None:
-                _close_all(descriptors)
                 return
-            _check_sockets(descriptors)
-            self._adopt(record, descriptors)
+            _check_sockets(self._record_descriptors)
+            self._adopt(record, self._record_descriptors)
+            self._take_record_descriptors()
             self.adopted += 1
         except RecordError as error:
-            _close_all(descriptors)
+            _close_all(self._take_record_descriptors())
             reply = REJECTED + str(error).encode()[: MAX_REPLY_BYTES - 1]
         assert self._predecessor is not None
         self._predecessor.answer(reply)
 
+    def _take_record_descriptors(self) -> list[int]:
+        """Return the descriptors of the record that was received, and begin with the next record."""
+        descriptors, self._record_descriptors, self._record_is_cut = self._record_descriptors, [], False
+        return descriptors
+
     def close(self) -> None:
         """Close all links and the listener; the socket file stays, as it may be the successor's by now."""
         if self._retry is not None:
@@ -350,6 +369,7 @@
         link.connect(str(path))
         if not _same_user(link):
             raise PermissionError("the listening process belongs to another user")
+        link.send(EXTENDED)
         link.send(HELLO + b"%d" % RECORD_VERSION)
     except OSError:
         link.close()
--- a/tests/handover/test_model.py
+++ b/tests/handover/test_model.py
@@ -15,6 +15,8 @@
 from saltport.handover.choice import TransferDecision, ValueProgress, decide_transfer
 from saltport.handover.exchange import (
     ACCEPTED,
+    EXTENDED,
+    MAX_DESCRIPTORS_PER_MESSAGE,
     MAX_IN_FLIGHT,
     RECORD_LAST,
     RECORD_PART_BYTES,
@@ -235,6 +237,46 @@
     assert not sender.busy
 
 
+@pytest.mark.parametrize("size", [1, 3 * RECORD_PART_BYTES])
+@pytest.mark.parametrize("count", [1, 65, 66, 130, 131, 257])
+def test_descriptors_beyond_one_message_go_with_several_in_their_order(count: int, size: int) -> None:
+    sender = TransferSender(lambda _: None)
+    sender.enqueue(ConnectionTransfer(b"x" * size, list(range(count)), lambda: None))
+    messages = []
+    while (message := sender.next_message()) is not None:
+        messages.append(message)
+        sender.message_sent()
+    assert [number for message in messages for number in message.descriptors] == list(range(count))
+    assert max(len(message.descriptors) for message in messages) <= MAX_DESCRIPTORS_PER_MESSAGE
+    assert b"".join(message.data[1:] for message in messages) == b"x" * size
+    assert [message.data[:1] == RECORD_LAST for message in messages].index(True) == len(messages) - 1
+
+
+def test_transfer_that_broke_off_between_descriptors_resumes_with_all_of_them() -> None:
+    resumed: list[Sequence[int]] = []
+    sender = TransferSender(lambda _: None)
+    transfer = ConnectionTransfer(b"x", list(range(200)), lambda: resumed.append(transfer.descriptors))
+    sender.enqueue(transfer)
+    sender.next_message()
+    sender.message_sent()
+    sender.link_closed()
+    assert resumed == [list(range(200))]
+    sender.enqueue(transfer)
+    message = sender.next_message()
+    assert message is not None
+    assert list(message.descriptors) == list(range(MAX_DESCRIPTORS_PER_MESSAGE))
+
+
+def test_more_values_than_one_message_carries_wait_for_a_receiver_that_accepts_them() -> None:
+    sender = TransferSender(lambda _: None)
+    sender.receive(b"H1")
+    assert sender.max_values == record_format.MAX_VALUES_IN_ONE_MESSAGE
+    sender.receive(EXTENDED)
+    assert sender.max_values == record_format.MAX_VALUES_IN_PROGRESS
+    sender.link_closed()
+    assert sender.max_values == record_format.MAX_VALUES_IN_ONE_MESSAGE
+
+
 def test_number_of_frozen_and_unacknowledged_connections_is_bounded() -> None:
     sender = TransferSender(lambda _: None)
     for left in range(MAX_IN_FLIGHT, 0, -1):
