Hand-over: connections that close when answered, or discard a command, move to the next process

Callers saw: a write that is turned away as it comes got no answer if an upgrade came; values ahead of the end of a stream, and those of a router that had been drained by a call, were cut off by an upgrade. Cause: the record of a connection could not say either, so these connections stayed, unread, in the old process and ended with it (ClientConnection.freeze and _moves_to_successor). Change: two optional fields of the record; receivers that know them announce `E`. A discarded command goes on at the byte where it was. A record may carry 6 MiB of commands, as up to 1 MiB may be read behind a long one.

--- a/saltport/downstream/command_input.py
+++ b/saltport/downstream/command_input.py
@@ -66,6 +66,11 @@
         """All received bytes of commands that were not returned yet, for another parser to continue."""
         return self.dialect.partial_command + self._unparsed
 
+    def resume_discarding(self, head: bytes, left: int) -> None:
+        """Go on to discard the command of another parser."""
+        self.dialect.resume_discarding(head, left)
+        self.is_between_commands = False
+
     def add(self, data: bytes, received: Received | None) -> None:
         """Add the bytes of a read behind those that wait; `received`: when they arrived, if that is known."""
         self.is_between_commands = False
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -31,6 +31,7 @@
 from saltport.downstream.request_host import Host
 from saltport.downstream.turns import TURN_BYTES, TurnScheduler
 from saltport.handover.exchange import ConnectionTransfer
+from saltport.handover.record import Closing
 from saltport.messages import Answers, ClientDialect, Discarded, Malformed, Message, Ping, Request
 from saltport.transport.readiness import Readiness
 from saltport.transport.stream import READ_SIZE_BYTES, StreamProtocol, TcpStream
@@ -131,6 +132,8 @@
         self._progress_at = 0.0
         self._bytes_since_progress = 0  # received since `_progress_at`
         self._close_when_answered = False
+        self._ended_elsewhere = False
+        """Whether the client's stream had ended when another process handed the connection over."""
         self.refusing = False
         """Whether its requests are refused because there are too many clients."""
 
@@ -173,11 +176,17 @@
         if self.replies:
             self.replies[0].start_writing()
         self._in_batch = False
+        self._close_when_answered = record.closing is not Closing.NOT
+        self._ended_elsewhere = record.closing is Closing.STREAM_ENDED
+        if record.discarded is not None:
+            self._input.resume_discarding(record.discarded.head, record.discarded.left)
+            self._progress_at = self.last_active_at
         if record.command:
             self.data_received(record.command)
-            # Danger: if each process restarted its timeout, a partial command could hold its connection
-            # indefinitely.
-            self._progress_at -= record.command_age_ms / 1000
+        # Danger: if each process restarted its timeout, a partial command could hold its connection
+        # indefinitely.
+        self._progress_at -= record.command_age_ms / 1000
+        self._update_flow()
         self.remove_completed_replies()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -405,7 +414,7 @@
             self.last_active_at = self.server.loop.time()
             if replies:
                 replies[0].start_writing()
-        if self._moves_to_successor:
+        if self._moves_to_successor and not self._is_done:
             self.freeze()
         elif not replies and self._closes_when_answered and not self._in_batch:
             # Danger: closing within a batch would drop the commands that were read but not handled yet.
@@ -456,6 +465,11 @@
         size, self._unsent_count = self._unsent_count, 0
         self.memory.remove_buffered(size)
 
+    @property
+    def _stream_ended(self) -> bool:
+        """Whether nothing that the client sends any more is a command."""
+        return self._ended_elsewhere or bool(self._dialect.end_reason)
+
     @property
     def _has_capacity(self) -> bool:
         """Whether further commands may be handled."""
@@ -463,7 +477,7 @@
             self.closed
             or self.writing_paused
             or self.memory.awaits_memory
-            or self._dialect.end_reason
+            or self._stream_ended
             or len(self.replies) >= MAX_PIPELINE
             or (self.replies and not self.memory.has_share)
             or self._moves_to_successor
@@ -503,7 +517,7 @@
             self._has_more_unread
             and self._input.backlog_bytes < MAX_BACKLOG_BYTES
             and self.memory.may_read_ahead
-            and not (self.closed or self.memory.awaits_memory or self._dialect.end_reason)
+            and not (self.closed or self.memory.awaits_memory or self._stream_ended)
             and not self._moves_to_successor
         )
 
@@ -557,9 +571,24 @@
     def _moves_to_successor(self) -> bool:
         """Whether the successor takes the connection, including any outstanding replies."""
         successor = self.server.successor
-        if successor is None or not successor.takes_records:
+        if successor is None or self._pinned or not successor.takes_records:
+            return False
+        needs_extended = self._close_when_answered or self._stream_ended or self._dialect.is_discarding
+        return successor.takes_extended_records or not needs_extended
+
+    @property
+    def _is_done(self) -> bool:
+        """Whether nothing is left but to close: the connection closes, and the kernel has all answers."""
+        if not self._close_when_answered or self.replies or self._input.backlog_bytes:
             return False
-        return not (self._pinned or self._close_when_answered or self._dialect.end_reason)
+        return self.transport is None or not self.transport.get_write_buffer_size()
+
+    @property
+    def _closing(self) -> Closing:
+        """When the connection closes, for the process that takes it over."""
+        if self._stream_ended:
+            return Closing.STREAM_ENDED
+        return Closing.WHEN_ANSWERED if self._close_when_answered else Closing.NOT
 
     def finish(self, even_mid_command: bool) -> None:
         """Hand the connection over, or close it once no reply is outstanding.
@@ -586,7 +615,7 @@
         False if it stays in this process.
         """
         self._update_flow()
-        if self._moves_to_successor:
+        if self._moves_to_successor and not self._is_done:
             self.freeze()
             return True
         return not self.replies and self._hand_over_idle()
@@ -599,7 +628,7 @@
         self._update_flow()
         transport, successor = self.transport, self.server.successor
         # Danger: within a batch, commands that were read but not handled yet would be lost.
-        if self._in_batch or self._frozen is not None or self.closed or self._dialect.is_discarding:
+        if self._in_batch or self._frozen is not None or self.closed:
             return
         if transport is None or transport.is_closing():
             return
@@ -625,7 +654,9 @@
             self._log_close(self.server.access_log, CloseReason.MOVED)
         replies, self.replies = self.replies, []
         age_s = self.server.loop.time() - self._progress_at if self._input.is_partial else 0.0
-        record = frozen.record(self._input, self.has_carried_request, transport.unsent, replies, age_s)
+        record = frozen.record(
+            self._input, self.has_carried_request, transport.unsent, replies, age_s, self._closing
+        )
         for reply in replies:
             reply.drop_buffered()
             reply.source = None
@@ -650,7 +681,7 @@
         if (
             self._pinned
             or self._close_when_answered
-            or self._dialect.end_reason
+            or self._stream_ended
             or transport.get_write_buffer_size()
         ):
             return False
--- a/saltport/downstream/connection_handover.py
+++ b/saltport/downstream/connection_handover.py
@@ -10,7 +10,14 @@
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import TransferDecision, decide_transfer
 from saltport.handover.exchange import ConnectionTransfer
-from saltport.handover.record import MAX_COMMAND_AGE_MS, ConnectionRecord, Segment, encode
+from saltport.handover.record import (
+    MAX_COMMAND_AGE_MS,
+    Closing,
+    ConnectionRecord,
+    DiscardedCommand,
+    Segment,
+    encode,
+)
 from saltport.transport.stream import TcpStream
 
 
@@ -21,6 +28,10 @@
     def takes_records(self) -> bool:
         """Whether it accepts `ConnectionRecord`s, and so connections with outstanding replies."""
 
+    @property
+    def takes_extended_records(self) -> bool:
+        """Whether it accepts connections that close, or discard a command."""
+
     @property
     def max_values(self) -> int:
         """The most values in progress that it accepts with one connection."""
@@ -91,11 +102,12 @@
         unsent: bytes,
         replies: Iterable[Reply],
         command_age_s: float,
+        closing: Closing,
     ) -> bytes:
         """Return the encoded record from which the other process restores the connection.
 
         `commands`: the received bytes that are not handled yet; `command_age_s`: how long ago the partial
-        command began or last made progress.
+        command began or last made progress; `closing`: whether the connection closes once all is answered.
         """
         segments: list[Segment] = []
         buffered = [unsent]
@@ -107,9 +119,12 @@
         if rest := b"".join(buffered):
             segments.append(Segment(rest))
         age_ms = min(int(command_age_s * 1000), MAX_COMMAND_AGE_MS)
+        dialect = commands.dialect
+        discarded = DiscardedCommand(*dialect.discarded_command) if dialect.is_discarding else None
+        unhandled = b"" if closing is Closing.STREAM_ENDED else commands.unhandled
         return encode(
             ConnectionRecord(
-                commands.dialect.name, has_carried_request, commands.unhandled, tuple(segments), age_ms
+                dialect.name, has_carried_request, unhandled, tuple(segments), age_ms, closing, discarded
             )
         )
 
--- a/saltport/downstream/memcached.py
+++ b/saltport/downstream/memcached.py
@@ -269,6 +269,16 @@
         """Discard what comes of the partial command, and return whether that is possible."""
         return self._detected is not None and self._detected.discard()
 
+    @property
+    def discarded_command(self) -> tuple[bytes, int]:
+        """The command that is discarded, without its long part, and how many bytes of that are to come."""
+        return self._detected.discarded_command if self._detected is not None else (b"", 0)
+
+    def resume_discarding(self, head: bytes, left: int) -> None:
+        """Go on to discard the command of another parser, which had this `discarded_command`."""
+        self._detected = (self._memcached if head[:1] == b"\x80" else self._other)()
+        self._detected.resume_discarding(head, left)
+
     @property
     def partial_command(self) -> bytes:
         """The received bytes of the partial command."""
--- a/saltport/downstream/reader_dialect.py
+++ b/saltport/downstream/reader_dialect.py
@@ -35,6 +35,15 @@
         """Whether the rest of the partial command is discarded."""
         return self._reader.is_discarding
 
+    @property
+    def discarded_command(self) -> tuple[bytes, int]:
+        """The command that is discarded, without its long part, and how many bytes of that are to come."""
+        return self._reader.discarded_message
+
+    def resume_discarding(self, head: bytes, left: int) -> None:
+        """Go on to discard the command of another parser, which had this `discarded_command`."""
+        self._reader.resume_discarding(head, left)
+
     @property
     def partial_command(self) -> bytes:
         """The received bytes of the partial command, with which another parser can continue."""
--- a/saltport/handover/exchange.py
+++ b/saltport/handover/exchange.py
@@ -6,7 +6,8 @@
 with the parts before it, in their order.
 Both send `I` with digests of request ids that are used, and `F` with those that are free again, as each takes
 clients while the other runs. Receivers of earlier versions ignore these two.
-The receiver sends `E` if it accepts descriptors in several messages, `H` with the record version that it
+The receiver sends `E` if it accepts descriptors in several messages and the states of a connection that
+receivers of earlier versions do not know, `H` with the record version that it
 accepts, `A` when it has taken over a connection, and `N` with the reason when it rejects one. Senders of
 earlier versions ignore `E`.
 
@@ -101,6 +102,11 @@
         """The number of connections that may still be frozen."""
         return MAX_IN_FLIGHT - len(self._queue) - len(self._unacknowledged)
 
+    @property
+    def takes_extended_records(self) -> bool:
+        """Whether the receiver accepts records of connections that close, or discard a command."""
+        return self._receiver_is_extended
+
     @property
     def max_values(self) -> int:
         """The most values in progress that the receiver accepts with one connection."""
--- a/saltport/handover/record.py
+++ b/saltport/handover/record.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, fields
+from enum import Enum
 
 import orjson
 
 RECORD_VERSION = 1
-MAX_COMMAND_BYTES = (4 << 20) + (64 << 10)  # a value, and far more than the other words of a command need
+MAX_COMMAND_BYTES = 6 << 20  # a command with the longest value, and commands that were read behind it
 MAX_REPLY_BYTES = 32 << 20  # total of the pipelined replies of one connection
 MAX_SEGMENTS = 512  # parts into which values in progress divide the pipelined replies of a connection
 MAX_VALUES_IN_PROGRESS = MAX_SEGMENTS
@@ -68,6 +69,26 @@
     value: PartialValue | None = None
 
 
+class Closing(Enum):
+    """Whether a connection closes once all its replies are sent."""
+
+    NOT = ""
+    WHEN_ANSWERED = "answered"
+    """Further commands are answered until then."""
+    STREAM_ENDED = "ended"
+    """Nothing that follows is a command: the client has quit, or broke the protocol."""
+
+
+@dataclass(frozen=True, slots=True)
+class DiscardedCommand:
+    """A command whose long part is discarded as it comes, so that it can be refused."""
+
+    head: bytes
+    """The command without its long part."""
+    left: int
+    """Bytes of the long part that are still to come."""
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionRecord:
     """The state of one client connection."""
@@ -80,6 +101,14 @@
     segments: tuple[Segment, ...] = ()
     command_age_ms: int = 0
     """Milliseconds that the incomplete command has been pending, since its start or its last bytes."""
+    closing: Closing = Closing.NOT
+    discarded: DiscardedCommand | None = None
+    """The command that is being discarded; `command` has the bytes that were read of it and not handled."""
+
+    @property
+    def is_extended(self) -> bool:
+        """Whether receivers of earlier versions would misunderstand the record."""
+        return self.closing is not Closing.NOT or self.discarded is not None
 
     @property
     def values(self) -> tuple[PartialValue, ...]:
@@ -94,7 +123,7 @@
 
 def encode(record: ConnectionRecord) -> bytes:
     """Return the encoded record."""
-    payload = [record.command]
+    payload = [record.command, record.discarded.head if record.discarded is not None else b""]
     segments = []
     for segment in record.segments:
         payload.append(segment.data)
@@ -118,11 +147,22 @@
             "command": len(record.command),
             "command_age_ms": record.command_age_ms,
             "segments": segments,
+            **_extended_fields(record),
         }
     )
     return b"".join([header, b"\n", *payload])
 
 
+def _extended_fields(record: ConnectionRecord) -> dict[str, object]:
+    """Return the fields of the header that processes of earlier versions do not send."""
+    extended: dict[str, object] = {}
+    if record.closing is not Closing.NOT:
+        extended["closing"] = record.closing.value
+    if record.discarded is not None:
+        extended["discarded"] = {"head": len(record.discarded.head), "left": record.discarded.left}
+    return extended
+
+
 def decode(message: bytes, descriptors: int) -> ConnectionRecord:
     """Return the decoded record of a message that came with so many descriptors; raises RecordError."""
     end = message.find(b"\n", 0, MAX_HEADER_BYTES)
@@ -137,6 +177,7 @@
     payload = _Payload(memoryview(message)[end + 1 :])
     header_fields = _Fields(header)
     command = payload.take(header_fields.count("command", MAX_COMMAND_BYTES))
+    discarded = _discarded(header["discarded"], payload) if "discarded" in header else None
     items = header.get("segments")
     if not isinstance(items, list) or len(items) > MAX_SEGMENTS:
         raise RecordError("segments are no list, or too many")
@@ -147,6 +188,8 @@
         tuple(_segment(item, payload) for item in items),
         # Processes of earlier versions do not send this field.
         header_fields.count("command_age_ms", MAX_COMMAND_AGE_MS) if "command_age_ms" in header else 0,
+        header_fields.closing("closing") if "closing" in header else Closing.NOT,
+        discarded,
     )
     if payload.left:
         raise RecordError(f"{payload.left} bytes too many")
@@ -157,6 +200,18 @@
     return record
 
 
+def _discarded(value: object, payload: _Payload) -> DiscardedCommand:
+    """Return the discarded command that the header describes; raises RecordError."""
+    if not isinstance(value, dict):
+        raise RecordError("discarded: no object")
+    value_fields = _Fields(value)
+    head = payload.take(value_fields.count("head", MAX_COMMAND_BYTES))
+    left = value_fields.count("left", MAX_COMMAND_BYTES)
+    if not (head and left):
+        raise RecordError("a discarded command that has ended")
+    return DiscardedCommand(head, left)
+
+
 def _segment(item: object, payload: _Payload) -> Segment:
     """Return the segment that an item of the header describes; raises RecordError."""
     if not isinstance(item, list) or len(item) != 2:
@@ -243,6 +298,13 @@
             raise RecordError(f"{name}: neither true nor false")
         return value
 
+    def closing(self, name: str) -> Closing:
+        """Return a field that says when the connection closes."""
+        try:
+            return Closing(self.text(name))
+        except ValueError:
+            raise RecordError(f"{name}: unknown") from None
+
     def address(self, name: str) -> tuple[str, int]:
         """Return a field with a host and a port."""
         match self._values.get(name):
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -233,6 +233,11 @@
         """Whether the successor accepts connections with outstanding replies as well as idle ones."""
         return self._successor is not None and self.sender.receiver_version == RECORD_VERSION
 
+    @property
+    def takes_extended_records(self) -> bool:
+        """Whether the successor accepts connections that close, or discard a command."""
+        return self.sender.takes_extended_records
+
     @property
     def max_values(self) -> int:
         """The most values in progress that the successor accepts with one connection."""
--- a/saltport/messages.py
+++ b/saltport/messages.py
@@ -119,6 +119,13 @@
         Return False, without effect, if the command's length is not known yet; that is for a few bytes.
         """
 
+    @property
+    def discarded_command(self) -> tuple[bytes, int]:
+        """The command that is discarded, without its long part, and how many bytes of that are to come."""
+
+    def resume_discarding(self, head: bytes, left: int) -> None:
+        """Go on to discard the command of another parser, which had this `discarded_command`."""
+
     @property
     def end_reason(self) -> str:
         """Why no further commands can be parsed: an invalid stream, or QUIT; empty while they can."""
--- a/saltport/wire/partial_message.py
+++ b/saltport/wire/partial_message.py
@@ -59,6 +59,16 @@
         """The bytes received of the incomplete message."""
         return bytes(self._buffer)
 
+    @property
+    def discarded_message(self) -> tuple[bytes, int]:
+        """The message that is discarded, whole without its long part, and the bytes of that to come."""
+        return self._discarded_head, self._left_to_discard
+
+    def resume_discarding(self, head: bytes, left: int) -> None:
+        """Go on to discard the message of another reader, which had this `discarded_message`."""
+        self._discard_rest(head, left)
+        self.needed_bytes = left
+
     @abstractmethod
     def discard(self) -> bool:
         """Discard the rest of the long part; `feed` then returns the message without it.
--- a/tests/handover/test_moving_connections.py
+++ b/tests/handover/test_moving_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 
 import pytest
@@ -9,7 +10,7 @@
 from benchmarks.platform import platform
 from saltport.admin.client import ask
 from tests.handover.test_processes import LONG, PausingNode, upgrade, wait_for_values
-from tests.sockets import eventually, get
+from tests.sockets import bulk, echo_cache, eventually, get, put
 
 
 @pytest.mark.parametrize("count", [64, 65, 140])
@@ -30,3 +31,66 @@
             node.released.set()
         assert [client.answer() == LONG for _ in range(count)] == [True] * count
         assert ask(new.admin, "/stats")["errored"]["get"] == 0
+
+
+@pytest.mark.parametrize("limit_mb", [64, 96])
+def test_write_that_is_turned_away_as_it_comes_gets_its_answer_in_the_next_process(
+    tmp_path: Path, limit_mb: int
+) -> None:
+    # Guards against: a connection whose command was being discarded stayed, unread, and got no answer.
+    size, first = 3 << 20, 100 << 10
+    with platform(tmp_path, {"s1": echo_cache()}) as cluster:
+        cluster.configuration["limits"]["memory_mb"] = limit_mb
+        old = cluster.start().wait_until_healthy()
+        clients = [cluster.client() for _ in range(2 * limit_mb // 10)]
+        for number, client in enumerate(clients):
+            client.send(put(f"w{number}", bytes(size), d=1500)[:first])
+        eventually(lambda: ask(old.admin, "/state")["held_bytes"] > size, "some have reserved memory")
+        time.sleep(0.8)  # half of the clients' time: the others are being discarded
+        upgrade(cluster, old)
+        answers = []
+        for number, client in enumerate(clients):
+            client.send(put(f"w{number}", bytes(size), d=1500)[first:] + bulk(b"PING"))
+            answers.append(client.answer())
+            assert client.answer() == b"+PONG", "the stream goes on behind the discarded command"
+        assert all(answer.startswith((b"-BUSY", b"-ERR")) for answer in answers), answers
+        assert sum(answer.startswith(b"-BUSY") for answer in answers) > 0
+
+
+def test_value_ahead_of_the_end_of_a_stream_moves(tmp_path: Path) -> None:
+    # Guards against: a connection that closes behind its answers stayed, and its values were cut off.
+    node = PausingNode()
+    with platform(tmp_path, {"s1": node.peer}) as cluster:
+        old = cluster.start().wait_until_healthy()
+        client = cluster.client()
+        client.send(get("c1", "long") + get("c2") + b"*no command\r\n" + get("c3"))
+        eventually(lambda: len(node.peer.seen) == 2, "both requests reached the node")
+        wait_for_values(old)
+        new = upgrade(cluster, old)
+        wait_for_values(new)
+        node.released.set()
+        assert [client.answer(), client.answer()] == [LONG, b"c2"]
+        assert client.answer().startswith(b"-ERR Protocol error")
+        assert client.at_end()
+        assert [words[2] for words in node.peer.seen] == [b"c1", b"c2"], "nothing behind the end is handled"
+
+
+@pytest.mark.parametrize("resumes", [True, False])
+def test_value_of_a_drained_process_moves(tmp_path: Path, resumes: bool) -> None:
+    # Guards against: a drain marked busy connections to close, and those stayed at the upgrade after it.
+    node = PausingNode()
+    with platform(tmp_path, {"s1": node.peer}) as cluster:
+        old = cluster.start().wait_until_healthy()
+        client, idle = cluster.client(), cluster.client()
+        assert idle.ask(get("c0")) == b"c0"
+        client.send(get("c1", "long") + get("c2"))
+        wait_for_values(old)
+        assert old.put("/healthcheck/fail") == 200
+        assert idle.at_end()
+        if resumes:
+            assert old.put("/healthcheck/ok") == 200
+        new = upgrade(cluster, old)
+        wait_for_values(new)
+        node.released.set()
+        assert [client.answer(), client.answer()] == [LONG, b"c2"]
+        assert client.at_end()
