Shutdown: a process stays while clients have not taken all answers, and goes on handing over

Callers saw: of 100 short answers a slow reader got 67; the process that was told to end left 2.55 s after SIGTERM with the others in its memory, though nobody had killed it. Cause: Service._shut_down waited for open requests only, and a request ends when its answer is whole, wherever that stands; connections that found no room for a hand-over at that moment were not tried again (by reading). Change: steps go on until no request is open, no hand-over is under way, and the kernel has every byte. Measured: the new test failed before (at index 67), passes now.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -132,6 +132,11 @@
         """Whether no client is connected and none can connect."""
         return not self.connected and not self._acceptors and not self._acceptors.accepting
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer has not been passed to the kernel yet."""
+        return self.lingering.has_unsent or any(connection.has_unsent for connection in self._connections)
+
     @property
     def takes_clients(self) -> bool:
         """Whether the router is ready and not draining."""
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -537,6 +537,13 @@
         if not self.closed:
             self._update_flow()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether answers are outstanding, or bytes of them that the kernel has not taken."""
+        return bool(self.replies) or (
+            self.transport is not None and self.transport.get_write_buffer_size() > 0
+        )
+
     @property
     def idle(self) -> bool:
         """Whether no reply is outstanding and no command is partially received."""
--- a/saltport/downstream/lingering_close.py
+++ b/saltport/downstream/lingering_close.py
@@ -43,6 +43,11 @@
         """Unregister the closed connection."""
         self._lingering.remove(self)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the kernel has not taken all bytes."""
+        return self._transport.get_write_buffer_size() > 0
+
     def check(self, now: float) -> None:
         """Close the connection if the client neither acknowledges data nor closes its side in time."""
         unacknowledged = unacknowledged_bytes(self._transport)
@@ -67,6 +72,11 @@
     def __len__(self) -> int:
         return len(self._connections)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the kernel has not taken all bytes of a connection."""
+        return any(closing.has_unsent for closing in self._connections)
+
     def add(self, transport: TcpStream, on_end: Callable[[], None]) -> None:
         """Shut down the sending side after the buffered bytes, and read until the client closes its side.
 
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -433,16 +433,24 @@
         self._host.set_final_deadline(int(plan.expired * NS_PER_S))
         await self._drain_connections(plan, close_health_checks=True)
         self._host.finish_all_requests()
-        self._clients.finish(even_mid_command=True)
-        # Values that have begun go on until the platform kills this process: an exit would cut them off.
-        await self._wait_while(lambda: self._host.figures.current > 0, VALUES_TIMEOUT_S)
-        await self._wait_while(lambda: self._clients.connected > 0, LAST_REPLIES_S)
+        await self._finish_connections(lambda: self._owes_answers, VALUES_TIMEOUT_S)
+        await self._finish_connections(lambda: self._clients.connected > 0, LAST_REPLIES_S)
+
+    async def _finish_connections(self, condition: Callable[[], bool], timeout_s: float) -> None:
+        """Hand over or close connections, again and again while the condition is true.
 
-    async def _wait_while(self, condition: Callable[[], bool], timeout_s: float) -> None:
-        """Wait while the condition is true, at most `timeout_s` seconds."""
+        Danger: only so many are handed over at a time, and some only once a descriptor is free.
+        """
         expires_at = self._loop.time() + timeout_s
+        self._clients.finish(even_mid_command=True)
         while condition() and self._loop.time() < expires_at:
             await asyncio.sleep(POLL_S)
+            self._clients.finish(even_mid_command=True)
+
+    @property
+    def _owes_answers(self) -> bool:
+        """Whether an exit would cut off an answer: until the platform kills this process, they go on."""
+        return self._host.figures.current > 0 or self._handing_over or self._clients.has_unsent
 
     @property
     def _handing_over(self) -> bool:
--- a/tests/handover/test_moving_connections.py
+++ b/tests/handover/test_moving_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from pathlib import Path
 
@@ -10,7 +11,7 @@
 from benchmarks.platform import platform
 from saltport.admin.client import ask
 from tests.handover.test_processes import LONG, PausingNode, upgrade, wait_for_values
-from tests.sockets import bulk, echo_cache, eventually, get, put
+from tests.sockets import Peer, bulk, echo_cache, eventually, get, hit, put
 
 
 @pytest.mark.parametrize("count", [64, 65, 140])
@@ -94,3 +95,17 @@
         node.released.set()
         assert [client.answer(), client.answer()] == [LONG, b"c2"]
         assert client.at_end()
+
+
+def test_answers_that_a_slow_client_has_not_taken_outlive_the_end_of_the_plan(tmp_path: Path) -> None:
+    # Guards against: a process that was told to end left once no request was open, with answers unsent.
+    value, count = b"v" * 60_000, 100
+    with platform(tmp_path, {"s1": Peer(lambda _, words: hit(value))}, sockets=1024) as cluster:
+        old, client = cluster.start().wait_until_healthy(), cluster.client()
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+        client.send(b"".join(get(f"c{number}", f"k{number}") for number in range(count)))
+        eventually(lambda: ask(old.admin, "/stats")["answered"]["get"] == count, "all are answered")
+        old.terminate()
+        time.sleep(3.0)  # over the longest deadline and what the plan adds
+        assert [client.answer() == value for _ in range(count)] == [True] * count
+        eventually(lambda: old.has_exited, "the process has exited")
