--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -93,9 +93,9 @@
 
     def apply_settings(self, settings: api.Settings) -> None:
         """Apply the deadlines of new settings; the tenants' portions of the keys are fixed at the start."""
-        self._invalidations.max_read_time = max(c.deadline for c in settings.classes) + min(
-            c.aim for c in settings.classes
-        )
+        # Danger: reads that began under earlier settings keep their deadlines, and copy their values as late.
+        read_time = max(c.deadline for c in settings.classes) + min(c.aim for c in settings.classes)
+        self._invalidations.max_read_time = max(self._invalidations.max_read_time, read_time)
 
     def arrived(self, request: Request, tenant: str, now: int) -> None:
         """Count a read and attach its key's record to it; for a write, stop copying the key's value."""
--- a/saltport/decisions/inheritance.py
+++ b/saltport/decisions/inheritance.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from saltport.decisions.health import Node
+from saltport.decisions.interface import DedupScope, Effect, RequestClass
 from saltport.decisions.outliers import FAILURE_WINDOW_NS, MAX_EJECTION_NS, Record
 from saltport.decisions.settings import WireError, number
 from saltport.structures.windowed_counter import WindowedCounter
@@ -37,9 +38,39 @@
             for name, record in router.outliers.records.items()
             if name in router.outliers.ejected
         },
+        "rules": _export_rules(router),
     }
 
 
+def _export_rules(router: Router) -> dict[str, Any]:
+    """Return the classes and the number of attempts in force, for requests that the next process reads."""
+    classes, max_attempts = router.rules_history.current()
+    return {
+        "attempts": max_attempts,
+        "classes": [
+            [
+                known.name,
+                known.aim,
+                known.deadline,
+                known.effect.value,
+                known.dedup_scope.value,
+                known.dedup_window,
+                known.streamed,
+            ]
+            for known in classes
+        ],
+    }
+
+
+def _read_class(entry: Any) -> RequestClass:
+    """Return the validated class; raises ValueError."""
+    name, aim, deadline, effect, scope, window, streamed = entry
+    if not isinstance(name, str):
+        raise ValueError("the name of a class must be a string")
+    aim, deadline, window = (int(_checked_number(value)) for value in (aim, deadline, window))
+    return RequestClass(name, aim, deadline, Effect(effect), DedupScope(scope), window, streamed is True)
+
+
 def _export_limiter(limiter: Suppressor, now: int) -> dict[str, Any]:
     """Return a tenant's limit, and its calls as triples of age in steps, accepted and declined calls."""
     limiter.accepted(now)  # removes calls that have left the window
@@ -76,8 +107,14 @@
         limiters = {name: _read_limiter(entry) for name, entry in message["tenants"].items()}
         nodes = {name: _read_node(entry) for name, entry in message["servers"].items()}
         ejected = {name: _read_ejection(entry) for name, entry in message["ejected"].items()}
+        # Processes of earlier versions do not send the rules.
+        rules = message.get("rules") or {"attempts": 1, "classes": []}
+        classes = [_read_class(entry) for entry in rules["classes"]]
+        max_attempts = int(_checked_number(rules["attempts"], 1))
     except (KeyError, TypeError, AttributeError, WireError) as error:
         raise ValueError(f"{type(error).__name__}: {error}") from None
+    if classes:
+        router.rules_history.add_predecessor(classes, max_attempts, now)
     for name, (limit, steps) in limiters.items():
         limiter = router.fetches.rate_limiters.get(name)
         if limiter is not None:
--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -271,6 +271,16 @@
     settings: Settings
 
 
+@dataclass(slots=True)  # not frozen: a frozen instance takes four times as long to create
+class RequestRules:
+    """The rules that a request keeps from its arrival to its end, whatever settings are loaded meanwhile."""
+
+    request_class: RequestClass
+    max_attempts: int
+    tenant: str
+    """Its tenant; empty if it names none, or one that the settings did not have."""
+
+
 @dataclass(slots=True)  # not frozen: a frozen instance takes four times as long to create
 class RequestArrived:
     """A client's request, which needs one final answer by the clock time `deadline`."""
@@ -282,6 +292,8 @@
     key: str | None = None
     write: bool = False
     retry: bool = False
+    rules: RequestRules | None = None
+    """The rules that it has kept since it was received; None: it was received only now."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -20,6 +20,7 @@
 from saltport.decisions.placement import Placement, Suspected
 from saltport.decisions.replication_factory import make_replication
 from saltport.decisions.request import Request
+from saltport.decisions.request_rules import RulesHistory
 from saltport.decisions.server_registry import ServerRegistry
 from saltport.decisions.table import SlotTable
 from saltport.decisions.weight_adjustment import WeightAdjustment
@@ -37,7 +38,7 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self._rng = random.Random(seed)
-        self.settings, self._classes = settings, {cls.name: cls for cls in settings.classes}
+        self.settings, self.rules_history = settings, RulesHistory(settings)
         self.registry = ServerRegistry()
         self.caches, self.origins = SlotTable(settings), SlotTable(settings)
         self.outliers = OutlierDetector(settings, self._rng)
@@ -91,8 +92,9 @@
         return self._actions
 
     def _apply_settings(self, settings: api.Settings) -> None:
-        """Apply new settings; open requests keep their class and number of attempts."""
-        self.settings, self._classes = settings, {cls.name: cls for cls in settings.classes}
+        """Apply new settings; open requests keep their class, tenant's limiter and number of attempts."""
+        self.settings = settings
+        self.rules_history.replace(settings, self._now)
         for part in (self.fetches, self.caches, self.origins, self.outliers, self.overload, self.replication):
             part.apply_settings(settings)
 
@@ -136,13 +138,25 @@
         elif request and request.waiting and request.write:
             self._fetch(request)
 
+    def rules_for(self, request_class: str, tenant: str | None, earliest: int) -> api.RequestRules | None:
+        """Return the rules that a request keeps which arrived at `earliest` or later; None: no such class."""
+        found = self.rules_history.find(request_class, earliest)
+        if found is None:
+            return None
+        was_dropped = earliest < self.rules_history.changed_at
+        known_tenant = tenant if tenant and self.fetches.knows(tenant, was_dropped) else ""
+        return api.RequestRules(found.request_class, found.max_attempts, known_tenant)
+
     def _arrived(self, event: api.RequestArrived) -> None:
         """Admit or refuse a new request; send an admitted read to a cache server, a write to the origin.
 
         Without an origin, writes go to cache servers too.
         """
-        limiter = self.fetches.rate_limiters.get(event.tenant or "", self.fetches.rate_limiters[""])
-        request = Request(event, self._classes[event.request_class], limiter, self.settings.max_attempts)
+        rules = event.rules or self.rules_for(event.request_class, event.tenant, self._now)
+        if rules is None:
+            raise ValueError(f"unknown class {event.request_class!r}")
+        limiter = self.fetches.limiter(rules.tenant)
+        request = Request(event, rules.request_class, limiter, rules.max_attempts)
         slots = self.settings.slots
         request.slot = self._rng.randrange(slots) if event.key is None else crc32(event.key.encode()) % slots
         self.requests[request.id] = request
--- a/saltport/decisions/origin.py
+++ b/saltport/decisions/origin.py
@@ -19,6 +19,7 @@
 
 # Calls over which the share of failed calls is smoothed, and the share from which limits are cut.
 FAILURE_SAMPLES, MAX_FAILURE_SHARE = 8, 0.2
+MAX_DROPPED_TENANTS = 1024  # whose rate limiters are kept
 # Outcomes that are no failure of the origin unless late: an early time-out had too little time left.
 NOT_ORIGIN_FAILURES = (Outcome.NOT_SENT, Outcome.CANCELLED, Outcome.TIMEOUT)
 
@@ -29,6 +30,8 @@
     def __init__(self, settings: Settings, rng: random.Random) -> None:
         self._rng = rng
         self.rate_limiters: dict[str, Suppressor] = {}
+        self._dropped: dict[str, Suppressor] = {}
+        """The rate limiters of tenants that are in the settings no longer, the latest last."""
         self.apply_settings(settings)
         aim = min(cls.aim for cls in settings.classes)
         self.response_time = ResponseTimeEstimate(aim / 2)  # of successful fetches
@@ -39,12 +42,28 @@
         """By key, the reads that wait for the fetch that is in flight, without the read that leads it."""
 
     def apply_settings(self, settings: Settings) -> None:
-        """Apply the tenants of new settings; the rate limiters of remaining tenants keep their state."""
-        previous, self.rate_limiters = self.rate_limiters, {}
+        """Apply the tenants of new settings; the rate limiters of remaining tenants keep their state.
+
+        So do those of tenants that come back.
+        """
+        previous, self.rate_limiters = {**self._dropped, **self.rate_limiters}, {}
         for tenant in (*settings.tenants, Tenant("", 1.0)):
             if limiter := previous.get(tenant.name):
                 limiter.retune(tenant, settings.routers)
             self.rate_limiters[tenant.name] = limiter or Suppressor(tenant, settings.routers, self._rng)
+        dropped = [name for name in previous if name not in self.rate_limiters]
+        self._dropped = {name: previous[name] for name in dropped[-MAX_DROPPED_TENANTS:]}
+
+    def knows(self, tenant: str, even_dropped: bool) -> bool:
+        """Whether the tenant has a rate limiter of its own.
+
+        `even_dropped`: for a request that may have arrived when its tenant was in the settings.
+        """
+        return tenant in self.rate_limiters or (even_dropped and tenant in self._dropped)
+
+    def limiter(self, tenant: str) -> Suppressor:
+        """Return the rate limiter of a tenant, also of one that was dropped; the empty name has one too."""
+        return self.rate_limiters.get(tenant) or self._dropped.get(tenant) or self.rate_limiters[""]
 
     def admit(self, request: Request, origin: Node, now: int) -> Reason | None:
         """Return why a request may not be sent to the origin now, or None.
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -50,6 +50,7 @@
 COMMAND_PROGRESS_BYTES = 16 << 10  # that restart the time-out of a partially received command
 MAX_PARTIAL_COMMAND_BYTES = 64 << 10  # of a partial command passed to a successor that does not take records
 IDLE_TIMEOUT_S = 2.0  # a connection without an open request may be closed after this time
+ADOPTION_TIME_NS = 200_000_000  # in which what waited in the kernel is read after a hand-over
 FIRST_REQUEST_GRACE_S = 0.1  # a new client is expected to send its first request within this time
 
 log = logging.getLogger("saltport")
@@ -130,6 +131,8 @@
         self._unsent_count = 0  # bytes counted in the budget that the kernel had not taken at a pause
         self._last_unacknowledged = 0  # unacknowledged bytes at the previous check
         self._progress_at = 0.0
+        self._command_began_ns = 0  # before which the partial command did not begin
+        self._adopted_at_ns = 0  # when another process handed the connection over; 0: none did
         self._bytes_since_progress = 0  # received since `_progress_at`
         self._close_when_answered = False
         self._ended_elsewhere = False
@@ -164,6 +167,7 @@
         """Restore the outstanding replies and the partial command of a connection from another process."""
         record = received_connection.record
         self.has_carried_request = record.carried
+        self._adopted_at_ns = time.monotonic_ns()
         self._in_batch = True
         for segment in record.segments:
             reply = Reply(self)
@@ -311,17 +315,23 @@
             received = Received(received.earliest_ns, now)
         if self._input.is_between_commands:
             self._waits_for_replies = False
+        # What waited in the kernel of a connection that was handed over may be older than this process.
+        earliest_ns = 0 if received.earliest_ns < self._adopted_at_ns + ADOPTION_TIME_NS else None
+        began_ns = earliest_ns if starts_command else min(self._command_began_ns, received.earliest_ns)
         for message, answers in commands:
             reply = Reply(self, answers)
             self.replies.append(reply)
             if self.memory.waited_ns:
                 # Danger: the client's time runs on while its command waits here for memory.
                 received, self.memory.waited_ns = received.moved_back(self.memory.waited_ns), 0
-            self._handle_message(message, reply, received)
+            self._handle_message(message, reply, received, began_ns)
+            began_ns = earliest_ns
             self.memory.reserved = 0
         if reader.end_reason:
             self._end_stream()
         elif reader.needed_bytes:
+            if starts_command or commands:
+                self._command_began_ns = received.earliest_ns if earliest_ns is None else earliest_ns
             self._bytes_since_progress = (
                 0 if starts_command or commands else self._bytes_since_progress + size
             )
@@ -366,14 +376,16 @@
         self.replies.append(reply)
         reply.send(self._dialect.closing_reply())
 
-    def _handle_message(self, message: Message, reply: Reply, received: Received) -> None:
+    def _handle_message(
+        self, message: Message, reply: Reply, received: Received, began_ns: int | None
+    ) -> None:
         """Handle one parsed command: pass on, refuse or reject a request, or answer a ping."""
         match message:
             case Request() if not self.refusing and self._admit(message, reply):
                 self.has_carried_request = True
                 if self.server.access_log is not None:
                     self._log_request(self.server.access_log, message, reply)
-                self.server.host.request_arrived(message, reply, self._order, received)
+                self.server.host.request_arrived(message, reply, self._order, received, began_ns)
                 return
             case Request():
                 self._close_when_answered = self._close_when_answered or self.refusing
--- a/saltport/downstream/request_host.py
+++ b/saltport/downstream/request_host.py
@@ -24,9 +24,17 @@
         """Return the earliest time at which data read at `now_ns` can have arrived in the kernel."""
 
     def request_arrived(
-        self, request: Request, reply: Reply, order: KeyOrder[Any], received: Received
+        self,
+        request: Request,
+        reply: Reply,
+        order: KeyOrder[Any],
+        received: Received,
+        began_ns: int | None,
     ) -> None:
-        """Handle a complete request; `order` serializes commands on the same key of its connection."""
+        """Handle a complete request; `order` serializes commands on the same key of its connection.
+
+        `began_ns`: a time before which its first byte did not arrive; None: it arrived with the last one.
+        """
 
     def request_refused(self, request: Request) -> None:
         """Record that a request is refused because there are too many clients."""
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -30,6 +30,7 @@
     Probe,
     Refuse,
     RequestArrived,
+    RequestRules,
     Router,
     Send,
     ServerExcluded,
@@ -196,11 +197,11 @@
     def _use_settings(self, settings: Settings) -> None:
         """Store the settings and what is derived from them."""
         self.settings = settings
-        self._effects = {cls.name: cls.effect for cls in settings.classes}
         self._probe_timeout = min(cls.aim for cls in settings.classes)
         self.late_answer_wait_s = max(cls.deadline for cls in settings.classes) / NS_PER_S
         """How long a connection stays reserved for the answer to an attempt that has timed out."""
-        self.figures.add_classes(sorted(self._effects))
+        self._class_names = frozenset(cls.name for cls in settings.classes)
+        self.figures.add_classes(sorted(self._class_names))
 
     def apply_settings(self, settings: Settings) -> None:
         """Apply all new settings at once; open requests keep the ones that they arrived with."""
@@ -227,16 +228,21 @@
         reply: Reply,
         order: Order | None = None,
         received: Received | None = None,
+        began_ns: int | None = None,
     ) -> None:
         """Accept a client's request, to which exactly one final answer will be given.
 
         `order`: the key order of its connection. `received`: when its last byte arrived, if that is known
-        more closely than from the loop's lag.
+        more closely than from the loop's lag. `began_ns`: a time before which its first byte did not arrive;
+        None: it arrived with the last one.
         """
         request_id = message.id.decode("ascii")
-        if message.request_class not in self._effects:
+        arrival = received or self._received_now()
+        earliest_ns = arrival.earliest_ns if began_ns is None else min(began_ns, arrival.earliest_ns)
+        rules = self._router.rules_for(message.request_class, message.tenant, earliest_ns)
+        if rules is None:
             reply.rejected("unknown class")
-        elif request_id in self._requests or self._is_used(message):
+        elif request_id in self._requests or self._is_used(message, rules):
             # Danger: two open requests with one id would share attempts, and get each other's answers; one
             # that comes again later would take effect twice.
             reply.rejected("duplicate id")
@@ -245,24 +251,23 @@
             reply.refused()
         else:
             key_order = KeyOrder() if order is None else order
-            arrival = received or self._received_now()
-            reply.request = request = OpenRequest(self, request_id, message, reply, key_order, arrival)
+            reply.request = request = OpenRequest(self, request_id, message, reply, key_order, arrival, rules)
             self._requests[request_id] = request
             self.figures.current += 1
             request.start()
             return
         reply.release_memory()
 
-    def _is_used(self, message: Request) -> bool:
+    def _is_used(self, message: Request, rules: RequestRules) -> bool:
         """Whether an earlier request with this id may have taken effect, in any process of this router."""
-        if self._effects[message.request_class] is Effect.SAFE:
+        if rules.request_class.effect is Effect.SAFE:
             return False
         self.id_sharing.receive()
         return digest_of(message.id) in self.used_ids
 
     def _use_id(self, request: OpenRequest) -> None:
         """Record and tell the other process, before the first attempt, that a request may take effect."""
-        if self._effects.get(request.message.request_class, Effect.SAFE) is not Effect.SAFE:
+        if request.rules.request_class.effect is not Effect.SAFE:
             request.id_digest = digest_of(request.message.id)
             self.used_ids.add(request.id_digest, time.monotonic_ns())
             self.id_sharing.used(request.id_digest)
@@ -275,7 +280,7 @@
 
     def request_refused(self, message: Request) -> None:
         """Count a request that was refused before it was accepted."""
-        if message.request_class in self._effects:
+        if message.request_class in self._class_names:
             self.figures.deferred[message.request_class] += 1
 
     def client_gone(self, reply: Reply) -> None:
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -15,6 +15,7 @@
     ClientGone,
     Outcome,
     RequestArrived,
+    RequestRules,
     Send,
     StreamStarted,
 )
@@ -82,7 +83,7 @@
     __slots__ = (
         "_host", "_order", "_stage", "_timer", "arrival_uncertainty_ns", "attempt", "attempts",
         "broken_value", "closed", "counted", "deadline", "deferred_answer", "has_run", "id", "id_digest",
-        "max_attempts", "may_have_run", "message", "open_attempts", "reply",
+        "may_have_run", "message", "open_attempts", "reply", "rules",
     )  # fmt: skip
 
     def __init__(
@@ -93,8 +94,9 @@
         reply: Reply,
         order: Order,
         received: Received,
+        rules: RequestRules,
     ) -> None:
-        self._host, self._order = host, order
+        self._host, self._order, self.rules = host, order, rules
         self._stage = Stage.WAITING
         self._timer: asyncio.TimerHandle | None = None
         self.id, self.message, self.reply = request_id, message, reply
@@ -103,7 +105,6 @@
         self.arrival_uncertainty_ns = received.uncertainty_ns
         """By how much the client's own time-out may be earlier than `deadline`."""
         self.attempts = self.open_attempts = 0
-        self.max_attempts = host.settings.max_attempts
         self.closed = False
         self.may_have_run = False
         """Whether an attempt ended whose server may have executed the request, or still may."""
@@ -157,6 +158,7 @@
                 key=message.key.decode(),
                 write=message.value is not None,
                 retry=message.retry,
+                rules=self.rules,
             )
         )
 
@@ -238,7 +240,7 @@
         used up its attempts.
         """
         request, now = self._request, time.monotonic_ns()
-        if request.closed or self._number >= request.max_attempts or now >= self._send_limit_ns:
+        if request.closed or self._number >= request.rules.max_attempts or now >= self._send_limit_ns:
             return 0
         # Danger: after a stop of the process, or a wait in the listener's queue, the client's disconnection
         # may have arrived long ago without having been read.
@@ -460,7 +462,7 @@
         return (
             outcome is not Outcome.CANCELLED
             and request.message.value is None
-            and request.attempts < request.max_attempts
+            and request.attempts < request.rules.max_attempts
             and not request.deadline.expired(time.monotonic_ns())
             and not request.reply.client_has_left()
         )
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -18,7 +18,9 @@
     """Return a request that has not been sent yet."""
     event = request(name, cls=cls, deadline=deadline)
     limiter = router.fetches.rate_limiters["a"]
-    made = Request(event, router._classes[event.request_class], limiter, 4)
+    rules = router.rules_for(event.request_class, "a", 0)
+    assert rules is not None
+    made = Request(event, rules.request_class, limiter, 4)
     made.slot = 5
     return made
 
--- a/tests/router/test_lag.py
+++ b/tests/router/test_lag.py
@@ -21,6 +21,7 @@
     Outcome,
     RequestArrived,
     RequestClass,
+    RequestRules,
     Send,
     Server,
     ServersChanged,
@@ -49,6 +50,9 @@
         self.ended = asyncio.Event()
         self.registry = ServerRegistry()
 
+    def rules_for(self, request_class: str, tenant: str | None, earliest: int) -> RequestRules:
+        return RequestRules(RequestClass(request_class, NS_PER_S, NS_PER_S), 4, tenant or "")
+
     def handle(self, event: Event, now: int) -> list[Action]:
         if isinstance(event, RequestArrived):
             return [Send(event.request, event.key or "", ATTEMPT_TIMEOUT_NS)]
