Long values: one that breaks off is continued after the client's time, and in the next process

Cause: Attempt._may_resume allowed a further attempt only before the deadline, which is for the value's first bytes. The same close came when the further attempt found no server at that moment, and at any break of a value that another process had begun; one that was continued for a client that reads nothing stopped in the middle of what the client had. A record says which read a value answers, how much of it was passed on, with its checksum, and the attempts left. What the client has is read on. Why it works: what follows must be the same bytes (length and CRC-32 of the part that was sent), as before.

--- a/saltport/decisions/interface.py
+++ b/saltport/decisions/interface.py
@@ -326,6 +326,9 @@
     """Whether no byte of the request was sent, so that it had no effect whatever the outcome."""
     broke_off: bool = False
     """Whether the client has a part of the value, which only a further attempt can make whole."""
+    resume_until: int = 0
+    """If it broke off: until when another attempt may continue the value. The request's deadline was for the
+    first bytes."""
 
     @property
     def never_ran(self) -> bool:
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -275,6 +275,8 @@
             self._record_outcome(request, node, event, took)
         if not event.never_ran and request.possible_effect_node is None:
             record_possible_effect(request, node)
+        if event.broke_off:
+            request.deadline = request.not_after = max(request.deadline, event.resume_until)
         if event.closed or request.done:
             self._finish(request, stored=fetched and outcome is Outcome.OK)
         elif outcome is Outcome.MISS and not fetched and self.settings.origin_kind is not None:
--- a/saltport/handover/record.py
+++ b/saltport/handover/record.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
+from dataclasses import asdict, dataclass, fields
 from enum import Enum
 
 import orjson
@@ -23,6 +23,8 @@
 MAX_COMMAND_AGE_MS = 60_000  # time since the last progress of a partially received command
 MAX_REST_BYTES = 128 << 10  # of the end of an answer; the codec of its server sets stricter bounds
 MAX_TEXT_LENGTH = 1024  # of a text field such as a server id, in characters, and of `tail`, in bytes
+MAX_ATTEMPTS = 1_000_000
+MAX_CHECKSUM = (1 << 32) - 1
 END_MARK_BYTES = 2  # after the value of a cache server's answer
 ANSWER_FORMS = {"cache": frozenset("123456789"), "origin": frozenset([""])}
 
@@ -51,6 +53,29 @@
     """Whether the connection cannot be reused after this answer."""
 
 
+@dataclass(frozen=True, slots=True)
+class MovedRequest:
+    """The read that a partial value answers, for a further attempt if the value breaks off."""
+
+    id: str
+    key: str
+    info: str
+    """The list of names and values that servers get."""
+    tenant: str
+    """Empty: none."""
+    attempts_left: int
+    relayed_bytes: int
+    """How much of the value has been passed on to the client."""
+    checksum: int
+    """CRC-32 of these bytes."""
+
+    @property
+    def fits(self) -> bool:
+        """Whether a record can carry it."""
+        texts = (self.id, self.key, self.info, self.tenant)
+        return all(len(text) <= MAX_TEXT_LENGTH for text in texts) and self.attempts_left <= MAX_ATTEMPTS
+
+
 @dataclass(frozen=True, slots=True)
 class PartialValue:
     """A value that has been passed on in part, and the request that it answers."""
@@ -59,6 +84,8 @@
     request_class: str
     tail: bytes
     """Bytes that the client receives after the value."""
+    request: MovedRequest | None = None
+    """None: nobody can go on with the value if it breaks off."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,17 +155,9 @@
     for segment in record.segments:
         payload.append(segment.data)
         value = segment.value
-        value_header = None
         if value is not None:
-            position = value.position
-            payload += (position.rest, value.tail)
-            value_header = {
-                "class": value.request_class,
-                "tail": len(value.tail),
-                **{field.name: getattr(position, field.name) for field in fields(ReadPosition)},
-                "rest": len(position.rest),
-            }
-        segments.append([len(segment.data), value_header])
+            payload += (value.position.rest, value.tail)
+        segments.append([len(segment.data), None if value is None else _value_fields(value)])
     header = orjson.dumps(
         {
             "version": RECORD_VERSION,
@@ -153,6 +172,21 @@
     return b"".join([header, b"\n", *payload])
 
 
+def _value_fields(value: PartialValue) -> dict[str, object]:
+    """Return the fields of the header for a partial value."""
+    position = value.position
+    value_fields: dict[str, object] = {
+        "class": value.request_class,
+        "tail": len(value.tail),
+        **{field.name: getattr(position, field.name) for field in fields(ReadPosition)},
+        "rest": len(position.rest),
+    }
+    # Processes of earlier versions neither send nor read this field.
+    if value.request is not None and value.request.fits:
+        value_fields["request"] = asdict(value.request)
+    return value_fields
+
+
 def _extended_fields(record: ConnectionRecord) -> dict[str, object]:
     """Return the fields of the header that processes of earlier versions do not send."""
     extended: dict[str, object] = {}
@@ -244,10 +278,27 @@
             position,
             value_fields.text("class"),
             payload.take(value_fields.count("tail", MAX_TEXT_LENGTH)),
+            _moved_request(value["request"], length) if "request" in value else None,
         ),
     )
 
 
+def _moved_request(value: object, length: int) -> MovedRequest:
+    """Return the read that the header describes; raises RecordError."""
+    if not isinstance(value, dict):
+        raise RecordError("request: no object")
+    request_fields = _Fields(value)
+    return MovedRequest(
+        request_fields.text("id"),
+        request_fields.text("key"),
+        request_fields.text("info"),
+        request_fields.text("tenant"),
+        request_fields.count("attempts_left", MAX_ATTEMPTS),
+        request_fields.count("relayed_bytes", length),
+        request_fields.count("checksum", MAX_CHECKSUM),
+    )
+
+
 class _Payload:
     """The bytes after the header, consumed from the front."""
 
--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
 from saltport.address import Address
@@ -51,13 +52,14 @@
 from saltport.decisions.used_ids import UsedIds, digest_of
 from saltport.downstream.outcomes import CloseReason
 from saltport.downstream.replies import Reply
-from saltport.handover.record import PartialValue
+from saltport.handover.record import MovedRequest, PartialValue
 from saltport.lag import HEARTBEAT_NS, LagMeter
 from saltport.membership.listing import Listing
 from saltport.messages import Request
 from saltport.router.background_requests import Invalidation, ProbeExchange, ReplicationWrite
 from saltport.router.relay import MovedValue
 from saltport.router.requests import Attempt, OpenRequest, Order
+from saltport.router.resumption import RelayedValue
 from saltport.upstream.connection import Connection, Server
 from saltport.upstream.http import OriginConnection
 from saltport.upstream.pool import Pool
@@ -303,6 +305,32 @@
         moved.begin(value.position.left, self._pool.adopt(value.position, descriptor, dialect, moved))
         return moved
 
+    def continue_moved(
+        self, request_class: str, moved: MovedRequest, relayed: RelayedValue, reply: Reply
+    ) -> bool:
+        """Let a further attempt go on with a value that another process began; return False if none may."""
+        rules = self._router.rules_for(request_class, moved.tenant, 0)
+        if rules is None or not moved.attempts_left or moved.id in self._requests:
+            return False
+        rules = replace(rules, max_attempts=min(rules.max_attempts, moved.attempts_left))
+        message = Request(
+            moved.id.encode(),
+            moved.key.encode(),
+            request_class,
+            moved.tenant or None,
+            timeout_ms=0,
+            value=None,
+            retry=False,
+            info=moved.info.encode(),
+        )
+        reply.source = None
+        reply.request = request = OpenRequest(
+            self, moved.id, message, reply, KeyOrder(), self._received_now(), rules
+        )
+        self._requests[moved.id] = request
+        request.adopt_rest(relayed)
+        return True
+
     def forget_if_finished(self, request: OpenRequest) -> None:
         """Remove a request that has its final answer and no open attempts."""
         if request.closed and not request.open_attempts and request.id in self._requests:
@@ -319,6 +347,8 @@
         if request is None or request.closed:
             return
         if request.broken_value is not None:
+            if request.retry_rest():
+                return
             self.cut_off(request)
             self.forget_if_finished(request)
             return
--- a/saltport/router/relay.py
+++ b/saltport/router/relay.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Protocol
 
 from saltport.admin.figures import Figures
 from saltport.decisions import CacheStatus, Outcome
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import ValueProgress
-from saltport.handover.record import PartialValue
+from saltport.handover.record import MovedRequest, PartialValue
 from saltport.messages import ValueSource
 from saltport.router.resumption import PrefixCheck, PrefixDiffersError, RelayedValue
 from saltport.upstream.connection import Exchange
@@ -23,6 +24,11 @@
     loop: asyncio.AbstractEventLoop
     figures: Figures
 
+    def continue_moved(
+        self, request_class: str, moved: MovedRequest, relayed: RelayedValue, reply: Reply
+    ) -> bool:
+        """Let a further attempt go on with a value that another process began; return False if none may."""
+
 
 class Relay(Exchange):
     """Relays a value over 64 KiB from a server to a client, with flow control and a stall time-out."""
@@ -36,6 +42,8 @@
     _relayed: RelayedValue | None = None
     _prefix_check: PrefixCheck | None = None
     """Compares the answer's begin with what another attempt has passed on, until that is done."""
+    _pauses_after_prefix = False
+    """Whether reading pauses once that is done."""
 
     def __init__(self, host: RelayHost, reply: Reply, request_class: str) -> None:
         self._host, self._reply, self._class = host, reply, request_class
@@ -69,19 +77,29 @@
             return b""
         if check.is_complete:
             self._prefix_check = None
+            if self._pauses_after_prefix:
+                self.pause()
         return data
 
     def prefix_differs(self) -> None:
         """Called when the answer can't continue the value that the client has a part of."""
 
     def pause(self) -> None:
-        """Stop reading from the server because the client's buffer is full."""
+        """Stop reading from the server because the client's buffer is full.
+
+        Danger: what the client has already is read on all the same. A connection with a value that waits in
+        the middle of it could not be moved to the next process.
+        """
+        if self._prefix_check is not None:
+            self._pauses_after_prefix = True
+            return
         self._last_data_at = float("inf")
         if self._source is not None:
             self._source.pause()
 
     def resume(self) -> None:
         """Read from the server again because the client's buffer has room."""
+        self._pauses_after_prefix = False
         self._last_data_at = self._host.loop.time()
         if self._source is not None:
             self._source.resume()
@@ -122,12 +140,17 @@
         """End the relay in this process and return its state, for another process to continue it."""
         assert self.connection is not None
         flow = self.connection.suspend()
-        value = PartialValue(flow, self._class, self._reply.tail)
+        value = PartialValue(flow, self._class, self._reply.tail, self.moved_request)
         self._source = None
         self._stop_counting()
         self.end(Outcome.CANCELLED)
         return value
 
+    @property
+    def moved_request(self) -> MovedRequest | None:
+        """What another process needs to go on with the value if it breaks off there; None: it can't."""
+        return None
+
     def _stop_counting(self) -> None:
         """End the counting of the request as open, without a result: another process counts its result."""
 
@@ -143,6 +166,11 @@
         super().__init__(host, reply, value.request_class)
         self._counted = False
         host.figures.current += 1
+        self._moved = value.request
+        if value.request is not None:
+            self._relayed = RelayedValue(
+                value.position.length, value.request.relayed_bytes, value.request.checksum
+            )
 
     def begin(self, left: int, source: ValueSource) -> None:
         """Start to relay the `left` remaining bytes from `source`."""
@@ -157,6 +185,21 @@
         self._stop_counting()
         self.client_left()
 
+    @property
+    def moved_request(self) -> MovedRequest | None:
+        """What the next process needs to go on with the value if it breaks off there."""
+        if self._moved is None or self._relayed is None:
+            return None
+        return replace(self._moved, relayed_bytes=self._relayed.size, checksum=self._relayed.checksum)
+
+    def _may_continue(self, outcome: Outcome) -> bool:
+        """Let a further attempt go on with the value, which ended with this outcome, if one may."""
+        if outcome is Outcome.CANCELLED or self._moved is None or self._relayed is None:
+            return False
+        if self._reply.client_has_left():
+            return False
+        return self._host.continue_moved(self._class, self._moved, self._relayed, self._reply)
+
     def _stop_counting(self) -> None:
         """End the counting of the request as open, without a result, unless its end is counted already."""
         if not self._counted:
@@ -173,6 +216,8 @@
         self._counted = True
         figures = self._host.figures
         complete = outcome is Outcome.OK
+        if not complete and self._may_continue(outcome):
+            return  # the request is open, and counted, as one of this process
         figures.count_end(self._class, figures.answered if complete else figures.errored)
         if complete:
             self._reply.finish()
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -28,6 +28,7 @@
     transfer_allowance_ms,
 )
 from saltport.downstream.replies import Reply
+from saltport.handover.record import MovedRequest
 from saltport.lag import LagMeter
 from saltport.messages import Request, ValueSource
 from saltport.router.event_host import EventHost
@@ -37,6 +38,9 @@
 
 Order: TypeAlias = "KeyOrder[OpenRequest]"
 
+RESUME_TIMEOUT_NS = 2000 * NS_PER_MS  # for another answer to go on with a value that broke off
+RESUME_RETRY_NS = 200 * NS_PER_MS  # until it is tried again, if no server can be asked now
+
 LOOP_POLL_WAIT_S = 0.001  # long enough for the loop to poll the kernel once
 LOOP_DELAY_THRESHOLD_NS = 5 * NS_PER_MS  # a timer that is later than this shows that the loop was blocked
 
@@ -82,7 +86,8 @@
 
     __slots__ = (
         "_host", "_order", "_stage", "_timer", "arrival_uncertainty_ns", "attempt", "attempts",
-        "broken_value", "closed", "counted", "deadline", "deferred_answer", "has_run", "id", "id_digest",
+        "broken_value", "client_deadline", "closed", "counted", "deadline",
+        "deferred_answer", "has_run", "id", "id_digest",
         "may_have_run", "message", "open_attempts", "reply", "rules",
     )  # fmt: skip
 
@@ -101,7 +106,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self.id, self.message, self.reply = request_id, message, reply
         self.deadline = received.deadline(message.timeout_ms).no_later_than(host.final_deadline)
-        """Latest time at which this router answers the request."""
+        """Latest time at which this router begins to answer the request, or goes on with a broken value."""
+        self.client_deadline = self.deadline
+        """Until when the client waits for the answer to begin."""
         self.arrival_uncertainty_ns = received.uncertainty_ns
         """By how much the client's own time-out may be earlier than `deadline`."""
         self.attempts = self.open_attempts = 0
@@ -146,6 +153,9 @@
 
     def _begin(self) -> None:
         """Pass the request to the decision module."""
+        self._dispatch(self.rules)
+
+    def _dispatch(self, rules: RequestRules) -> None:
         message = self.message
         if self.closed:
             return
@@ -158,10 +168,43 @@
                 key=message.key.decode(),
                 write=message.value is not None,
                 retry=message.retry,
-                rules=self.rules,
+                rules=rules,
             )
         )
 
+    def await_rest(self, relayed: RelayedValue) -> None:
+        """Let a further attempt go on with a value that broke off.
+
+        The client's time is over with the first bytes; what it sent behind its read is lost with the value.
+        """
+        self.closed, self.broken_value = False, relayed
+        resume_until = Deadline(time.monotonic_ns() + RESUME_TIMEOUT_NS)
+        if self.deadline.at_ns < resume_until.at_ns:
+            self.deadline = resume_until
+
+    def retry_rest(self) -> bool:
+        """Try again later to go on with a broken value, as no server can be asked now.
+
+        Return False if no time or no attempt is left.
+        """
+        due = time.monotonic_ns() + RESUME_RETRY_NS
+        if self.attempts >= self.rules.max_attempts or due >= self.deadline.at_ns:
+            return False
+        self._timer = self._host.call_at(due, self.request_rest)
+        return True
+
+    def request_rest(self) -> None:
+        """Pass the request to the decision module anew, with the attempts that are left."""
+        rules = self.rules
+        left = RequestRules(rules.request_class, rules.max_attempts - self.attempts, rules.tenant)
+        self._dispatch(left)
+
+    def adopt_rest(self, relayed: RelayedValue) -> None:
+        """Go on with a value that another process began, after it broke off in this one."""
+        self._stage = Stage.OVER
+        self.await_rest(relayed)
+        self.request_rest()
+
     def _deadline_passed(self) -> None:
         """Refuse the request, whose deadline passed while it was queued; nothing of it was executed."""
         self._host.refuse(self)
@@ -249,8 +292,14 @@
         return request.deadline.remaining_ms(now + request.arrival_uncertainty_ns)
 
     def stated_time_ms(self, remaining_ms: int) -> int:
-        """Return the time left, less the time that it takes to send a long value."""
-        message = self._request.message
+        """Return the time left, less the time that it takes to send a long value.
+
+        While a value that broke off is continued, servers are told no more than the client's own time left.
+        """
+        request, message = self._request, self._request.message
+        if request.broken_value is not None:
+            now_ns = time.monotonic_ns() + request.arrival_uncertainty_ns
+            return min(remaining_ms, max(request.client_deadline.remaining_ms(now_ns), STATED_TIME_SLACK_MS))
         if message.value is None or len(message.value) <= LONG_VALUE_BYTES:
             return remaining_ms
         allowance_ms = transfer_allowance_ms(len(message.value), remaining_ms)
@@ -463,10 +512,26 @@
             outcome is not Outcome.CANCELLED
             and request.message.value is None
             and request.attempts < request.rules.max_attempts
-            and not request.deadline.expired(time.monotonic_ns())
             and not request.reply.client_has_left()
         )
 
+    @property
+    def moved_request(self) -> MovedRequest | None:
+        """What another process needs to go on with the value if it breaks off there."""
+        request, relayed = self._request, self._relayed
+        if request.message.value is not None or relayed is None:
+            return None
+        message, attempts_left = request.message, request.rules.max_attempts - request.attempts
+        return MovedRequest(
+            request.id,
+            message.key.decode(),
+            message.info.decode(),
+            message.tenant or "",
+            max(attempts_left, 0),
+            relayed.size,
+            relayed.checksum,
+        )
+
     def _stop_counting(self) -> None:
         self._host.count_end(self._request, None)
 
@@ -489,9 +554,9 @@
             if outcome is Outcome.OK:
                 self._host.count_end(request, self._host.figures.answered)
                 reply.finish()
-            elif self._may_resume(outcome):
+            elif self._relayed is not None and self._may_resume(outcome):
                 broke_off, reply.source = True, None
-                request.closed, request.broken_value = False, self._relayed
+                request.await_rest(self._relayed)
             else:
                 self._host.count_end(request, self._host.figures.errored)
                 reply.abort_value()
@@ -521,6 +586,7 @@
             self._value_bytes if value is None else len(value),
             unsent,
             broke_off,
+            request.deadline.at_ns if broke_off else 0,
         )
         self._host.forget_if_finished(request)
         self._host.dispatch(event, value)
--- a/saltport/router/resumption.py
+++ b/saltport/router/resumption.py
@@ -17,22 +17,22 @@
 class RelayedValue:
     """How much of a value the client was sent, with a checksum of it."""
 
-    __slots__ = ("_checksum", "length", "size")
+    __slots__ = ("checksum", "length", "size")
 
-    def __init__(self, length: int) -> None:
+    def __init__(self, length: int, size: int = 0, checksum: int = 0) -> None:
         self.length = length
-        self.size = 0
+        self.size = size
         """Number of bytes that were passed on."""
-        self._checksum = 0
+        self.checksum = checksum
 
     def add(self, data: bytes) -> None:
         """Record a part that is passed on."""
         self.size += len(data)
-        self._checksum = crc32(data, self._checksum)
+        self.checksum = crc32(data, self.checksum)
 
     def has_same_bytes(self, other: RelayedValue) -> bool:
         """Whether as many bytes with the same checksum were passed on."""
-        return (self.size, self._checksum) == (other.size, other._checksum)
+        return (self.size, self.checksum) == (other.size, other.checksum)
 
 
 class PrefixCheck:
