Hand-over: what lacked descriptors is offered again; no more values begin than an old version takes

Callers could see: values cut off at an upgrade, as a connection that its successor had no descriptors for at one moment, or that came back when the link closed, was pinned to the old process; or as over 64 values had begun though the linked successor, of an earlier version, takes 64. Cause: each rejection pinned the connection; the limit of a linked successor was asked only at the hand-over. Change: NO_DESCRIPTORS as reason of a rejection, after which a connection may be offered again, as after the end of the link; value_started refuses a read whose value the linked successor could not take with its connection.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -33,6 +33,11 @@
 ACCEPT_RETRY_S = 0.01  # before the limit is checked again when no connection can be evicted
 
 
+def _no_limit() -> int | None:
+    """Return None: no process of an earlier version may have to take over the connections."""
+    return None
+
+
 def _check_nothing() -> None:
     """Do nothing: nobody watches the memory."""
 
@@ -66,6 +71,8 @@
         """Whether health checks are answered negatively so that clients go to other routers."""
         self.successor: Successor | None = None
         """The process that takes over the connections, once this process is ending."""
+        self.max_values_in_progress: Callable[[], int | None] = _no_limit
+        """Returns the most values that may be in progress on one connection; None: no limit."""
         self.handovers_in_progress = 0
         """Number of connections that are frozen but not yet passed to the successor."""
         self.exits_at = 0.0
@@ -118,9 +125,9 @@
         sock.setblocking(False)
         self._acceptors.adopt(sock, protocol, received_connection.drop)
 
-    def restorer(self, record: bytes, descriptors: Sequence[int]) -> Callable[[], None]:
-        """Return a callback that restores a frozen connection in this process."""
-        return lambda: self.adopt(decode(record, len(descriptors)), descriptors, pinned=True)
+    def restore(self, record: bytes, descriptors: Sequence[int], pinned: bool) -> None:
+        """Restore a frozen connection in this process; `pinned`: it must not be handed over again."""
+        self.adopt(decode(record, len(descriptors)), descriptors, pinned)
 
     @property
     def accepting(self) -> bool:
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -70,6 +70,7 @@
     check_memory: Callable[[], None]
     closing_when_answered: bool
     successor: Successor | None
+    max_values_in_progress: Callable[[], int | None]
     handovers_in_progress: int
     exits_at: float
     access_log: AccessLog | None
@@ -87,8 +88,8 @@
     def remove_connection(self, connection: ClientConnection) -> None:
         """Unregister a closed connection."""
 
-    def restorer(self, record: bytes, descriptors: Sequence[int]) -> Callable[[], None]:
-        """Return a callback that restores a frozen connection in this process."""
+    def restore(self, record: bytes, descriptors: Sequence[int], pinned: bool) -> None:
+        """Restore a frozen connection in this process; `pinned`: it must not be handed over again."""
 
 
 class ClientConnection(StreamProtocol):
@@ -355,6 +356,11 @@
             received = self._receive_times.record_read(now, emptied=emptied, is_last=is_last)
         return received
 
+    def may_begin_value(self) -> bool:
+        """Whether a value may begin: the next process may have to take over those in progress together."""
+        limit = self.server.max_values_in_progress()
+        return limit is None or sum(reply.source is not None for reply in self.replies) < limit
+
     def keeps_up(self) -> bool:
         """Whether the client has acknowledged all that was written to it, so that the kernel takes more."""
         return self.transport is not None and not unacknowledged_bytes(self.transport)
@@ -680,9 +686,13 @@
             reply.drop_buffered()
             reply.source = None
         self._mark_closed(CloseReason.MOVED)
-        successor.offer(
-            ConnectionTransfer(record, frozen.descriptors, self.server.restorer(record, frozen.descriptors))
+        server, descriptors = self.server, frozen.descriptors
+        transfer = ConnectionTransfer(
+            record,
+            descriptors,
+            lambda: server.restore(record, descriptors, pinned=not transfer.may_be_offered_again),
         )
+        successor.offer(transfer)
 
     def _hand_over_idle(self) -> bool:
         """Pass on a connection without outstanding replies, as its socket and the bytes of a partial command.
--- a/saltport/downstream/replies.py
+++ b/saltport/downstream/replies.py
@@ -69,6 +69,9 @@
     memory: ClientMemory
     """What is kept for this client."""
 
+    def may_begin_value(self) -> bool:
+        """Whether a value may begin beside those in progress."""
+
     def keeps_up(self) -> bool:
         """Whether the client has acknowledged all that was written to it, so that the kernel takes more."""
 
@@ -191,6 +194,10 @@
             return True
         return not self._must_wait and connection.keeps_up()
 
+    def may_begin_value(self) -> bool:
+        """Whether the answer may begin as a streamed value; otherwise the request has to be refused."""
+        return self._connection.closed or self._connection.may_begin_value()
+
     def restore(self, segment: Segment) -> None:
         """Restore a reply from another process; the caller sets the source of a streamed value."""
         data = segment.data
--- a/saltport/handover/exchange.py
+++ b/saltport/handover/exchange.py
@@ -42,6 +42,8 @@
 LEARNED_PART, LEARNED_LAST, IDLE_CONNECTION, RECORD_PART, RECORD_LAST = b"l", b"L", b"C", b"P", b"M"
 EXTENDED, HELLO, ACCEPTED, REJECTED = b"E", b"H", b"A", b"N"
 USED_IDS, FREE_IDS = b"I", b"F"
+NO_DESCRIPTORS = "the receiver had no descriptors"
+"""The reason of a rejection after which the connection may be offered again."""
 MAX_IDS_PER_MESSAGE = 4096
 
 
@@ -56,6 +58,8 @@
     sent_bytes: int = field(default=0)
     """Bytes of the record that have been sent."""
     sent_descriptors: int = field(default=0)
+    may_be_offered_again: bool = field(default=False)
+    """Whether the connection, once resumed in this process, may be handed over later."""
 
     def next_message(self) -> Message:
         """Return the message that is to be sent next."""
@@ -169,8 +173,10 @@
                 self._close_descriptors(transfer.descriptors)
             else:
                 self.rejected += 1
+                reason = data[1:101].decode(errors="replace")
+                transfer.may_be_offered_again = reason == NO_DESCRIPTORS
                 transfer.resume()
-                return data[1:101].decode(errors="replace")
+                return reason
         return ""
 
     def link_closed(self) -> None:
@@ -183,6 +189,7 @@
             self._close_descriptors(transfer.descriptors)
         for transfer in queue:
             transfer.restart()
+            transfer.may_be_offered_again = True
             transfer.resume()
 
 
--- a/saltport/lifecycle/service.py
+++ b/saltport/lifecycle/service.py
@@ -144,7 +144,8 @@
             else None
         )
         if self._takeover is not None:
-            self._host.id_sharing = self._takeover
+            self._host.id_sharing = takeover = self._takeover
+            self._clients.max_values_in_progress = lambda: takeover.max_values_in_progress
         self._memory_monitor = MemoryMonitor(
             loop,
             config.memory,
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -27,6 +27,7 @@
     LEARNED_LAST,
     LEARNED_PART,
     MAX_DESCRIPTORS_PER_MESSAGE,
+    NO_DESCRIPTORS,
     RECORD_LAST,
     RECORD_PART,
     REJECTED,
@@ -243,6 +244,11 @@
         """The most values in progress that the successor accepts with one connection."""
         return self.sender.max_values
 
+    @property
+    def max_values_in_progress(self) -> int | None:
+        """The most values that may be in progress on one connection now, as it may have to be handed over."""
+        return self.sender.max_values if self.takes_records else None
+
     @property
     def free_capacity(self) -> int:
         """How many more connections may be frozen for the successor now."""
@@ -324,8 +330,9 @@
             self._take_record_descriptors()
             self.adopted += 1
         except RecordError as error:
+            reason = NO_DESCRIPTORS if self._record_is_cut else str(error)
             _close_all(self._take_record_descriptors())
-            reply = REJECTED + str(error).encode()[: MAX_REPLY_BYTES - 1]
+            reply = REJECTED + reason.encode()[: MAX_REPLY_BYTES - 1]
         assert self._predecessor is not None
         self._predecessor.answer(reply)
 
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -462,14 +462,16 @@
     def value_started(self, length: int, source: ValueSource) -> None:
         """Start the client's answer with a long value of `length` bytes from `source`.
 
-        It is refused instead if it would have to wait for its turn and the memory budget is exhausted.
+        It is refused instead if it would have to wait for its turn and the memory budget is exhausted, or if
+        the next process could not take over its connection with one value more.
         """
         self._latency = self._elapsed()
         request = self._request
         if request.broken_value is not None and not request.closed:
             self._resume_value(request.broken_value, length, source)
             return
-        if not request.closed and request.message.value is None and not request.reply.may_buffer(1):
+        may_begin = request.reply.may_buffer(1) and request.reply.may_begin_value()
+        if not (request.closed or may_begin) and request.message.value is None:
             self._host.refuse(request)
             self.give_up(Outcome.CANCELLED)
             return
--- a/tests/handover/test_moving_connections.py
+++ b/tests/handover/test_moving_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import time
 from pathlib import Path
@@ -10,7 +11,16 @@
 
 from benchmarks.platform import platform
 from saltport.admin.client import ask
-from tests.handover.test_processes import LONG, PausingNode, upgrade, wait_for_values
+from saltport.handover.exchange import NO_DESCRIPTORS, RECORD_LAST, REJECTED
+from saltport.handover.record import MAX_VALUES_IN_ONE_MESSAGE, ConnectionRecord, decode
+from tests.handover.test_processes import (
+    LONG,
+    PausingNode,
+    connect_as_successor,
+    upgrade,
+    value_in_progress,
+    wait_for_values,
+)
 from tests.sockets import Peer, bulk, echo_cache, eventually, get, hit, put
 
 
@@ -109,3 +119,56 @@
         time.sleep(3.0)  # over the longest deadline and what the plan adds
         assert [client.answer() == value for _ in range(count)] == [True] * count
         eventually(lambda: old.has_exited, "the process has exited")
+
+
+def receive_record(link: socket.socket) -> tuple[ConnectionRecord, list[int]]:
+    """Receive a record as a process of an earlier version does."""
+    data = b""
+    while True:
+        message, descriptors, _, _ = socket.recv_fds(link, 1 << 20, 65)
+        data += message[1:]
+        if message[:1] == RECORD_LAST:
+            return decode(data, len(descriptors)), descriptors
+
+
+def close_all(descriptors: list[int]) -> None:
+    for descriptor in descriptors:
+        os.close(descriptor)
+
+
+def test_connection_for_which_the_receiver_had_no_descriptors_is_offered_again(tmp_path: Path) -> None:
+    # Guards against: one rejection kept a connection in the old process, whatever it was for.
+    with (
+        value_in_progress(tmp_path) as (node, _cluster, old, client),
+        connect_as_successor(tmp_path, b"H1") as link,
+    ):
+        assert link.recv(1 << 20)[:1] == b"L"
+        old.terminate()
+        first, descriptors = receive_record(link)
+        close_all(descriptors)
+        link.send(REJECTED + NO_DESCRIPTORS.encode())
+        second, descriptors = receive_record(link)
+        assert second.values[0].position.length == first.values[0].position.length
+        close_all(descriptors)
+        link.send(REJECTED + b"no room")
+        node.released.set()
+        assert client.answer() == LONG, "it goes on in the old process"
+
+
+def test_no_more_values_begin_than_a_process_of_an_earlier_version_takes_over(tmp_path: Path) -> None:
+    # Guards against: a router that knew that its successor takes 64 values let more begin on one connection.
+    count = 80
+    nodes = {f"s{number}": PausingNode(10 << 10) for number in range(24)}
+    with platform(tmp_path, {name: node.peer for name, node in nodes.items()}, sockets=1024) as cluster:
+        cluster.configuration["limits"]["memory_mb"] = 1024  # the test counts as a process of the router
+        old = cluster.start().wait_until_healthy()
+        client = cluster.client()
+        with connect_as_successor(tmp_path, b"H1") as link:
+            assert link.recv(1 << 20)[:1] == b"L"
+            client.send(b"".join(get(f"c{number}", f"long{number}", 20_000) for number in range(count)))
+            old.until("current", MAX_VALUES_IN_ONE_MESSAGE)
+            assert old.status_value("deferred")["get"] == count - MAX_VALUES_IN_ONE_MESSAGE
+            old.terminate()
+            record, descriptors = receive_record(link)
+            assert len(record.values) == MAX_VALUES_IN_ONE_MESSAGE
+            close_all(descriptors)
