Takeover: a process listens for its successor again when the one before has died

Cause: a new process replaces the socket file of its predecessor; if it dies, the predecessor can't be found any more. Change: at the end of the link the predecessor puts its socket back, unless a process listens at the path.

--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import os
 import socket
@@ -48,6 +49,7 @@
 MAX_REPLY_BYTES = 256  # of a message to the predecessor
 OPEN_TIMEOUT_S = 5.0  # for retries while the machine lacks the resources to open a socket
 RETRY_S = 0.01  # delay before a full link is tried again; the other process frees it by receiving
+LISTEN_RETRY_S = 0.1  # delay before a socket that could not be opened is tried again
 
 log = logging.getLogger("saltport")
 
@@ -77,6 +79,9 @@
         self._predecessor: PacketLink | None = None
         self._successor: PacketLink | None = None
         self._acceptor: Acceptor | None = None
+        self._path: Path | None = None
+        """Where this process has listened for its successor."""
+        self._listen_retry: asyncio.TimerHandle | None = None
         self.sender = TransferSender(_close_all)
         self._receiver = TransferReceiver()
         self._record_descriptors: list[int] = []
@@ -141,6 +146,27 @@
                 "%s: %s; client connections will close when this process ends", path, error.strerror or error
             )
             return
+        self._path = path
+        self._acceptor = Acceptor(self._loop, listener, self._accepted)
+
+    def _listen_again(self) -> None:
+        """Listen at the path again after the successor has ended, unless another process listens there.
+
+        Danger: each process puts its own socket in the place of its predecessor's. If it dies, the next one
+        would find nobody there, and all connections of this process would end with this process.
+        """
+        self._listen_retry = None
+        if self._path is None or self._acceptor is None or self._successor is not None:
+            return
+        if _is_in_use(self._path):
+            return
+        try:
+            listener = _listen(self._path)
+        except OSError as error:
+            log.warning("%s: %s; trying again", self._path, error.strerror or error)
+            self._listen_retry = self._loop.call_later(LISTEN_RETRY_S, self._listen_again)
+            return
+        self._acceptor.close()
         self._acceptor = Acceptor(self._loop, listener, self._accepted)
 
     # The ids of requests that may have taken effect
@@ -215,6 +241,7 @@
         if not packet.data:
             self._close_successor()
             self._links_changed()
+            self._listen_again()
             return
         if self._receive_ids(packet.data):
             return
@@ -343,8 +370,9 @@
 
     def close(self) -> None:
         """Close all links and the listener; the socket file stays, as it may be the successor's by now."""
-        if self._retry is not None:
-            self._retry.cancel()
+        for timer in (self._retry, self._listen_retry):
+            if timer is not None:
+                timer.cancel()
         for link in (self._predecessor, self._successor):
             if link is not None:
                 link.close()
@@ -406,6 +434,14 @@
     return listener
 
 
+def _is_in_use(path: Path) -> bool:
+    """Whether a process has its socket at `path`; that process does not notice the question."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
+        probe.setblocking(False)
+        # The kernel looks for the other socket first, and then refuses a connection of another type.
+        return probe.connect_ex(str(path)) not in (errno.ECONNREFUSED, errno.ENOENT)
+
+
 def _seqpacket_socket() -> socket.socket:
     """Return a new non-blocking Unix socket that preserves message boundaries."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
--- a/tests/handover/test_moving_connections.py
+++ b/tests/handover/test_moving_connections.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import os
+import signal
 import socket
 import time
 from pathlib import Path
 
 import pytest
 
-from benchmarks.platform import platform
+from benchmarks.platform import Process, platform
 from saltport.admin.client import ask
 from saltport.handover.exchange import NO_DESCRIPTORS, RECORD_LAST, REJECTED
 from saltport.handover.record import MAX_VALUES_IN_ONE_MESSAGE, ConnectionRecord, decode
@@ -21,7 +22,7 @@
     value_in_progress,
     wait_for_values,
 )
-from tests.sockets import Peer, bulk, echo_cache, eventually, get, hit, put
+from tests.sockets import TIMEOUT_S, Peer, bulk, echo_cache, eventually, get, hit, put
 
 
 @pytest.mark.parametrize("count", [64, 65, 140])
@@ -172,3 +173,42 @@
             record, descriptors = receive_record(link)
             assert len(record.values) == MAX_VALUES_IN_ONE_MESSAGE
             close_all(descriptors)
+
+
+def kill(process: Process) -> None:
+    process.process.send_signal(signal.SIGKILL)
+    process.process.communicate(timeout=TIMEOUT_S)
+
+
+@pytest.mark.parametrize("killed", [1, 2])
+def test_value_moves_to_the_process_after_such_that_were_killed(tmp_path: Path, killed: int) -> None:
+    # Guards against: the socket of a killed process hid the old one, and nothing moved at the next upgrade.
+    with value_in_progress(tmp_path) as (node, cluster, old, client):
+        for _ in range(killed):
+            kill(cluster.start().wait_until_healthy())
+            eventually(lambda: not ask(old.admin, "/state")["shared"], "the old process is alone")
+        new = upgrade(cluster, old)
+        wait_for_values(new)
+        node.released.set()
+        assert client.answer() == LONG
+
+
+def test_process_does_not_listen_in_the_place_of_a_later_one(tmp_path: Path) -> None:
+    # Guards against: the first of three processes would hide the third when the second is killed.
+    node = PausingNode()
+    with platform(tmp_path, {"s1": node.peer}) as cluster:
+        first = cluster.start().wait_until_healthy()
+        second = cluster.start().wait_until_healthy()
+        third = cluster.start().wait_until_healthy()
+        eventually(lambda: ask(second.admin, "/state")["shared"], "the processes are linked")
+        kill(second)
+        eventually(lambda: not ask(first.admin, "/state")["shared"], "the first process is alone")
+        first.terminate()
+        eventually(lambda: first.has_exited, "the first process has exited")
+        client = cluster.client()
+        client.send(get("c1", "long"))
+        wait_for_values(third)
+        fourth = upgrade(cluster, third)
+        wait_for_values(fourth)
+        node.released.set()
+        assert client.answer() == LONG
