Owners: late messages of a session no longer return a task that has come back by a later epoch

Cause: OwnerLease.add_assigned reported the return of a task that the session held by a later epoch; likewise the coordinator applied a return in a late renewal to the later epoch (found by reading). Change: neither does; renewals that were sent before the latest one of their session are ignored.

--- a/saltport/owners/coordinator.py
+++ b/saltport/owners/coordinator.py
@@ -43,6 +43,8 @@
         self.assignments, self.settings = assignments, settings
         self._leader_since = now
         self._sessions = Sessions()
+        self._renewal_sent_at: dict[Session, int] = {}
+        """By session: when its latest renewal was sent, by its own clock."""
         self._wanted: dict[str, int] = {}
         self._recalled: dict[str, None] = {}
         """Tasks that owners should return, in order of recall; a set's order differs between processes."""
@@ -79,6 +81,10 @@
         latest = self._sessions.latest(session.name)
         if latest is not None and session < latest:
             return []  # an earlier process, or a session whose lease has lapsed
+        if request.sent_at < self._renewal_sent_at.get(session, request.sent_at):
+            # Danger: the tasks that a delayed renewal returns may have come back to the session since.
+            return []
+        self._renewal_sent_at[session] = request.sent_at
         self._sessions.renew(session, now)
         for task in request.wanted:
             if 0 < len(task) <= MAX_TASK_NAME_BYTES and (
@@ -145,6 +151,7 @@
             s for s in self._sessions if self.has_expired(s, now) and not self.assignments.owned_by(s)
         ]:
             self._sessions.forget(session)
+            self._renewal_sent_at.pop(session, None)
         rows_by_owner: _RowsByOwner = {}
         removed_rows: list[tuple[str, int]] = []
         names = sorted(live)
--- a/saltport/owners/owner_lease.py
+++ b/saltport/owners/owner_lease.py
@@ -104,8 +104,10 @@
         for task, epoch in message.rows:
             if epoch <= self._returned_epochs.get(task, 0):
                 # Danger: a delayed message must not restore a returned task. A new coordinator may have sent
-                # it, so the return is reported again.
-                self._returning.add(task)
+                # it, so the return is reported again; but not of a task that has come back by a later epoch,
+                # which would be given to another router while this one goes on with it.
+                if task not in self.tasks:
+                    self._returning.add(task)
                 continue
             known_epoch = self.tasks.get(task, 0)
             if epoch > known_epoch:
