Long values: a broken value is not asked for twice at once

Cause: by reading: a refusal that is not the decision module's own (no memory for an answer) started the wait for another try, though the module still had the request and would send a further attempt itself; two timers could run. Change: one timer; nothing is asked for while an attempt is open or the module has the request. No test shows the second attempt.

--- a/saltport/router/host.py
+++ b/saltport/router/host.py
@@ -369,6 +369,10 @@
         self.count_end(request, self.figures.errored)
         request.reply.abort_value()
 
+    def is_being_decided(self, request: OpenRequest) -> bool:
+        """Whether the decision module has the request."""
+        return request.id in self._router.requests
+
     def refuse(self, request: OpenRequest) -> None:
         """Refuse a request that was never passed to the decision module."""
         self._finish_request(request.id, 0)
--- a/saltport/router/requests.py
+++ b/saltport/router/requests.py
@@ -72,6 +72,9 @@
     def cut_off(self, request: OpenRequest) -> None:
         """Close the connection of a request whose value has begun and can't be continued."""
 
+    def is_being_decided(self, request: OpenRequest) -> bool:
+        """Whether the decision module has the request."""
+
 
 class Stage(Enum):
     """State of a request in the order of its connection's commands for the same key."""
@@ -190,11 +193,17 @@
         due = time.monotonic_ns() + RESUME_RETRY_NS
         if self.attempts >= self.rules.max_attempts or due >= self.deadline.at_ns:
             return False
+        self._stop_waiting()
         self._timer = self._host.call_at(due, self.request_rest)
         return True
 
     def request_rest(self) -> None:
-        """Pass the request to the decision module anew, with the attempts that are left."""
+        """Pass the request to the decision module anew, with the attempts that are left.
+
+        Danger: the module may still have it, after a refusal that was not the module's own.
+        """
+        if self.open_attempts or self._host.is_being_decided(self):
+            return
         rules = self.rules
         left = RequestRules(rules.request_class, rules.max_attempts - self.attempts, rules.tenant)
         self._dispatch(left)
--- a/tests/owners/test_late_messages.py
+++ b/tests/owners/test_late_messages.py
@@ -1,4 +1,4 @@
-"""Messages between an owner and the coordinator that come seconds late, after a task has left and come back."""
+"""Messages between an owner and the coordinator that come late, after a task has left and come back."""
 
 from __future__ import annotations
 
