Hand-over: the time for which a long command has waited for memory goes with it

Callers could see: answers later than the client's time, as a write that waits for memory could wait for half of that time in each process of an upgrade, and the wait in the first one did not count for its deadline. Cause: the record of a connection did not tell it. Change: an optional field; the next process lets the command wait only for the rest.

--- a/saltport/downstream/client_memory.py
+++ b/saltport/downstream/client_memory.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+from saltport.decisions.interface import NS_PER_S
 from saltport.downstream.budget import BUFFERED_PART_BYTES, REQUEST_BYTES, MemoryBudget, MemoryRequest
 from saltport.downstream.command_input import CommandInput
 from saltport.messages import Request
@@ -58,6 +59,11 @@
         """Whether the long command that is being received waits for memory."""
         return self._request is not None
 
+    @property
+    def waited_so_far_ns(self) -> int:
+        """For how long the command being received has waited, with the wait that goes on."""
+        return self.waited_ns + (time.monotonic_ns() - self._wait_began_ns if self.awaits_memory else 0)
+
     # What is kept
 
     def count(self, size: int) -> None:
@@ -138,7 +144,9 @@
             self._budget.request(self._request)
             self._wait_began_ns = time.monotonic_ns()
             timeout_ms = self._commands.dialect.partial_timeout_ms or UNKNOWN_TIMEOUT_MS
-            self._timer = self._loop.call_later(timeout_ms / 1000 * MEMORY_WAIT_SHARE, self._discard)
+            # Danger: each process of an upgrade would let the command wait for half of its client's time.
+            wait_s = timeout_ms / 1000 * MEMORY_WAIT_SHARE - self.waited_ns / NS_PER_S
+            self._timer = self._loop.call_later(max(wait_s, 0.0), self._discard)
             self._on_change()
 
     def _reserved(self) -> None:
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -11,7 +11,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
-from saltport.deadline import Received
+from saltport.deadline import NS_PER_MS, Received
 from saltport.decisions.ordering import KeyOrder
 from saltport.downstream.budget import COMMAND_READS, MIN_READ_BYTES, MemoryBudget
 from saltport.downstream.client_memory import ClientMemory
@@ -186,6 +186,7 @@
         if record.discarded is not None:
             self._input.resume_discarding(record.discarded.head, record.discarded.left)
             self._progress_at = self.last_active_at
+        self.memory.waited_ns = record.waited_ms * NS_PER_MS
         if record.command:
             self.data_received(record.command)
         # Danger: if each process restarted its timeout, a partial command could hold its connection
@@ -680,7 +681,13 @@
         replies, self.replies = self.replies, []
         age_s = self.server.loop.time() - self._progress_at if self._input.is_partial else 0.0
         record = frozen.record(
-            self._input, self.has_carried_request, transport.unsent, replies, age_s, self._closing
+            self._input,
+            self.has_carried_request,
+            transport.unsent,
+            replies,
+            age_s,
+            self._closing,
+            self.memory.waited_so_far_ns,
         )
         for reply in replies:
             reply.drop_buffered()
--- a/saltport/downstream/connection_handover.py
+++ b/saltport/downstream/connection_handover.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Protocol
 
+from saltport.deadline import NS_PER_MS
 from saltport.downstream.command_input import CommandInput
 from saltport.downstream.replies import Reply
 from saltport.handover.choice import TransferDecision, decide_transfer
@@ -103,11 +104,13 @@
         replies: Iterable[Reply],
         command_age_s: float,
         closing: Closing,
+        waited_ns: int,
     ) -> bytes:
         """Return the encoded record from which the other process restores the connection.
 
         `commands`: the received bytes that are not handled yet; `command_age_s`: how long ago the partial
-        command began or last made progress; `closing`: whether the connection closes once all is answered.
+        command began or last made progress; `closing`: whether the connection closes once all is answered;
+        `waited_ns`: for how long the partial command has waited for memory.
         """
         segments: list[Segment] = []
         buffered = [unsent]
@@ -124,7 +127,14 @@
         unhandled = b"" if closing is Closing.STREAM_ENDED else commands.unhandled
         return encode(
             ConnectionRecord(
-                dialect.name, has_carried_request, unhandled, tuple(segments), age_ms, closing, discarded
+                dialect.name,
+                has_carried_request,
+                unhandled,
+                tuple(segments),
+                age_ms,
+                closing,
+                discarded,
+                min(waited_ns // NS_PER_MS, MAX_COMMAND_AGE_MS),
             )
         )
 
--- a/saltport/handover/record.py
+++ b/saltport/handover/record.py
@@ -131,6 +131,8 @@
     closing: Closing = Closing.NOT
     discarded: DiscardedCommand | None = None
     """The command that is being discarded; `command` has the bytes that were read of it and not handled."""
+    waited_ms: int = 0
+    """Milliseconds that the incomplete command has waited for memory, which count in its client's time."""
 
     @property
     def is_extended(self) -> bool:
@@ -189,7 +191,7 @@
 
 def _extended_fields(record: ConnectionRecord) -> dict[str, object]:
     """Return the fields of the header that processes of earlier versions do not send."""
-    extended: dict[str, object] = {}
+    extended: dict[str, object] = {"waited_ms": record.waited_ms} if record.waited_ms else {}
     if record.closing is not Closing.NOT:
         extended["closing"] = record.closing.value
     if record.discarded is not None:
@@ -224,6 +226,7 @@
         header_fields.count("command_age_ms", MAX_COMMAND_AGE_MS) if "command_age_ms" in header else 0,
         header_fields.closing("closing") if "closing" in header else Closing.NOT,
         discarded,
+        header_fields.count("waited_ms", MAX_COMMAND_AGE_MS) if "waited_ms" in header else 0,
     )
     if payload.left:
         raise RecordError(f"{payload.left} bytes too many")
--- a/tests/handover/test_model.py
+++ b/tests/handover/test_model.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections import Counter, deque
 from collections.abc import Sequence
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -26,7 +27,10 @@
     TransferSender,
 )
 from saltport.handover.record import (
+    Closing,
     ConnectionRecord,
+    DiscardedCommand,
+    MovedRequest,
     PartialValue,
     ReadPosition,
     RecordError,
@@ -332,6 +336,43 @@
     assert decode(encode(record), record.descriptor_count) == record
 
 
+EXTENDED_RECORDS = [
+    ConnectionRecord("resp", True, b"*4", (), 5, Closing.WHEN_ANSWERED),
+    ConnectionRecord("resp", True, b"", RECORDS["value"].segments, 0, Closing.STREAM_ENDED),
+    ConnectionRecord("resp", True, b"rest", (), 0, Closing.NOT, DiscardedCommand(b"*5", 9000)),
+    ConnectionRecord("resp", True, b"*4", (), 0, Closing.NOT, None, 700),
+    ConnectionRecord(
+        "resp",
+        True,
+        b"",
+        (
+            Segment(
+                b"",
+                PartialValue(
+                    POSITION, "get", b"", MovedRequest("id", "key \u00e9", "c=get,d=9", "acme", 3, 77, 123)
+                ),
+            ),
+        ),
+    ),
+]
+
+
+@pytest.mark.parametrize("record", EXTENDED_RECORDS)
+def test_decoded_record_equals_the_encoded_one_with_all_fields(record: ConnectionRecord) -> None:
+    assert decode(encode(record), record.descriptor_count) == record
+
+
+@pytest.mark.parametrize("record", EXTENDED_RECORDS)
+@settings(max_examples=60)
+@given(data=st.data())
+def test_damaged_extended_record_is_rejected_or_decoded(record: ConnectionRecord, data: Any) -> None:
+    message = bytearray(encode(record))
+    at = data.draw(st.integers(0, message.index(b"\n")))
+    message[at : at + data.draw(st.integers(0, 2))] = data.draw(st.binary(max_size=3))
+    with suppress(RecordError):
+        decode(bytes(message), record.descriptor_count)
+
+
 @settings(max_examples=400)
 @given(records, st.data())
 def test_damaged_record_is_rejected_or_decoded_within_bounds(record: ConnectionRecord, data: Any) -> None:
