Tests: the ports of servers that go down and come back in the tests of outliers stay reserved

Cause: two listed tests once found "Address already in use" at a router's start, though its ports were reserved. Shown by a script: a server that was closed and comes back by its number (Peer(port=...)) may listen on a port that another worker has reserved meanwhile, as neither socket listens and both may share; that worker's router can't listen then. test_outliers did so in two tests, the only ones. Change: both tests reserve these ports for as long as the worker lives. No check was changed.

--- a/tests/router/test_outliers.py
+++ b/tests/router/test_outliers.py
@@ -12,7 +12,7 @@
 
 from saltport.admin.client import ask
 from saltport.cli import cli
-from tests.sockets import Peer, RunningRouter, eventually, get, hit, reset, run_router
+from tests.sockets import Peer, RunningRouter, eventually, free_port, get, hit, reset, run_router
 
 
 def outliers(router: RunningRouter) -> dict[str, Any]:
@@ -28,7 +28,9 @@
 
 
 def test_dead_server_is_ejected_with_its_reason_and_comes_back_by_a_trial(tmp_path: Path) -> None:
-    dying, good = Peer(lambda _, words: hit(words[2])), Peer(lambda _, words: hit(words[2]))
+    # Its port stays reserved while it is down: otherwise it could come back at one that another test reserved.
+    dying = Peer(lambda _, words: hit(words[2]), port=free_port())
+    good = Peer(lambda _, words: hit(words[2]))
     other = Peer(lambda _, words: hit(words[2]))
     with run_router(tmp_path, {"s1": dying, "s2": good, "s3": other}) as router:
         read_all(router, "a", 5)
@@ -78,7 +80,7 @@
 
 
 def test_routers_own_network_out_leaves_all_servers_in_use(tmp_path: Path) -> None:
-    peers = {f"s{i}": Peer(lambda _, words: hit(words[2])) for i in range(4)}
+    peers = {f"s{i}": Peer(lambda _, words: hit(words[2]), port=free_port()) for i in range(4)}
     origin = Peer(lambda *_: b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", is_http=True)
     with run_router(tmp_path, peers, origin) as router:
         read_all(router, "a")
