--- a/tests/router/test_outliers.py
+++ b/tests/router/test_outliers.py
@@ -28,7 +28,7 @@
 
 
 def test_dead_server_is_ejected_with_its_reason_and_comes_back_by_a_trial(tmp_path: Path) -> None:
-    # Its port stays reserved while it is down: otherwise it could come back at one that another test reserved.
+    # Its port stays reserved while it is down: it could come back at one that another test has reserved.
     dying = Peer(lambda _, words: hit(words[2]), port=free_port())
     good = Peer(lambda _, words: hit(words[2]))
     other = Peer(lambda _, words: hit(words[2]))
