Rules of a request: those of the current settings are looked up once for each class and tenant

Change: requests that surely arrived under the current settings share one object for each class and tenant of the settings.

--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -39,6 +39,8 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self._rng = random.Random(seed)
         self.settings, self.rules_history = settings, RulesHistory(settings)
+        self._current_rules: dict[tuple[str, str | None], api.RequestRules] = {}
+        """The rules of the requests that arrive now, by class and tenant."""
         self.registry = ServerRegistry()
         self.caches, self.origins = SlotTable(settings), SlotTable(settings)
         self.outliers = OutlierDetector(settings, self._rng)
@@ -95,6 +97,7 @@
         """Apply new settings; open requests keep their class, tenant's limiter and number of attempts."""
         self.settings = settings
         self.rules_history.replace(settings, self._now)
+        self._current_rules.clear()
         for part in (self.fetches, self.caches, self.origins, self.outliers, self.overload, self.replication):
             part.apply_settings(settings)
 
@@ -140,12 +143,18 @@
 
     def rules_for(self, request_class: str, tenant: str | None, earliest: int) -> api.RequestRules | None:
         """Return the rules that a request keeps which arrived at `earliest` or later; None: no such class."""
+        is_older = earliest < self.rules_history.changed_at
+        if not is_older and (current := self._current_rules.get((request_class, tenant))) is not None:
+            return current
         found = self.rules_history.find(request_class, earliest)
         if found is None:
             return None
-        was_dropped = earliest < self.rules_history.changed_at
-        known_tenant = tenant if tenant and self.fetches.knows(tenant, was_dropped) else ""
-        return api.RequestRules(found.request_class, found.max_attempts, known_tenant)
+        known_tenant = tenant if tenant and self.fetches.knows(tenant, even_dropped=is_older) else ""
+        rules = api.RequestRules(found.request_class, found.max_attempts, known_tenant)
+        # Clients may name any tenant, so only those of the settings are kept.
+        if not is_older and known_tenant == (tenant or ""):
+            self._current_rules[request_class, tenant] = rules
+        return rules
 
     def _arrived(self, event: api.RequestArrived) -> None:
         """Admit or refuse a new request; send an admitted read to a cache server, a write to the origin.
--- a/saltport/decisions/request_rules.py
+++ b/saltport/decisions/request_rules.py
@@ -42,24 +42,23 @@
     def __init__(self, settings: Settings) -> None:
         self._use(settings)
         self._ended: deque[_Version] = deque(maxlen=MAX_VERSIONS)
+        self.changed_at = 0
+        """When the current settings came into force; 0 if they have been since the start."""
 
     def _use(self, settings: Settings) -> None:
         self._classes = {known.name: known for known in settings.classes}
         self._max_attempts = settings.max_attempts
 
-    @property
-    def changed_at(self) -> int:
-        """When the current settings came into force; 0 if they have been since the start."""
-        return self._ended[-1].ended_at if self._ended else 0
-
     def replace(self, settings: Settings, now: int) -> None:
         """Put new settings into force."""
         self._ended.append(_Version(self._classes, self._max_attempts, now))
+        self.changed_at = now
         self._use(settings)
 
     def add_predecessor(self, classes: Iterable[RequestClass], max_attempts: int, now: int) -> None:
         """Add the settings of the process that this one replaces, whose requests it may still receive."""
         self._ended.appendleft(_Version({known.name: known for known in classes}, max_attempts, now))
+        self.changed_at = max(self.changed_at, now)
 
     def current(self) -> tuple[tuple[RequestClass, ...], int]:
         """Return the classes and the number of attempts now in force."""
--- a/tests/decisions/test_request_rules.py
+++ b/tests/decisions/test_request_rules.py
@@ -117,3 +117,17 @@
     router.handle(RequestArrived("r", "promote", NS_PER_S, key="k", write=True, rules=rules), 3)
     assert router.requests["r"].cls.effect is Effect.UNSAFE
     assert router.requests["r"].attempts == 2
+
+
+def test_rules_are_kept_only_for_tenants_of_the_settings() -> None:
+    # Guards against: clients that name ever new tenants made the router keep something for each.
+    router = Router(settings(classes=(promote(Effect.SAFE),), tenants=(Tenant("a", 0.5),)), 1)
+    for number in range(100):
+        assert router.rules_for("promote", f"t{number}", 0) is not None
+    assert router.rules_for("promote", "a", 0) is router.rules_for("promote", "a", 0)
+    assert router.rules_for("promote", None, 0) is router.rules_for("promote", None, 0)
+    assert len(router._current_rules) == 2
+    router.handle(SettingsChanged(settings(classes=(promote(Effect.UNSAFE),))), 5)
+    found = router.rules_for("promote", "a", 5)
+    assert found is not None
+    assert found.request_class.effect is Effect.UNSAFE
