Tests: two new ones no longer depend on the order of two servers' reads, or on how fast a process starts

Change: the reads are compared without their order; the part is sent once the next process is there.

--- a/tests/handover/test_moving_connections.py
+++ b/tests/handover/test_moving_connections.py
@@ -84,7 +84,7 @@
         assert [client.answer(), client.answer()] == [LONG, b"c2"]
         assert client.answer().startswith(b"-ERR Protocol error")
         assert client.at_end()
-        assert [words[2] for words in node.peer.seen] == [b"c1", b"c2"], "nothing behind the end is handled"
+        assert sorted(words[2] for words in node.peer.seen) == [b"c1", b"c2"], "nothing behind the end"
 
 
 @pytest.mark.parametrize("resumes", [True, False])
--- a/tests/router/test_retuned_requests.py
+++ b/tests/router/test_retuned_requests.py
@@ -132,24 +132,22 @@
         cluster.discovery.change(entry(cache, "s1"), entry(origin.peer, "origin", "origin"))
         old = cluster.start().wait_until_healthy()
         client = cluster.client()
+        assert client.ask(get("c1")) == b"c1"
         second = put("second", bytes(100_000), cls="once")
+        settings = {**cluster.configuration["settings"], "classes": classes("retryable")}
+        cluster.configuration["settings"] = settings
+        new = cluster.start().wait_until_healthy()
         if is_read_before:
             client.send(second[:50_000])
             eventually(lambda: old.status_value("held_bytes") > 100_000, "a part has been read")
-        else:
-            # The write waits unread behind reads that are answered once the next process is there.
-            client.send(b"".join(get(f"r{number}", "slow", 20_000) for number in range(300)) + second)
-            eventually(lambda: old.status_value("current") >= 256, "reading has paused")
-        cluster.configuration["settings"] = {
-            **cluster.configuration["settings"],
-            "classes": classes("retryable"),
-        }
-        new = cluster.start().wait_until_healthy()
-        old.terminate()
-        if is_read_before:
+            old.terminate()
             new.until("connected", 1)
             client.send(second[50_000:])
         else:
+            # The write waits unread behind reads that are answered once the old process is told to end.
+            client.send(b"".join(get(f"r{number}", "slow", 20_000) for number in range(300)) + second)
+            eventually(lambda: old.status_value("current") >= 256, "reading has paused")
+            old.terminate()
             release.set()
             assert [client.answer()[:1] for _ in range(300)] == [b"r"] * 300
         assert client.answer() == FAILED
