Benchmarks: the port of a router that is measured is reserved, no longer only looked up

The benchmarks asked for a free port, closed it, and started a router there 0.4 s later; meanwhile another process may have it. Two ways shown by a script, each with "[Errno 98]": the port is the local end of an outgoing connection (the measured router can't listen), or another suite reserves it and the measured router listens there first (the other suite's router can't listen). Change: the benchmarks use `reserve_port`, as the harness and the tests do; `free_port` of the harness is gone. A measured router that ends at its start is reported at once.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -28,7 +28,7 @@
 from benchmarks.relay import KEY_COUNT, VALUE, _ClosedLoop, _start_child
 from saltport.address import Address
 from saltport.admin.client import ask
-from saltport.harness import environment, free_port
+from saltport.harness import environment, reserve_port
 from saltport.load.driver import wait_ready
 from saltport.standins.profile import Profile
 from saltport.wire.resp import command
@@ -160,12 +160,16 @@
     profile = Profile()
     for target in (0, target_ms):
         processes: list[asyncio.subprocess.Process] = []
-        with tempfile.TemporaryDirectory(prefix="saltport-overload-") as folder:
+        with (
+            tempfile.TemporaryDirectory(prefix="saltport-overload-") as folder,
+            reserve_port() as reserved,
+            reserve_port() as reserved_for_admin,
+        ):
             try:
                 nodes, description = await _start_child("-m", "benchmarks.relay", "--role", "nodes")
                 processes.append(nodes)
-                listen = ("127.0.0.1", free_port())
-                admin = ("127.0.0.1", free_port())
+                listen = reserved.getsockname()
+                admin = reserved_for_admin.getsockname()
                 config = Path(folder) / "config.json"
                 settings = profile.config("r1", "{}:{}".format(*listen), description["registry"], 1)
                 settings["admin_addr"] = "{}:{}".format(*admin)
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -24,7 +24,7 @@
 import uvloop
 
 from saltport.address import Address, parse_address
-from saltport.harness import environment, free_port
+from saltport.harness import environment, reserve_port
 from saltport.load.driver import wait_ready
 from saltport.standins.ledger import Ledger
 from saltport.standins.profile import Profile
@@ -275,7 +275,7 @@
     """Return one row of results for each number of connections, for the relay and the router."""
     processes: list[asyncio.subprocess.Process] = []
     rows = []
-    with tempfile.TemporaryDirectory(prefix="saltport-relay-") as folder:
+    with tempfile.TemporaryDirectory(prefix="saltport-relay-") as folder, reserve_port() as reserved:
         try:
             node_options = ("--values-repeat",) if values_repeat else ()
             nodes, description = await _start_child(
@@ -285,7 +285,7 @@
             names = ["{}:{}".format(*node) for node in description["nodes"]]
             relay, address = await _start_child("-m", "benchmarks.relay", "--role", "relay", *names)
             processes.append(relay)
-            listen = ("127.0.0.1", free_port())
+            listen = reserved.getsockname()
             config = Path(folder) / "config.json"
             config.write_bytes(
                 orjson.dumps(Profile().config("r1", "{}:{}".format(*listen), description["registry"], 1))
@@ -294,7 +294,7 @@
                 sys.executable, "-m", "saltport.router", env={**environment(), "LB_CONFIG": str(config)}
             )
             processes.append(router)
-            if not await wait_ready(listen, START_TIMEOUT_S):
+            if not await wait_ready(listen, START_TIMEOUT_S, lambda: router.returncode is None):
                 raise RuntimeError("the router did not start")
             for connections in connection_counts:
                 relay_runs, router_runs = [], []
--- a/benchmarks/scale/stand_ins.py
+++ b/benchmarks/scale/stand_ins.py
@@ -24,7 +24,7 @@
 import uvloop
 
 from saltport.address import Address
-from saltport.harness import environment, free_port
+from saltport.harness import environment, reserve_port
 from saltport.load.driver import wait_ready
 from saltport.standins.ledger import Ledger
 from saltport.standins.profile import Profile
@@ -231,7 +231,8 @@
     With `profile` it runs under cProfile and writes the profile to this file when it ends. `log` is the file
     for its log. `environ` are additional environment variables.
     """
-    listen = ("127.0.0.1", free_port())
+    reserved = reserve_port()
+    listen: Address = reserved.getsockname()
     settings = Profile().config("r1", "{}:{}".format(*listen), registry, 1)
     settings["limits"]["sockets"] = sockets
     config = folder / "config.json"
@@ -244,13 +245,14 @@
             stderr=log_file if log else None,
         )  # fmt: skip
     try:
-        if not await wait_ready(listen, START_TIMEOUT_S):
+        if not await wait_ready(listen, START_TIMEOUT_S, lambda: process.returncode is None):
             raise RuntimeError("the router did not start")
         yield process, listen
     finally:
         if process.returncode is None:
             process.terminate()
             await process.wait()
+        reserved.close()
 
 
 @asynccontextmanager
--- a/benchmarks/startup.py
+++ b/benchmarks/startup.py
@@ -17,7 +17,7 @@
 
 import orjson
 
-from saltport.harness import free_port
+from saltport.harness import reserve_port
 from saltport.standins.profile import Profile
 from saltport.wire.resp import command
 
@@ -35,8 +35,14 @@
 
 def measure_start(folder: Path, arguments: list[str]) -> tuple[float, float]:
     """Start a router and return the milliseconds until its port is open and its resident MB when ready."""
-    port = free_port()
-    settings = Profile().config("r1", f"127.0.0.1:{port}", f"127.0.0.1:{free_port()}", 1)
+    with reserve_port() as listen, reserve_port() as registry:
+        return _measure_start_at(listen.getsockname()[1], registry.getsockname()[1], folder, arguments)
+
+
+def _measure_start_at(
+    port: int, registry_port: int, folder: Path, arguments: list[str]
+) -> tuple[float, float]:
+    settings = Profile().config("r1", f"127.0.0.1:{port}", f"127.0.0.1:{registry_port}", 1)
     settings["known"] = {"generation": 1, "reset": True, "instances": []}
     with tempfile.TemporaryDirectory() as temporary_folder:
         config = Path(temporary_folder) / "config.json"
--- a/saltport/harness.py
+++ b/saltport/harness.py
@@ -58,12 +58,6 @@
     """Raised when a process does not start; the message is one line."""
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    """Return a port that is free now; another process may take it first, so the caller must retry."""
-    with socket.create_server((host, 0)) as listener:
-        return int(listener.getsockname()[1])
-
-
 def reserve_port(host: str = "127.0.0.1") -> socket.socket:
     """Return a socket that reserves a port until it is closed, for a process that binds to it by number.
 
--- a/tests/scale/test_data_path.py
+++ b/tests/scale/test_data_path.py
@@ -13,6 +13,8 @@
 from benchmarks.scale.connections import expected_connections, fleet, overflow_share
 from benchmarks.scale.connections import measure as measure_connections
 from benchmarks.scale.data_path import busiest_share, fit_line, measure, share_longer_than, skew, zipf_shares
+from benchmarks.scale.stand_ins import CacheServers
+from benchmarks.scale.stand_ins import run_router as run_measured_router
 from saltport.upstream.pool import MAX_CONNECTIONS_PER_SERVER
 from saltport.wire.resp import MAX_VALUE_BYTES
 from tests.sockets import MISS, Peer, bulk, get, hit, http_answer, run_router
@@ -96,3 +98,17 @@
     assert busiest_share(shares, 1, rng) == pytest.approx(1.0)
     estimates = [skew(exponent, objects=100_000, trials=3) for exponent in (0.8, 1.0, 1.2)]
     assert sorted(estimates, key=lambda estimate: estimate.by_key_fleet) == estimates
+
+
+def test_port_of_a_measured_router_stays_reserved_while_its_process_is_down(tmp_path: Path) -> None:
+    """Guards against a port that is only looked up: others may take it before the router listens."""
+
+    async def run() -> None:
+        registry = await CacheServers().listen(1)
+        async with run_measured_router(tmp_path, registry) as (process, address):
+            process.kill()
+            await process.wait()
+            with socket.socket() as other, pytest.raises(OSError, match="in use"):
+                other.bind(address)  # as the kernel does to assign a port to a socket
+
+    asyncio.run(run())
