Tests: each failure tells what the machine went through, and a listed one how it failed

Of a listed test that fails, only its old line was printed, so each new event is lost. Change: a plugin reads the kernel's TCP counters, its sockets and the time for which processes waited for a processor before each test, and adds the changes to the report of a failure. The list of known failures prints the error and the output of a listed test that failed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-pytest_plugins = ["pytester", "tests.known_red"]
+pytest_plugins = ["pytester", "tests.known_red", "tests.machine_report"]
 
 LONGEST_FIRST = (
     "tests/faults/test_memory_of_clients.py",
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -4,7 +4,8 @@
 lines that begin with `#` are ignored. The list should stay short. Listed tests still run, as strict expected
 failures: one that passes again fails the run, so that its line gets removed. Only a test with a fourth field
 `flaky` may either pass or fail. A run of the whole suite fails if a listed id matches no test; a run of some
-files does not check that. Every run prints the list with the outcome of each test.
+files does not check that. Every run prints the list with the outcome of each test, and how it
+failed.
 """
 
 from __future__ import annotations
@@ -59,6 +60,7 @@
         self._full_suite = full_suite
         self._collected: set[str] = set()
         self._outcomes: dict[str, str] = {}
+        self._failures: dict[str, str] = {}
 
     @pytest.hookimpl(tryfirst=True)
     def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
@@ -85,6 +87,7 @@
         expected = hasattr(report, "wasxfail")
         if expected and report.skipped:
             self._outcomes[report.nodeid] = "failed as listed"
+            self._failures[report.nodeid] = _failure_text(report)
         elif expected and report.passed:
             self._outcomes[report.nodeid] = "passed this time, listed as flaky"
         elif report.failed:
@@ -113,6 +116,15 @@
         for test_id, known in self._listed.items():
             outcome = "NO SUCH TEST" if test_id in missing else self._outcomes.get(test_id, "not run")
             terminalreporter.line(f"{test_id}: {outcome}; cause: {known.cause}; issue: {known.issue}")
+            if test_id in self._failures:
+                terminalreporter.write(self._failures[test_id])
+
+
+def _failure_text(report: pytest.TestReport) -> str:
+    """Return the error of a listed test that failed, and what it printed."""
+    errors = [line for line in report.longreprtext.splitlines() if line.startswith("E ")]
+    sections = [line for name, text in report.sections for line in (f"--- {name}", *text.splitlines())]
+    return "".join(f"    {line}\n" for line in [*errors, *sections])
 
 
 def pytest_configure(config: pytest.Config) -> None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -61,6 +61,7 @@
     def __init__(self, pytester: pytest.Pytester, distribution: tuple[str, ...]) -> None:
         self._pytester, self._distribution = pytester, distribution
         self.distributed = bool(distribution)
+        self.folder = pytester.path
         plugin = Path(__file__).with_name("known_red.py").read_text()
         pytester.makepyfile(known_red=plugin)
         pytester.makeini("[pytest]\ntestpaths = tests\npythonpath = .")
@@ -175,3 +176,18 @@
     assert [known.cause for known in parse("\n".join(lines))] == [
         f"seed {n}: `pytest -k odd`" for n in range(5)
     ]
+
+
+def test_report_of_a_listed_failure_tells_its_error(each_suite: Suite) -> None:
+    """Guards against events that nobody can trace: a listed test that fails once showed only its old line."""
+    printed = each_suite.run(BAD).stdout.str()
+    assert "    E       assert False" in printed
+
+
+def test_report_of_a_failure_tells_what_the_machine_went_through(suite: Suite) -> None:
+    (suite.folder / "machine_report.py").write_text(Path(__file__).with_name("machine_report.py").read_text())
+    (suite.folder / "tests/conftest.py").write_text('pytest_plugins = ["known_red", "machine_report"]')
+    unlisted, listed = suite.run().stdout.str(), suite.run(BAD).stdout.str()
+    for printed in (unlisted, listed):
+        assert "some process waited for a processor for" in printed
+        assert "TCP counters of the kernel: " in printed
