A request's id is never taken for the name of a timer: a write `subscribe` was not answered

Cause: the decisions know a timer by a string: the router's own by fixed names (`subscribe`, `hot keys`), that of a waiting request by its id, which its client has chosen. When the timer of a write with the id `subscribe` expired, the router subscribed to the server list and never continued or refused the write. By a review of the code; not seen at a caller. Change: a token that holds an id begins with a prefix (`decisions/timer_tokens.py`). Measured: before, a script gets `[Subscribe()]` for the request `subscribe` and a `Send` for `x`; the new test covers five ids.

--- a/saltport/decisions/hotkeys/control.py
+++ b/saltport/decisions/hotkeys/control.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from saltport.decisions import interface as api
+from saltport.decisions import timer_tokens
 from saltport.decisions.health import Node
 from saltport.decisions.hotkeys.invalidation import Invalidations
 from saltport.decisions.hotkeys.meter import KeyMeter, WatchedKey
@@ -25,7 +26,6 @@
 from saltport.decisions.table import RANKING_DEPTH, SlotTable
 
 SWEEP_INTERVAL_NS = NS_PER_S // 4  # between two removals of cooled keys and expired copies
-SWEEP_TIMER_TOKEN = "hot keys"  # cannot collide with a request id, which contains no space
 REVIEW_INTERVAL_NS = NS_PER_S // 5  # between two reviews of how many nodes a key needs
 NODES_PER_FETCH = 2  # the platform stores a fetched value at the first two nodes that missed
 MAX_FILLING_READS = 4  # concurrent reads that fill nodes of one key
@@ -527,7 +527,8 @@
             answer = request.id
             self._delayed_writes[answer] = key
             left = request.deadline - now
-            self._actions.append(api.SetTimer(max(left - left // REPLY_TIME_DIVISOR, 0), answer))
+            wait = max(left - left // REPLY_TIME_DIVISOR, 0)
+            self._actions.append(api.SetTimer(wait, timer_tokens.delayed_answer(answer)))
         self.counts["writes invalidated"] += 1
         self._actions += self._invalidations.begin(
             key, servers, self._copies_in_flight.get(key, ()), answer, now
@@ -541,11 +542,13 @@
 
     def on_timer(self, token: str, now: int) -> None:
         """Handle the sweep timer, or the timer of a delayed write, whose reply can wait no longer."""
-        if token == SWEEP_TIMER_TOKEN:
+        if token == timer_tokens.HOT_KEY_SWEEP:
             self._sweep_scheduled = False
             self._sweep(now)
-        elif token in self._delayed_writes:
-            self._actions += self._invalidations.answer_now(self._delayed_writes[token], token, now)
+            return
+        answer = timer_tokens.delayed_answer_id(token)
+        if answer is not None and answer in self._delayed_writes:
+            self._actions += self._invalidations.answer_now(self._delayed_writes[answer], answer, now)
 
     # Release and expiry
 
@@ -553,7 +556,7 @@
         """Set the timer of the next `_sweep`, unless it is set already."""
         if not self._sweep_scheduled:
             self._sweep_scheduled = True
-            self._actions.append(api.SetTimer(SWEEP_INTERVAL_NS, SWEEP_TIMER_TOKEN))
+            self._actions.append(api.SetTimer(SWEEP_INTERVAL_NS, timer_tokens.HOT_KEY_SWEEP))
 
     def _sweep(self, now: int) -> None:
         """Review all replicated keys, release the cooled ones, and drop what has expired."""
--- a/saltport/decisions/logic.py
+++ b/saltport/decisions/logic.py
@@ -10,6 +10,7 @@
 from zlib import crc32
 
 from saltport.decisions import interface as api
+from saltport.decisions import timer_tokens
 from saltport.decisions.effects import may_refuse, may_repeat, may_send, record_possible_effect
 from saltport.decisions.health import ANSWERED, UNANSWERED, Node
 from saltport.decisions.interface import NS_PER_S, ListKind, Outcome, Reason
@@ -126,16 +127,22 @@
             self._subscription_scheduled = True
             max_delay = min(self.settings.ask_within // 2, NS_PER_S << min(self._failed_subscriptions, 8))
             self._failed_subscriptions += kind is ListKind.FAILED
-            self._actions.append(api.SetTimer(self._rng.randint(max_delay // 4, max_delay), "subscribe"))
+            self._actions.append(
+                api.SetTimer(self._rng.randint(max_delay // 4, max_delay), timer_tokens.SUBSCRIPTION)
+            )
 
     def _timer_fired(self, token: str) -> None:
         """Subscribe, or continue the request that has waited; the replication has timers of its own."""
-        if token == "subscribe":
+        if token == timer_tokens.SUBSCRIPTION:
             self._subscription_scheduled = False
             self._actions.append(api.Subscribe())
-            return
-        self.replication.on_timer(token, self._now)
-        request = self.requests.get(token)
+        elif (request_id := timer_tokens.waiting_request_id(token)) is not None:
+            self._waited(self.requests.get(request_id))
+        else:
+            self.replication.on_timer(token, self._now)
+
+    def _waited(self, request: Request | None) -> None:
+        """Continue a request at the end of its wait, or give it up; None: it was answered meanwhile."""
         if request and request.waiting and self._now >= request.deadline:
             self._give_up(request, Reason.DEADLINE)
         elif request and request.waiting and request.write:
@@ -359,7 +366,7 @@
     def _wait(self, request: Request, delay: int) -> None:
         """Let a request wait, and set a timer after which it continues or is given up."""
         request.waiting = True
-        self._actions.append(api.SetTimer(delay, request.id))
+        self._actions.append(api.SetTimer(delay, timer_tokens.waiting_request(request.id)))
 
     def _give_up(self, request: Request, reason: Reason) -> None:
         """Refuse a request, or fail it if it may have had an effect that a retry would repeat."""
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -23,6 +23,7 @@
     Subscribe,
     Tenant,
     TimerFired,
+    timer_tokens,
 )
 from tests.decisions.helpers import (
     MS,
@@ -144,8 +145,9 @@
 def test_unsafe_write_that_may_have_run_fails_and_one_that_did_not_is_sent_again() -> None:
     router = started(settings(), fleet(3))
     send = only_send(router.handle(request("w", cls="order"), 0))
-    assert router.handle(ended(send, Outcome.ERROR), 5 * MS)[-1] != Fail("w")
-    (final,) = router.handle(TimerFired("w"), 300 * MS)
+    (timer,) = router.handle(ended(send, Outcome.ERROR), 5 * MS)
+    assert isinstance(timer, SetTimer)
+    (final,) = router.handle(TimerFired(timer.token), 300 * MS)
     assert final == Fail("w")
     send = only_send(router.handle(request("x", cls="order"), 0))
     (timer,) = router.handle(ended(send, Outcome.FULL), 5 * MS)
@@ -153,6 +155,16 @@
     assert only_send(router.handle(TimerFired(timer.token), 300 * MS)).server == ORIGIN.id
 
 
+@pytest.mark.parametrize("request_id", ["subscribe", "subscription", "hot keys", "hot key sweep", ""])
+def test_write_continues_whatever_the_id_that_its_client_has_chosen(request_id: str) -> None:
+    """Guards against a write without an answer: its timer was taken for the router's own of that name."""
+    router = started(settings(), fleet(3))
+    send = only_send(router.handle(request(request_id, cls="order"), 0))
+    (timer,) = router.handle(ended(send, Outcome.FULL), 5 * MS)
+    assert isinstance(timer, SetTimer)
+    assert only_send(router.handle(TimerFired(timer.token), 300 * MS)).request == request_id
+
+
 def test_keyed_write_is_not_sent_again_after_its_window() -> None:
     short = RequestClass("edit", aim=S, deadline=9 * S, effect=settings().classes[1].effect, dedup_window=10)
     router = started(settings(classes=(short,)), fleet(3))
@@ -319,24 +331,25 @@
     assert [send.request for send in freed] == ["x5", "x4", "x3"]
     late = router.handle(request("y", 2 * S, cls="edit"), 2 * S)
     assert sends(late) == []
-    assert router.handle(TimerFired("y"), 3 * S) == [Refuse("y")]
+    (timer,) = [action for action in late if isinstance(action, SetTimer)]
+    assert router.handle(TimerFired(timer.token), 3 * S) == [Refuse("y")]
 
 
 def test_subscription_is_asked_for_at_the_start_and_after_failures_with_growing_waits() -> None:
     router = started(settings(must_subscribe=True, ask_within=8 * S), fleet(2), seed=3)
     fresh = started(settings(must_subscribe=True), ())
-    (timer,) = fresh.handle(ServersChanged(ListKind.FAILED), 0) or [SetTimer(0, "subscribe")]
+    (timer,) = fresh.handle(ServersChanged(ListKind.FAILED), 0) or [SetTimer(0, timer_tokens.SUBSCRIPTION)]
     assert isinstance(timer, SetTimer)
     delays = []
     for _ in range(6):
-        assert router.handle(TimerFired("subscribe"), 0) == [Subscribe()]
+        assert router.handle(TimerFired(timer_tokens.SUBSCRIPTION), 0) == [Subscribe()]
         (timer,) = router.handle(ServersChanged(ListKind.FAILED), 0)
         assert isinstance(timer, SetTimer)
         delays.append(timer.delay)
         assert router.handle(ServersChanged(ListKind.FAILED), 0) == []  # one pending subscription at a time
     assert max(delays) <= 4 * S
     assert delays[0] <= S
-    assert router.handle(TimerFired("subscribe"), 0) == [Subscribe()]
+    assert router.handle(TimerFired(timer_tokens.SUBSCRIPTION), 0) == [Subscribe()]
     assert router.handle(ServersChanged(ListKind.DELTA), 0) == []
 
 
