Owners: a wanted task keeps its turn in the renewals when the list is set again

Cause: `OwnerLease.set_wanted`, which a router with trials calls every 250 ms, replaced the rotation by its list, so each renewal reported the same first 120 bytes of names. The others were reported once, and 60 s later they were removed as unwanted: they had no owner. By a review of the code; not seen at a caller. Change: tasks that were wanted before keep their turn; new ones go first, as before.

--- a/saltport/owners/owner_lease.py
+++ b/saltport/owners/owner_lease.py
@@ -45,12 +45,12 @@
         return self.tasks.get(task)
 
     def set_wanted(self, tasks: Iterable[str]) -> None:
-        """Set all tasks that this router wants to be done."""
+        """Set all tasks that this router wants to be done; those wanted before keep their turn."""
         wanted = dict.fromkeys(tasks)
-        self._unreported = {
-            task: None for task in wanted if task not in self._wanted or task in self._unreported
-        }
-        self._wanted = wanted
+        added = {task: None for task in wanted if task not in self._wanted}
+        kept = {task: None for task in self._wanted if task in wanted}
+        self._unreported = {task: None for task in self._unreported if task in kept} | added
+        self._wanted = kept | added
 
     def tick(self, now: int) -> Renew | None:
         """Expire the lease if it has ended, and return the renewal to send, if one is due."""
--- a/tests/owners/test_owners.py
+++ b/tests/owners/test_owners.py
@@ -6,6 +6,7 @@
 import random
 import subprocess
 import sys
+from collections import Counter
 from pathlib import Path
 
 import pytest
@@ -288,6 +289,32 @@
     assert max(m.owner_lease.tasks.get("p1", 0) for m in fleet.members.values()) > epoch
 
 
+def test_all_wanted_tasks_take_turns_though_the_list_is_set_before_each_renewal() -> None:
+    """Guards against tasks that lose their owner: their turn began anew with each setting of the list."""
+    owner_lease = OwnerLease("r", 1, SETTINGS, 0)
+    tasks = [f"task number {number}" for number in range(40)]
+    reports: Counter[str] = Counter()
+    renewals = 80
+    for number in range(renewals):
+        owner_lease.set_wanted([*tasks, f"passing {number}"])
+        renew = owner_lease.tick((number + 1) * SETTINGS.renew_interval)
+        assert renew is not None
+        reports.update(renew.wanted)
+    per_renewal = SETTINGS.max_wanted_bytes // (len(tasks[-1]) + 2) - 1
+    assert min(reports[task] for task in tasks) >= renewals * per_renewal // len(tasks) - 1
+
+
+def test_a_fleet_keeps_the_owners_of_more_tasks_than_a_renewal_reports() -> None:
+    """The same at a fleet: the list is set as often as a router with trials does it, and tasks stay owned."""
+    settings = OwnerSettings(unwanted_timeout=20 * S)
+    fleet = fleet_with_owners(4, tasks=60, settings=settings)
+    for _ in range(160):
+        for member in fleet.members.values():
+            member.owner_lease.set_wanted(fleet.tasks)
+        fleet.run(0.25)
+    assert all(len(fleet.owners(task)) == 1 for task in fleet.tasks)
+
+
 def test_a_delayed_message_restores_no_returned_task() -> None:
     owner_lease = OwnerLease("r", 1, SETTINGS, 0)
     owner_lease.tick(1)
