Client connections: the progress of a partial command has a module of its own

Cause: downstream/connection.py is among the files that have grown large; three of its fields and two of its constants only time the command that a client has sent in part. Change: `CommandProgress` holds them. No change of behaviour. The protocol of the server stays in the file: the two refer to each other. Measured: tests of downstream, hand-over, lifecycle, wire and limits pass.

--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -17,6 +17,7 @@
 from saltport.downstream.client_memory import ClientMemory
 from saltport.downstream.client_presence import ClientPresence
 from saltport.downstream.command_input import CommandInput, Turn
+from saltport.downstream.command_progress import COMMAND_PROGRESS_TIMEOUT_S, CommandProgress
 from saltport.downstream.connection_handover import (
     FrozenConnection,
     ReceivedConnection,
@@ -44,10 +45,6 @@
 USUAL_READ_BYTES = 4 << 10  # read at once from a connection, unless more is known to be there
 MAX_READ_AHEAD_BYTES = 64 << 10  # read at once while earlier bytes wait for turns
 MAX_BACKLOG_BYTES = 1 << 20  # that wait for turns, as far as the memory budget allows
-# A well-behaved client may take 2 s to send the head of a command, and a misbehaving one must get an error or
-# a close within 3 s.
-COMMAND_PROGRESS_TIMEOUT_S = 2.4  # to complete a command or to receive COMMAND_PROGRESS_BYTES more of it
-COMMAND_PROGRESS_BYTES = 16 << 10  # that restart the time-out of a partially received command
 MAX_PARTIAL_COMMAND_BYTES = 64 << 10  # of a partial command passed to a successor that does not take records
 IDLE_TIMEOUT_S = 2.0  # a connection without an open request may be closed after this time
 ADOPTION_TIME_NS = 200_000_000  # in which what waited in the kernel is read after a hand-over
@@ -131,10 +128,8 @@
         """What is kept for this client."""
         self._unsent_count = 0  # bytes counted in the budget that the kernel had not taken at a pause
         self._last_unacknowledged = 0  # unacknowledged bytes at the previous check
-        self._progress_at = 0.0
-        self._command_began_ns = 0  # before which the partial command did not begin
+        self._progress = CommandProgress()
         self._adopted_at_ns = 0  # when another process handed the connection over; 0: none did
-        self._bytes_since_progress = 0  # received since `_progress_at`
         self._close_when_answered = False
         self._ended_elsewhere = False
         """Whether the client's stream had ended when another process handed the connection over."""
@@ -185,13 +180,11 @@
         self._ended_elsewhere = record.closing is Closing.STREAM_ENDED
         if record.discarded is not None:
             self._input.resume_discarding(record.discarded.head, record.discarded.left)
-            self._progress_at = self.last_active_at
+            self._progress.restart(self.last_active_at)
         self.memory.waited_ns = record.waited_ms * NS_PER_MS
         if record.command:
             self.data_received(record.command)
-        # Danger: if each process restarted its timeout, a partial command could hold its connection
-        # indefinitely.
-        self._progress_at -= record.command_age_ms / 1000
+        self._progress.move_back(record.command_age_ms / 1000)
         self._update_flow()
         self.remove_completed_replies()
 
@@ -319,7 +312,7 @@
             self._waits_for_replies = False
         # What waited in the kernel of a connection that was handed over may be older than this process.
         earliest_ns = 0 if received.earliest_ns < self._adopted_at_ns + ADOPTION_TIME_NS else None
-        began_ns = earliest_ns if starts_command else min(self._command_began_ns, received.earliest_ns)
+        began_ns = earliest_ns if starts_command else min(self._progress.began_ns, received.earliest_ns)
         for message, answers in commands:
             reply = Reply(self, answers)
             self.replies.append(reply)
@@ -333,15 +326,10 @@
             self._end_stream()
         elif reader.needed_bytes:
             if starts_command or commands:
-                self._command_began_ns = received.earliest_ns if earliest_ns is None else earliest_ns
-            self._bytes_since_progress = (
-                0 if starts_command or commands else self._bytes_since_progress + size
-            )
-            if not self._bytes_since_progress or self._bytes_since_progress >= COMMAND_PROGRESS_BYTES:
-                # Danger: a timeout over the entire command would disconnect good clients that send long
-                # values slowly, and one that each byte restarts would let bad clients hold a connection
-                # indefinitely.
-                self._progress_at, self._bytes_since_progress = self.last_active_at, 0
+                began_ns = received.earliest_ns if earliest_ns is None else earliest_ns
+                self._progress.begin(began_ns, self.last_active_at)
+            else:
+                self._progress.received(size, self.last_active_at)
         if self.memory.input_count or not self._input.is_between_commands:
             self.memory.count_input()
         if not self._has_capacity:
@@ -679,7 +667,7 @@
         if self.server.access_log is not None:
             self._log_close(self.server.access_log, CloseReason.MOVED)
         replies, self.replies = self.replies, []
-        age_s = self.server.loop.time() - self._progress_at if self._input.is_partial else 0.0
+        age_s = self.server.loop.time() - self._progress.made_at if self._input.is_partial else 0.0
         record = frozen.record(
             self._input,
             self.has_carried_request,
@@ -781,7 +769,7 @@
     @property
     def progress_at(self) -> float:
         """Loop time at which the incomplete command began, made progress, or had its memory reserved."""
-        return max(self._progress_at, self.memory.granted_at)
+        return max(self._progress.made_at, self.memory.granted_at)
 
     def end_incomplete_command(self) -> None:
         """Answer an incomplete command with an error, and close the connection."""
--- a/tests/router/test_limits.py
+++ b/tests/router/test_limits.py
@@ -17,7 +17,7 @@
 import pytest
 
 from saltport.downstream.clients import SWEEP_INTERVAL_S
-from saltport.downstream.connection import COMMAND_PROGRESS_TIMEOUT_S
+from saltport.downstream.command_progress import COMMAND_PROGRESS_TIMEOUT_S
 from tests.sockets import (
     FACTS,
     ROOT,
