--- a/saltport/decisions/timer_tokens.py
+++ b/saltport/decisions/timer_tokens.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-SUBSCRIPTION = "subscription"
+SUBSCRIPTION = "subscribe"
 """The next subscription to the changes of the server list is due."""
 HOT_KEY_SWEEP = "hot key sweep"
 """The next review of all replicated keys is due."""
