Hand-over: short connections move first, and the link no longer rests while it is full

Callers saw: at an upgrade beside clients with long writes under way, reads of others waited 0.3 to 1.0 s alone, and on a busy machine some lay unread in the old process until it was killed. Cause: connections are not read from the SIGTERM on until they have moved. They moved in the order in which they came; the receiver took one message of 64 KB in each iteration of its loop, and the sender paused for 10 ms whenever the kernel's buffer of three messages was full. Change: shortest first, when frozen and when sent; up to 16 messages an iteration; the sender goes on as soon as the peer has received, with a buffer of 512 KB. The test of a closed link queues its third connection after the first two have gone, as a short one now overtakes a long one that has not begun; its assertions are as before.

--- a/saltport/downstream/clients.py
+++ b/saltport/downstream/clients.py
@@ -42,6 +42,10 @@
     """Do nothing: nobody watches the memory."""
 
 
+def _moved_bytes(connection: ClientConnection) -> int:
+    return connection.moved_bytes
+
+
 class ClientServer:
     """The listeners and all client connections, within their limit of descriptors."""
 
@@ -204,7 +208,10 @@
         that only carry health checks.
         """
         now = self.loop.time()
-        for connection in list(self._connections):
+        connections = list(self._connections)
+        if self.successor is not None:
+            connections.sort(key=_moved_bytes)  # only so many move at a time
+        for connection in connections:
             if connection.awaits_first_request and not even_mid_command:
                 continue
             if health or connection.has_carried_request or now - connection.last_active_at >= IDLE_TIMEOUT_S:
--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -634,6 +634,11 @@
             return True
         return not self.replies and self._hand_over_idle()
 
+    @property
+    def moved_bytes(self) -> int:
+        """About how many bytes a hand-over of the connection has to move."""
+        return self._input.held_bytes + self.memory.buffered_bytes
+
     def freeze(self) -> None:
         """Stop reading and writing the connection, to send its state to the successor process.
 
--- a/saltport/handover/exchange.py
+++ b/saltport/handover/exchange.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -72,6 +73,11 @@
             )
         return Message(RECORD_LAST + part, unsent)
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether a part of the record has been sent."""
+        return self.sent_bytes > 0 or self.sent_descriptors > 0
+
     def restart(self) -> None:
         """Begin again with the first message."""
         self.sent_bytes = self.sent_descriptors = 0
@@ -137,8 +143,14 @@
             self._learned.append(USED_IDS + b"".join(digests[at : at + MAX_IDS_PER_MESSAGE]))
 
     def enqueue(self, transfer: ConnectionTransfer) -> None:
-        """Queue a frozen connection, to be sent when the link has capacity."""
-        self._queue.append(transfer)
+        """Queue a frozen connection, to be sent when the link has capacity.
+
+        It goes ahead of those with longer records: a read must not wait until long writes have moved.
+        """
+        first = 1 if self._queue and self._queue[0].is_begun else 0
+        size = len(transfer.record)
+        place = bisect_right(self._queue, size, lo=first, key=lambda queued: len(queued.record))
+        self._queue.insert(place, transfer)
 
     def next_message(self) -> Message | None:
         """Return the message to send next, or None. Call `message_sent` before calling this again."""
--- a/saltport/lifecycle/takeover.py
+++ b/saltport/lifecycle/takeover.py
@@ -298,8 +298,8 @@
     def _send_queued(self) -> None:
         """Send queued messages to the successor; retry after a pause if the link does not take one."""
         while self._successor is not None and (message := self.sender.next_message()) is not None:
-            if not self._successor.send(message.data, message.descriptors):
-                # Danger: waiting only until the link is writable would never end if the kernel's limit of
+            if not self._successor.send_or_wait(message.data, message.descriptors, self._send_queued):
+                # Danger: waiting only until the link has room would never end if the kernel's limit of
                 # descriptors in flight is reached.
                 if self._retry is None:
                     self._retry = self._loop.call_later(RETRY_S, self._retry_send)
--- a/saltport/transport/packets.py
+++ b/saltport/transport/packets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import struct
 from collections import deque
@@ -16,6 +17,10 @@
 _CREDENTIALS = struct.Struct("3i")
 RETRY_PAUSE_S = 0.01
 """Pause before a call is repeated that failed for lack of resources or because the link was full."""
+MESSAGES_PER_ITERATION = 16
+"""Most messages that one iteration of the event loop receives, so that others have their turn."""
+SEND_BUFFER_BYTES = 512 << 10
+"""Buffer of the kernel for unread messages; a kernel may allow less."""
 
 
 class PeerCredentials(NamedTuple):
@@ -63,7 +68,10 @@
         self._read_retry: asyncio.TimerHandle | None = None
         self._answer_retry: asyncio.TimerHandle | None = None
         self._peer_process_id = 0
+        self._awaits_room = False
         sock.setblocking(False)
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._resume_reading()
 
     @property
@@ -82,6 +90,29 @@
             return False
         return True
 
+    def send_or_wait(self, data: bytes, descriptors: Sequence[int], on_room: Callable[[], None]) -> bool:
+        """Send a message as `send` does; if the link is full, call `on_room` once the peer has received.
+
+        Other failures, such as too many descriptors in flight, end without a sign: the caller tries again.
+        """
+        try:
+            socket.send_fds(self._sock, [data], descriptors)
+        except OSError as error:
+            if error.errno == errno.EAGAIN and not self._awaits_room:
+                self._awaits_room = True
+                self._loop.add_writer(self._sock.fileno(), self._has_room, on_room)
+            return False
+        return True
+
+    def _has_room(self, on_room: Callable[[], None]) -> None:
+        self._stop_waiting_for_room()
+        on_room()
+
+    def _stop_waiting_for_room(self) -> None:
+        if self._awaits_room:
+            self._awaits_room = False
+            self._loop.remove_writer(self._sock.fileno())
+
     def answer(self, data: bytes) -> None:
         """Queue an answer behind earlier ones; it is sent as soon as the link takes it."""
         self._unsent_answers.append(data)
@@ -90,6 +121,7 @@
 
     def close(self) -> None:
         """Close this end at once; queued answers are dropped."""
+        self._stop_waiting_for_room()
         if self._read_retry is None:
             self._loop.remove_reader(self._sock.fileno())
         for timer in (self._read_retry, self._answer_retry):
@@ -113,14 +145,18 @@
 
     def receive_pending(self) -> None:
         """Process the messages that have arrived, without waiting for the event loop to report them."""
-        while self._read_retry is None and self._sock.fileno() >= 0 and self._receive():
+        while self._receive():
             pass
 
     def _read(self) -> None:
-        self._receive()
+        for _ in range(MESSAGES_PER_ITERATION):
+            if not self._receive():
+                return
 
     def _receive(self) -> bool:
         """Receive one message and process it; return whether there was one."""
+        if self._read_retry is not None or self._sock.fileno() < 0:
+            return False
         try:
             data, descriptors, flags, _ = socket.recv_fds(self._sock, self._max_size, self._max_descriptors)
         except (BlockingIOError, InterruptedError):
--- a/tests/handover/test_model.py
+++ b/tests/handover/test_model.py
@@ -231,10 +231,10 @@
     sender.enqueue(
         ConnectionTransfer(b"x" * (RECORD_PART_BYTES + 1), [9], lambda: resumed.append("half sent"))
     )
-    sender.enqueue(ConnectionTransfer(b"waits", [10], lambda: resumed.append("waits")))
     for _ in range(2):
         assert sender.next_message() is not None
         sender.message_sent()
+    sender.enqueue(ConnectionTransfer(b"waits", [10], lambda: resumed.append("waits")))
     sender.link_closed()
     assert closed == [[7, 8]], "the receiver may have continued the connection, so this process must not"
     assert resumed == ["half sent", "waits"]
@@ -271,6 +271,22 @@
     assert list(message.descriptors) == list(range(MAX_DESCRIPTORS_PER_MESSAGE))
 
 
+def test_short_records_go_ahead_of_long_ones_that_have_not_begun() -> None:
+    """Guards against a read that waits, unread, until the long writes of others have moved."""
+    sender = TransferSender(lambda _: None)
+    begun, long = b"b" * (3 * RECORD_PART_BYTES), b"l" * (2 * RECORD_PART_BYTES)
+    sender.enqueue(ConnectionTransfer(begun, [1], lambda: None))
+    sender.next_message()
+    sender.message_sent()
+    for record in (long, b"first", b"other", b"it"):
+        sender.enqueue(ConnectionTransfer(record, [1], lambda: None))
+    messages = []
+    while (message := sender.next_message()) is not None:
+        messages.append(message.data[1:])
+        sender.message_sent()
+    assert b"".join(messages) == begun[RECORD_PART_BYTES:] + b"it" + b"first" + b"other" + long
+
+
 def test_more_values_than_one_message_carries_wait_for_a_receiver_that_accepts_them() -> None:
     sender = TransferSender(lambda _: None)
     sender.receive(b"H1")
