Tests: the report of a failure tells for how long processes waited for a disk

Cause: of three voters in one process (test_failing_disk, listed) each write to the disk stops all of them, and nothing told whether the disk was slow. Change: the report has the kernel's figure for disks beside that for processors.

--- a/tests/machine_report.py
+++ b/tests/machine_report.py
@@ -1,4 +1,4 @@
-"""Pytest plugin: each failure tells what the machine's network and processors went through meanwhile."""
+"""Pytest plugin: each failure tells what the machine's network, processors and disks went through meanwhile."""
 
 from __future__ import annotations
 
@@ -34,20 +34,22 @@
     tcp: dict[str, int]
     cpu_stall_s: float
     """Time in which some process waited for a processor."""
+    disk_stall_s: float
+    """Time in which some process waited for a disk."""
 
     @classmethod
     def read(cls) -> MachineState:
         """Read the counters; those that this kernel does not have are left out."""
-        return cls(time.monotonic(), _tcp_counters(), _cpu_stall_s())
+        return cls(time.monotonic(), _tcp_counters(), _stall_s("cpu"), _stall_s("io"))
 
     def changes_until(self, later: MachineState) -> str:
         """Describe in a line for each what changed until a later moment, with what is open then."""
         seconds = later.at_s - self.at_s
         rises = {name: later.tcp[name] - self.tcp[name] for name in self.tcp if name in later.tcp}
         counters = ", ".join(f"{name} {rise}" for name, rise in rises.items() if rise) or "none rose"
-        stall_s = later.cpu_stall_s - self.cpu_stall_s
+        cpu_s, disk_s = later.cpu_stall_s - self.cpu_stall_s, later.disk_stall_s - self.disk_stall_s
         return (
-            f"in {seconds:.1f} s: some process waited for a processor for {stall_s:.1f} s\n"
+            f"in {seconds:.1f} s: some process waited for a processor for {cpu_s:.1f} s, a disk {disk_s:.1f} s\n"
             f"TCP counters of the kernel: {counters}\n{_sockets()}"
         )
 
@@ -59,8 +61,8 @@
     return {name: known[name] for name in TCP_COUNTERS if name in known}
 
 
-def _cpu_stall_s() -> float:
-    lines = _lines(Path("/proc/pressure/cpu"))
+def _stall_s(resource: str) -> float:
+    lines = _lines(Path("/proc/pressure", resource))
     return int(lines[0].rpartition("total=")[2]) / 1e6 if lines else 0.0
 
 
