--- a/tests/machine_report.py
+++ b/tests/machine_report.py
@@ -1,4 +1,4 @@
-"""Pytest plugin: each failure tells what the machine's network, processors and disks went through meanwhile."""
+"""Pytest plugin: a failure tells what the machine's network, processors and disks went through meanwhile."""
 
 from __future__ import annotations
 
@@ -49,7 +49,8 @@
         counters = ", ".join(f"{name} {rise}" for name, rise in rises.items() if rise) or "none rose"
         cpu_s, disk_s = later.cpu_stall_s - self.cpu_stall_s, later.disk_stall_s - self.disk_stall_s
         return (
-            f"in {seconds:.1f} s: some process waited for a processor for {cpu_s:.1f} s, a disk {disk_s:.1f} s\n"
+            f"in {seconds:.1f} s: some process waited for a processor for {cpu_s:.1f} s, "
+            f"for a disk {disk_s:.1f} s\n"
             f"TCP counters of the kernel: {counters}\n{_sockets()}"
         )
 
