Hand-over: a connection is read on while the successor has no room for it

Callers saw: beside a next process that is stopped or slow, no answer on kept connections of the process that was told to end, until it was killed. Cause: a connection that may move was not read any more, also while 32 were frozen or unconfirmed and it could not move; the design says that the others stay live. Change: it stops to be read only while there is room for its move; without, it is served here, and offered again at the next step of the drain.

--- a/saltport/downstream/connection.py
+++ b/saltport/downstream/connection.py
@@ -487,7 +487,7 @@
             or self._stream_ended
             or len(self.replies) >= MAX_PIPELINE
             or (self.replies and not self.memory.has_share)
-            or self._moves_to_successor
+            or self._stops_to_move
         )
 
     def _update_flow(self) -> None:
@@ -525,7 +525,7 @@
             and self._input.backlog_bytes < MAX_BACKLOG_BYTES
             and self.memory.may_read_ahead
             and not (self.closed or self.memory.awaits_memory or self._stream_ended)
-            and not self._moves_to_successor
+            and not self._stops_to_move
         )
 
     def look_behind_unread(self) -> None:
@@ -590,6 +590,23 @@
         needs_extended = self._close_when_answered or self._stream_ended or self._dialect.is_discarding
         return successor.takes_extended_records or not needs_extended
 
+    @property
+    def _stops_to_move(self) -> bool:
+        """Whether further commands wait until the connection has moved to the successor.
+
+        Danger: while the successor takes no more connections, this process has to answer: what waited unread
+        until it is killed would be lost.
+        """
+        if not self._moves_to_successor:
+            return False
+        return self._frozen is not None or self._successor_has_room
+
+    @property
+    def _successor_has_room(self) -> bool:
+        """Whether one more connection may be frozen for the successor."""
+        successor = self.server.successor
+        return successor is not None and self.server.handovers_in_progress < successor.free_capacity
+
     @property
     def _is_done(self) -> bool:
         """Whether nothing is left but to close: the connection closes, and the kernel has all answers."""
@@ -651,8 +668,8 @@
             return
         if transport is None or transport.is_closing():
             return
-        if successor is None or self.server.handovers_in_progress >= successor.free_capacity:
-            return  # retried at the next drain step; until then its values keep streaming
+        if successor is None or not self._successor_has_room:
+            return  # retried at the next drain step; until then it is served here
         remaining_s = self.server.exits_at - self.server.loop.time()
         if can_hand_over(self.replies, remaining_s, successor.max_values):
             try:
--- a/tests/handover/test_moving_connections.py
+++ b/tests/handover/test_moving_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import select
 import signal
 import socket
 import time
@@ -12,7 +13,7 @@
 
 from benchmarks.platform import Process, platform
 from saltport.admin.client import ask
-from saltport.handover.exchange import NO_DESCRIPTORS, RECORD_LAST, REJECTED
+from saltport.handover.exchange import MAX_IN_FLIGHT, NO_DESCRIPTORS, RECORD_LAST, REJECTED
 from saltport.handover.record import MAX_VALUES_IN_ONE_MESSAGE, ConnectionRecord, decode
 from tests.handover.test_processes import (
     LONG,
@@ -22,7 +23,7 @@
     value_in_progress,
     wait_for_values,
 )
-from tests.sockets import TIMEOUT_S, Peer, bulk, echo_cache, eventually, get, hit, put
+from tests.sockets import TIMEOUT_S, Client, Peer, bulk, echo_cache, eventually, get, hit, put
 
 
 @pytest.mark.parametrize("count", [64, 65, 140])
@@ -156,6 +157,33 @@
         assert client.answer() == LONG, "it goes on in the old process"
 
 
+def test_clients_that_find_no_room_at_the_next_process_are_served_by_the_old_one(tmp_path: Path) -> None:
+    """Guards against requests that lay unread behind a next process that takes no more connections."""
+    beyond = 8
+    with platform(tmp_path, {"s1": echo_cache()}) as cluster:
+        old = cluster.start().wait_until_healthy()
+        clients = [cluster.client() for _ in range(MAX_IN_FLIGHT + beyond)]
+        for number, client in enumerate(clients):
+            assert client.ask(get(f"a{number}")) == b"a%d" % number
+        with connect_as_successor(tmp_path, b"H1") as link:
+            assert link.recv(1 << 20)[:1] == b"L"
+            old.terminate()
+            for _ in range(MAX_IN_FLIGHT):  # none of them is confirmed
+                _, descriptors = receive_record(link)
+                close_all(descriptors)
+            for number, client in enumerate(clients):
+                client.send(get(f"b{number}"))
+            eventually(lambda: len(readable(clients)) == beyond, "the others are served")
+            for client in readable(clients):
+                assert client.answer() == b"b%d" % clients.index(client)
+
+
+def readable(clients: list[Client]) -> list[Client]:
+    """Return the clients for which an answer, or the end of the connection, has arrived."""
+    sockets, _, _ = select.select([client.socket for client in clients], [], [], 0)
+    return [client for client in clients if client.socket in sockets]
+
+
 def test_no_more_values_begin_than_a_process_of_an_earlier_version_takes_over(tmp_path: Path) -> None:
     # Guards against: a router that knew that its successor takes 64 values let more begin on one connection.
     count = 80
