--- a/saltport/downstream/client_presence.py
+++ b/saltport/downstream/client_presence.py
@@ -22,6 +22,8 @@
 class ClientPresence:
     """What is known of the presence of one connection's client."""
 
+    __slots__ = ("_hangup_poll", "_now", "_seen_at", "_transport")
+
     def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
         self._now = now
         self._seen_at = now()
--- a/saltport/downstream/command_input.py
+++ b/saltport/downstream/command_input.py
@@ -23,6 +23,8 @@
 class CommandInput:
     """Received bytes that are not parsed yet, in front of the parser of the connection's dialect."""
 
+    __slots__ = ("_reads", "_unparsed", "dialect", "is_between_commands")
+
     def __init__(self, dialect: ClientDialect) -> None:
         self.dialect = dialect
         self._unparsed: bytes | bytearray = b""
--- a/saltport/downstream/command_progress.py
+++ b/saltport/downstream/command_progress.py
@@ -11,6 +11,8 @@
 class CommandProgress:
     """When a partial command can have begun, and when it last made progress."""
 
+    __slots__ = ("_bytes", "began_ns", "made_at")
+
     def __init__(self) -> None:
         self.began_ns = 0
         """Time before which the command did not begin."""
